--- /dev/null
+++ b/saffronstack/choice.py
@@ -0,0 +1,329 @@
+"""All decisions of saffronstack. Read `saffronstack/interface.py` first: settings, events and actions.
+
+Ordinary path of a request: the freshest entry of the function's warm stack; else the worker with most
+room by this front end's own account of placed memory; else the worker with fewest own requests in flight.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from itertools import count
+
+from saffronstack.checks import check_settings
+from saffronstack.interface import (
+    Action, ClassSettings, ClientGone, Effect, Event, Fail, Found, Group, ListKind, ListUpdate, Outcome,
+    Refuse, Request, Result, Send, Settings, Watch, WorkerEntry, WorkerState,
+)
+
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
+KEEP_UNTOLD_S = 8.0  # how long an entry lives where no keep-alive is told
+RATE_SPAN_S = 10.0  # memory of the own request rate, which sizes the slow-start budget
+COLD_PART = 0.8  # of the slow-start budget that is used, the rest is for chance
+WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
+ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
+
+
+class Worker:
+    """What this front end knows of one worker."""
+
+    def __init__(self, entry: WorkerEntry) -> None:
+        self.entry = entry
+        self.ready = entry.state is WorkerState.READY
+        self.in_flight = 0
+        self.placed_mb = 0.0
+        self.next_cold_s = 0.0  # slow start: earliest time of the next send
+
+
+class Holding:
+    """Copies of one function that own sends made one worker hold."""
+
+    def __init__(self) -> None:
+        self.copies = 0
+        self.in_flight = 0
+        self.used_s = 0.0
+        self.memory_mb = 0.0
+
+
+class Attempt:
+    """One send and what it may have done."""
+
+    __slots__ = ("ask", "ended", "number", "sent_s", "worker")
+
+    def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float) -> None:
+        self.ask = ask
+        self.number = number
+        self.worker = worker
+        self.sent_s = sent_s
+        self.ended: Result | None = None
+
+
+class Pending:
+    """A request that is still owed its final answer."""
+
+    __slots__ = ("ask", "attempts", "cls", "maybe", "out")
+
+    def __init__(self, ask: Request, cls: ClassSettings) -> None:
+        self.ask = ask
+        self.cls = cls
+        self.attempts: list[Attempt] = []
+        self.maybe: Attempt | None = None  # the first attempt that may have run
+        self.out = 0
+
+
+class Router:
+    """Decides for one front end; `handle` is the only entry."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        check_settings(settings)
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.keep_s = settings.keep_alive_s or KEEP_UNTOLD_S
+        self.workers: dict[int, Worker] = {}
+        self.stacks: dict[int, list[tuple[Worker, float]]] = {}
+        self.pending: dict[int, Pending] = {}
+        self.flying: dict[tuple[int, int], Attempt] = {}
+        self.holdings: dict[tuple[int, int], Holding] = {}
+        self.expiries: list[tuple[float, int, int, int]] = []
+        self.ticket = count()
+        self.rate = 0.0  # own requests a second, starting low: safe for slow start
+        self.rate_s = 0.0
+        self.actions: list[Action] = []
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """What to do about one event."""
+        self.actions = []
+        if isinstance(event, Outcome):
+            self._outcome(now, event)
+        elif isinstance(event, Request):
+            self._request(now, event)
+        elif isinstance(event, ListUpdate):
+            self._list(now, event)
+        elif isinstance(event, ClientGone):
+            self.pending.pop(event.request, None)
+        return self.actions
+
+    # ---- the list of workers
+
+    def _list(self, now: float, event: ListUpdate) -> None:
+        if self.settings.must_subscribe and event.kind in (ListKind.CACHED, ListKind.FAILED):
+            self.actions.append(Watch())
+        if event.kind is ListKind.FAILED:
+            return
+        if event.kind is not ListKind.CHANGE:
+            named = {entry.worker for entry in event.workers}
+            for number, worker in self.workers.items():
+                worker.ready = worker.ready and number in named
+        for entry in event.workers:
+            worker = self.workers.get(entry.worker)
+            if worker is None:
+                worker = self.workers[entry.worker] = Worker(entry)
+                self._started(now, worker)
+            elif entry.since_s > worker.entry.since_s:
+                self._forget_copies(worker)
+                worker.entry = entry
+                self._started(now, worker)
+            worker.entry = entry
+            worker.ready = entry.state is WorkerState.READY
+
+    def _started(self, now: float, worker: Worker) -> None:
+        """Slow start: the first sends of all front ends must not fall on one moment."""
+        pace = self._cold_pace(now, worker)
+        if pace is not None:
+            worker.next_cold_s = now + self.random.random() * min(1 / pace, 2.0)
+
+    def _forget_copies(self, worker: Worker) -> None:
+        for (number, _), holding in self.holdings.items():
+            if number == worker.entry.worker:
+                worker.placed_mb -= holding.copies * holding.memory_mb
+                holding.copies = 0
+        for function, stack in self.stacks.items():
+            self.stacks[function] = [entry for entry in stack if entry[0] is not worker]
+
+    # ---- requests
+
+    def _request(self, now: float, ask: Request) -> None:
+        if not 0 <= ask.class_index < len(self.settings.classes):
+            raise ValueError(f"class_index {ask.class_index} names no class")
+        self.rate = self._rate(now) + 1 / RATE_SPAN_S
+        self.rate_s = now
+        pending = Pending(ask, self.settings.classes[ask.class_index])
+        self.pending[ask.request] = pending
+        self._try(now, pending)
+
+    def _rate(self, now: float) -> float:
+        return self.rate * math.exp((self.rate_s - now) / RATE_SPAN_S)
+
+    def _try(self, now: float, pending: Pending) -> None:
+        """Send once more if the rules and the attempts left allow it; else give the final answer."""
+        most = self.settings.allow.max_attempts
+        remaining = pending.ask.deadline_s - now
+        worker = None
+        if remaining > 0 and (not most or len(pending.attempts) < most) and self._may_send(now, pending):
+            worker = self._choose(now, pending)
+        if worker is None:
+            self._give_up(pending)
+        else:
+            self._send(now, pending, worker)
+
+    def _may_send(self, now: float, pending: Pending) -> bool:
+        first = pending.maybe
+        if first is None or pending.cls.effect is Effect.SAFE:
+            return True
+        if pending.cls.effect is Effect.UNSAFE:
+            return False
+        return now < first.sent_s + pending.cls.window_s - WINDOW_MARGIN_S
+
+    def _give_up(self, pending: Pending) -> None:
+        """The final answer: a refusal only where trying again is harmless."""
+        harmless = pending.maybe is None or pending.cls.effect is Effect.SAFE
+        if pending.cls.effect is Effect.KEYED and pending.cls.group is Group.ALL:
+            harmless = True
+        del self.pending[pending.ask.request]
+        if harmless and not pending.out:
+            advice = min(ADVICE_S, self.settings.allow.max_retry_advice_s)
+            self.actions.append(Refuse(pending.ask.request, advice))
+        else:
+            self.actions.append(Fail(pending.ask.request))
+
+    def _send(self, now: float, pending: Pending, worker: Worker) -> None:
+        ask = pending.ask
+        attempt = Attempt(ask, len(pending.attempts), worker, now)
+        pending.attempts.append(attempt)
+        pending.out += 1
+        self.flying[ask.request, attempt.number] = attempt
+        worker.in_flight += 1
+        holding = self._holding(worker, ask)
+        holding.in_flight += 1
+        needed = math.ceil(holding.in_flight / max(1.0, ask.lanes))
+        if needed > holding.copies:
+            worker.placed_mb += (needed - holding.copies) * holding.memory_mb
+            holding.copies = needed
+        pace = self._cold_pace(now, worker)
+        if pace is not None:
+            worker.next_cold_s = now + 1 / pace
+        self.actions.append(Send(ask.request, worker.entry.worker))
+
+    # ---- the choice
+
+    def _choose(self, now: float, pending: Pending) -> Worker | None:
+        ask = pending.ask
+        self._expire(now)
+        tried = {attempt.worker.entry.worker for attempt in pending.attempts}
+        eligible = [
+            worker for number, worker in self.workers.items()
+            if worker.ready and number not in tried and self._group_fits(pending, worker)
+            and self._cold_fits(now, worker)
+        ]
+        warm = self._pop(now, ask, eligible)
+        if warm is not None:
+            return warm
+        self.random.shuffle(eligible)
+        room = [worker for worker in eligible if self._room_mb(worker) >= ask.memory_mb]
+        if room:
+            return max(room, key=self._room_mb)
+        return min(eligible, key=lambda worker: worker.in_flight, default=None)
+
+    def _group_fits(self, pending: Pending, worker: Worker) -> bool:
+        """A keyed request that may have run stays in the group that drops its repeats."""
+        first = pending.maybe
+        if first is None or pending.cls.effect is not Effect.KEYED or pending.cls.group is Group.ALL:
+            return True
+        if pending.cls.group is Group.ZONE:
+            return worker.entry.zone == first.worker.entry.zone
+        return worker.entry.cell == first.worker.entry.cell
+
+    def _pop(self, now: float, ask: Request, eligible: list[Worker]) -> Worker | None:
+        """The freshest entry at an eligible worker; dead and expired ones go."""
+        stack = self.stacks.get(ask.function)
+        if not stack:
+            return None
+        for place in range(len(stack) - 1, -1, -1):
+            worker, freed_s = stack[place]
+            if now - freed_s > self.keep_s:
+                del stack[:place + 1]
+                return None
+            if worker in eligible:
+                del stack[place]
+                return worker
+        return None
+
+    def _room_mb(self, worker: Worker) -> float:
+        kinds = self.settings.memory_mb_by_kind
+        kind = worker.entry.kind
+        return (kinds[kind] if kind < len(kinds) else math.inf) - worker.placed_mb
+
+    # ---- the account of placed memory
+
+    def _holding(self, worker: Worker, ask: Request) -> Holding:
+        key = worker.entry.worker, ask.function
+        holding = self.holdings.get(key)
+        if holding is None:
+            holding = self.holdings[key] = Holding()
+            holding.memory_mb = ask.memory_mb
+        return holding
+
+    def _expire(self, now: float) -> None:
+        """Placed memory returns when nothing used it for the keep-alive."""
+        while self.expiries and self.expiries[0][0] < now:
+            _, _, number, function = heapq.heappop(self.expiries)
+            holding = self.holdings.get((number, function))
+            if holding and not holding.in_flight and holding.used_s + self.keep_s < now:
+                self.workers[number].placed_mb -= holding.copies * holding.memory_mb
+                del self.holdings[number, function]
+
+    # ---- slow start
+
+    def _cold_pace(self, now: float, worker: Worker) -> float | None:
+        """Sends a second that this front end may give a young worker; None: it is warm.
+
+        The own rate for each unit of size is at most this front end's part of what such a worker carries;
+        the worker can do the cold share of that at first and all of it after `cold_s`.
+        """
+        rules = self.settings.rules
+        if not rules.cold_s or worker.entry.since_s <= 0 or now >= worker.entry.since_s + rules.cold_s:
+            return None
+        age = max(0.0, now - worker.entry.since_s) / rules.cold_s
+        share = rules.cold_share + (1 - rules.cold_share) * age
+        size = sum(other.entry.size for other in self.workers.values() if other.ready)
+        part = worker.entry.size / size if size > 0 else 1.0
+        multiple = min(1.0, rules.tip_multiple) if rules.tip_multiple else 1.0
+        return max(0.01, COLD_PART * multiple * share * self._rate(now) * part)
+
+    def _cold_fits(self, now: float, worker: Worker) -> bool:
+        return now >= worker.next_cold_s or self._cold_pace(now, worker) is None
+
+    # ---- outcomes
+
+    def _outcome(self, now: float, event: Outcome) -> None:
+        attempt = self.flying.pop((event.request, event.attempt), None)
+        if attempt is None:
+            return
+        attempt.ended = event.result
+        self._learn(now, attempt, event)
+        pending = self.pending.get(event.request)
+        if pending is None:
+            return
+        pending.out -= 1
+        if event.finished:
+            del self.pending[event.request]
+            return
+        if event.result not in NEVER_RAN and pending.maybe is None:
+            pending.maybe = attempt
+        if not pending.out:
+            self._try(now, pending)
+
+    def _learn(self, now: float, attempt: Attempt, event: Outcome) -> None:
+        worker = attempt.worker
+        ask = attempt.ask
+        worker.in_flight -= 1
+        holding = self._holding(worker, ask)
+        holding.in_flight -= 1
+        stack = self.stacks.setdefault(ask.function, [])
+        if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
+            stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
+        if event.result is Result.OK:
+            holding.used_s = now
+            stack.append((worker, now))
+        heapq.heappush(self.expiries, (now + self.keep_s, next(self.ticket), worker.entry.worker, ask.function))
