--- a/saffronstack/checks.py
+++ b/saffronstack/checks.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterable
 
-from saffronstack.interface import Settings
+from saffronstack.interface import Effect, Group, Settings
 
 
 def _not_negative(where: str, values: Iterable[tuple[str, float]]) -> None:
@@ -20,10 +20,14 @@
         raise ValueError("classes must name at least one class")
     if settings.instances < 1:
         raise ValueError(f"instances must be at least 1, not {settings.instances!r}")
-    if not 0 <= settings.self_index:
+    if not settings.self_index >= 0:
         raise ValueError(f"self_index must be at least 0, not {settings.self_index!r}")
     for place, cls in enumerate(settings.classes):
         where = f"classes[{place}]."
+        if not isinstance(cls.effect, Effect):
+            raise ValueError(f"{where}effect must be an Effect, not {cls.effect!r}")
+        if not isinstance(cls.group, Group):
+            raise ValueError(f"{where}group must be a Group, not {cls.group!r}")
         fields = ("aim_s", "deadline_s", "worth", "late_share", "window_s")
         _not_negative(where, [(name, getattr(cls, name)) for name in fields])
         if cls.deadline_s <= 0:
--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -13,8 +13,25 @@
 
 from saffronstack.checks import check_settings
 from saffronstack.interface import (
-    Action, ClassSettings, ClientGone, Effect, Event, Fail, Found, Group, ListKind, ListUpdate, Outcome,
-    Refuse, Request, Result, Send, Settings, Watch, WorkerEntry, WorkerState,
+    Action,
+    ClassSettings,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    Found,
+    Group,
+    ListKind,
+    ListUpdate,
+    Outcome,
+    Refuse,
+    Request,
+    Result,
+    Send,
+    Settings,
+    Watch,
+    WorkerEntry,
+    WorkerState,
 )
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
@@ -116,9 +133,10 @@
             for number, worker in self.workers.items():
                 worker.ready = worker.ready and number in named
         for entry in event.workers:
-            worker = self.workers.get(entry.worker)
-            if worker is None:
-                worker = self.workers[entry.worker] = Worker(entry)
+            known = self.workers.get(entry.worker)
+            worker = known or Worker(entry)
+            if known is None:
+                self.workers[entry.worker] = worker
                 self._started(now, worker)
             elif entry.since_s > worker.entry.since_s:
                 self._forget_copies(worker)
@@ -326,4 +344,5 @@
         if event.result is Result.OK:
             holding.used_s = now
             stack.append((worker, now))
-        heapq.heappush(self.expiries, (now + self.keep_s, next(self.ticket), worker.entry.worker, ask.function))
+        due = now + self.keep_s, next(self.ticket), worker.entry.worker, ask.function
+        heapq.heappush(self.expiries, due)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,223 @@
+"""One small test for each rule."""
+
+from __future__ import annotations
+
+import pytest
+
+from saffronstack.choice import Router
+from saffronstack.interface import (
+    AllowSettings,
+    ClientGone,
+    Fail,
+    Found,
+    ListKind,
+    ListUpdate,
+    Outcome,
+    Refuse,
+    Result,
+    RuleSettings,
+    Send,
+)
+
+from .helpers import (
+    DRAINING,
+    GONE,
+    KEYED_ALL,
+    KEYED_CELL,
+    KEYED_ZONE,
+    SAFE,
+    UNSAFE,
+    Gateway,
+    change,
+    entry,
+    finals,
+    full,
+    router,
+    sends,
+    settings,
+)
+
+MAYBE_RAN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED]
+NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MISS]
+
+
+def test_no_worker_gives_one_lawful_answer() -> None:
+    gateway = Gateway(Router(settings(), 1))
+    _, actions = gateway.ask(100.0)
+    assert [type(a) for a in actions] == [Refuse]
+
+
+def test_all_draining_gives_one_lawful_answer() -> None:
+    gateway = Gateway(router(1, 2))
+    gateway.decider.handle(101.0, change(entry(1, DRAINING), entry(2, DRAINING)))
+    _, actions = gateway.ask(101.0, UNSAFE)
+    assert len(finals(actions)) == 1 and not sends(actions)
+
+
+def test_timeout_at_the_deadline_is_answered_at_once() -> None:
+    gateway = Gateway(router(1, 2))
+    number, _ = gateway.ask(100.0)
+    actions = gateway.end(103.0, number, Result.TIMEOUT)
+    assert len(finals(actions)) == 1 and not sends(actions)
+
+
+def test_nothing_is_sent_after_the_client_left() -> None:
+    gateway = Gateway(router(1, 2))
+    number, _ = gateway.ask(100.0)
+    gateway.decider.handle(100.1, ClientGone(number))
+    assert not sends(gateway.end(100.2, number, Result.FULL))
+    assert not finals(gateway.decider.handle(100.3, ClientGone(number)))
+
+
+def test_gone_racing_an_outcome_is_ignored() -> None:
+    gateway = Gateway(router(1, 2))
+    number, _ = gateway.ask(100.0)
+    assert not finals(gateway.end(100.1, number))
+    assert gateway.decider.handle(100.1, ClientGone(number)) == []
+
+
+def test_stray_outcome_of_an_unknown_request_is_ignored() -> None:
+    assert router(1).handle(100.0, Outcome(99, 0, 1, Result.ERROR, 0.1)) == []
+
+
+@pytest.mark.parametrize("result", MAYBE_RAN)
+def test_unsafe_that_may_have_run_only_fails(result: Result) -> None:
+    gateway = Gateway(router(1, 2))
+    number, _ = gateway.ask(100.0, UNSAFE)
+    assert gateway.end(100.1, number, result) == [Fail(number)]
+
+
+@pytest.mark.parametrize("result", NEVER_RAN)
+def test_unsafe_that_never_ran_goes_again_and_is_refused_at_last(result: Result) -> None:
+    gateway = Gateway(router(1, 2))
+    number, first = gateway.ask(100.0, UNSAFE)
+    second = gateway.end(100.1, number, result)
+    assert {a.worker for a in sends(first) + sends(second)} == {1, 2}
+    last = gateway.end(100.2, number, result)
+    while not finals(last):
+        last = gateway.end(100.2, number, result)
+    assert [type(a) for a in finals(last)] == [Refuse]
+
+
+def test_safe_that_may_have_run_goes_again() -> None:
+    gateway = Gateway(router(1, 2))
+    number, _ = gateway.ask(100.0, SAFE)
+    assert len(sends(gateway.end(100.1, number, Result.RESET))) == 1
+
+
+@pytest.mark.parametrize(("cls", "allowed"), [(KEYED_ZONE, {2, 3}), (KEYED_CELL, {2})])
+def test_keyed_that_may_have_run_stays_in_its_group(cls: int, allowed: set[int]) -> None:
+    lines = [entry(1, zone=0, cell=0), entry(2, zone=0, cell=0), entry(3, zone=0, cell=1),
+             entry(4, zone=1, cell=2)]
+    for seed in range(20):
+        gateway = Gateway(Router(settings(), seed))
+        gateway.decider.handle(100.0, full(*lines))
+        number, first = gateway.ask(100.0, cls)
+        if sends(first)[0].worker != 1:
+            continue
+        seen = set()
+        actions = gateway.end(100.1, number, Result.ERROR)
+        while sends(actions):
+            seen.add(sends(actions)[0].worker)
+            actions = gateway.end(100.2, number, Result.FULL)
+        assert seen <= allowed and seen
+        assert finals(actions) == [Fail(number)]
+        return
+    pytest.fail("no seed sent the first attempt to worker 1")
+
+
+def test_keyed_goes_no_more_when_its_window_has_passed() -> None:
+    gateway = Gateway(router(1, 2))
+    number, _ = gateway.ask(100.0, KEYED_ALL)
+    actions = gateway.end(102.0, number, Result.ERROR)
+    assert not sends(actions) and len(finals(actions)) == 1
+
+
+def test_attempts_stay_under_the_most_allowed() -> None:
+    gateway = Gateway(router(*range(1, 9), allow=AllowSettings(max_attempts=3)))
+    number, _ = gateway.ask(100.0)
+    gateway.end(100.1, number, Result.FULL)
+    gateway.end(100.2, number, Result.FULL)
+    actions = gateway.end(100.3, number, Result.FULL)
+    assert not sends(actions) and len(finals(actions)) == 1
+
+
+@pytest.mark.parametrize("told", ["change", "gone", "omitted"])
+def test_nothing_new_to_a_worker_that_drains_or_is_gone(told: str) -> None:
+    gateway = Gateway(router(1, 2))
+    for _ in range(4):  # entries at both
+        one, _ = gateway.ask(100.0)
+        two, _ = gateway.ask(100.0)
+        gateway.end(100.5, one)
+        gateway.end(100.5, two)
+    update = {"change": change(entry(1, DRAINING)), "gone": change(entry(1, GONE)),
+              "omitted": full(entry(2))}[told]
+    gateway.decider.handle(101.0, update)
+    for _ in range(20):
+        _, actions = gateway.ask(101.0)
+        assert [a.worker for a in sends(actions)] == [2]
+
+
+def test_a_worker_that_comes_back_is_used_again_and_slowly() -> None:
+    rules = RuleSettings(cold_share=0.2, cold_s=10.0, tip_multiple=2.0, tip_after_s=1.0)
+    gateway = Gateway(router(1, rules=rules))
+    gateway.decider.handle(101.0, change(entry(1, GONE)))
+    gateway.decider.handle(102.0, change(entry(1, since_s=101.9), entry(2)))
+    count = 0
+    for step in range(2000):
+        now = 102.0 + step * 0.01
+        number, actions = gateway.ask(now, function=step)
+        count += sends(actions)[0].worker == 1
+        gateway.end(now, number)
+    assert count > 10
+
+
+def _cold_router(instances: int, restart: bool) -> Gateway:
+    rules = RuleSettings(cold_share=0.2, cold_s=10.0, tip_multiple=2.0, tip_after_s=1.0)
+    decider = Router(settings(rules=rules, instances=instances), 3)
+    decider.handle(100.0, ListUpdate(ListKind.CACHED, tuple(entry(w) for w in range(2, 6))))
+    if restart:
+        decider = Router(settings(rules=rules, instances=instances), 4)
+        decider.handle(120.0, ListUpdate(
+            ListKind.CACHED, (entry(1, since_s=119.5), *(entry(w) for w in range(2, 6)))))
+    return Gateway(decider)
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_no_window_over_the_cold_budget(restart: bool) -> None:
+    """100 requests a second over 5 workers, 20 for each: a cold one may get 2 x 0.2 x 20 at first."""
+    gateway = _cold_router(3, restart)
+    times: list[float] = []
+    for step in range(3000):
+        now = (120.0 if restart else 100.0) + step * 0.01
+        if step == 2000 and not restart:
+            gateway.decider.handle(now, change(entry(1, since_s=now - 0.5)))
+        number, actions = gateway.ask(now, function=step)
+        times += [now for a in sends(actions) if a.worker == 1]
+        gateway.end(now + 0.005, number)
+    start = 119.5
+    cold = [t for t in times if t < start + 10.0]
+    assert cold
+    for first in cold:
+        share = 0.2 + 0.8 * min(1.0, (first - start) / 10.0)
+        assert sum(first <= t < first + 1.0 for t in times) <= 2.0 * share * 20.0 + 1
+
+
+def test_same_events_same_actions() -> None:
+    def play() -> list[str]:
+        gateway = Gateway(router(1, 2, 3, 4))
+        said = []
+        for step in range(200):
+            now = 100.0 + step * 0.03
+            number, actions = gateway.ask(now, function=step % 5)
+            said.append(repr(actions))
+            found = Found.BEGAN_LOAD if step % 3 else Found.WARM
+            said.append(repr(gateway.end(now + 0.01, number, found=found)))
+        return said
+
+    assert play() == play()
+
+
+def test_the_first_answer_is_a_send() -> None:
+    _, actions = Gateway(router(1)).ask(100.0)
+    assert any(isinstance(action, Send) for action in actions)
--- /dev/null
+++ b/tests/test_stack.py
@@ -0,0 +1,59 @@
+"""The ordinary path: warm stack, room, fewest in flight."""
+
+from __future__ import annotations
+
+from saffronstack.interface import Found, Result
+
+from .helpers import Gateway, router, sends
+
+
+def test_the_freshest_entry_goes_first() -> None:
+    gateway = Gateway(router(1, 2, 3))
+    one, _ = gateway.ask(100.0)
+    two, _ = gateway.ask(100.0)
+    first, second = gateway.where[one], gateway.where[two]
+    gateway.end(101.0, one)
+    gateway.end(101.1, two)
+    _, actions = gateway.ask(101.2)
+    assert sends(actions)[0].worker == second
+    _, actions = gateway.ask(101.2)
+    assert sends(actions)[0].worker == first
+
+
+def test_entries_die_past_the_keep_alive() -> None:
+    gateway = Gateway(router(1))
+    number, _ = gateway.ask(100.0)
+    gateway.end(100.1, number)
+    assert gateway.decider.stacks[1]
+    gateway.ask(110.2)
+    assert not gateway.decider.stacks[1]
+
+
+def test_an_answer_that_shows_a_load_voids_older_entries_there() -> None:
+    gateway = Gateway(router(1))
+    first, _ = gateway.ask(100.0)
+    second, _ = gateway.ask(100.0)
+    gateway.end(100.1, first)
+    third, _ = gateway.ask(100.2)  # pops the only entry
+    gateway.end(100.3, second)  # an older entry when the load is heard
+    gateway.end(101.0, third, found=Found.BEGAN_LOAD)
+    assert all(freed >= 100.2 for _, freed in gateway.decider.stacks[1])
+
+
+def test_a_failed_attempt_voids_the_entries_there() -> None:
+    gateway = Gateway(router(1))
+    first, _ = gateway.ask(100.0)
+    second, _ = gateway.ask(100.0)
+    gateway.end(100.1, first)
+    gateway.end(100.2, second, Result.RESET)
+    assert all(freed >= 100.1 for _, freed in gateway.decider.stacks[1])
+
+
+def test_placed_memory_returns_after_the_keep_alive() -> None:
+    gateway = Gateway(router(1))
+    number, _ = gateway.ask(100.0)
+    worker = gateway.decider.workers[1]
+    assert worker.placed_mb == 500.0
+    gateway.end(100.1, number)
+    gateway.ask(111.0, function=2, memory_mb=300.0)
+    assert worker.placed_mb == 300.0
