Rendezvous rank among calm workers with about equal room

Cause: each front end filled cold slots of its own (loads per request, many unloaded unused). Also holds against cold starts and restarts with empty stacks; could hurt where hot functions share a favourite.

--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -39,6 +39,10 @@
 RATE_SPAN_S = 10.0  # memory of the own request rate, which sizes the slow-start budget
 COLD_PART = 0.8  # of the slow-start budget that is used, the rest is for chance
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
+ALIKE_ROOM = 0.5  # workers with this part of the most room count as alike; the function's rank decides
+BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
+BOUND_LEAST = 3  # and never fewer than this
+MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
 
@@ -237,11 +241,33 @@
         warm = self._pop(now, ask, eligible)
         if warm is not None:
             return warm
-        self.random.shuffle(eligible)
-        room = [worker for worker in eligible if self._room_mb(worker) >= ask.memory_mb]
+        if not eligible:
+            return None
+        calm = self._calm(eligible)
+        room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if room:
-            return max(room, key=self._room_mb)
-        return min(eligible, key=lambda worker: worker.in_flight, default=None)
+            most = max(map(self._room_mb, room))
+            alike = [worker for worker in room if self._room_mb(worker) >= ALIKE_ROOM * most]
+            return min(alike, key=lambda worker: self._rank(worker, ask.function))
+        return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
+
+    def _calm(self, workers: list[Worker]) -> list[Worker]:
+        """Those whose own requests in flight, for their size, are not far over the mean; else all."""
+        held = sum(worker.in_flight for worker in self.workers.values() if worker.ready)
+        size = sum(worker.entry.size for worker in self.workers.values() if worker.ready)
+        mean = BOUND * (held + 1) / size if size > 0 else math.inf
+        return [w for w in workers if w.in_flight < max(BOUND_LEAST, mean * w.entry.size)] or workers
+
+    def _rank(self, worker: Worker, function: int) -> float:
+        """Rendezvous: every front end prefers the same workers for a function, so that they meet on copies.
+
+        Guards against each front end filling cold slots of its own, also after a restart. It could hurt
+        where many hot functions share a favourite: `_calm` then passes over it.
+        """
+        mixed = (function * 0x9E3779B97F4A7C15 ^ worker.entry.worker * 0xC2B2AE3D27D4EB4F) & MASK
+        mixed = ((mixed ^ mixed >> 31) * 0xBF58476D1CE4E5B9) & MASK
+        mixed = ((mixed ^ mixed >> 27) * 0x94D049BB133111EB) & MASK
+        return -math.log(((mixed ^ mixed >> 31) + 1) / (MASK + 2)) / max(worker.entry.size, 1e-6)
 
     def _group_fits(self, pending: Pending, worker: Worker) -> bool:
         """A keyed request that may have run stays in the group that drops its repeats."""
