--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -42,7 +42,6 @@
 ALIKE_ROOM = 0.5  # workers with this part of the most room count as alike; the function's rank decides
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
-FULL_STANDS_S = 0.2  # a full answer is held true for this long
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -55,7 +54,6 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
-        self.full_until_s = 0.0  # a full answer stands for this long: no new load is tried there
         self.next_cold_s = 0.0  # slow start: earliest time of the next send
 
 
@@ -243,10 +241,9 @@
         warm = self._pop(now, ask, eligible)
         if warm is not None:
             return warm
-        open_ = [worker for worker in eligible if now >= worker.full_until_s]
-        if not open_:
+        if not eligible:
             return None
-        calm = self._calm(open_)
+        calm = self._calm(eligible)
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if room:
             most = max(map(self._room_mb, room))
@@ -370,8 +367,6 @@
         stack = self.stacks.setdefault(ask.function, [])
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
-        if event.result is Result.FULL:
-            worker.full_until_s = now + FULL_STANDS_S
         if event.result is Result.OK:
             holding.used_s = now
             stack.append((worker, now))
