--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -244,6 +244,9 @@
         if not eligible:
             return None
         calm = self._calm(eligible)
+        joined = self._spare_lane(ask, calm)
+        if joined is not None:
+            return joined
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if room:
             most = max(map(self._room_mb, room))
@@ -251,6 +254,21 @@
             return min(alike, key=lambda worker: self._rank(worker, ask.function))
         return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
 
+    def _spare_lane(self, ask: Request, workers: list[Worker]) -> Worker | None:
+        """A worker where own sends of the function hold fewer lanes than its copies have.
+
+        Guards against bursts that load again while a copy, standing or under way, has lanes left; only
+        finished sends make entries. It could hurt where other front ends use those lanes.
+        """
+        best = None
+        least = math.inf
+        for worker in workers:
+            holding = self.holdings.get((worker.entry.worker, ask.function))
+            if holding and 0 < holding.in_flight < holding.copies * ask.lanes and worker.in_flight < least:
+                best = worker
+                least = worker.in_flight
+        return best
+
     def _calm(self, workers: list[Worker]) -> list[Worker]:
         """Those whose own requests in flight, for their size, are not far over the mean; else all."""
         held = sum(worker.in_flight for worker in self.workers.values() if worker.ready)
@@ -369,6 +387,9 @@
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
             holding.used_s = now
-            stack.append((worker, now))
+            fresh = 1
+            if event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):  # the load freed all its lanes
+                fresh = max(1, int(ask.lanes) - holding.in_flight)
+            stack.extend([(worker, now)] * fresh)
         due = now + self.keep_s, next(self.ticket), worker.entry.worker, ask.function
         heapq.heappush(self.expiries, due)
