--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -42,13 +42,10 @@
 ALIKE_ROOM = 0.5  # workers with this part of the most room count as alike; the function's rank decides
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
-JUDGE_S = 0.2  # the shedding limit moves this often
-LATE_STEP = 0.05  # weight of one answer in the recent part of late ones
-LATE_MOST = 0.25  # more late than this shrinks the limit
+JUDGE_S = 0.1  # a worker's limit shrinks this often at most
 LATE_PART = 0.7  # an answer after this part of the wanted time counts as late
 SHRINK = 0.85
-GROW = 0.05
-LIMIT_LEAST = 4.0
+GROW = 0.1
 SHED_FLOOR = 0.6  # worthless requests may use this part of the limit
 VALUE_STEP = 0.01  # weight of one request in the mean worth
 MASK = 2**64 - 1
@@ -63,6 +60,9 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
+        self.warm_out = 0  # own sends in flight that need no load
+        self.limit = math.inf  # of warm_out; the load shedding moves it
+        self.judged_s = 0.0
         self.next_cold_s = 0.0  # slow start: earliest time of the next send
 
 
@@ -92,7 +92,7 @@
 class Pending:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("ask", "attempts", "cls", "maybe", "out")
+    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "part")
 
     def __init__(self, ask: Request, cls: ClassSettings) -> None:
         self.ask = ask
@@ -100,6 +100,7 @@
         self.attempts: list[Attempt] = []
         self.maybe: Attempt | None = None  # the first attempt that may have run
         self.out = 0
+        self.part = 1.0  # of a worker's limit that this request may use
 
 
 class Router:
@@ -119,10 +120,6 @@
         self.ticket = count()
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
-        self.warm_out = 0  # own sends in flight that need no load
-        self.limit = math.inf  # of warm_out; the load shedding below moves it
-        self.late = 0.0  # recent part of the answers that was late or full
-        self.judged_s = 0.0
         self.value = 0.0  # recent mean worth of a request
         self.tenant_rates: dict[int, tuple[float, float]] = {}
         self.actions: list[Action] = []
@@ -187,10 +184,8 @@
         self.rate_s = now
         pending = Pending(ask, self.settings.classes[ask.class_index])
         self.pending[ask.request] = pending
-        if self._shed(now, pending):
-            self._give_up(pending)
-        else:
-            self._try(now, pending)
+        pending.part = self._open_part(now, pending)
+        self._try(now, pending)
 
     def _rate(self, now: float) -> float:
         return self.rate * math.exp((self.rate_s - now) / RATE_SPAN_S)
@@ -230,7 +225,7 @@
     def _send(self, now: float, pending: Pending, worker: Worker, warm: bool) -> None:
         ask = pending.ask
         attempt = Attempt(ask, len(pending.attempts), worker, now, warm)
-        self.warm_out += warm
+        worker.warm_out += warm
         pending.attempts.append(attempt)
         pending.out += 1
         self.flying[ask.request, attempt.number] = attempt
@@ -256,7 +251,7 @@
         eligible = [
             worker for number, worker in self.workers.items()
             if worker.ready and number not in tried and self._group_fits(pending, worker)
-            and self._cold_fits(now, worker)
+            and self._cold_fits(now, worker) and worker.warm_out < max(1.0, worker.limit * pending.part)
         ]
         warm = self._pop(now, ask, eligible)
         if warm is not None:
@@ -378,16 +373,12 @@
 
     # ---- load shedding
 
-    def _shed(self, now: float, pending: Pending) -> bool:
-        """Refuse at once, least worth first, while more is in flight than is answered in time.
-
-        Guards against queues that make every answer late, whatever fills them: too much traffic, retry
-        storms, lost or slow workers. It could hurt where answers are late for a reason of a few workers.
-        """
+    def _open_part(self, now: float, pending: Pending) -> float:
+        """The part of each worker's limit that a request of this worth may use: least worth goes first."""
         value = self._value_of(now, pending)
         self.value += VALUE_STEP * (value - self.value) if self.value else value
         worth = value / self.value if self.value > 0 else 1.0
-        return self.warm_out >= self.limit * min(1.2, SHED_FLOOR + (1 - SHED_FLOOR) * worth)
+        return min(1.0, SHED_FLOOR + (1 - SHED_FLOOR) * worth)
 
     def _value_of(self, now: float, pending: Pending) -> float:
         """Worth of a request, less by the part of its tenant's traffic that is over its share."""
@@ -400,16 +391,18 @@
         share = min(1.0, self.settings.tenants[tenant].quota_rps / self.settings.instances / rate)
         return pending.cls.worth * (share + (1 - share) * self.settings.over_share_worth)
 
-    def _judge(self, now: float, late: bool) -> None:
-        """Move the limit by how many answers that waited for no load were late or full."""
-        self.late += LATE_STEP * (late - self.late)
-        if now < self.judged_s + JUDGE_S:
-            return
-        self.judged_s = now
-        if self.late > LATE_MOST:
-            self.limit = max(LIMIT_LEAST, SHRINK * min(self.limit, self.warm_out))
-        elif self.warm_out > self.limit / 2:
-            self.limit += max(1.0, GROW * self.limit)
+    def _judge(self, now: float, worker: Worker, late: bool) -> None:
+        """Move the worker's limit of warm sends in flight: answers that waited for no load tell.
+
+        Guards against queues that make every answer late, whatever fills them: too much traffic, retry
+        storms, lost or slow workers. It could hurt where answers are late for a reason of the function.
+        """
+        if not late:
+            if worker.warm_out + 1 > worker.limit * 0.7:
+                worker.limit += GROW
+        elif now >= worker.judged_s + JUDGE_S:
+            worker.judged_s = now
+            worker.limit = max(1.0, SHRINK * min(worker.limit, worker.warm_out + 1))
 
     # ---- outcomes
 
@@ -434,13 +427,14 @@
         worker = attempt.worker
         ask = attempt.ask
         worker.in_flight -= 1
-        self.warm_out -= attempt.warm
+        worker.warm_out -= attempt.warm
         waited = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
         if event.result is Result.FULL:
-            self._judge(now, True)
+            if attempt.warm:
+                self._judge(now, worker, True)
         elif attempt.warm and event.result in (Result.OK, Result.TIMEOUT) and not waited:
             aim_s = self.settings.classes[ask.class_index].aim_s
-            self._judge(now, event.elapsed_s > LATE_PART * aim_s)
+            self._judge(now, worker, event.elapsed_s > LATE_PART * aim_s)
         holding = self._holding(worker, ask)
         holding.in_flight -= 1
         stack = self.stacks.setdefault(ask.function, [])
