--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -42,12 +42,6 @@
 ALIKE_ROOM = 0.5  # workers with this part of the most room count as alike; the function's rank decides
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
-JUDGE_S = 0.1  # a worker's limit shrinks this often at most
-LATE_PART = 0.7  # an answer after this part of the wanted time counts as late
-SHRINK = 0.85
-GROW = 0.1
-SHED_FLOOR = 0.6  # worthless requests may use this part of the limit
-VALUE_STEP = 0.01  # weight of one request in the mean worth
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -60,9 +54,6 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
-        self.warm_out = 0  # own sends in flight that need no load
-        self.limit = math.inf  # of warm_out; the load shedding moves it
-        self.judged_s = 0.0
         self.next_cold_s = 0.0  # slow start: earliest time of the next send
 
 
@@ -79,20 +70,20 @@
 class Attempt:
     """One send and what it may have done."""
 
-    __slots__ = ("ask", "number", "sent_s", "warm", "worker")
+    __slots__ = ("ask", "ended", "number", "sent_s", "worker")
 
-    def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float, warm: bool) -> None:
+    def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float) -> None:
         self.ask = ask
         self.number = number
         self.worker = worker
         self.sent_s = sent_s
-        self.warm = warm  # a loaded copy is expected
+        self.ended: Result | None = None
 
 
 class Pending:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "part")
+    __slots__ = ("ask", "attempts", "cls", "maybe", "out")
 
     def __init__(self, ask: Request, cls: ClassSettings) -> None:
         self.ask = ask
@@ -100,7 +91,6 @@
         self.attempts: list[Attempt] = []
         self.maybe: Attempt | None = None  # the first attempt that may have run
         self.out = 0
-        self.part = 1.0  # of a worker's limit that this request may use
 
 
 class Router:
@@ -120,8 +110,6 @@
         self.ticket = count()
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
-        self.value = 0.0  # recent mean worth of a request
-        self.tenant_rates: dict[int, tuple[float, float]] = {}
         self.actions: list[Action] = []
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -184,7 +172,6 @@
         self.rate_s = now
         pending = Pending(ask, self.settings.classes[ask.class_index])
         self.pending[ask.request] = pending
-        pending.part = self._open_part(now, pending)
         self._try(now, pending)
 
     def _rate(self, now: float) -> float:
@@ -194,13 +181,13 @@
         """Send once more if the rules and the attempts left allow it; else give the final answer."""
         most = self.settings.allow.max_attempts
         remaining = pending.ask.deadline_s - now
-        worker, warm = None, False
+        worker = None
         if remaining > 0 and (not most or len(pending.attempts) < most) and self._may_send(now, pending):
-            worker, warm = self._choose(now, pending)
+            worker = self._choose(now, pending)
         if worker is None:
             self._give_up(pending)
         else:
-            self._send(now, pending, worker, warm)
+            self._send(now, pending, worker)
 
     def _may_send(self, now: float, pending: Pending) -> bool:
         first = pending.maybe
@@ -222,10 +209,9 @@
         else:
             self.actions.append(Fail(pending.ask.request))
 
-    def _send(self, now: float, pending: Pending, worker: Worker, warm: bool) -> None:
+    def _send(self, now: float, pending: Pending, worker: Worker) -> None:
         ask = pending.ask
-        attempt = Attempt(ask, len(pending.attempts), worker, now, warm)
-        worker.warm_out += warm
+        attempt = Attempt(ask, len(pending.attempts), worker, now)
         pending.attempts.append(attempt)
         pending.out += 1
         self.flying[ask.request, attempt.number] = attempt
@@ -243,31 +229,30 @@
 
     # ---- the choice
 
-    def _choose(self, now: float, pending: Pending) -> tuple[Worker | None, bool]:
-        """The worker for the next attempt, and whether a loaded copy is expected there."""
+    def _choose(self, now: float, pending: Pending) -> Worker | None:
         ask = pending.ask
         self._expire(now)
         tried = {attempt.worker.entry.worker for attempt in pending.attempts}
         eligible = [
             worker for number, worker in self.workers.items()
             if worker.ready and number not in tried and self._group_fits(pending, worker)
-            and self._cold_fits(now, worker) and worker.warm_out < max(1.0, worker.limit * pending.part)
+            and self._cold_fits(now, worker)
         ]
         warm = self._pop(now, ask, eligible)
         if warm is not None:
-            return warm, True
+            return warm
         if not eligible:
-            return None, False
+            return None
         calm = self._calm(eligible)
         joined = self._spare_lane(ask, calm)
         if joined is not None:
-            return joined, self._holding(joined, ask).used_s > now - self.keep_s
+            return joined
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if room:
             most = max(map(self._room_mb, room))
             alike = [worker for worker in room if self._room_mb(worker) >= ALIKE_ROOM * most]
-            return min(alike, key=lambda worker: self._rank(worker, ask.function)), False
-        return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function))), False
+            return min(alike, key=lambda worker: self._rank(worker, ask.function))
+        return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
 
     def _spare_lane(self, ask: Request, workers: list[Worker]) -> Worker | None:
         """A worker where own sends of the function hold fewer lanes than its copies have.
@@ -371,45 +356,13 @@
     def _cold_fits(self, now: float, worker: Worker) -> bool:
         return now >= worker.next_cold_s or self._cold_pace(now, worker) is None
 
-    # ---- load shedding
-
-    def _open_part(self, now: float, pending: Pending) -> float:
-        """The part of each worker's limit that a request of this worth may use: least worth goes first."""
-        value = self._value_of(now, pending)
-        self.value += VALUE_STEP * (value - self.value) if self.value else value
-        worth = value / self.value if self.value > 0 else 1.0
-        return min(1.0, SHED_FLOOR + (1 - SHED_FLOOR) * worth)
-
-    def _value_of(self, now: float, pending: Pending) -> float:
-        """Worth of a request, less by the part of its tenant's traffic that is over its share."""
-        tenant = pending.ask.tenant
-        if tenant >= len(self.settings.tenants):
-            return pending.cls.worth
-        rate, since_s = self.tenant_rates.get(tenant, (0.0, now))
-        rate = rate * math.exp((since_s - now) / RATE_SPAN_S) + 1 / RATE_SPAN_S
-        self.tenant_rates[tenant] = rate, now
-        share = min(1.0, self.settings.tenants[tenant].quota_rps / self.settings.instances / rate)
-        return pending.cls.worth * (share + (1 - share) * self.settings.over_share_worth)
-
-    def _judge(self, now: float, worker: Worker, late: bool) -> None:
-        """Move the worker's limit of warm sends in flight: answers that waited for no load tell.
-
-        Guards against queues that make every answer late, whatever fills them: too much traffic, retry
-        storms, lost or slow workers. It could hurt where answers are late for a reason of the function.
-        """
-        if not late:
-            if worker.warm_out + 1 > worker.limit * 0.7:
-                worker.limit += GROW
-        elif now >= worker.judged_s + JUDGE_S:
-            worker.judged_s = now
-            worker.limit = max(1.0, SHRINK * min(worker.limit, worker.warm_out + 1))
-
     # ---- outcomes
 
     def _outcome(self, now: float, event: Outcome) -> None:
         attempt = self.flying.pop((event.request, event.attempt), None)
         if attempt is None:
             return
+        attempt.ended = event.result
         self._learn(now, attempt, event)
         pending = self.pending.get(event.request)
         if pending is None:
@@ -427,14 +380,6 @@
         worker = attempt.worker
         ask = attempt.ask
         worker.in_flight -= 1
-        worker.warm_out -= attempt.warm
-        waited = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
-        if event.result is Result.FULL:
-            if attempt.warm:
-                self._judge(now, worker, True)
-        elif attempt.warm and event.result in (Result.OK, Result.TIMEOUT) and not waited:
-            aim_s = self.settings.classes[ask.class_index].aim_s
-            self._judge(now, worker, event.elapsed_s > LATE_PART * aim_s)
         holding = self._holding(worker, ask)
         holding.in_flight -= 1
         stack = self.stacks.setdefault(ask.function, [])
