--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -42,6 +42,9 @@
 ALIKE_ROOM = 0.5  # workers with this part of the most room count as alike; the function's rank decides
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
+OWN_LOADS = 2  # own loads under way at one worker
+JOIN_MORE = 2  # requests over its lanes that may wait for an own load
+FULL_TRIES = 2  # full answers to one request before it is refused
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -54,6 +57,7 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
+        self.loading: dict[int, int] = {}  # functions with own sends out that need or join a load
         self.next_cold_s = 0.0  # slow start: earliest time of the next send
 
 
@@ -70,14 +74,15 @@
 class Attempt:
     """One send and what it may have done."""
 
-    __slots__ = ("ask", "ended", "number", "sent_s", "worker")
+    __slots__ = ("ask", "full", "number", "sent_s", "warm", "worker")
 
-    def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float) -> None:
+    def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float, warm: bool) -> None:
         self.ask = ask
         self.number = number
         self.worker = worker
         self.sent_s = sent_s
-        self.ended: Result | None = None
+        self.full = False
+        self.warm = warm  # a loaded copy is expected
 
 
 class Pending:
@@ -181,13 +186,13 @@
         """Send once more if the rules and the attempts left allow it; else give the final answer."""
         most = self.settings.allow.max_attempts
         remaining = pending.ask.deadline_s - now
-        worker = None
+        worker, warm = None, False
         if remaining > 0 and (not most or len(pending.attempts) < most) and self._may_send(now, pending):
-            worker = self._choose(now, pending)
+            worker, warm = self._choose(now, pending)
         if worker is None:
             self._give_up(pending)
         else:
-            self._send(now, pending, worker)
+            self._send(now, pending, worker, warm)
 
     def _may_send(self, now: float, pending: Pending) -> bool:
         first = pending.maybe
@@ -209,16 +214,19 @@
         else:
             self.actions.append(Fail(pending.ask.request))
 
-    def _send(self, now: float, pending: Pending, worker: Worker) -> None:
+    def _send(self, now: float, pending: Pending, worker: Worker, warm: bool) -> None:
         ask = pending.ask
-        attempt = Attempt(ask, len(pending.attempts), worker, now)
+        attempt = Attempt(ask, len(pending.attempts), worker, now, warm)
+        if not warm:
+            worker.loading[ask.function] = worker.loading.get(ask.function, 0) + 1
         pending.attempts.append(attempt)
         pending.out += 1
         self.flying[ask.request, attempt.number] = attempt
         worker.in_flight += 1
         holding = self._holding(worker, ask)
         holding.in_flight += 1
-        needed = math.ceil(holding.in_flight / max(1.0, ask.lanes))
+        joins = JOIN_MORE if ask.function in worker.loading else 0
+        needed = math.ceil(max(1, holding.in_flight - joins) / max(1.0, ask.lanes))
         if needed > holding.copies:
             worker.placed_mb += (needed - holding.copies) * holding.memory_mb
             holding.copies = needed
@@ -229,7 +237,8 @@
 
     # ---- the choice
 
-    def _choose(self, now: float, pending: Pending) -> Worker | None:
+    def _choose(self, now: float, pending: Pending) -> tuple[Worker | None, bool]:
+        """The worker for the next attempt, and whether a loaded copy is expected there."""
         ask = pending.ask
         self._expire(now)
         tried = {attempt.worker.entry.worker for attempt in pending.attempts}
@@ -240,19 +249,20 @@
         ]
         warm = self._pop(now, ask, eligible)
         if warm is not None:
-            return warm
-        if not eligible:
-            return None
-        calm = self._calm(eligible)
-        joined = self._spare_lane(ask, calm)
+            return warm, True
+        joined = self._spare_lane(ask, eligible)
         if joined is not None:
-            return joined
+            return joined, ask.function not in joined.loading
+        fulls = sum(attempt.full for attempt in pending.attempts)
+        calm = self._calm([worker for worker in eligible if len(worker.loading) < OWN_LOADS])
+        if not calm or fulls >= FULL_TRIES:
+            return None, False
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if room:
             most = max(map(self._room_mb, room))
             alike = [worker for worker in room if self._room_mb(worker) >= ALIKE_ROOM * most]
-            return min(alike, key=lambda worker: self._rank(worker, ask.function))
-        return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
+            return min(alike, key=lambda worker: self._rank(worker, ask.function)), False
+        return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function))), False
 
     def _spare_lane(self, ask: Request, workers: list[Worker]) -> Worker | None:
         """A worker where own sends of the function hold fewer lanes than its copies have.
@@ -264,7 +274,10 @@
         least = math.inf
         for worker in workers:
             holding = self.holdings.get((worker.entry.worker, ask.function))
-            if holding and 0 < holding.in_flight < holding.copies * ask.lanes and worker.in_flight < least:
+            if not holding or not holding.in_flight:
+                continue
+            lanes = holding.copies * ask.lanes + (JOIN_MORE if ask.function in worker.loading else 0)
+            if holding.in_flight < lanes and worker.in_flight < least:
                 best = worker
                 least = worker.in_flight
         return best
@@ -362,7 +375,6 @@
         attempt = self.flying.pop((event.request, event.attempt), None)
         if attempt is None:
             return
-        attempt.ended = event.result
         self._learn(now, attempt, event)
         pending = self.pending.get(event.request)
         if pending is None:
@@ -380,6 +392,11 @@
         worker = attempt.worker
         ask = attempt.ask
         worker.in_flight -= 1
+        attempt.full = event.result is Result.FULL
+        if not attempt.warm:
+            worker.loading[ask.function] -= 1
+            if worker.loading[ask.function] <= 0:
+                del worker.loading[ask.function]
         holding = self._holding(worker, ask)
         holding.in_flight -= 1
         stack = self.stacks.setdefault(ask.function, [])
