--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -41,10 +41,12 @@
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
 ALIKE_ROOM = 0.5  # workers with this part of the most room count as alike; the function's rank decides
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
+JOIN_LEAST = 8  # own requests in flight under which a worker's spare lane is taken
 BOUND_LEAST = 3  # and never fewer than this
-OWN_LOADS = 2  # own loads under way at one worker
-JOIN_MORE = 2  # requests over its lanes that may wait for an own load
-FULL_TRIES = 2  # full answers to one request before it is refused
+OWN_LOADS = 9  # own loads under way at one worker
+JOIN_MORE = 0  # requests over its lanes that may wait for an own load
+FULL_TRIES = 3  # full answers to one request before it is refused
+FULL_STANDS_S = 1.0  # a worker that answered full comes last for new loads this long
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -57,6 +59,7 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
+        self.full_s = -math.inf  # when it last answered full
         self.loading: dict[int, int] = {}  # functions with own sends out that need or join a load
         self.next_cold_s = 0.0  # slow start: earliest time of the next send
 
@@ -250,11 +253,12 @@
         warm = self._pop(now, ask, eligible)
         if warm is not None:
             return warm, True
-        joined = self._spare_lane(ask, eligible)
+        joined = self._spare_lane(ask, self._calm(eligible, JOIN_LEAST))
         if joined is not None:
             return joined, ask.function not in joined.loading
         fulls = sum(attempt.full for attempt in pending.attempts)
         calm = self._calm([worker for worker in eligible if len(worker.loading) < OWN_LOADS])
+        calm = [worker for worker in calm if now >= worker.full_s + FULL_STANDS_S] or calm
         if not calm or fulls >= FULL_TRIES:
             return None, False
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
@@ -282,12 +286,12 @@
                 least = worker.in_flight
         return best
 
-    def _calm(self, workers: list[Worker]) -> list[Worker]:
+    def _calm(self, workers: list[Worker], least: int = BOUND_LEAST) -> list[Worker]:
         """Those whose own requests in flight, for their size, are not far over the mean; else all."""
         held = sum(worker.in_flight for worker in self.workers.values() if worker.ready)
         size = sum(worker.entry.size for worker in self.workers.values() if worker.ready)
         mean = BOUND * (held + 1) / size if size > 0 else math.inf
-        return [w for w in workers if w.in_flight < max(BOUND_LEAST, mean * w.entry.size)] or workers
+        return [w for w in workers if w.in_flight < max(least, mean * w.entry.size)] or workers
 
     def _rank(self, worker: Worker, function: int) -> float:
         """Rendezvous: every front end prefers the same workers for a function, so that they meet on copies.
@@ -392,6 +396,8 @@
         worker = attempt.worker
         ask = attempt.ask
         worker.in_flight -= 1
+        if event.result is Result.FULL:
+            worker.full_s = now
         attempt.full = event.result is Result.FULL
         if not attempt.warm:
             worker.loading[ask.function] -= 1
