--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -29,7 +29,9 @@
     Result,
     Send,
     Settings,
+    WakeMe,
     Watch,
+    Woken,
     WorkerEntry,
     WorkerState,
 )
@@ -43,10 +45,13 @@
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 JOIN_LEAST = 8  # own requests in flight under which a worker's spare lane is taken
 BOUND_LEAST = 3  # and never fewer than this
-OWN_LOADS = 9  # own loads under way at one worker
-JOIN_MORE = 0  # requests over its lanes that may wait for an own load
-FULL_TRIES = 3  # full answers to one request before it is refused
-FULL_STANDS_S = 1.0  # a worker that answered full comes last for new loads this long
+LOADS_EACH = 2.0  # own loads under way for each worker, over all front ends
+LOADS_LEAST = 2
+LOAD_TRIES = 3  # attempts of one request that may each begin a load
+WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
+PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
+HOLD_END_S = 0.05  # a held request is answered this long before its deadline
+OWN_LOADS = 2  # own loads under way at one worker
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -59,7 +64,6 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
-        self.full_s = -math.inf  # when it last answered full
         self.loading: dict[int, int] = {}  # functions with own sends out that need or join a load
         self.next_cold_s = 0.0  # slow start: earliest time of the next send
 
@@ -74,24 +78,33 @@
         self.memory_mb = 0.0
 
 
+class Function:
+    """What this front end knows of one function."""
+
+    def __init__(self) -> None:
+        self.stack: list[tuple[Worker, float]] = []  # the warm stack: worker and when its lane was freed
+        self.waiting: list[Pending] = []  # held here until a lane or a load slot is free
+        self.busy = 0  # own sends in flight to loaded copies
+        self.loads = 0  # own sends in flight that need a load
+
+
 class Attempt:
     """One send and what it may have done."""
 
-    __slots__ = ("ask", "full", "number", "sent_s", "warm", "worker")
+    __slots__ = ("ask", "number", "sent_s", "warm", "worker")
 
     def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float, warm: bool) -> None:
         self.ask = ask
         self.number = number
         self.worker = worker
         self.sent_s = sent_s
-        self.full = False
         self.warm = warm  # a loaded copy is expected
 
 
 class Pending:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("ask", "attempts", "cls", "maybe", "out")
+    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "woken")
 
     def __init__(self, ask: Request, cls: ClassSettings) -> None:
         self.ask = ask
@@ -99,6 +112,7 @@
         self.attempts: list[Attempt] = []
         self.maybe: Attempt | None = None  # the first attempt that may have run
         self.out = 0
+        self.woken = False
 
 
 class Router:
@@ -110,7 +124,9 @@
         self.random = random.Random(seed)
         self.keep_s = settings.keep_alive_s or KEEP_UNTOLD_S
         self.workers: dict[int, Worker] = {}
-        self.stacks: dict[int, list[tuple[Worker, float]]] = {}
+        self.functions: dict[int, Function] = {}
+        self.held: dict[int, Function] = {}  # those with requests waiting
+        self.loads_out = 0
         self.pending: dict[int, Pending] = {}
         self.flying: dict[tuple[int, int], Attempt] = {}
         self.holdings: dict[tuple[int, int], Holding] = {}
@@ -129,6 +145,8 @@
             self._request(now, event)
         elif isinstance(event, ListUpdate):
             self._list(now, event)
+        elif isinstance(event, Woken):
+            self._woken(now, event.ref)
         elif isinstance(event, ClientGone):
             self.pending.pop(event.request, None)
         return self.actions
@@ -168,8 +186,8 @@
             if number == worker.entry.worker:
                 worker.placed_mb -= holding.copies * holding.memory_mb
                 holding.copies = 0
-        for function, stack in self.stacks.items():
-            self.stacks[function] = [entry for entry in stack if entry[0] is not worker]
+        for function in self.functions.values():
+            function.stack = [entry for entry in function.stack if entry[0] is not worker]
 
     # ---- requests
 
@@ -185,17 +203,95 @@
     def _rate(self, now: float) -> float:
         return self.rate * math.exp((self.rate_s - now) / RATE_SPAN_S)
 
-    def _try(self, now: float, pending: Pending) -> None:
-        """Send once more if the rules and the attempts left allow it; else give the final answer."""
+    def _try(self, now: float, pending: Pending, patient: bool = True) -> None:
+        """Send once more if the rules and the attempts left allow it, or hold; else the final answer."""
+        ask = pending.ask
         most = self.settings.allow.max_attempts
-        remaining = pending.ask.deadline_s - now
-        worker, warm = None, False
-        if remaining > 0 and (not most or len(pending.attempts) < most) and self._may_send(now, pending):
-            worker, warm = self._choose(now, pending)
-        if worker is None:
+        function = self.functions.setdefault(ask.function, Function())
+        spent = now >= ask.deadline_s or 0 < most <= len(pending.attempts)
+        if spent or not self._may_send(now, pending):
+            self._give_up(pending)
+            return
+        self._expire(now)
+        tried = {attempt.worker.entry.worker for attempt in pending.attempts}
+        eligible = [
+            worker for number, worker in self.workers.items()
+            if worker.ready and number not in tried and self._group_fits(pending, worker)
+            and self._cold_fits(now, worker)
+        ]
+        warm = self._pop(now, function, eligible) or self._spare_lane(ask, self._calm(eligible, JOIN_LEAST))
+        if warm is not None:
+            self._send(now, pending, warm, function, ask.function not in warm.loading)
+            return
+        loads = sum(not attempt.warm for attempt in pending.attempts)
+        if not eligible or loads >= LOAD_TRIES:
             self._give_up(pending)
+        elif self._may_load(ask, function, patient):
+            self._send(now, pending, self._place(ask, eligible), function, False)
+        elif now < ask.deadline_s - HOLD_END_S:
+            self._hold(now, pending, function)
         else:
-            self._send(now, pending, worker, warm)
+            self._give_up(pending)
+
+    # ---- holding requests back
+
+    def _may_load(self, ask: Request, function: Function, patient: bool) -> bool:
+        """Bound own loads under way, and wait for a busy lane before loading another copy.
+
+        Guards against loads that crowd the store and fill the workers' waiting rooms: after releases,
+        with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
+        """
+        if self.loads_out >= self._most_loads():
+            return False
+        lanes = function.busy + function.loads * max(1.0, ask.lanes)
+        return len(function.waiting) >= WAIT_PER_LANE * lanes or (not patient and not function.loads)
+
+    def _most_loads(self) -> float:
+        ready = sum(worker.ready for worker in self.workers.values())
+        return max(LOADS_LEAST, LOADS_EACH * ready / self.settings.instances)
+
+    def _hold(self, now: float, pending: Pending, function: Function) -> None:
+        function.waiting.append(pending)
+        self.held[pending.ask.function] = function
+        patience_s = PATIENCE * pending.cls.aim_s
+        last_s = pending.ask.deadline_s - HOLD_END_S - now
+        if not pending.woken:
+            pending.woken = True
+            self.actions.append(WakeMe(max(0.0, min(patience_s, last_s)), pending.ask.request))
+        else:
+            self.actions.append(WakeMe(max(0.0, last_s), pending.ask.request))
+
+    def _woken(self, now: float, ref: int) -> None:
+        pending = self.pending.get(ref)
+        function = pending and self.functions.get(pending.ask.function)
+        if pending and function and pending in function.waiting:
+            function.waiting.remove(pending)
+            self._try(now, pending, patient=False)
+
+    def _serve_waiting(self, now: float, function: Function) -> None:
+        """The newest waiting request takes a freed lane; load slots go where most worth waits."""
+        while function.waiting and function.stack:
+            left = len(function.stack)
+            self._next_waiting(now, function)
+            if len(function.stack) >= left:
+                break
+        for _ in range(len(self.held)):
+            ready = [f for f in self.held.values() if f.waiting and not f.loads]
+            if not ready or self.loads_out >= self._most_loads():
+                break
+            out = self.loads_out
+            self._next_waiting(now, max(ready, key=lambda f: sum(p.cls.worth for p in f.waiting)), False)
+            if self.loads_out <= out:
+                break
+
+    def _next_waiting(self, now: float, function: Function, patient: bool = True) -> None:
+        while function.waiting:
+            pending = function.waiting.pop()
+            if not function.waiting:
+                self.held.pop(pending.ask.function, None)
+            if self.pending.get(pending.ask.request) is pending:
+                self._try(now, pending, patient)
+                return
 
     def _may_send(self, now: float, pending: Pending) -> bool:
         first = pending.maybe
@@ -217,8 +313,11 @@
         else:
             self.actions.append(Fail(pending.ask.request))
 
-    def _send(self, now: float, pending: Pending, worker: Worker, warm: bool) -> None:
+    def _send(self, now: float, pending: Pending, worker: Worker, function: Function, warm: bool) -> None:
         ask = pending.ask
+        function.busy += warm
+        function.loads += not warm
+        self.loads_out += not warm
         attempt = Attempt(ask, len(pending.attempts), worker, now, warm)
         if not warm:
             worker.loading[ask.function] = worker.loading.get(ask.function, 0) + 1
@@ -228,8 +327,7 @@
         worker.in_flight += 1
         holding = self._holding(worker, ask)
         holding.in_flight += 1
-        joins = JOIN_MORE if ask.function in worker.loading else 0
-        needed = math.ceil(max(1, holding.in_flight - joins) / max(1.0, ask.lanes))
+        needed = math.ceil(holding.in_flight / max(1.0, ask.lanes))
         if needed > holding.copies:
             worker.placed_mb += (needed - holding.copies) * holding.memory_mb
             holding.copies = needed
@@ -240,33 +338,15 @@
 
     # ---- the choice
 
-    def _choose(self, now: float, pending: Pending) -> tuple[Worker | None, bool]:
-        """The worker for the next attempt, and whether a loaded copy is expected there."""
-        ask = pending.ask
-        self._expire(now)
-        tried = {attempt.worker.entry.worker for attempt in pending.attempts}
-        eligible = [
-            worker for number, worker in self.workers.items()
-            if worker.ready and number not in tried and self._group_fits(pending, worker)
-            and self._cold_fits(now, worker)
-        ]
-        warm = self._pop(now, ask, eligible)
-        if warm is not None:
-            return warm, True
-        joined = self._spare_lane(ask, self._calm(eligible, JOIN_LEAST))
-        if joined is not None:
-            return joined, ask.function not in joined.loading
-        fulls = sum(attempt.full for attempt in pending.attempts)
-        calm = self._calm([worker for worker in eligible if len(worker.loading) < OWN_LOADS])
-        calm = [worker for worker in calm if now >= worker.full_s + FULL_STANDS_S] or calm
-        if not calm or fulls >= FULL_TRIES:
-            return None, False
+    def _place(self, ask: Request, eligible: list[Worker]) -> Worker:
+        """The worker for a new load."""
+        calm = self._calm([w for w in eligible if len(w.loading) < OWN_LOADS] or eligible)
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if room:
             most = max(map(self._room_mb, room))
             alike = [worker for worker in room if self._room_mb(worker) >= ALIKE_ROOM * most]
-            return min(alike, key=lambda worker: self._rank(worker, ask.function)), False
-        return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function))), False
+            return min(alike, key=lambda worker: self._rank(worker, ask.function))
+        return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
 
     def _spare_lane(self, ask: Request, workers: list[Worker]) -> Worker | None:
         """A worker where own sends of the function hold fewer lanes than its copies have.
@@ -280,8 +360,7 @@
             holding = self.holdings.get((worker.entry.worker, ask.function))
             if not holding or not holding.in_flight:
                 continue
-            lanes = holding.copies * ask.lanes + (JOIN_MORE if ask.function in worker.loading else 0)
-            if holding.in_flight < lanes and worker.in_flight < least:
+            if holding.in_flight < holding.copies * ask.lanes and worker.in_flight < least:
                 best = worker
                 least = worker.in_flight
         return best
@@ -313,11 +392,9 @@
             return worker.entry.zone == first.worker.entry.zone
         return worker.entry.cell == first.worker.entry.cell
 
-    def _pop(self, now: float, ask: Request, eligible: list[Worker]) -> Worker | None:
+    def _pop(self, now: float, function: Function, eligible: list[Worker]) -> Worker | None:
         """The freshest entry at an eligible worker; dead and expired ones go."""
-        stack = self.stacks.get(ask.function)
-        if not stack:
-            return None
+        stack = function.stack
         for place in range(len(stack) - 1, -1, -1):
             worker, freed_s = stack[place]
             if now - freed_s > self.keep_s:
@@ -381,31 +458,31 @@
             return
         self._learn(now, attempt, event)
         pending = self.pending.get(event.request)
-        if pending is None:
-            return
-        pending.out -= 1
-        if event.finished:
-            del self.pending[event.request]
-            return
-        if event.result not in NEVER_RAN and pending.maybe is None:
-            pending.maybe = attempt
-        if not pending.out:
-            self._try(now, pending)
+        if pending is not None:
+            pending.out -= 1
+            if event.result not in NEVER_RAN and pending.maybe is None:
+                pending.maybe = attempt
+            if event.finished:
+                del self.pending[event.request]
+            elif not pending.out:
+                self._try(now, pending)
+        self._serve_waiting(now, self.functions[attempt.ask.function])
 
     def _learn(self, now: float, attempt: Attempt, event: Outcome) -> None:
         worker = attempt.worker
         ask = attempt.ask
         worker.in_flight -= 1
-        if event.result is Result.FULL:
-            worker.full_s = now
-        attempt.full = event.result is Result.FULL
         if not attempt.warm:
             worker.loading[ask.function] -= 1
             if worker.loading[ask.function] <= 0:
                 del worker.loading[ask.function]
         holding = self._holding(worker, ask)
         holding.in_flight -= 1
-        stack = self.stacks.setdefault(ask.function, [])
+        function = self.functions[ask.function]
+        function.busy -= attempt.warm
+        function.loads -= not attempt.warm
+        self.loads_out -= not attempt.warm
+        stack = function.stack
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -109,10 +109,10 @@
 def test_keyed_that_may_have_run_stays_in_its_group(cls: int, allowed: set[int]) -> None:
     lines = [entry(1, zone=0, cell=0), entry(2, zone=0, cell=0), entry(3, zone=0, cell=1),
              entry(4, zone=1, cell=2)]
-    for seed in range(20):
-        gateway = Gateway(Router(settings(), seed))
+    for function in range(40):
+        gateway = Gateway(Router(settings(), 5))
         gateway.decider.handle(100.0, full(*lines))
-        number, first = gateway.ask(100.0, cls)
+        number, first = gateway.ask(100.0, cls, function)
         if sends(first)[0].worker != 1:
             continue
         seen = set()
@@ -123,7 +123,7 @@
         assert seen <= allowed and seen
         assert finals(actions) == [Fail(number)]
         return
-    pytest.fail("no seed sent the first attempt to worker 1")
+    pytest.fail("no function sent the first attempt to worker 1")
 
 
 def test_keyed_goes_no_more_when_its_window_has_passed() -> None:
@@ -145,17 +145,18 @@
 @pytest.mark.parametrize("told", ["change", "gone", "omitted"])
 def test_nothing_new_to_a_worker_that_drains_or_is_gone(told: str) -> None:
     gateway = Gateway(router(1, 2))
-    for _ in range(4):  # entries at both
-        one, _ = gateway.ask(100.0)
-        two, _ = gateway.ask(100.0)
+    for step in range(4):  # entries at both
+        one, _ = gateway.ask(100.0, function=step)
+        two, _ = gateway.ask(100.0, function=step + 4)
         gateway.end(100.5, one)
         gateway.end(100.5, two)
     update = {"change": change(entry(1, DRAINING)), "gone": change(entry(1, GONE)),
               "omitted": full(entry(2))}[told]
     gateway.decider.handle(101.0, update)
-    for _ in range(20):
-        _, actions = gateway.ask(101.0)
+    for step in range(20):
+        number, actions = gateway.ask(101.0, function=step)
         assert [a.worker for a in sends(actions)] == [2]
+        gateway.end(101.0, number)
 
 
 def test_a_worker_that_comes_back_is_used_again_and_slowly() -> None:
--- a/tests/test_stack.py
+++ b/tests/test_stack.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from saffronstack.choice import Function
 from saffronstack.interface import Found, Result
 
 from .helpers import Gateway, router, sends
@@ -9,24 +10,22 @@
 
 def test_the_freshest_entry_goes_first() -> None:
     gateway = Gateway(router(1, 2, 3))
-    one, _ = gateway.ask(100.0)
-    two, _ = gateway.ask(100.0)
-    first, second = gateway.where[one], gateway.where[two]
-    gateway.end(101.0, one)
-    gateway.end(101.1, two)
+    workers = list(gateway.decider.workers.values())
+    function = gateway.decider.functions.setdefault(1, Function())
+    function.stack += [(workers[2], 100.0), (workers[0], 100.1)]
     _, actions = gateway.ask(101.2)
-    assert sends(actions)[0].worker == second
+    assert sends(actions)[0].worker == 1
     _, actions = gateway.ask(101.2)
-    assert sends(actions)[0].worker == first
+    assert sends(actions)[0].worker == 3
 
 
 def test_entries_die_past_the_keep_alive() -> None:
     gateway = Gateway(router(1))
     number, _ = gateway.ask(100.0)
     gateway.end(100.1, number)
-    assert gateway.decider.stacks[1]
+    assert gateway.decider.functions[1].stack
     gateway.ask(110.2)
-    assert not gateway.decider.stacks[1]
+    assert not gateway.decider.functions[1].stack
 
 
 def test_an_answer_that_shows_a_load_voids_older_entries_there() -> None:
@@ -37,7 +36,7 @@
     third, _ = gateway.ask(100.2)  # pops the only entry
     gateway.end(100.3, second)  # an older entry when the load is heard
     gateway.end(101.0, third, found=Found.BEGAN_LOAD)
-    assert all(freed >= 100.2 for _, freed in gateway.decider.stacks[1])
+    assert all(freed >= 100.2 for _, freed in gateway.decider.functions[1].stack)
 
 
 def test_a_failed_attempt_voids_the_entries_there() -> None:
@@ -46,7 +45,7 @@
     second, _ = gateway.ask(100.0)
     gateway.end(100.1, first)
     gateway.end(100.2, second, Result.RESET)
-    assert all(freed >= 100.1 for _, freed in gateway.decider.stacks[1])
+    assert all(freed >= 100.1 for _, freed in gateway.decider.functions[1].stack)
 
 
 def test_placed_memory_returns_after_the_keep_alive() -> None:
