--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 import random
+from collections import deque
 from itertools import count
 
 from saffronstack.checks import check_settings
@@ -23,6 +24,8 @@
     Group,
     ListKind,
     ListUpdate,
+    Load,
+    Loaded,
     Outcome,
     Refuse,
     Request,
@@ -46,11 +49,19 @@
 JOIN_LEAST = 8  # own requests in flight under which a worker's spare lane is taken
 BOUND_LEAST = 3  # and never fewer than this
 LOADS_EACH = 2.0  # own loads under way for each worker, over all front ends
+LOADS_FLOOR = 1.5  # the least of it, and how it moves
+LOADS_GROW = 0.5
+LOADS_SHRINK = 0.9
 LOADS_LEAST = 2
+SLOW_LOAD = 3.0  # a load that takes this multiple of the usual is slow
+JUDGE_S = 0.3  # the bound shrinks this often at most
 LOAD_TRIES = 3  # attempts of one request that may each begin a load
 WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
 HOLD_END_S = 0.05  # a held request is answered this long before its deadline
+AVOID_S = 0.5  # a worker that answered no to an order gets none for the function this long
+ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
+LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
 OWN_LOADS = 2  # own loads under way at one worker
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
@@ -85,7 +96,8 @@
         self.stack: list[tuple[Worker, float]] = []  # the warm stack: worker and when its lane was freed
         self.waiting: list[Pending] = []  # held here until a lane or a load slot is free
         self.busy = 0  # own sends in flight to loaded copies
-        self.loads = 0  # own sends in flight that need a load
+        self.loads = 0  # own sends and orders in flight that need a load
+        self.avoid: dict[int, float] = {}  # workers whose answer to an order was no: until when
 
 
 class Attempt:
@@ -127,6 +139,12 @@
         self.functions: dict[int, Function] = {}
         self.held: dict[int, Function] = {}  # those with requests waiting
         self.loads_out = 0
+        self.orders: dict[tuple[int, int], list[Request]] = {}
+        self.order_times: deque[float] = deque()  # both kept only where orders are rationed
+        self.request_times: deque[float] = deque()
+        self.load_part = LOADS_EACH / settings.instances  # own loads under way allowed for each worker
+        self.load_norm_s = 0.0
+        self.load_judged_s = 0.0
         self.pending: dict[int, Pending] = {}
         self.flying: dict[tuple[int, int], Attempt] = {}
         self.holdings: dict[tuple[int, int], Holding] = {}
@@ -145,6 +163,8 @@
             self._request(now, event)
         elif isinstance(event, ListUpdate):
             self._list(now, event)
+        elif isinstance(event, Loaded):
+            self._loaded(now, event)
         elif isinstance(event, Woken):
             self._woken(now, event.ref)
         elif isinstance(event, ClientGone):
@@ -196,6 +216,8 @@
             raise ValueError(f"class_index {ask.class_index} names no class")
         self.rate = self._rate(now) + 1 / RATE_SPAN_S
         self.rate_s = now
+        if self.settings.rules.load_span_s:
+            self.request_times.append(now)
         pending = Pending(ask, self.settings.classes[ask.class_index])
         self.pending[ask.request] = pending
         self._try(now, pending)
@@ -226,8 +248,13 @@
         loads = sum(not attempt.warm for attempt in pending.attempts)
         if not eligible or loads >= LOAD_TRIES:
             self._give_up(pending)
-        elif self._may_load(ask, function, patient):
-            self._send(now, pending, self._place(ask, eligible), function, False)
+        elif self._may_load(now, ask, function, patient):
+            worker = self._place(now, ask, function, eligible)
+            if self._may_order(now):
+                self._order(now, ask, worker, function)
+                self._hold(now, pending, function)
+            else:
+                self._send(now, pending, worker, function, False)
         elif now < ask.deadline_s - HOLD_END_S:
             self._hold(now, pending, function)
         else:
@@ -235,20 +262,36 @@
 
     # ---- holding requests back
 
-    def _may_load(self, ask: Request, function: Function, patient: bool) -> bool:
+    def _may_load(self, now: float, ask: Request, function: Function, patient: bool) -> bool:
         """Bound own loads under way, and wait for a busy lane before loading another copy.
 
         Guards against loads that crowd the store and fill the workers' waiting rooms: after releases,
         with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
         """
-        if self.loads_out >= self._most_loads():
+        in_time = ask.deadline_s - now > self.load_norm_s or self.settings.allow.orders
+        if self.loads_out >= self._most_loads() or not in_time:
             return False
         lanes = function.busy + function.loads * max(1.0, ask.lanes)
         return len(function.waiting) >= WAIT_PER_LANE * lanes or (not patient and not function.loads)
 
     def _most_loads(self) -> float:
         ready = sum(worker.ready for worker in self.workers.values())
-        return max(LOADS_LEAST, LOADS_EACH * ready / self.settings.instances)
+        return max(LOADS_LEAST, self.load_part * ready)
+
+    def _judge_load(self, now: float, result: Result, took_s: float) -> None:
+        """More own loads at once while they take the usual time, fewer when they are slow or turned away."""
+        if result is Result.OK and took_s > 0:
+            step = 0.2 if took_s < self.load_norm_s else 0.01
+            self.load_norm_s += step * (took_s - self.load_norm_s) if self.load_norm_s else took_s
+        elif result not in (Result.FULL, Result.TIMEOUT):
+            return
+        ready = max(1, sum(worker.ready for worker in self.workers.values()))
+        if result is Result.OK and took_s < SLOW_LOAD * self.load_norm_s:
+            if self.loads_out + 2 > self._most_loads():
+                self.load_part += LOADS_GROW / ready
+        elif now > self.load_judged_s + JUDGE_S:
+            self.load_judged_s = now
+            self.load_part = max(LOADS_FLOOR / self.settings.instances, LOADS_SHRINK * self.load_part)
 
     def _hold(self, now: float, pending: Pending, function: Function) -> None:
         function.waiting.append(pending)
@@ -329,8 +372,7 @@
         holding.in_flight += 1
         needed = math.ceil(holding.in_flight / max(1.0, ask.lanes))
         if needed > holding.copies:
-            worker.placed_mb += (needed - holding.copies) * holding.memory_mb
-            holding.copies = needed
+            self._place_copies(worker, holding, needed)
         pace = self._cold_pace(now, worker)
         if pace is not None:
             worker.next_cold_s = now + 1 / pace
@@ -338,8 +380,9 @@
 
     # ---- the choice
 
-    def _place(self, ask: Request, eligible: list[Worker]) -> Worker:
+    def _place(self, now: float, ask: Request, function: Function, eligible: list[Worker]) -> Worker:
         """The worker for a new load."""
+        eligible = [w for w in eligible if function.avoid.get(w.entry.worker, 0.0) <= now] or eligible
         calm = self._calm([w for w in eligible if len(w.loading) < OWN_LOADS] or eligible)
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if room:
@@ -420,6 +463,10 @@
             holding.memory_mb = ask.memory_mb
         return holding
 
+    def _place_copies(self, worker: Worker, holding: Holding, copies: int) -> None:
+        worker.placed_mb += (copies - holding.copies) * holding.memory_mb
+        holding.copies = copies
+
     def _expire(self, now: float) -> None:
         """Placed memory returns when nothing used it for the keep-alive."""
         while self.expiries and self.expiries[0][0] < now:
@@ -429,6 +476,64 @@
                 self.workers[number].placed_mb -= holding.copies * holding.memory_mb
                 del self.holdings[number, function]
 
+    # ---- orders to load
+
+    def _may_order(self, now: float) -> bool:
+        """Orders load without a request that waits in the worker's queue; the rule on loads bounds them."""
+        rules = self.settings.rules
+        if not self.settings.allow.orders:
+            return False
+        if not rules.load_span_s:
+            return True
+        for times in (self.order_times, self.request_times):
+            while times and times[0] <= now - rules.load_span_s - ORDER_MARGIN_S:
+                times.popleft()
+        taken = sum(then > now - rules.load_span_s + ORDER_MARGIN_S for then in self.request_times)
+        return len(self.order_times) + 1 <= rules.load_free + rules.load_part * taken
+
+    def _order(self, now: float, ask: Request, worker: Worker, function: Function) -> None:
+        holding = self._holding(worker, ask)
+        holding.used_s = now
+        if holding.in_flight >= holding.copies * ask.lanes:
+            self._place_copies(worker, holding, holding.copies + 1)
+        copies = max(1, min(16, holding.copies))
+        self.orders.setdefault((worker.entry.worker, ask.function), []).append(ask)
+        if self.settings.rules.load_span_s:
+            self.order_times.append(now)
+        worker.loading[ask.function] = worker.loading.get(ask.function, 0) + 1
+        function.loads += 1
+        self.loads_out += 1
+        self.actions.append(Load(worker.entry.worker, ask.function, copies))
+
+    def _loaded(self, now: float, event: Loaded) -> None:
+        asks = self.orders.get((event.worker, event.function))
+        if not asks:
+            return
+        ask = asks.pop()
+        worker = self.workers[event.worker]
+        function = self.functions[event.function]
+        self._load_ended(worker, function, event.function)
+        self._judge_load(now, event.result, event.elapsed_s if event.elapsed_s > LOAD_AT_ONCE_S else 0.0)
+        holding = self._holding(worker, ask)
+        if event.result is Result.OK:
+            holding.used_s = now
+            free = max(1, int(ask.lanes) * max(1, event.copies) - holding.in_flight)
+            owned = sum(entry[0] is worker for entry in function.stack)
+            function.stack.extend([(worker, now)] * max(1, min(int(ask.lanes), free - owned)))
+        else:
+            function.avoid[event.worker] = now + AVOID_S
+            self._place_copies(worker, holding, event.copies)
+        due = now + self.keep_s, next(self.ticket), event.worker, event.function
+        heapq.heappush(self.expiries, due)
+        self._serve_waiting(now, function)
+
+    def _load_ended(self, worker: Worker, function: Function, number: int) -> None:
+        function.loads -= 1
+        self.loads_out -= 1
+        worker.loading[number] -= 1
+        if worker.loading[number] <= 0:
+            del worker.loading[number]
+
     # ---- slow start
 
     def _cold_pace(self, now: float, worker: Worker) -> float | None:
@@ -473,16 +578,15 @@
         ask = attempt.ask
         worker.in_flight -= 1
         if not attempt.warm:
-            worker.loading[ask.function] -= 1
-            if worker.loading[ask.function] <= 0:
-                del worker.loading[ask.function]
+            self._load_ended(worker, self.functions[ask.function], ask.function)
         holding = self._holding(worker, ask)
         holding.in_flight -= 1
         function = self.functions[ask.function]
         function.busy -= attempt.warm
-        function.loads -= not attempt.warm
-        self.loads_out -= not attempt.warm
         stack = function.stack
+        if not attempt.warm:
+            began = event.found is Found.BEGAN_LOAD
+            self._judge_load(now, event.result, event.elapsed_s if began else 0.0)
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
