--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -26,6 +26,7 @@
     ListUpdate,
     Load,
     Loaded,
+    MissMode,
     Outcome,
     Refuse,
     Request,
@@ -56,9 +57,10 @@
 SLOW_LOAD = 3.0  # a load that takes this multiple of the usual is slow
 JUDGE_S = 0.3  # the bound shrinks this often at most
 LOAD_TRIES = 3  # attempts of one request that may each begin a load
-WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
+WAIT_PER_LANE = 0.5  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
 HOLD_END_S = 0.05  # a held request is answered this long before its deadline
+IN_TIME = 1.0  # a load is begun only where this part of its usual time is left
 AVOID_S = 0.5  # a worker that answered no to an order gets none for the function this long
 ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
 LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
@@ -268,7 +270,7 @@
         Guards against loads that crowd the store and fill the workers' waiting rooms: after releases,
         with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
         """
-        in_time = ask.deadline_s - now > self.load_norm_s or self.settings.allow.orders
+        in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
         if self.loads_out >= self._most_loads() or not in_time:
             return False
         lanes = function.busy + function.loads * max(1.0, ask.lanes)
@@ -479,9 +481,11 @@
     # ---- orders to load
 
     def _may_order(self, now: float) -> bool:
-        """Orders load without a request that waits in the worker's queue; the rule on loads bounds them."""
+        """Orders only where a miss loads nothing; elsewhere a request that waits loads as well and is
+        held back by the worker's own queue. The rule on loads bounds them.
+        """
         rules = self.settings.rules
-        if not self.settings.allow.orders:
+        if not self.settings.allow.orders or self.settings.miss_mode is not MissMode.MISS:
             return False
         if not rules.load_span_s:
             return True
