--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -45,10 +45,10 @@
 RATE_SPAN_S = 10.0  # memory of the own request rate, which sizes the slow-start budget
 COLD_PART = 0.8  # of the slow-start budget that is used, the rest is for chance
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
-ALIKE_ROOM = 0.5  # workers with this part of the most room count as alike; the function's rank decides
+ALIKE_ROOM = 0.25  # workers with this part of the most room count as alike; the function's rank decides
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 JOIN_LEAST = 8  # own requests in flight under which a worker's spare lane is taken
-BOUND_LEAST = 3  # and never fewer than this
+BOUND_LEAST = 6  # and never fewer than this
 LOADS_EACH = 2.0  # own loads under way for each worker, over all front ends
 LOADS_FLOOR = 1.5  # the least of it, and how it moves
 LOADS_GROW = 0.5
@@ -57,10 +57,12 @@
 SLOW_LOAD = 3.0  # a load that takes this multiple of the usual is slow
 JUDGE_S = 0.3  # the bound shrinks this often at most
 LOAD_TRIES = 3  # attempts of one request that may each begin a load
-WAIT_PER_LANE = 0.5  # requests that wait for each busy lane before another copy is loaded
+WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
 HOLD_END_S = 0.05  # a held request is answered this long before its deadline
 IN_TIME = 1.0  # a load is begun only where this part of its usual time is left
+GUESS_S = 0.2  # a send without an entry that is out for longer counts as a load
+GUESS_STEP = 0.05
 AVOID_S = 0.5  # a worker that answered no to an order gets none for the function this long
 ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
 LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
@@ -141,6 +143,8 @@
         self.functions: dict[int, Function] = {}
         self.held: dict[int, Function] = {}  # those with requests waiting
         self.loads_out = 0
+        self.cold: dict[tuple[int, int], Attempt] = {}  # own sends out that may have begun a load
+        self.guess = 0.0  # recent part of them that found a loaded copy after all
         self.orders: dict[tuple[int, int], list[Request]] = {}
         self.order_times: deque[float] = deque()  # both kept only where orders are rationed
         self.request_times: deque[float] = deque()
@@ -271,11 +275,19 @@
         with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
         """
         in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
-        if self.loads_out >= self._most_loads() or not in_time:
+        if self._loads_under_way(now) >= self._most_loads() or not in_time:
             return False
         lanes = function.busy + function.loads * max(1.0, ask.lanes)
         return len(function.waiting) >= WAIT_PER_LANE * lanes or (not patient and not function.loads)
 
+    def _loads_under_way(self, now: float) -> float:
+        """Own loads: a send without an entry often finds a copy that another front end had loaded.
+
+        The young ones count by how often that failed lately, those out for longer count in full.
+        """
+        young = sum(now - attempt.sent_s < GUESS_S for attempt in self.cold.values())
+        return self.loads_out - young * self.guess
+
     def _most_loads(self) -> float:
         ready = sum(worker.ready for worker in self.workers.values())
         return max(LOADS_LEAST, self.load_part * ready)
@@ -322,7 +334,7 @@
                 break
         for _ in range(len(self.held)):
             ready = [f for f in self.held.values() if f.waiting and not f.loads]
-            if not ready or self.loads_out >= self._most_loads():
+            if not ready or self._loads_under_way(now) >= self._most_loads():
                 break
             out = self.loads_out
             self._next_waiting(now, max(ready, key=lambda f: sum(p.cls.worth for p in f.waiting)), False)
@@ -360,11 +372,12 @@
 
     def _send(self, now: float, pending: Pending, worker: Worker, function: Function, warm: bool) -> None:
         ask = pending.ask
+        attempt = Attempt(ask, len(pending.attempts), worker, now, warm)
         function.busy += warm
         function.loads += not warm
         self.loads_out += not warm
-        attempt = Attempt(ask, len(pending.attempts), worker, now, warm)
         if not warm:
+            self.cold[ask.request, attempt.number] = attempt
             worker.loading[ask.function] = worker.loading.get(ask.function, 0) + 1
         pending.attempts.append(attempt)
         pending.out += 1
@@ -583,6 +596,9 @@
         worker.in_flight -= 1
         if not attempt.warm:
             self._load_ended(worker, self.functions[ask.function], ask.function)
+            del self.cold[ask.request, attempt.number]
+            if event.result in (Result.OK, Result.TIMEOUT):
+                self.guess += GUESS_STEP * ((event.found is Found.WARM) - self.guess)
         holding = self._holding(worker, ask)
         holding.in_flight -= 1
         function = self.functions[ask.function]
