--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -48,7 +48,7 @@
 ALIKE_ROOM = 0.25  # workers with this part of the most room count as alike; the function's rank decides
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 JOIN_LEAST = 8  # own requests in flight under which a worker's spare lane is taken
-BOUND_LEAST = 6  # and never fewer than this
+BOUND_LEAST = 4  # and never fewer than this
 LOADS_EACH = 2.0  # own loads under way for each worker, over all front ends
 LOADS_FLOOR = 1.5  # the least of it, and how it moves
 LOADS_GROW = 0.5
@@ -63,6 +63,17 @@
 IN_TIME = 1.0  # a load is begun only where this part of its usual time is left
 GUESS_S = 0.2  # a send without an entry that is out for longer counts as a load
 GUESS_STEP = 0.05
+EJECT_SLOW = 2.5  # ejected from this multiple of the median worker's slowness
+EJECT_ERRORS = 0.25  # or from this part of errors over twice the median's
+EJECT_MISSES = 2  # or after so many attempts in a row that reached nothing
+EJECT_BACK = 0.7  # an ejected worker is back under this part of the bounds
+EJECT_LEAST = 4  # answers before a worker counts as slow
+EJECT_MOST = 0.35  # of the fleet; with more outliers only the worst are out
+EJECT_EVERY_S = 0.1
+EJECT_STEP = 0.2  # weight of one answer, and of a trial's
+TRIAL_STEP = 0.4
+TRIAL_S = 1.0  # an ejected worker gets one request in this time
+NORM_STEP = 0.02
 AVOID_S = 0.5  # a worker that answered no to an order gets none for the function this long
 ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
 LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
@@ -79,6 +90,12 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
+        self.slow = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
+        self.answers = 0  # that `slow` rests on, up to what it needs
+        self.errors = 0.0  # recent part of its answers that were errors
+        self.misses = 0  # attempts in a row that reached nothing
+        self.ejected = False
+        self.trial_s = 0.0  # when the next trial may go to it while it is ejected
         self.loading: dict[int, int] = {}  # functions with own sends out that need or join a load
         self.next_cold_s = 0.0  # slow start: earliest time of the next send
 
@@ -143,6 +160,8 @@
         self.functions: dict[int, Function] = {}
         self.held: dict[int, Function] = {}  # those with requests waiting
         self.loads_out = 0
+        self.norms: dict[int, float] = {}  # usual time of a warm answer, for each class
+        self.eject_s = 0.0
         self.cold: dict[tuple[int, int], Attempt] = {}  # own sends out that may have begun a load
         self.guess = 0.0  # recent part of them that found a loaded copy after all
         self.orders: dict[tuple[int, int], list[Request]] = {}
@@ -245,7 +264,7 @@
         eligible = [
             worker for number, worker in self.workers.items()
             if worker.ready and number not in tried and self._group_fits(pending, worker)
-            and self._cold_fits(now, worker)
+            and self._cold_fits(now, worker) and (not worker.ejected or now >= worker.trial_s)
         ]
         warm = self._pop(now, function, eligible) or self._spare_lane(ask, self._calm(eligible, JOIN_LEAST))
         if warm is not None:
@@ -391,6 +410,8 @@
         pace = self._cold_pace(now, worker)
         if pace is not None:
             worker.next_cold_s = now + 1 / pace
+        if worker.ejected:
+            worker.trial_s = now + TRIAL_S
         self.actions.append(Send(ask.request, worker.entry.worker))
 
     # ---- the choice
@@ -551,6 +572,55 @@
         if worker.loading[number] <= 0:
             del worker.loading[number]
 
+    # ---- outlier ejection
+
+    def _rate_worker(self, now: float, attempt: Attempt, event: Outcome) -> None:
+        """Take out workers that are slow, fail or are not reached, by the fleet's own norm; trials go on.
+
+        Guards against slow, half-dead, unreachable and fast-failing workers whatever the cause. It could
+        hurt where a class's work differs much between workers; at most a part of the fleet is out.
+        """
+        worker = attempt.worker
+        place = attempt.ask.class_index
+        step = TRIAL_STEP if worker.ejected else EJECT_STEP
+        unreached = event.result in (Result.CONNECT_FAILED, Result.RESET)
+        worker.misses = worker.misses + 1 if unreached else 0
+        failed = event.result is Result.ERROR and event.found is not Found.LOAD_FAILED
+        if failed or event.result is Result.OK:
+            worker.errors += step * (failed - worker.errors)
+        plain = event.found in (Found.WARM, Found.UNTOLD) and attempt.warm
+        if plain and event.result in (Result.OK, Result.TIMEOUT):
+            norm = self.norms.get(place) or event.elapsed_s or 1e-3
+            ratio = min(10.0, event.elapsed_s / norm)
+            if event.result is Result.OK or ratio > worker.slow:
+                worker.slow += step * (ratio - worker.slow)
+                worker.answers = min(EJECT_LEAST, worker.answers + 1)
+            if event.result is Result.OK:
+                self.norms[place] = norm + NORM_STEP * (min(event.elapsed_s, 5 * norm) - norm)
+        if now >= self.eject_s:
+            self.eject_s = now + EJECT_EVERY_S
+            self._eject(now)
+
+    def _eject(self, now: float) -> None:
+        ready = [worker for worker in self.workers.values() if worker.ready]
+        if not ready:
+            return
+        usual = sorted(worker.slow for worker in ready)[(len(ready) - 1) // 2]
+        errors = sorted(worker.errors for worker in ready)[(len(ready) - 1) // 2]
+        worst = []
+        for worker in ready:
+            part = EJECT_BACK if worker.ejected else 1.0
+            slow = worker.slow / (part * EJECT_SLOW * usual) if worker.answers >= EJECT_LEAST else 0.0
+            fails = worker.errors / (part * (EJECT_ERRORS + 2 * errors))
+            score = max(slow, fails, worker.misses / EJECT_MISSES)
+            if score >= 1:
+                worst.append((-score, worker.entry.worker, worker))
+        out = [worker for _, _, worker in sorted(worst)[:int(EJECT_MOST * len(ready))]]
+        for worker in ready:
+            if worker in out and not worker.ejected:
+                worker.trial_s = now + TRIAL_S
+            worker.ejected = worker in out
+
     # ---- slow start
 
     def _cold_pace(self, now: float, worker: Worker) -> float | None:
@@ -594,6 +664,7 @@
         worker = attempt.worker
         ask = attempt.ask
         worker.in_flight -= 1
+        self._rate_worker(now, attempt, event)
         if not attempt.warm:
             self._load_ended(worker, self.functions[ask.function], ask.function)
             del self.cold[ask.request, attempt.number]
