--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -29,6 +29,7 @@
     MissMode,
     Outcome,
     Refuse,
+    Report,
     Request,
     Result,
     Send,
@@ -45,8 +46,8 @@
 RATE_SPAN_S = 10.0  # memory of the own request rate, which sizes the slow-start budget
 COLD_PART = 0.8  # of the slow-start budget that is used, the rest is for chance
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
-ALIKE_ROOM = 0.0  # workers with this part of the most room count as alike; the function's rank decides
-BOUND = 2.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
+ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
+BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 JOIN_LEAST = 3  # own requests in flight under which a worker's spare lane is taken
 BOUND_LEAST = 3  # and never fewer than this
 LOADS_EACH = 4.0  # own loads under way for each worker, over all front ends
@@ -61,8 +62,6 @@
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
 HOLD_END_S = 0.05  # a held request is answered this long before its deadline
 IN_TIME = 1.0  # a load is begun only where this part of its usual time is left
-GUESS_S = 0.2  # a send without an entry that is out for longer counts as a load
-GUESS_STEP = 0.05
 EJECT_SLOW = 3.0  # ejected from this multiple of the median worker's slowness
 EJECT_ERRORS = 0.25  # or from this part of errors over twice the median's
 EJECT_MISSES = 2  # or after so many attempts in a row that reached nothing
@@ -77,7 +76,9 @@
 AVOID_S = 0.5  # a worker that answered no to an order gets none for the function this long
 ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
 LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
-OWN_LOADS = 4  # own loads under way at one worker
+OWN_LOADS = 3  # own loads under way at one worker
+TOLD_STANDS_S = 1.0  # a load report is used this long
+TOLD_LEAST = 0.5  # told requests that never make a worker busy
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -90,6 +91,8 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
+        self.told = 0.0  # requests that its last report told of, and when
+        self.told_s = -math.inf
         self.slow = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
         self.answers = 0  # that `slow` rests on, up to what it needs
         self.errors = 0.0  # recent part of its answers that were errors
@@ -162,8 +165,6 @@
         self.loads_out = 0
         self.norms: dict[int, float] = {}  # usual time of a warm answer, for each class
         self.eject_s = 0.0
-        self.cold: dict[tuple[int, int], Attempt] = {}  # own sends out that may have begun a load
-        self.guess = 0.0  # recent part of them that found a loaded copy after all
         self.orders: dict[tuple[int, int], list[Request]] = {}
         self.order_times: deque[float] = deque()  # both kept only where orders are rationed
         self.request_times: deque[float] = deque()
@@ -266,7 +267,8 @@
             if worker.ready and number not in tried and self._group_fits(pending, worker)
             and self._cold_fits(now, worker) and (not worker.ejected or now >= worker.trial_s)
         ]
-        warm = self._pop(now, function, eligible) or self._spare_lane(ask, self._calm(eligible, JOIN_LEAST))
+        warm = self._pop(now, function, eligible)
+        warm = warm or self._spare_lane(ask, self._calm(now, eligible, JOIN_LEAST))
         if warm is not None:
             self._send(now, pending, warm, function, ask.function not in warm.loading)
             return
@@ -294,19 +296,11 @@
         with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
         """
         in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
-        if self._loads_under_way(now) >= self._most_loads() or not in_time:
+        if self.loads_out >= self._most_loads() or not in_time:
             return False
         lanes = function.busy + function.loads * max(1.0, ask.lanes)
         return len(function.waiting) >= WAIT_PER_LANE * lanes or (not patient and not function.loads)
 
-    def _loads_under_way(self, now: float) -> float:
-        """Own loads: a send without an entry often finds a copy that another front end had loaded.
-
-        The young ones count by how often that failed lately, those out for longer count in full.
-        """
-        young = sum(now - attempt.sent_s < GUESS_S for attempt in self.cold.values())
-        return self.loads_out - young * self.guess
-
     def _most_loads(self) -> float:
         ready = sum(worker.ready for worker in self.workers.values())
         return max(LOADS_LEAST, self.load_part * ready)
@@ -353,7 +347,7 @@
                 break
         for _ in range(len(self.held)):
             ready = [f for f in self.held.values() if f.waiting and not f.loads]
-            if not ready or self._loads_under_way(now) >= self._most_loads():
+            if not ready or self.loads_out >= self._most_loads():
                 break
             out = self.loads_out
             self._next_waiting(now, max(ready, key=lambda f: sum(p.cls.worth for p in f.waiting)), False)
@@ -396,7 +390,6 @@
         function.loads += not warm
         self.loads_out += not warm
         if not warm:
-            self.cold[ask.request, attempt.number] = attempt
             worker.loading[ask.function] = worker.loading.get(ask.function, 0) + 1
         pending.attempts.append(attempt)
         pending.out += 1
@@ -419,14 +412,19 @@
     def _place(self, now: float, ask: Request, function: Function, eligible: list[Worker]) -> Worker:
         """The worker for a new load."""
         eligible = [w for w in eligible if function.avoid.get(w.entry.worker, 0.0) <= now] or eligible
-        calm = self._calm([w for w in eligible if len(w.loading) < OWN_LOADS] or eligible)
+        calm = self._calm(now, [w for w in eligible if len(w.loading) < OWN_LOADS]) or eligible
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if room:
-            most = max(map(self._room_mb, room))
-            alike = [worker for worker in room if self._room_mb(worker) >= ALIKE_ROOM * most]
-            return min(alike, key=lambda worker: self._rank(worker, ask.function))
+            return min(room, key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
         return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
 
+    def _room_share(self, worker: Worker) -> float:
+        """The part of its memory that is free by the own account: more room, more of the new loads."""
+        kinds = self.settings.memory_mb_by_kind
+        kind = worker.entry.kind
+        memory_mb = kinds[kind] if kind < len(kinds) else 0.0
+        return max(1e-3, 1 - worker.placed_mb / memory_mb) ** ROOM_WEIGHT if memory_mb > 0 else 1.0
+
     def _spare_lane(self, ask: Request, workers: list[Worker]) -> Worker | None:
         """A worker where own sends of the function hold fewer lanes than its copies have.
 
@@ -444,12 +442,19 @@
                 least = worker.in_flight
         return best
 
-    def _calm(self, workers: list[Worker], least: int = BOUND_LEAST) -> list[Worker]:
-        """Those whose own requests in flight, for their size, are not far over the mean; else all."""
-        held = sum(worker.in_flight for worker in self.workers.values() if worker.ready)
-        size = sum(worker.entry.size for worker in self.workers.values() if worker.ready)
-        mean = BOUND * (held + 1) / size if size > 0 else math.inf
-        return [w for w in workers if w.in_flight < max(least, mean * w.entry.size)] or workers
+    def _calm(self, now: float, workers: list[Worker], least: int = BOUND_LEAST) -> list[Worker]:
+        """Those with own requests in flight, and told load, not far over the fleet's for their size."""
+        ready = [worker for worker in self.workers.values() if worker.ready]
+        size = sum(worker.entry.size for worker in ready) or 1.0
+        own = BOUND * (1 + sum(worker.in_flight for worker in ready)) / size
+        fresh = [worker for worker in ready if now - worker.told_s < TOLD_STANDS_S]
+        told_size = sum(worker.entry.size for worker in fresh) or 1.0
+        told = BOUND * sum(worker.told for worker in fresh) / told_size
+        return [
+            worker for worker in workers if worker.in_flight < max(least, own * worker.entry.size)
+            and (now - worker.told_s > TOLD_STANDS_S
+                 or worker.told <= TOLD_LEAST + told * worker.entry.size)
+        ]
 
     def _rank(self, worker: Worker, function: int) -> float:
         """Rendezvous: every front end prefers the same workers for a function, so that they meet on copies.
@@ -572,6 +577,13 @@
         if worker.loading[number] <= 0:
             del worker.loading[number]
 
+    def _told(self, now: float, worker: Worker, report: Report | None) -> None:
+        if report is not None:
+            told = report.waiting if report.waiting is not None else report.in_hand
+            if told is not None:
+                worker.told = told
+                worker.told_s = now
+
     # ---- outlier ejection
 
     def _rate_worker(self, now: float, attempt: Attempt, event: Outcome) -> None:
@@ -664,12 +676,10 @@
         worker = attempt.worker
         ask = attempt.ask
         worker.in_flight -= 1
+        self._told(now, worker, event.report)
         self._rate_worker(now, attempt, event)
         if not attempt.warm:
             self._load_ended(worker, self.functions[ask.function], ask.function)
-            del self.cold[ask.request, attempt.number]
-            if event.result in (Result.OK, Result.TIMEOUT):
-                self.guess += GUESS_STEP * ((event.found is Found.WARM) - self.guess)
         holding = self._holding(worker, ask)
         holding.in_flight -= 1
         function = self.functions[ask.function]
