--- /dev/null
+++ b/tests/test_defences.py
@@ -0,0 +1,197 @@
+"""One small test per defence: each fails without it."""
+
+from __future__ import annotations
+
+from saffronstack.choice import Function, Router
+from saffronstack.interface import (
+    Action,
+    AllowSettings,
+    Found,
+    ListKind,
+    ListUpdate,
+    Load,
+    Loaded,
+    MissMode,
+    Refuse,
+    Report,
+    Result,
+    RuleSettings,
+    Woken,
+)
+
+from .helpers import DRAINING, Gateway, change, entry, finals, router, sends, settings
+
+
+def loads(actions: list[Action]) -> list[Load]:
+    return [action for action in actions if isinstance(action, Load)]
+
+
+def warm(gateway: Gateway, worker: int, function: int = 1, now: float = 100.0, entries: int = 1) -> None:
+    decider = gateway.decider
+    made = decider.functions.setdefault(function, Function())
+    made.stack += [(decider.workers[worker], now)] * entries
+
+
+def test_front_ends_meet_on_the_same_worker() -> None:
+    first, second = (Gateway(Router(settings(), seed)) for seed in (1, 2))
+    for gateway in (first, second):
+        gateway.decider.handle(100.0, ListUpdate(ListKind.FULL, tuple(entry(w) for w in range(1, 9))))
+    met = 0
+    for function in range(30):
+        one, a = first.ask(100.0, function=function)
+        two, b = second.ask(100.0, function=function)
+        met += sends(a)[0].worker == sends(b)[0].worker
+        first.end(100.05, one)
+        second.end(100.05, two)
+    assert met == 30
+
+
+def test_a_burst_joins_the_lanes_of_the_own_load() -> None:
+    gateway = Gateway(router(*range(1, 9)))
+    used = {sends(gateway.ask(100.0, lanes=4.0)[1])[0].worker for _ in range(3)}
+    assert len(used) == 1
+
+
+def test_a_finished_load_frees_all_its_lanes() -> None:
+    gateway = Gateway(router(1, 2))
+    number, _ = gateway.ask(100.0, lanes=4.0)
+    gateway.end(101.0, number, found=Found.BEGAN_LOAD)
+    assert len(gateway.decider.functions[1].stack) == 4
+
+
+def test_own_loads_are_bounded_and_held_requests_are_answered_in_time() -> None:
+    gateway = Gateway(router(1, 2, instances=4))
+    sent = []
+    for function in range(40):
+        number, actions = gateway.ask(100.0, function=function)
+        sent += sends(actions)
+        assert not finals(actions)
+    assert 0 < len(sent) < 10
+    answered = 0
+    for number in range(1, 41):
+        if number not in gateway.where:
+            gateway.decider.handle(100.2, Woken(number))
+    for number in range(1, 41):
+        if number not in gateway.where:
+            answered += len(finals(gateway.decider.handle(102.96, Woken(number))))
+    assert answered == 40 - len(gateway.where)
+
+
+def test_a_held_request_takes_the_lane_that_a_finished_one_frees() -> None:
+    gateway = Gateway(router(1, 2, 3))
+    warm(gateway, 1)
+    first, _ = gateway.ask(100.0)
+    second, actions = gateway.ask(100.0)
+    assert not sends(actions)
+    actions = gateway.end(100.1, first)
+    assert [(a.request, a.worker) for a in sends(actions)] == [(second, 1)]
+
+
+def test_a_worker_that_is_not_reached_is_ejected_and_comes_back_by_a_trial() -> None:
+    gateway = Gateway(router(1, 2, 3, 4))
+    for step in range(2):
+        warm(gateway, 1, step, 100.0 + step)
+        number, _ = gateway.ask(100.0 + step, function=step)
+        gateway.end(100.25 + step, number, Result.CONNECT_FAILED)
+    assert gateway.decider.workers[1].ejected
+    warm(gateway, 1, 9, 101.3)
+    _, actions = gateway.ask(101.3, function=9)
+    assert sends(actions)[0].worker != 1
+    number, actions = gateway.ask(103.0, function=9)
+    assert sends(actions)[0].worker == 1
+    gateway.end(103.1, number)
+    assert not gateway.decider.workers[1].ejected
+
+
+def _ejected(results: dict[int, tuple[Result, float]], rounds: int = 30) -> set[int]:
+    gateway = Gateway(router(*range(1, 7)))
+    for step in range(rounds):
+        for worker, (result, took) in results.items():
+            now = 100.0 + step
+            made = gateway.decider.functions.setdefault(worker, Function())
+            made.stack[:] = [(gateway.decider.workers[worker], now)]
+            number, _ = gateway.ask(now, function=worker)
+            if gateway.where.get(number) == worker:
+                gateway.end(now + took, number, result, elapsed_s=took, finished=True)
+    return {number for number, worker in gateway.decider.workers.items() if worker.ejected}
+
+
+def test_a_worker_that_fails_fast_is_ejected() -> None:
+    assert _ejected({w: (Result.ERROR if w == 3 else Result.OK, 0.05) for w in range(1, 7)}) == {3}
+
+
+def test_a_slow_worker_is_ejected() -> None:
+    assert _ejected({w: (Result.OK, 0.6 if w == 3 else 0.05) for w in range(1, 7)}) == {3}
+
+
+def test_ejection_is_capped() -> None:
+    assert len(_ejected({w: (Result.ERROR if w > 2 else Result.OK, 0.05) for w in range(1, 7)})) <= 2
+
+
+def test_told_load_keeps_new_loads_away() -> None:
+    gateway = Gateway(router(1, 2, 3))
+    number, actions = gateway.ask(100.0, function=5)
+    home = sends(actions)[0].worker
+    gateway.end(100.1, number, report=Report(waiting=30.0))
+    for worker in gateway.decider.workers.values():
+        worker.told_s = 100.1  # the others told of no waiting request
+    gateway.decider.functions[5].stack.clear()
+    _, actions = gateway.ask(100.2, function=5)
+    assert sends(actions)[0].worker != home
+
+
+def test_no_load_is_begun_without_the_time_for_it() -> None:
+    gateway = Gateway(router(1, 2, 3))
+    number, _ = gateway.ask(100.0)
+    gateway.end(101.0, number, found=Found.BEGAN_LOAD, elapsed_s=1.0)
+    _, actions = gateway.ask(101.0, function=2, deadline_s=101.5)
+    assert not sends(actions)
+
+
+def _missing(**changes: object) -> Gateway:
+    return Gateway(router(1, 2, miss_mode=MissMode.MISS, order_timeout_s=10.0,
+                          allow=AllowSettings(max_attempts=6, orders=True), **changes))
+
+
+def test_where_a_miss_loads_nothing_an_order_does() -> None:
+    gateway = _missing()
+    number, actions = gateway.ask(100.0, lanes=2.0)
+    ordered = loads(actions)[0]
+    assert not sends(actions) and ordered.copies == 1
+    actions = gateway.saw(gateway.decider.handle(
+        101.0, Loaded(ordered.worker, 1, 1, Result.OK, 1.0)))
+    assert [(a.request, a.worker) for a in sends(actions)] == [(number, ordered.worker)]
+
+
+def test_orders_stay_within_the_ration() -> None:
+    """2 free and a tenth of the requests in 5 s: the order at the limit passes, the next does not."""
+    gateway = _missing(rules=RuleSettings(load_free=2.0, load_part=0.1, load_span_s=5.0))
+    times: list[float] = []
+    taken: list[float] = []
+    for step in range(400):
+        now = 100.0 + step * 0.05
+        taken.append(now)
+        _, actions = gateway.ask(now, function=step)
+        for ordered in loads(actions):
+            times.append(now)
+            span = sum(t > now - 5.0 for t in times)
+            assert span <= 2.0 + 0.1 * sum(t > now - 5.0 for t in taken) + 1e-9
+            gateway.decider.handle(now, Loaded(ordered.worker, ordered.function, 1, Result.OK, 0.5))
+    assert len(times) > 2
+
+
+def test_no_order_to_a_draining_worker() -> None:
+    gateway = _missing()
+    gateway.decider.handle(100.0, change(entry(1, state=DRAINING)))
+    for function in range(10):
+        _, actions = gateway.ask(100.1, function=function)
+        assert all(a.worker == 2 for a in loads(actions))
+
+
+def test_all_full_is_refused_with_advice() -> None:
+    allow = AllowSettings(max_attempts=6, max_retry_advice_s=0.3)
+    gateway = Gateway(router(1, 2, allow=allow))
+    number, actions = gateway.ask(100.0)
+    while sends(actions):
+        actions = gateway.end(100.1, number, Result.FULL)
+    assert actions == [Refuse(number, 0.3)]
