--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -13,33 +13,14 @@
 from itertools import count
 
 from saffronstack.checks import check_settings
+
+# isort: off
 from saffronstack.interface import (
-    Action,
-    ClassSettings,
-    ClientGone,
-    Effect,
-    Event,
-    Fail,
-    Found,
-    Group,
-    ListKind,
-    ListUpdate,
-    Load,
-    Loaded,
-    MissMode,
-    Outcome,
-    Refuse,
-    Report,
-    Request,
-    Result,
-    Send,
-    Settings,
-    WakeMe,
-    Watch,
-    Woken,
-    WorkerEntry,
-    WorkerState,
+    Action, ClassSettings, ClientGone, Effect, Event, Fail, Found, Group, ListKind, ListUpdate, Load,
+    Loaded, MissMode, Outcome, Refuse, Report, Request, Result, Send, Settings, WakeMe, Watch, Woken,
+    WorkerEntry, WorkerState,
 )
+# isort: on
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
 KEEP_UNTOLD_S = 8.0  # how long an entry lives where no keep-alive is told
@@ -79,6 +60,11 @@
 OWN_LOADS = 3  # own loads under way at one worker
 TOLD_STANDS_S = 1.0  # a load report is used this long
 TOLD_LEAST = 0.5  # told requests that never make a worker busy
+LATE_PART = 0.7  # an answer after this part of the wanted time shrinks its worker's limit
+LIMIT_USED = 0.7  # the limit grows only while this part of it is in use
+LIMIT_GROW = 0.1
+LIMIT_SHRINK = 0.85
+LIMIT_LEAST = 2.0
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -91,6 +77,9 @@
         self.ready = entry.state is WorkerState.READY
         self.in_flight = 0
         self.placed_mb = 0.0
+        self.warm_out = 0  # own sends to loaded copies in flight
+        self.limit = math.inf  # of those, moved by whether answers come in time
+        self.limited_s = 0.0
         self.told = 0.0  # requests that its last report told of, and when
         self.told_s = -math.inf
         self.slow = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
@@ -267,8 +256,9 @@
             if worker.ready and number not in tried and self._group_fits(pending, worker)
             and self._cold_fits(now, worker) and (not worker.ejected or now >= worker.trial_s)
         ]
-        warm = self._pop(now, function, eligible)
-        warm = warm or self._spare_lane(ask, self._calm(now, eligible, JOIN_LEAST))
+        open_ = [worker for worker in eligible if worker.warm_out < worker.limit]
+        warm = self._pop(now, function, open_)
+        warm = warm or self._spare_lane(ask, self._calm(now, open_, JOIN_LEAST))
         if warm is not None:
             self._send(now, pending, warm, function, ask.function not in warm.loading)
             return
@@ -298,7 +288,8 @@
         in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
         if self.loads_out >= self._most_loads() or not in_time:
             return False
-        lanes = function.busy + function.loads * max(1.0, ask.lanes)
+        full = sum(worker.ready and not worker.ejected for worker, _ in function.stack)  # open ones were popped
+        lanes = full + function.busy + function.loads * max(1.0, ask.lanes)
         return len(function.waiting) >= WAIT_PER_LANE * lanes or (not patient and not function.loads)
 
     def _most_loads(self) -> float:
@@ -338,13 +329,15 @@
             function.waiting.remove(pending)
             self._try(now, pending, patient=False)
 
-    def _serve_waiting(self, now: float, function: Function) -> None:
+    def _serve_waiting(self, now: float) -> None:
         """The newest waiting request takes a freed lane; load slots go where most worth waits."""
-        while function.waiting and function.stack:
-            left = len(function.stack)
-            self._next_waiting(now, function)
-            if len(function.stack) >= left:
-                break
+        warm = [f for f in self.held.values() if f.waiting and f.stack]
+        for held in sorted(warm, key=lambda f: -f.waiting[-1].cls.worth):
+            while held.waiting and held.stack:
+                left = len(held.stack)
+                self._next_waiting(now, held)
+                if len(held.stack) >= left:
+                    break
         for _ in range(len(self.held)):
             ready = [f for f in self.held.values() if f.waiting and not f.loads]
             if not ready or self.loads_out >= self._most_loads():
@@ -387,6 +380,7 @@
         ask = pending.ask
         attempt = Attempt(ask, len(pending.attempts), worker, now, warm)
         function.busy += warm
+        worker.warm_out += warm
         function.loads += not warm
         self.loads_out += not warm
         if not warm:
@@ -568,7 +562,7 @@
             self._place_copies(worker, holding, event.copies)
         due = now + self.keep_s, next(self.ticket), event.worker, event.function
         heapq.heappush(self.expiries, due)
-        self._serve_waiting(now, function)
+        self._serve_waiting(now)
 
     def _load_ended(self, worker: Worker, function: Function, number: int) -> None:
         function.loads -= 1
@@ -577,6 +571,22 @@
         if worker.loading[number] <= 0:
             del worker.loading[number]
 
+    def _move_limit(self, now: float, attempt: Attempt, event: Outcome) -> None:
+        """Fewer warm sends at once to a worker whose answers are late or full, more while they are not.
+
+        Guards against queues at the workers, whatever fills them; requests over the limit wait here,
+        where the newest and worthiest goes first. It could hurt where only a function is slow.
+        """
+        worker = attempt.worker
+        aim_s = self.settings.classes[attempt.ask.class_index].aim_s
+        late = event.result is Result.FULL or event.elapsed_s > LATE_PART * aim_s
+        if not late:
+            if worker.warm_out + 1 > LIMIT_USED * worker.limit:
+                worker.limit += LIMIT_GROW
+        elif event.result in (Result.OK, Result.FULL, Result.TIMEOUT) and now > worker.limited_s + JUDGE_S:
+            worker.limited_s = now
+            worker.limit = max(LIMIT_LEAST, LIMIT_SHRINK * min(worker.limit, worker.warm_out + 1))
+
     def _told(self, now: float, worker: Worker, report: Report | None) -> None:
         if report is not None:
             told = report.waiting if report.waiting is not None else report.in_hand
@@ -670,12 +680,15 @@
                 del self.pending[event.request]
             elif not pending.out:
                 self._try(now, pending)
-        self._serve_waiting(now, self.functions[attempt.ask.function])
+        self._serve_waiting(now)
 
     def _learn(self, now: float, attempt: Attempt, event: Outcome) -> None:
         worker = attempt.worker
         ask = attempt.ask
         worker.in_flight -= 1
+        worker.warm_out -= attempt.warm
+        if attempt.warm and event.found in (Found.WARM, Found.UNTOLD):
+            self._move_limit(now, attempt, event)
         self._told(now, worker, event.report)
         self._rate_worker(now, attempt, event)
         if not attempt.warm:
