--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -29,7 +29,6 @@
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
-JOIN_LEAST = 3  # own requests in flight under which a worker's spare lane is taken
 BOUND_LEAST = 3  # and never fewer than this
 LOADS_EACH = 4.0  # own loads under way for each worker, over all front ends
 LOADS_FLOOR = 2.0  # the least of it, and how it moves
@@ -65,6 +64,8 @@
 LIMIT_GROW = 0.1
 LIMIT_SHRINK = 0.85
 LIMIT_LEAST = 2.0
+PART_LEAST = 0.2  # of a worker's limit that a worthless request may use; one of mean worth may use all
+VALUE_STEP = 0.01
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -129,7 +130,7 @@
 class Pending:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "woken")
+    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "value", "woken")
 
     def __init__(self, ask: Request, cls: ClassSettings) -> None:
         self.ask = ask
@@ -137,6 +138,7 @@
         self.attempts: list[Attempt] = []
         self.maybe: Attempt | None = None  # the first attempt that may have run
         self.out = 0
+        self.value = cls.worth
         self.woken = False
 
 
@@ -152,6 +154,8 @@
         self.functions: dict[int, Function] = {}
         self.held: dict[int, Function] = {}  # those with requests waiting
         self.loads_out = 0
+        self.value = 0.0  # recent mean worth of a request
+        self.tenant_rates: dict[int, tuple[float, float]] = {}
         self.norms: dict[int, float] = {}  # usual time of a warm answer, for each class
         self.eject_s = 0.0
         self.orders: dict[tuple[int, int], list[Request]] = {}
@@ -235,8 +239,20 @@
             self.request_times.append(now)
         pending = Pending(ask, self.settings.classes[ask.class_index])
         self.pending[ask.request] = pending
+        pending.value *= self._in_share(now, ask.tenant)
+        self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
         self._try(now, pending)
 
+    def _in_share(self, now: float, tenant: int) -> float:
+        """What a tenant's request is worth beside others: less by the part of its traffic over its share."""
+        if tenant >= len(self.settings.tenants):
+            return 1.0
+        rate, since_s = self.tenant_rates.get(tenant, (0.0, now))
+        rate = rate * math.exp((since_s - now) / RATE_SPAN_S) + 1 / RATE_SPAN_S
+        self.tenant_rates[tenant] = rate, now
+        share = min(1.0, self.settings.tenants[tenant].quota_rps / self.settings.instances / rate)
+        return share + (1 - share) * self.settings.over_share_worth
+
     def _rate(self, now: float) -> float:
         return self.rate * math.exp((self.rate_s - now) / RATE_SPAN_S)
 
@@ -256,9 +272,10 @@
             if worker.ready and number not in tried and self._group_fits(pending, worker)
             and self._cold_fits(now, worker) and (not worker.ejected or now >= worker.trial_s)
         ]
-        open_ = [worker for worker in eligible if worker.warm_out < worker.limit]
+        part = PART_LEAST + (1 - PART_LEAST) * pending.value / self.value if self.value > 0 else 1.0
+        open_ = [worker for worker in eligible if worker.warm_out < worker.limit * min(1.0, part)]
         warm = self._pop(now, function, open_)
-        warm = warm or self._spare_lane(ask, self._calm(now, open_, JOIN_LEAST))
+        warm = warm or self._spare_lane(ask, self._calm(now, open_))
         if warm is not None:
             self._send(now, pending, warm, function, ask.function not in warm.loading)
             return
@@ -288,7 +305,7 @@
         in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
         if self.loads_out >= self._most_loads() or not in_time:
             return False
-        full = sum(worker.ready and not worker.ejected for worker, _ in function.stack)  # open ones were popped
+        full = sum(worker.ready and not worker.ejected for worker, _ in function.stack)  # at their limit
         lanes = full + function.busy + function.loads * max(1.0, ask.lanes)
         return len(function.waiting) >= WAIT_PER_LANE * lanes or (not patient and not function.loads)
 
@@ -332,7 +349,7 @@
     def _serve_waiting(self, now: float) -> None:
         """The newest waiting request takes a freed lane; load slots go where most worth waits."""
         warm = [f for f in self.held.values() if f.waiting and f.stack]
-        for held in sorted(warm, key=lambda f: -f.waiting[-1].cls.worth):
+        for held in sorted(warm, key=lambda f: -f.waiting[-1].value):
             while held.waiting and held.stack:
                 left = len(held.stack)
                 self._next_waiting(now, held)
@@ -343,7 +360,7 @@
             if not ready or self.loads_out >= self._most_loads():
                 break
             out = self.loads_out
-            self._next_waiting(now, max(ready, key=lambda f: sum(p.cls.worth for p in f.waiting)), False)
+            self._next_waiting(now, max(ready, key=lambda f: sum(p.value for p in f.waiting)), False)
             if self.loads_out <= out:
                 break
 
@@ -436,7 +453,7 @@
                 least = worker.in_flight
         return best
 
-    def _calm(self, now: float, workers: list[Worker], least: int = BOUND_LEAST) -> list[Worker]:
+    def _calm(self, now: float, workers: list[Worker]) -> list[Worker]:
         """Those with own requests in flight, and told load, not far over the fleet's for their size."""
         ready = [worker for worker in self.workers.values() if worker.ready]
         size = sum(worker.entry.size for worker in ready) or 1.0
@@ -445,7 +462,7 @@
         told_size = sum(worker.entry.size for worker in fresh) or 1.0
         told = BOUND * sum(worker.told for worker in fresh) / told_size
         return [
-            worker for worker in workers if worker.in_flight < max(least, own * worker.entry.size)
+            worker for worker in workers if worker.in_flight < max(BOUND_LEAST, own * worker.entry.size)
             and (now - worker.told_s > TOLD_STANDS_S
                  or worker.told <= TOLD_LEAST + told * worker.entry.size)
         ]
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -16,6 +16,7 @@
     Report,
     Result,
     RuleSettings,
+    TenantSettings,
     Woken,
 )
 
@@ -195,3 +196,34 @@
     while sends(actions):
         actions = gateway.end(100.1, number, Result.FULL)
     assert actions == [Refuse(number, 0.3)]
+
+
+def test_late_answers_shrink_the_limit_and_requests_wait_here() -> None:
+    gateway = Gateway(router(1, 2, 3))
+    for function in range(12):
+        warm(gateway, 1, function)
+    numbers = [gateway.ask(100.0, function=function)[0] for function in range(8)]
+    for step, number in enumerate(numbers[:6]):
+        gateway.end(101.0 + step, number, elapsed_s=1.0 + step)
+    worker = gateway.decider.workers[1]
+    assert worker.limit < 8
+    worker.limit = 2.0
+    warm(gateway, 1, 10, 106.0)
+    held, actions = gateway.ask(106.1, function=10)
+    assert not sends(actions)
+    assert held in {a.request for a in sends(gateway.end(106.2, numbers[6]))}
+
+
+def test_traffic_over_its_share_uses_less_of_a_limit() -> None:
+    tenants = (TenantSettings("a", 0.5, 1000.0), TenantSettings("b", 0.5, 1.0))
+    gateway = Gateway(router(1, 2, tenants=tenants, over_share_worth=0.05))
+    for step in range(400):
+        gateway.ask(100.0 + step * 0.01, function=1000 + step, tenant=step % 2)
+    gateway.decider.workers[1].limit = 4.0
+    gateway.decider.workers[1].warm_out = 2
+    warm(gateway, 1, 1, 104.0)
+    warm(gateway, 1, 2, 104.0)
+    _, actions = gateway.ask(104.0, function=2, tenant=1)
+    assert not sends(actions)
+    _, actions = gateway.ask(104.0, function=1, tenant=0)
+    assert len(sends(actions)) == 1
