--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -34,7 +34,7 @@
 LOADS_FLOOR = 2.0  # the least of it, and how it moves
 LOADS_GROW = 0.5
 LOADS_SHRINK = 0.9
-LOADS_LEAST = 5
+LOADS_LEAST = 2
 SLOW_LOAD = 3.0  # a load that takes this multiple of the usual is slow
 JUDGE_S = 0.3  # the bound shrinks this often at most
 LOAD_TRIES = 3  # attempts of one request that may each begin a load
@@ -318,8 +318,8 @@
         if result is Result.OK and took_s > 0:
             step = 0.2 if took_s < self.load_norm_s else 0.01
             self.load_norm_s += step * (took_s - self.load_norm_s) if self.load_norm_s else took_s
-        elif result is not Result.FULL and (result is not Result.TIMEOUT or took_s < SLOW_LOAD * self.load_norm_s):
-            return  # a time-out before a load could be slow tells nothing
+        elif result not in (Result.FULL, Result.TIMEOUT):
+            return
         ready = max(1, sum(worker.ready for worker in self.workers.values()))
         if result is Result.OK and took_s < SLOW_LOAD * self.load_norm_s:
             if self.loads_out + 2 > self._most_loads():
@@ -717,8 +717,7 @@
         stack = function.stack
         if not attempt.warm:
             began = event.found is Found.BEGAN_LOAD
-            timed_out = event.result is Result.TIMEOUT
-            self._judge_load(now, event.result, event.elapsed_s if began or timed_out else 0.0)
+            self._judge_load(now, event.result, event.elapsed_s if began else 0.0)
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
