--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -66,8 +66,6 @@
 LIMIT_LEAST = 2.0
 PART_LEAST = 0.2  # of a worker's limit that a worthless request may use; one of mean worth may use all
 VALUE_STEP = 0.01
-GUESS_STEP = 0.05
-GUESS_FLOOR = 0.3  # sends without an entry count as loads at this part at least
 MASK = 2**64 - 1
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
@@ -165,7 +163,6 @@
         self.request_times: deque[float] = deque()
         self.load_part = LOADS_EACH / settings.instances  # own loads under way allowed for each worker
         self.load_norm_s = 0.0
-        self.guess = 0.0  # recent part of the sends without an entry that found another front end's copy
         self.load_judged_s = 0.0
         self.pending: dict[int, Pending] = {}
         self.flying: dict[tuple[int, int], Attempt] = {}
@@ -314,7 +311,7 @@
 
     def _most_loads(self) -> float:
         ready = sum(worker.ready for worker in self.workers.values())
-        return max(LOADS_LEAST, self.load_part * ready) / max(GUESS_FLOOR, 1 - self.guess)
+        return max(LOADS_LEAST, self.load_part * ready)
 
     def _judge_load(self, now: float, result: Result, took_s: float) -> None:
         """More own loads at once while they take the usual time, fewer when they are slow or turned away."""
@@ -720,7 +717,6 @@
         stack = function.stack
         if not attempt.warm:
             began = event.found is Found.BEGAN_LOAD
-            self.guess += GUESS_STEP * ((event.found is Found.WARM) - self.guess)
             self._judge_load(now, event.result, event.elapsed_s if began else 0.0)
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
