--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -172,7 +172,9 @@
     for step in range(400):
         now = 100.0 + step * 0.05
         taken.append(now)
-        _, actions = gateway.ask(now, function=step)
+        number, actions = gateway.ask(now, function=step)
+        while sends(actions):
+            actions = gateway.end(now, number, Result.MISS, Found.UNTOLD)
         for ordered in loads(actions):
             times.append(now)
             span = sum(t > now - 5.0 for t in times)
