--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -25,7 +25,7 @@
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
 KEEP_UNTOLD_S = 8.0  # how long an entry lives where no keep-alive is told
 RATE_SPAN_S = 10.0  # memory of the own request rate, which sizes the slow-start budget
-COLD_PART = 1.2  # of the slow-start budget that is used, the rest is for chance
+COLD_PART = 1.5  # of the slow-start budget that is used, the rest is for chance
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
