--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -25,7 +25,7 @@
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
 KEEP_UNTOLD_S = 8.0  # how long an entry lives where no keep-alive is told
 RATE_SPAN_S = 10.0  # memory of the own request rate, which sizes the slow-start budget
-COLD_PART = 1.2  # of the own rate for its share of capacity: the rate is what workers carry, under what they can
+COLD_PART = 1.2  # of the own rate, for its share of capacity; workers can do more than the rate shows
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
