--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -40,6 +40,7 @@
 LOAD_TRIES = 3  # attempts of one request that may each begin a load
 WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
+STACK_MOST = 64  # entries of one function that are kept, the freshest ones; each choice walks them
 HOLD_END_S = 0.05  # a held request is answered this long before its deadline
 IN_TIME = 1.0  # a load is begun only where this part of its usual time is left
 EJECT_SLOW = 3.0  # ejected from this multiple of the median worker's slowness
@@ -490,6 +491,7 @@
     def _pop(self, now: float, function: Function, eligible: list[Worker]) -> Worker | None:
         """The freshest entry at an eligible worker; dead and expired ones go."""
         stack = function.stack
+        del stack[:-STACK_MOST]
         for place in range(len(stack) - 1, -1, -1):
             worker, freed_s = stack[place]
             if now - freed_s > self.keep_s:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -229,3 +229,12 @@
     assert not sends(actions)
     _, actions = gateway.ask(104.0, function=1, tenant=0)
     assert len(sends(actions)) == 1
+
+
+def test_a_stack_keeps_only_its_freshest_entries() -> None:
+    """Thousands of entries at a worker that can't be used made each choice walk them all."""
+    gateway = Gateway(router(1, 2))
+    warm(gateway, 1, entries=5000)
+    gateway.decider.handle(100.1, change(entry(1, state=DRAINING)))
+    gateway.ask(100.2)
+    assert len(gateway.decider.functions[1].stack) <= 100
