--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -14,13 +14,11 @@
 
 from saffronstack.checks import check_settings
 
-# isort: off
 from saffronstack.interface import (
     Action, ClassSettings, ClientGone, Effect, Event, Fail, Found, Group, ListKind, ListUpdate, Load,
     Loaded, MissMode, Outcome, Refuse, Report, Request, Result, Send, Settings, WakeMe, Watch, Woken,
     WorkerEntry, WorkerState,
 )
-# isort: on
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
 KEEP_UNTOLD_S = 8.0  # how long an entry lives where no keep-alive is told
@@ -315,7 +313,7 @@
         return max(LOADS_LEAST, self.load_part * ready)
 
     def _judge_load(self, now: float, result: Result, took_s: float) -> None:
-        """More own loads at once while they take the usual time, fewer when they are slow or turned away."""
+        """More own loads while they take the usual time, fewer when slow or full; guards a crowded store."""
         if result is Result.OK and took_s > 0:
             step = 0.2 if took_s < self.load_norm_s else 0.01
             self.load_norm_s += step * (took_s - self.load_norm_s) if self.load_norm_s else took_s
@@ -455,7 +453,9 @@
         return best
 
     def _calm(self, now: float, workers: list[Worker]) -> list[Worker]:
-        """Those with own requests in flight, and told load, not far over the fleet's for their size."""
+        """Those with own requests in flight, and told load, not far over the fleet's for their size.
+
+        Guards against a favourite that many functions share; hurts while own counts are few, at a start."""
         ready = [worker for worker in self.workers.values() if worker.ready]
         size = sum(worker.entry.size for worker in ready) or 1.0
         own = BOUND * (1 + sum(worker.in_flight for worker in ready)) / size
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -238,3 +238,29 @@
     gateway.decider.handle(100.1, change(entry(1, state=DRAINING)))
     gateway.ask(100.2)
     assert len(gateway.decider.functions[1].stack) <= 100
+
+
+def test_slow_loads_shrink_the_bound_on_own_loads_and_usual_ones_grow_it() -> None:
+    gateway = Gateway(router(*range(1, 11)))
+    start = gateway.decider.load_part
+    for step in range(10):
+        now = 100.0 + step
+        number, _ = gateway.ask(now, function=step)
+        took = 0.5 if step < 2 else 2.5
+        gateway.end(now + took, number, found=Found.BEGAN_LOAD, elapsed_s=took)
+    assert gateway.decider.load_part < start
+    low = gateway.decider.load_part
+    gateway.decider.loads_out = 100  # the bound is in use
+    for step in range(10):
+        gateway.decider._judge_load(120.0 + step, Result.OK, 0.5)
+    assert gateway.decider.load_part > low
+
+
+def test_a_request_begins_few_loads_before_it_is_refused() -> None:
+    gateway = Gateway(router(*range(1, 9), allow=AllowSettings(max_attempts=8)))
+    number, actions = gateway.ask(100.0)
+    tries = 0
+    while sends(actions):
+        tries += 1
+        actions = gateway.end(100.0 + tries * 0.01, number, Result.FULL)
+    assert tries == 3 and [type(action) for action in actions] == [Refuse]
