--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -24,6 +24,7 @@
 KEEP_UNTOLD_S = 8.0  # how long an entry lives where no keep-alive is told
 RATE_SPAN_S = 10.0  # memory of the own request rate, which sizes the slow-start budget
 COLD_PART = 1.2  # of the own rate, for its share of capacity; workers can do more than the rate shows
+COLD_SPARE = 2.5  # deviations that are kept free for chance: other front ends send when they please
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
@@ -89,7 +90,9 @@
         self.ejected = False
         self.trial_s = 0.0  # when the next trial may go to it while it is ejected
         self.loading: dict[int, int] = {}  # functions with own sends out that need or join a load
-        self.next_cold_s = 0.0  # slow start: earliest time of the next send
+        self.warm_s = 0.0  # when its slow start is over
+        self.credit = 0.0  # sends that slow start allows it now, and when that was counted
+        self.credit_s = 0.0
 
 
 class Holding:
@@ -150,6 +153,7 @@
         self.random = random.Random(seed)
         self.keep_s = settings.keep_alive_s or KEEP_UNTOLD_S
         self.workers: dict[int, Worker] = {}
+        self.size = 0.0  # of the ready workers together
         self.functions: dict[int, Function] = {}
         self.held: dict[int, Function] = {}  # those with requests waiting
         self.loads_out = 0
@@ -212,12 +216,15 @@
                 self._started(now, worker)
             worker.entry = entry
             worker.ready = entry.state is WorkerState.READY
+        self.size = sum(worker.entry.size for worker in self.workers.values() if worker.ready)
 
     def _started(self, now: float, worker: Worker) -> None:
-        """Slow start: the first sends of all front ends must not fall on one moment."""
-        pace = self._cold_pace(now, worker)
-        if pace is not None:
-            worker.next_cold_s = now + self.random.random() * min(1 / pace, 2.0)
+        """Slow start: the first sends of all front ends must not fall on one moment, however many there are."""
+        rules = self.settings.rules
+        if rules.cold_s and worker.entry.since_s > 0:
+            worker.warm_s = worker.entry.since_s + rules.cold_s
+            worker.credit = self.random.random()
+            worker.credit_s = now
 
     def _forget_copies(self, worker: Worker) -> None:
         for (number, _), holding in self.holdings.items():
@@ -410,9 +417,7 @@
         needed = math.ceil(holding.in_flight / max(1.0, ask.lanes))
         if needed > holding.copies:
             self._place_copies(worker, holding, needed)
-        pace = self._cold_pace(now, worker)
-        if pace is not None:
-            worker.next_cold_s = now + 1 / pace
+        worker.credit -= 1.0
         if worker.ejected:
             worker.trial_s = now + TRIAL_S
         self.actions.append(Send(ask.request, worker.entry.worker))
@@ -664,24 +669,32 @@
 
     # ---- slow start
 
-    def _cold_pace(self, now: float, worker: Worker) -> float | None:
-        """Sends a second that this front end may give a young worker; None: it is warm.
+    def _cold_pace(self, now: float, worker: Worker) -> float:
+        """Sends a second that this front end may give a young worker.
 
         The own rate for each unit of size is at most this front end's part of what such a worker carries;
-        the worker can do the cold share of that at first and all of it after `cold_s`.
+        the worker can do the cold share of that at first and all of it after `cold_s`. Many front ends that
+        send independently make a sum that varies like chance: the fewer sends the rule's span holds, the
+        more of them stays free. It could hurt by loading a young worker less than it can bear.
         """
         rules = self.settings.rules
-        if not rules.cold_s or worker.entry.since_s <= 0 or now >= worker.entry.since_s + rules.cold_s:
-            return None
         age = max(0.0, now - worker.entry.since_s) / rules.cold_s
         share = rules.cold_share + (1 - rules.cold_share) * age
-        size = sum(other.entry.size for other in self.workers.values() if other.ready)
-        part = worker.entry.size / size if size > 0 else 1.0
-        multiple = min(1.0, rules.tip_multiple) if rules.tip_multiple else 1.0
-        return max(0.01, COLD_PART * multiple * share * self._rate(now) * part)
+        part = share * self._rate(now) * worker.entry.size / self.size if self.size > 0 else 0.0
+        pace = COLD_PART * part * min(1.0, rules.tip_multiple or 1.0)
+        span = rules.tip_after_s * self.settings.instances
+        if part * span <= 0:
+            return pace
+        spare = COLD_SPARE / 2 * math.sqrt(max(0.0, 1 - pace * rules.tip_after_s))
+        mean = (math.sqrt(spare ** 2 + rules.tip_multiple * part * span) - spare) ** 2
+        return min(pace, mean / span)
 
     def _cold_fits(self, now: float, worker: Worker) -> bool:
-        return now >= worker.next_cold_s or self._cold_pace(now, worker) is None
+        if now >= worker.warm_s:
+            return True
+        worker.credit = min(1.0, worker.credit + self._cold_pace(now, worker) * (now - worker.credit_s))
+        worker.credit_s = now
+        return worker.credit >= 1.0
 
     # ---- outcomes
 
