--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -27,6 +27,11 @@
 COLD_SPARE = 2.5  # deviations that are kept free for chance: other front ends send when they please
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
+PART_SPAN_S = 20.0  # memory of a function's part of the own requests
+PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
+SPREAD = 1.5  # workers among which a function's loads are spread, for each that its part of the requests fills
+CHANCE_STEP = 0.05  # weight of one send without an entry in the chance that such sends load
+CHANCE_SURE = 0.5  # from this chance all of them count as loads
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
 LOADS_EACH = 3.0  # own loads under way for each worker, over all front ends
@@ -113,6 +118,8 @@
         self.waiting: list[Pending] = []  # held here until a lane or a load slot is free
         self.busy = 0  # own sends in flight to loaded copies
         self.loads = 0  # own sends and orders in flight that need a load
+        self.count = 0.0  # recent own requests for it, and when that was counted
+        self.count_s = 0.0
         self.avoid: dict[int, float] = {}  # workers whose answer to an order was no: until when
 
 
@@ -172,8 +179,11 @@
         self.holdings: dict[tuple[int, int], Holding] = {}
         self.expiries: list[tuple[float, int, int, int]] = []
         self.ticket = count()
+        self.chance = 1.0  # that a send without an entry begins or awaits a load
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
+        self.count = 0.0  # recent own requests, and when that was counted
+        self.count_s = 0.0
         self.actions: list[Action] = []
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -243,6 +253,11 @@
         self.rate_s = now
         if self.settings.rules.load_span_s:
             self.request_times.append(now)
+        function = self.functions.setdefault(ask.function, Function())
+        function.count = 1 + function.count * math.exp((function.count_s - now) / PART_SPAN_S)
+        function.count_s = now
+        self.count = 1 + self.count * math.exp((self.count_s - now) / PART_SPAN_S)
+        self.count_s = now
         pending = Pending(ask, self.settings.classes[ask.class_index])
         self.pending[ask.request] = pending
         pending.value *= self._in_share(now, ask.tenant)
@@ -309,6 +324,8 @@
         with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
         """
         in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
+        if self.chance < CHANCE_SURE:  # others' copies are mostly met
+            return self.loads_out * self.chance < self._most_loads()
         if self.loads_out >= self._most_loads() or not in_time:
             return False
         full = sum(worker.ready and not worker.ejected for worker, _ in function.stack)  # at their limit
@@ -429,9 +446,22 @@
         eligible = [w for w in eligible if function.avoid.get(w.entry.worker, 0.0) <= now] or eligible
         calm = self._calm(now, [w for w in eligible if len(w.loading) < OWN_LOADS]) or eligible
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
-        if room:
-            return min(room, key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
-        return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
+        if not room:
+            return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
+        first = heapq.nsmallest(
+            self._spread(function), room,
+            key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
+        return min(first, key=lambda worker: (worker.in_flight / worker.entry.size, self.random.random()))
+
+    def _spread(self, function: Function) -> int:
+        """Over how many workers a function goes: those that its part of the own requests would fill.
+
+        Guards against all front ends sending a hot function to one favourite, each with so few requests
+        that none sees it; the part, unlike a rate, is much the same at small and large front ends. It
+        could hurt where front ends get different functions.
+        """
+        part = function.count / (self.count + PART_PRIOR)
+        return max(1, round(SPREAD * part * len(self.workers)))
 
     def _room_share(self, worker: Worker) -> float:
         """The part of its memory that is free by the own account: more room, more of the new loads."""
@@ -731,6 +761,8 @@
         function.busy -= attempt.warm
         stack = function.stack
         if not attempt.warm:
+            if event.result is Result.OK:
+                self.chance += CHANCE_STEP * ((event.found is not Found.WARM) - self.chance)
             began = event.found is Found.BEGAN_LOAD
             self._judge_load(now, event.result, event.elapsed_s if began else 0.0)
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
