--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -30,7 +30,6 @@
 PART_SPAN_S = 20.0  # memory of a function's part of the own requests
 PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
 SPREAD = 1.5  # workers among which a function's loads are spread, for each that its part of the requests fills
-WIDER_S = 5.0  # how long full answers go on spreading a function further
 CHANCE_STEP = 0.05  # weight of one send without an entry in the chance that such sends load
 CHANCE_SURE = 0.5  # from this chance all of them count as loads
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
@@ -121,8 +120,6 @@
         self.loads = 0  # own sends and orders in flight that need a load
         self.count = 0.0  # recent own requests for it, and when that was counted
         self.count_s = 0.0
-        self.wider = 0.0  # workers more that full answers call for, and when that was last moved
-        self.wider_s = -math.inf
         self.avoid: dict[int, float] = {}  # workers whose answer to an order was no: until when
 
 
@@ -307,12 +304,8 @@
         if not eligible or loads >= LOAD_TRIES:
             self._give_up(pending)
         elif self._may_load(now, ask, function, patient):
-            worker = self._place(now, ask, function, eligible, tried)
-            if worker is None and pending.woken:
-                self._give_up(pending)
-            elif worker is None:
-                self._hold(now, pending, function)
-            elif self._may_order(now):
+            worker = self._place(now, ask, function, eligible)
+            if self._may_order(now):
                 self._order(now, ask, worker, function)
                 self._hold(now, pending, function)
             else:
@@ -448,20 +441,16 @@
 
     # ---- the choice
 
-    def _place(self, now: float, ask: Request, function: Function, eligible: list[Worker],
-               tried: set[int]) -> Worker | None:
-        """The worker for a new load; None where all those that the function may go to were tried."""
+    def _place(self, now: float, ask: Request, function: Function, eligible: list[Worker]) -> Worker:
+        """The worker for a new load."""
         eligible = [w for w in eligible if function.avoid.get(w.entry.worker, 0.0) <= now] or eligible
         calm = self._calm(now, [w for w in eligible if len(w.loading) < OWN_LOADS]) or eligible
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if not room:
             return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
-        wider = function.wider * math.exp((function.wider_s - now) / WIDER_S)
         first = heapq.nsmallest(
-            self._spread(function) + math.ceil(wider - 0.1) - len(tried), room,
+            self._spread(function), room,
             key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
-        if not first:
-            return None
         return min(first, key=lambda worker: (worker.in_flight / worker.entry.size, self.random.random()))
 
     def _spread(self, function: Function) -> int:
@@ -771,9 +760,6 @@
         function = self.functions[ask.function]
         function.busy -= attempt.warm
         stack = function.stack
-        if event.result is not Result.OK and now > function.wider_s + JUDGE_S:
-            function.wider = 1 + function.wider * math.exp((function.wider_s - now) / WIDER_S)
-            function.wider_s = now
         if not attempt.warm:
             if event.result is Result.OK:
                 self.chance += CHANCE_STEP * ((event.found is not Found.WARM) - self.chance)
