--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -29,7 +29,7 @@
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
 PART_SPAN_S = 20.0  # memory of a function's part of the own requests
 PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
-SPREAD = 4.0  # workers among which a function's loads are spread, for each that its part of the requests fills
+SPREAD = 2.0  # workers among which a function's loads are spread, for each that its part of the requests fills
 CHANCE_STEP = 0.05  # weight of one send without an entry in the chance that such sends load
 CHANCE_SURE = 0.5  # from this chance all of them count as loads
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
@@ -64,6 +64,8 @@
 OWN_LOADS = 3  # own loads under way at one worker
 TOLD_STANDS_S = 1.0  # a load report is used this long
 TOLD_LEAST = 0.5  # told requests that never make a worker busy
+PULL_SHRINK = 0.7  # what a late or full answer leaves of a worker's weight in the rank
+PULL_BACK_S = 8.0  # how long it takes to come back
 LATE_PART = 0.7  # an answer after this part of the wanted time shrinks its worker's limit
 LIMIT_USED = 0.7  # the limit grows only while this part of it is in use
 LIMIT_GROW = 0.1
@@ -86,6 +88,7 @@
         self.warm_out = 0  # own sends to loaded copies in flight
         self.limit = math.inf  # of those, moved by whether answers come in time
         self.limited_s = 0.0
+        self.pull = 1.0  # its weight in the rank at `limited_s`, less after late and full answers
         self.told = 0.0  # requests that its last report told of, and when
         self.told_s = -math.inf
         self.slow = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
@@ -450,7 +453,8 @@
             return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
         first = heapq.nsmallest(
             self._spread(function), room,
-            key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
+            key=lambda worker: self._rank(worker, ask.function) / (
+                self._room_share(worker) * self._pull(now, worker)))
         return min(first, key=lambda worker: (worker.in_flight / worker.entry.size, self.random.random()))
 
     def _spread(self, function: Function) -> int:
@@ -460,7 +464,7 @@
         that none sees it; the part, unlike a rate, is much the same at small and large front ends. It
         could hurt where front ends get different functions.
         """
-        part = function.count / (self.count + PART_PRIOR)
+        part = (function.count - 1) / (self.count + PART_PRIOR)  # the one at hand proves nothing
         return max(1, round(SPREAD * part * len(self.workers)))
 
     def _room_share(self, worker: Worker) -> float:
@@ -638,9 +642,13 @@
             if worker.warm_out + 1 > LIMIT_USED * worker.limit:
                 worker.limit += LIMIT_GROW
         elif event.result in (Result.OK, Result.FULL, Result.TIMEOUT) and now > worker.limited_s + JUDGE_S:
+            worker.pull = PULL_SHRINK * self._pull(now, worker)
             worker.limited_s = now
             worker.limit = max(LIMIT_LEAST, LIMIT_SHRINK * min(worker.limit, worker.warm_out + 1))
 
+    def _pull(self, now: float, worker: Worker) -> float:
+        return 1 - (1 - worker.pull) * math.exp((worker.limited_s - now) / PULL_BACK_S)
+
     def _told(self, now: float, worker: Worker, report: Report | None) -> None:
         if report is not None:
             told = report.waiting if report.waiting is not None else report.in_hand
@@ -749,7 +757,7 @@
         ask = attempt.ask
         worker.in_flight -= 1
         worker.warm_out -= attempt.warm
-        if attempt.warm and event.found in (Found.WARM, Found.UNTOLD):
+        if event.found in (Found.WARM, Found.UNTOLD) and (attempt.warm or event.result is not Result.TIMEOUT):
             self._move_limit(now, attempt, event)
         self._told(now, worker, event.report)
         self._rate_worker(now, attempt, event)
