--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -58,14 +58,13 @@
 TRIAL_STEP = 0.4
 TRIAL_S = 1.0  # an ejected worker gets one request in this time
 NORM_STEP = 0.02
+ORDER_TRIES = 2  # orders that may be given for one request
 AVOID_S = 0.5  # a worker that answered no to an order gets none for the function this long
 ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
 LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
 OWN_LOADS = 3  # own loads under way at one worker
 TOLD_STANDS_S = 1.0  # a load report is used this long
 TOLD_LEAST = 0.5  # told requests that never make a worker busy
-PULL_SHRINK = 0.7  # what a late or full answer leaves of a worker's weight in the rank
-PULL_BACK_S = 8.0  # how long it takes to come back
 LATE_PART = 0.7  # an answer after this part of the wanted time shrinks its worker's limit
 LIMIT_USED = 0.7  # the limit grows only while this part of it is in use
 LIMIT_GROW = 0.1
@@ -88,7 +87,6 @@
         self.warm_out = 0  # own sends to loaded copies in flight
         self.limit = math.inf  # of those, moved by whether answers come in time
         self.limited_s = 0.0
-        self.pull = 1.0  # its weight in the rank at `limited_s`, less after late and full answers
         self.told = 0.0  # requests that its last report told of, and when
         self.told_s = -math.inf
         self.slow = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
@@ -142,7 +140,7 @@
 class Pending:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "value", "woken")
+    __slots__ = ("ask", "attempts", "cls", "maybe", "orders", "out", "value", "woken")
 
     def __init__(self, ask: Request, cls: ClassSettings) -> None:
         self.ask = ask
@@ -152,6 +150,7 @@
         self.out = 0
         self.value = cls.worth
         self.woken = False
+        self.orders = 0  # given for it
 
 
 class Router:
@@ -308,7 +307,8 @@
             self._give_up(pending)
         elif self._may_load(now, ask, function, patient):
             worker = self._place(now, ask, function, eligible)
-            if self._may_order(now):
+            if pending.orders < ORDER_TRIES and self._may_order(now):
+                pending.orders += 1
                 self._order(now, ask, worker, function)
                 self._hold(now, pending, function)
             else:
@@ -453,8 +453,7 @@
             return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
         first = heapq.nsmallest(
             self._spread(function), room,
-            key=lambda worker: self._rank(worker, ask.function) / (
-                self._room_share(worker) * self._pull(now, worker)))
+            key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
         return min(first, key=lambda worker: (worker.in_flight / worker.entry.size, self.random.random()))
 
     def _spread(self, function: Function) -> int:
@@ -576,7 +575,9 @@
         held back by the worker's own queue. The rule on loads bounds them.
         """
         rules = self.settings.rules
-        if not self.settings.allow.orders or self.settings.miss_mode is not MissMode.MISS:
+        if not self.settings.allow.orders:
+            return False
+        if self.settings.miss_mode is not MissMode.MISS and self.chance >= CHANCE_SURE:
             return False
         if not rules.load_span_s:
             return True
@@ -642,13 +643,9 @@
             if worker.warm_out + 1 > LIMIT_USED * worker.limit:
                 worker.limit += LIMIT_GROW
         elif event.result in (Result.OK, Result.FULL, Result.TIMEOUT) and now > worker.limited_s + JUDGE_S:
-            worker.pull = PULL_SHRINK * self._pull(now, worker)
             worker.limited_s = now
             worker.limit = max(LIMIT_LEAST, LIMIT_SHRINK * min(worker.limit, worker.warm_out + 1))
 
-    def _pull(self, now: float, worker: Worker) -> float:
-        return 1 - (1 - worker.pull) * math.exp((worker.limited_s - now) / PULL_BACK_S)
-
     def _told(self, now: float, worker: Worker, report: Report | None) -> None:
         if report is not None:
             told = report.waiting if report.waiting is not None else report.in_hand
@@ -757,7 +754,7 @@
         ask = attempt.ask
         worker.in_flight -= 1
         worker.warm_out -= attempt.warm
-        if event.found in (Found.WARM, Found.UNTOLD) and (attempt.warm or event.result is not Result.TIMEOUT):
+        if attempt.warm and event.found in (Found.WARM, Found.UNTOLD):
             self._move_limit(now, attempt, event)
         self._told(now, worker, event.report)
         self._rate_worker(now, attempt, event)
