--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -307,7 +307,9 @@
             self._give_up(pending)
         elif self._may_load(now, ask, function, patient):
             worker = self._place(now, ask, function, eligible)
-            if pending.orders < ORDER_TRIES and self._may_order(now):
+            if self.settings.allow.orders and pending.orders >= ORDER_TRIES:
+                self._hold(now, pending, function)
+            elif self._may_order(now):
                 pending.orders += 1
                 self._order(now, ask, worker, function)
                 self._hold(now, pending, function)
@@ -577,8 +579,6 @@
         rules = self.settings.rules
         if not self.settings.allow.orders:
             return False
-        if self.settings.miss_mode is not MissMode.MISS and self.chance >= CHANCE_SURE:
-            return False
         if not rules.load_span_s:
             return True
         for times in (self.order_times, self.request_times):
@@ -592,7 +592,7 @@
         holding.used_s = now
         if holding.in_flight >= holding.copies * ask.lanes:
             self._place_copies(worker, holding, holding.copies + 1)
-        copies = max(1, min(16, holding.copies))
+        copies = 1
         self.orders.setdefault((worker.entry.worker, ask.function), []).append(ask)
         if self.settings.rules.load_span_s:
             self.order_times.append(now)
