--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -30,7 +30,7 @@
 PART_SPAN_S = 20.0  # memory of a function's part of the own requests
 PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
 SPREAD = 2.0  # workers among which a function's loads are spread, for each that its part of the requests fills
-CHANCE_STEP = 0.05  # weight of one send without an entry in the chance that such sends load
+CHANCE_SPAN = 20.0  # sends without an entry that the chance that they load rests on
 CHANCE_SURE = 0.5  # from this chance all of them count as loads
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
@@ -182,6 +182,7 @@
         self.expiries: list[tuple[float, int, int, int]] = []
         self.ticket = count()
         self.chance = 1.0  # that a send without an entry begins or awaits a load
+        self.chances = 1.0  # such sends that this rests on
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
         self.count = 0.0  # recent own requests, and when that was counted
@@ -356,6 +357,10 @@
             self.load_judged_s = now
             self.load_part = max(LOADS_FLOOR / self.settings.instances, LOADS_SHRINK * self.load_part)
 
+    def _met(self, loaded: bool) -> None:
+        self.chances = min(CHANCE_SPAN, self.chances + 1)
+        self.chance += (loaded - self.chance) / self.chances
+
     def _hold(self, now: float, pending: Pending, function: Function) -> None:
         function.waiting.append(pending)
         self.held[pending.ask.function] = function
@@ -469,7 +474,13 @@
         return max(1, round(SPREAD * part * len(self.workers)))
 
     def _room_share(self, worker: Worker) -> float:
-        """The part of its memory that is free by the own account: more room, more of the new loads."""
+        """The part of its memory that is free by the own account: more room, more of the new loads.
+
+        Where sends without an entry mostly find copies that others had loaded, meeting on them counts
+        for more, and the own account says little about the memory in use.
+        """
+        if self.chance < CHANCE_SURE:
+            return 1.0
         kinds = self.settings.memory_mb_by_kind
         kind = worker.entry.kind
         memory_mb = kinds[kind] if kind < len(kinds) else 0.0
@@ -612,6 +623,7 @@
         self._judge_load(now, event.result, event.elapsed_s if event.elapsed_s > LOAD_AT_ONCE_S else 0.0)
         holding = self._holding(worker, ask)
         if event.result is Result.OK:
+            self._met(event.elapsed_s > LOAD_AT_ONCE_S)
             holding.used_s = now
             free = max(1, int(ask.lanes) * max(1, event.copies) - holding.in_flight)
             owned = sum(entry[0] is worker for entry in function.stack)
@@ -767,7 +779,7 @@
         stack = function.stack
         if not attempt.warm:
             if event.result is Result.OK:
-                self.chance += CHANCE_STEP * ((event.found is not Found.WARM) - self.chance)
+                self._met(event.found is not Found.WARM)
             began = event.found is Found.BEGAN_LOAD
             self._judge_load(now, event.result, event.elapsed_s if began else 0.0)
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
