--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -309,7 +309,7 @@
         elif self._may_load(now, ask, function, patient):
             worker = self._place(now, ask, function, eligible)
             if self.settings.allow.orders and pending.orders >= ORDER_TRIES:
-                self._hold(now, pending, function)
+                self._give_up(pending)
             elif self._may_order(now):
                 pending.orders += 1
                 self._order(now, ask, worker, function)
