--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -29,7 +29,7 @@
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
 PART_SPAN_S = 20.0  # memory of a function's part of the own requests
 PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
-SPREAD = 2.0  # workers among which a function's loads are spread, for each that its part of the requests fills
+SPREAD = 6.0  # workers among which a function's loads are spread, for each that its part of the requests fills
 CHANCE_SPAN = 20.0  # sends without an entry that the chance that they load rests on
 CHANCE_SURE = 0.5  # from this chance all of them count as loads
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
@@ -58,7 +58,6 @@
 TRIAL_STEP = 0.4
 TRIAL_S = 1.0  # an ejected worker gets one request in this time
 NORM_STEP = 0.02
-ORDER_TRIES = 2  # orders that may be given for one request
 AVOID_S = 0.5  # a worker that answered no to an order gets none for the function this long
 ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
 LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
@@ -140,7 +139,7 @@
 class Pending:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("ask", "attempts", "cls", "maybe", "orders", "out", "value", "woken")
+    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "value", "woken")
 
     def __init__(self, ask: Request, cls: ClassSettings) -> None:
         self.ask = ask
@@ -150,7 +149,6 @@
         self.out = 0
         self.value = cls.worth
         self.woken = False
-        self.orders = 0  # given for it
 
 
 class Router:
@@ -308,10 +306,7 @@
             self._give_up(pending)
         elif self._may_load(now, ask, function, patient):
             worker = self._place(now, ask, function, eligible)
-            if self.settings.allow.orders and pending.orders >= ORDER_TRIES:
-                self._give_up(pending)
-            elif self._may_order(now):
-                pending.orders += 1
+            if self._may_order(now):
                 self._order(now, ask, worker, function)
                 self._hold(now, pending, function)
             else:
@@ -588,7 +583,7 @@
         held back by the worker's own queue. The rule on loads bounds them.
         """
         rules = self.settings.rules
-        if not self.settings.allow.orders:
+        if not self.settings.allow.orders or self.settings.miss_mode is not MissMode.MISS:
             return False
         if not rules.load_span_s:
             return True
@@ -603,7 +598,7 @@
         holding.used_s = now
         if holding.in_flight >= holding.copies * ask.lanes:
             self._place_copies(worker, holding, holding.copies + 1)
-        copies = 1
+        copies = max(1, min(16, holding.copies))
         self.orders.setdefault((worker.entry.worker, ask.function), []).append(ask)
         if self.settings.rules.load_span_s:
             self.order_times.append(now)
