--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -41,6 +41,8 @@
 LOADS_LEAST = 5  # own loads that a front end may always have under way
 SLOW_LOAD = 3.0  # a load that takes this multiple of the usual is slow
 JUDGE_S = 0.3  # the bound shrinks this often at most
+REPEATS = 0.2  # further attempts for each request, and how many may be saved up
+REPEATS_SAVED = 10.0
 LOAD_TRIES = 3  # attempts of one request that may each begin a load
 WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
@@ -183,6 +185,7 @@
         self.chances = 1.0  # such sends that this rests on
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
+        self.repeats = REPEATS_SAVED  # further attempts that may be made now
         self.count = 0.0  # recent own requests, and when that was counted
         self.count_s = 0.0
         self.actions: list[Action] = []
@@ -261,6 +264,7 @@
         self.count_s = now
         pending = Pending(ask, self.settings.classes[ask.class_index])
         self.pending[ask.request] = pending
+        self.repeats = min(REPEATS_SAVED, self.repeats + REPEATS)
         pending.value *= self._in_share(now, ask.tenant)
         self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
         self._try(now, pending)
@@ -284,7 +288,7 @@
         most = self.settings.allow.max_attempts
         function = self.functions.setdefault(ask.function, Function())
         spent = now >= ask.deadline_s or 0 < most <= len(pending.attempts)
-        if spent or not self._may_send(now, pending):
+        if spent or not self._may_send(now, pending) or (pending.attempts and self.repeats < 1):
             self._give_up(pending)
             return
         self._expire(now)
@@ -430,6 +434,7 @@
         self.loads_out += not warm
         if not warm:
             worker.loading[ask.function] = worker.loading.get(ask.function, 0) + 1
+        self.repeats -= bool(pending.attempts)
         pending.attempts.append(attempt)
         pending.out += 1
         self.flying[ask.request, attempt.number] = attempt
