--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -60,7 +60,6 @@
 TRIAL_STEP = 0.4
 TRIAL_S = 1.0  # an ejected worker gets one request in this time
 NORM_STEP = 0.02
-ORDER_TRIES = 2  # orders that may be given for one request
 AVOID_S = 0.5  # a worker that answered no to an order gets none for the function this long
 ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
 LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
@@ -142,7 +141,7 @@
 class Pending:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("ask", "attempts", "cls", "maybe", "orders", "out", "value", "woken")
+    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "value", "woken")
 
     def __init__(self, ask: Request, cls: ClassSettings) -> None:
         self.ask = ask
@@ -152,7 +151,6 @@
         self.out = 0
         self.value = cls.worth
         self.woken = False
-        self.orders = 0  # given for it
 
 
 class Router:
@@ -312,10 +310,7 @@
             self._give_up(pending)
         elif self._may_load(now, ask, function, patient):
             worker = self._place(now, ask, function, eligible)
-            if self.settings.allow.orders and pending.orders >= ORDER_TRIES:
-                self._give_up(pending)
-            elif self._may_order(now):
-                pending.orders += 1
+            if self._may_order(now):
                 self._order(now, ask, worker, function)
                 self._hold(now, pending, function)
             else:
@@ -593,7 +588,7 @@
         held back by the worker's own queue. The rule on loads bounds them.
         """
         rules = self.settings.rules
-        if not self.settings.allow.orders:
+        if not self.settings.allow.orders or self.settings.miss_mode is not MissMode.MISS:
             return False
         if not rules.load_span_s:
             return True
@@ -608,7 +603,7 @@
         holding.used_s = now
         if holding.in_flight >= holding.copies * ask.lanes:
             self._place_copies(worker, holding, holding.copies + 1)
-        copies = 1
+        copies = max(1, min(16, holding.copies))
         self.orders.setdefault((worker.entry.worker, ask.function), []).append(ask)
         if self.settings.rules.load_span_s:
             self.order_times.append(now)
@@ -632,7 +627,7 @@
             holding.used_s = now
             free = max(1, int(ask.lanes) * max(1, event.copies) - holding.in_flight)
             owned = sum(entry[0] is worker for entry in function.stack)
-            function.stack.extend([(worker, now)] * max(1, min(int(ask.lanes), free - owned, len(function.waiting))))
+            function.stack.extend([(worker, now)] * max(1, min(int(ask.lanes), free - owned)))
         else:
             function.avoid[event.worker] = now + AVOID_S
             self._place_copies(worker, holding, event.copies)
