--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -29,7 +29,11 @@
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
 PART_SPAN_S = 20.0  # memory of a function's part of the own requests
 PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
-SPREAD = 6.0  # workers among which a function's loads are spread, for each that its part of the requests fills
+SPREAD = 3.0  # workers among which a function's loads are spread, for each that its part of the requests fills
+SPREAD_LEAST = 1.0
+SPREAD_MOST = 10.0
+SPREAD_GROW = 1.05  # by a send without an entry that finds a copy
+SPREAD_SHRINK = 0.7  # by one that needs a load
 CHANCE_SPAN = 20.0  # sends without an entry that the chance that they load rests on
 CHANCE_SURE = 0.5  # from this chance all of them count as loads
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
@@ -182,6 +186,7 @@
         self.expiries: list[tuple[float, int, int, int]] = []
         self.ticket = count()
         self.chance = 1.0  # that a send without an entry begins or awaits a load
+        self.spread = SPREAD
         self.chances = 1.0  # such sends that this rests on
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
@@ -359,6 +364,8 @@
     def _met(self, loaded: bool) -> None:
         self.chances = min(CHANCE_SPAN, self.chances + 1)
         self.chance += (loaded - self.chance) / self.chances
+        spread = self.spread * (SPREAD_SHRINK if loaded else SPREAD_GROW)
+        self.spread = min(SPREAD_MOST, max(SPREAD_LEAST, spread))
 
     def _hold(self, now: float, pending: Pending, function: Function) -> None:
         function.waiting.append(pending)
@@ -471,7 +478,7 @@
         could hurt where front ends get different functions.
         """
         part = (function.count - 1) / (self.count + PART_PRIOR)  # the one at hand proves nothing
-        return max(1, round(SPREAD * part * len(self.workers)))
+        return max(1, round(self.spread * part * len(self.workers)))
 
     def _room_share(self, worker: Worker) -> float:
         """The part of its memory that is free by the own account: more room, more of the new loads.
