--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -34,8 +34,8 @@
 SPREAD_MOST = 10.0
 SPREAD_GROW = 1.05  # by a send without an entry that finds a copy
 SPREAD_SHRINK = 0.7  # by one that needs a load
-CHANCE_SPAN = 20.0  # sends without an entry that the chance that they load rests on
-CHANCE_SURE = 0.5  # from this chance all of them count as loads
+MET_SPAN = 30.0  # answers that the part which met another front end's copy rests on
+MET_MOSTLY = 0.3  # over this part, copies are taken to be shared by all front ends
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
 LOADS_EACH = 3.0  # own loads under way for each worker, over all front ends
@@ -132,14 +132,16 @@
 class Attempt:
     """One send and what it may have done."""
 
-    __slots__ = ("ask", "number", "sent_s", "warm", "worker")
+    __slots__ = ("ask", "number", "sent_s", "strange", "warm", "worker")
 
-    def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float, warm: bool) -> None:
+    def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float, warm: bool,
+                 strange: bool) -> None:
         self.ask = ask
         self.number = number
         self.worker = worker
         self.sent_s = sent_s
         self.warm = warm  # a loaded copy is expected
+        self.strange = strange  # the own account had no copy there
 
 
 class Pending:
@@ -185,9 +187,8 @@
         self.holdings: dict[tuple[int, int], Holding] = {}
         self.expiries: list[tuple[float, int, int, int]] = []
         self.ticket = count()
-        self.chance = 1.0  # that a send without an entry begins or awaits a load
+        self.met = 0.0  # recent part of the answers that met a copy of other front ends
         self.spread = SPREAD
-        self.chances = 1.0  # such sends that this rests on
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
         self.repeats = REPEATS_SAVED  # further attempts that may be made now
@@ -334,8 +335,8 @@
         with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
         """
         in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
-        if self.chance < CHANCE_SURE:  # others' copies are mostly met
-            return self.loads_out * self.chance < self._most_loads()
+        if self.met > MET_MOSTLY:
+            return True
         if self.loads_out >= self._most_loads() or not in_time:
             return False
         full = sum(worker.ready and not worker.ejected for worker, _ in function.stack)  # at their limit
@@ -361,11 +362,16 @@
             self.load_judged_s = now
             self.load_part = max(LOADS_FLOOR / self.settings.instances, LOADS_SHRINK * self.load_part)
 
-    def _met(self, loaded: bool) -> None:
-        self.chances = min(CHANCE_SPAN, self.chances + 1)
-        self.chance += (loaded - self.chance) / self.chances
-        spread = self.spread * (SPREAD_SHRINK if loaded else SPREAD_GROW)
-        self.spread = min(SPREAD_MOST, max(SPREAD_LEAST, spread))
+    def _met(self, strange: bool, found: Found) -> None:
+        """Learn whether copies are mostly shared: the part of the answers that met one of other front ends.
+
+        `strange`: the own account had no copy there. Few requests at each of many front ends give a high
+        part, a front end that fills its workers by itself gives next to none.
+        """
+        self.met += ((strange and found is Found.WARM) - self.met) / MET_SPAN
+        if strange:
+            spread = self.spread * (SPREAD_GROW if found is Found.WARM else SPREAD_SHRINK)
+            self.spread = min(SPREAD_MOST, max(SPREAD_LEAST, spread))
 
     def _hold(self, now: float, pending: Pending, function: Function) -> None:
         function.waiting.append(pending)
@@ -434,7 +440,8 @@
 
     def _send(self, now: float, pending: Pending, worker: Worker, function: Function, warm: bool) -> None:
         ask = pending.ask
-        attempt = Attempt(ask, len(pending.attempts), worker, now, warm)
+        strange = (worker.entry.worker, ask.function) not in self.holdings
+        attempt = Attempt(ask, len(pending.attempts), worker, now, warm, strange)
         function.busy += warm
         worker.warm_out += warm
         function.loads += not warm
@@ -477,6 +484,8 @@
         that none sees it; the part, unlike a rate, is much the same at small and large front ends. It
         could hurt where front ends get different functions.
         """
+        if self.met <= MET_MOSTLY:
+            return 1
         part = (function.count - 1) / (self.count + PART_PRIOR)  # the one at hand proves nothing
         return max(1, round(self.spread * part * len(self.workers)))
 
@@ -486,7 +495,7 @@
         Where sends without an entry mostly find copies that others had loaded, meeting on them counts
         for more, and the own account says little about the memory in use.
         """
-        if self.chance < CHANCE_SURE:
+        if self.met > MET_MOSTLY:
             return 1.0
         kinds = self.settings.memory_mb_by_kind
         kind = worker.entry.kind
@@ -630,7 +639,6 @@
         self._judge_load(now, event.result, event.elapsed_s if event.elapsed_s > LOAD_AT_ONCE_S else 0.0)
         holding = self._holding(worker, ask)
         if event.result is Result.OK:
-            self._met(event.elapsed_s > LOAD_AT_ONCE_S)
             holding.used_s = now
             free = max(1, int(ask.lanes) * max(1, event.copies) - holding.in_flight)
             owned = sum(entry[0] is worker for entry in function.stack)
@@ -785,13 +793,12 @@
         function.busy -= attempt.warm
         stack = function.stack
         if not attempt.warm:
-            if event.result is Result.OK:
-                self._met(event.found is not Found.WARM)
             began = event.found is Found.BEGAN_LOAD
             self._judge_load(now, event.result, event.elapsed_s if began else 0.0)
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
+            self._met(attempt.strange, event.found)
             holding.used_s = now
             fresh = 1
             if event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):  # the load freed all its lanes
