--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -29,7 +29,7 @@
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
 PART_SPAN_S = 20.0  # memory of a function's part of the own requests
 PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
-SPREAD = 3.0  # workers among which a function's loads are spread, for each that its part of the requests fills
+SPREAD = 1.5  # workers among which a function's loads are spread, for each that its part of the requests fills
 SPREAD_LEAST = 1.0
 SPREAD_MOST = 10.0
 SPREAD_GROW = 1.05  # by a send without an entry that finds a copy
@@ -486,7 +486,7 @@
         """
         if self.met <= MET_MOSTLY:
             return 1
-        part = (function.count - 1) / (self.count + PART_PRIOR)  # the one at hand proves nothing
+        part = function.count / (self.count + PART_PRIOR)
         return max(1, round(self.spread * part * len(self.workers)))
 
     def _room_share(self, worker: Worker) -> float:
