--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -35,7 +35,7 @@
 SPREAD_GROW = 1.05  # by a send without an entry that finds a copy
 SPREAD_SHRINK = 0.7  # by one that needs a load
 MET_SPAN = 30.0  # answers that the part which met another front end's copy rests on
-MET_MOSTLY = 0.3  # over this part, copies are taken to be shared by all front ends
+MET_MOSTLY = 0.15  # over this part, copies are taken to be shared by all front ends
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
 LOADS_EACH = 3.0  # own loads under way for each worker, over all front ends
@@ -71,6 +71,9 @@
 TOLD_STANDS_S = 1.0  # a load report is used this long
 TOLD_LEAST = 0.5  # told requests that never make a worker busy
 LATE_PART = 0.7  # an answer after this part of the wanted time shrinks its worker's limit
+SHED_MORE = 0.03  # of requests of mean worth refused at once, more by each late or full answer
+SHED_LESS = 0.01  # and less by each timely one
+SHED_MOST = 0.6
 LIMIT_USED = 0.7  # the limit grows only while this part of it is in use
 LIMIT_GROW = 0.1
 LIMIT_SHRINK = 0.85
@@ -189,6 +192,7 @@
         self.ticket = count()
         self.met = 0.0  # recent part of the answers that met a copy of other front ends
         self.spread = SPREAD
+        self.shed = 0.0  # part of the requests of mean worth that is refused at once
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
         self.repeats = REPEATS_SAVED  # further attempts that may be made now
@@ -273,7 +277,22 @@
         self.repeats = min(REPEATS_SAVED, self.repeats + REPEATS)
         pending.value *= self._in_share(now, ask.tenant)
         self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
-        self._try(now, pending)
+        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * self.value:
+            self._give_up(pending)
+        else:
+            self._try(now, pending)
+
+    def _judge_answer(self, attempt: Attempt, event: Outcome) -> None:
+        """Refuse a part of the requests at once while many answers are late or full, least worth first.
+
+        Guards against queues at workers that many front ends fill, each with too few requests at any one
+        worker to limit them there. It could hurt where a few workers alone are slow.
+        """
+        aim_s = self.settings.classes[attempt.ask.class_index].aim_s
+        if event.result is Result.FULL or (event.found is Found.WARM and event.elapsed_s > aim_s):
+            self.shed = min(SHED_MOST, self.shed + SHED_MORE)
+        elif event.found is Found.WARM:
+            self.shed = max(0.0, self.shed - SHED_LESS)
 
     def _in_share(self, now: float, tenant: int) -> float:
         """What a tenant's request is worth beside others: less by the part of its traffic over its share."""
@@ -783,6 +802,7 @@
         worker.warm_out -= attempt.warm
         if attempt.warm and event.found in (Found.WARM, Found.UNTOLD):
             self._move_limit(now, attempt, event)
+        self._judge_answer(attempt, event)
         self._told(now, worker, event.report)
         self._rate_worker(now, attempt, event)
         if not attempt.warm:
