--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -280,7 +280,7 @@
         self.repeats = min(REPEATS_SAVED, self.repeats + REPEATS)
         pending.value *= self._in_share(now, ask.tenant)
         self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
-        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * self.value:
+        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * pending.cls.worth:
             self._give_up(pending)
         else:
             self._try(now, pending)
