--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -71,9 +71,9 @@
 TOLD_STANDS_S = 1.0  # a load report is used this long
 TOLD_LEAST = 0.5  # told requests that never make a worker busy
 LATE_PART = 0.7  # an answer after this part of the wanted time shrinks its worker's limit
-SHED_FROM = 0.35  # of the workers heard from answered late or full: from here requests are refused at once
-SHED_STEP = 0.01  # of requests of mean worth, more or less by each answer
-SHED_MOST = 0.6
+SHED_MORE = 0.015  # of requests of mean worth refused at once, more by each late or full answer
+SHED_LESS = 0.01  # and less by each timely one
+SHED_MOST = 0.4
 LIMIT_USED = 0.7  # the limit grows only while this part of it is in use
 LIMIT_GROW = 0.1
 LIMIT_SHRINK = 0.85
@@ -95,7 +95,6 @@
         self.warm_out = 0  # own sends to loaded copies in flight
         self.limit = math.inf  # of those, moved by whether answers come in time
         self.limited_s = 0.0
-        self.late: bool | None = None  # whether its last answer was late or full
         self.told = 0.0  # requests that its last report told of, and when
         self.told_s = -math.inf
         self.slow = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
@@ -193,8 +192,6 @@
         self.ticket = count()
         self.met = 0.0  # recent part of the answers that met a copy of other front ends
         self.spread = SPREAD
-        self.heard = 0  # workers that answered, and those whose last answer was late or full
-        self.late = 0
         self.shed = 0.0  # part of the requests of mean worth that is refused at once
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
@@ -280,7 +277,7 @@
         self.repeats = min(REPEATS_SAVED, self.repeats + REPEATS)
         pending.value *= self._in_share(now, ask.tenant)
         self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
-        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * pending.cls.worth:
+        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * self.value:
             self._give_up(pending)
         else:
             self._try(now, pending)
@@ -292,24 +289,26 @@
         worker to limit them there. It could hurt where a few workers alone are slow.
         """
         aim_s = self.settings.classes[attempt.ask.class_index].aim_s
-        late = event.result is Result.FULL or event.elapsed_s > aim_s
-        if event.result is not Result.FULL and event.found is not Found.WARM:
-            return
-        worker = attempt.worker
-        self.heard += worker.late is None
-        self.late += late - bool(worker.late)
-        worker.late = late
-        step = SHED_STEP if self.late > SHED_FROM * self.heard else -SHED_STEP
-        self.shed = min(SHED_MOST, max(0.0, self.shed + step))
+        if event.result is Result.FULL or (event.found is Found.WARM and event.elapsed_s > aim_s):
+            self.shed = min(SHED_MOST, self.shed + SHED_MORE)
+        elif event.found is Found.WARM:
+            self.shed = max(0.0, self.shed - SHED_LESS)
 
     def _in_share(self, now: float, tenant: int) -> float:
-        """What a tenant's request is worth beside others: less by the part of its traffic over its share."""
-        if tenant >= len(self.settings.tenants):
+        """What a tenant's request is worth beside others: less by the part of its traffic over its share.
+
+        It is over its share where both its rate and its part of the own traffic say so: the rate alone
+        misjudges tenants at front ends that carry more than others, the part alone where all is calm.
+        """
+        tenants = self.settings.tenants
+        if tenant >= len(tenants):
             return 1.0
         rate, since_s = self.tenant_rates.get(tenant, (0.0, now))
         rate = rate * math.exp((since_s - now) / RATE_SPAN_S) + 1 / RATE_SPAN_S
         self.tenant_rates[tenant] = rate, now
-        share = min(1.0, self.settings.tenants[tenant].quota_rps / self.settings.instances / rate)
+        quota = tenants[tenant].quota_rps
+        total = sum(other.quota_rps for other in tenants) or 1.0
+        share = min(1.0, max(quota / self.settings.instances / rate, quota / total * self.rate / rate))
         return share + (1 - share) * self.settings.over_share_worth
 
     def _rate(self, now: float) -> float:
