--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -74,9 +74,6 @@
 SHED_MORE = 0.015  # of requests of mean worth refused at once, more by each late or full answer
 SHED_LESS = 0.01  # and less by each timely one
 SHED_MOST = 0.4
-LOST_SPAN = 30.0  # sends to own entries that the part without an answer rests on
-LOST_FROM = 0.08  # from this part on, attempts that may be repeated are waited for less long
-LOST_WAIT = 0.6  # of the wanted time, so that a repeat can still come in time
 LIMIT_USED = 0.7  # the limit grows only while this part of it is in use
 LIMIT_GROW = 0.1
 LIMIT_SHRINK = 0.85
@@ -195,7 +192,6 @@
         self.ticket = count()
         self.met = 0.0  # recent part of the answers that met a copy of other front ends
         self.spread = SPREAD
-        self.lost = 0.0  # recent part of the sends to own entries that had no answer
         self.shed = 0.0  # part of the requests of mean worth that is refused at once
         self.rate = 0.0  # own requests a second, starting low: safe for slow start
         self.rate_s = 0.0
@@ -491,19 +487,7 @@
         worker.credit -= 1.0
         if worker.ejected:
             worker.trial_s = now + TRIAL_S
-        self.actions.append(Send(ask.request, worker.entry.worker, self._wait_s(now, pending)))
-
-    def _wait_s(self, now: float, pending: Pending) -> float:
-        """How long to wait for an attempt; 0: until the client's deadline.
-
-        Guards against answers that get lost, and workers that hang, where a repeat is harmless and budgeted.
-        It could hurt by giving up answers that are only late, so it waits for sends to copies that stand.
-        """
-        repeatable = pending.cls.effect is Effect.SAFE
-        wait_s = LOST_WAIT * pending.cls.aim_s
-        if self.lost < LOST_FROM or not repeatable or self.repeats < 1 or now + 2 * wait_s > pending.ask.deadline_s:
-            return 0.0
-        return wait_s
+        self.actions.append(Send(ask.request, worker.entry.worker))
 
     # ---- the choice
 
@@ -825,8 +809,6 @@
         worker.warm_out -= attempt.warm
         if attempt.warm and event.found in (Found.WARM, Found.UNTOLD):
             self._move_limit(now, attempt, event)
-        if attempt.warm and event.result in (Result.OK, Result.TIMEOUT):
-            self.lost += ((event.result is Result.TIMEOUT) - self.lost) / LOST_SPAN
         self._judge_answer(attempt, event)
         self._told(now, worker, event.report)
         self._rate_worker(now, attempt, event)
