--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -16,7 +16,7 @@
 
 from saffronstack.interface import (
     Action, ClassSettings, ClientGone, Effect, Event, Fail, Found, Group, ListKind, ListUpdate, Load,
-    Loaded, MissMode, Outcome, Refuse, Report, Request, Result, Send, Settings, WakeMe, Watch, Woken,
+    Loaded, MissMode, Outcome, Refuse, Request, Result, Send, Settings, WakeMe, Watch, Woken,
     WorkerEntry, WorkerState,
 )
 
@@ -47,12 +47,10 @@
 JUDGE_S = 0.3  # the bound shrinks this often at most
 REPEATS = 0.2  # further attempts for each request, and how many may be saved up
 REPEATS_SAVED = 10.0
-LOAD_TRIES = 3  # attempts of one request that may each begin a load
 WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
 STACK_MOST = 64  # entries of one function that are kept, the freshest ones; each choice walks them
 HOLD_END_S = 0.05  # a held request is answered this long before its deadline
-IN_TIME = 1.0  # a load is begun only where this part of its usual time is left
 EJECT_SLOW = 3.0  # ejected from this multiple of the median worker's slowness
 EJECT_ERRORS = 0.25  # or from this part of errors over twice the median's
 EJECT_MISSES = 2  # or after so many attempts in a row that reached nothing
@@ -68,8 +66,6 @@
 ORDER_MARGIN_S = 0.01  # the window of the rule on loads is taken this much to the safe side
 LOAD_AT_ONCE_S = 0.05  # an order answered within this found the copy standing
 OWN_LOADS = 3  # own loads under way at one worker
-TOLD_STANDS_S = 1.0  # a load report is used this long
-TOLD_LEAST = 0.5  # told requests that never make a worker busy
 LATE_PART = 0.7  # an answer after this part of the wanted time shrinks its worker's limit
 SHED_MORE = 0.02  # of requests of mean worth refused at once, more by each late or full answer
 SHED_LESS = 0.01  # and less by each timely one
@@ -95,8 +91,6 @@
         self.warm_out = 0  # own sends to loaded copies in flight
         self.limit = math.inf  # of those, moved by whether answers come in time
         self.limited_s = 0.0
-        self.told = 0.0  # requests that its last report told of, and when
-        self.told_s = -math.inf
         self.slow = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
         self.answers = 0  # that `slow` rests on, up to what it needs
         self.errors = 0.0  # recent part of its answers that were errors
@@ -333,12 +327,11 @@
         part = PART_LEAST + (1 - PART_LEAST) * pending.value / self.value if self.value > 0 else 1.0
         open_ = [worker for worker in eligible if worker.warm_out < worker.limit * min(1.0, part)]
         warm = self._pop(now, function, open_)
-        warm = warm or self._spare_lane(ask, self._calm(now, open_))
+        warm = warm or self._spare_lane(ask, self._calm(open_))
         if warm is not None:
             self._send(now, pending, warm, function, ask.function not in warm.loading)
             return
-        loads = sum(not attempt.warm for attempt in pending.attempts)
-        if not eligible or loads >= LOAD_TRIES:
+        if not eligible:
             self._give_up(pending)
         elif self._may_load(now, ask, function, patient):
             worker = self._place(now, ask, function, eligible)
@@ -360,10 +353,9 @@
         Guards against loads that crowd the store and fill the workers' waiting rooms: after releases,
         with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
         """
-        in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
         if self.met > MET_MOSTLY:
             return True
-        if self.loads_out >= self._most_loads() or not in_time:
+        if self.loads_out >= self._most_loads():
             return False
         full = sum(worker.ready and not worker.ejected for worker, _ in function.stack)  # at their limit
         lanes = full + function.busy + function.loads * max(1.0, ask.lanes)
@@ -494,7 +486,7 @@
     def _place(self, now: float, ask: Request, function: Function, eligible: list[Worker]) -> Worker:
         """The worker for a new load."""
         eligible = [w for w in eligible if function.avoid.get(w.entry.worker, 0.0) <= now] or eligible
-        calm = self._calm(now, [w for w in eligible if len(w.loading) < OWN_LOADS]) or eligible
+        calm = self._calm([w for w in eligible if len(w.loading) < OWN_LOADS]) or eligible
         room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
         if not room:
             return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
@@ -545,21 +537,13 @@
                 least = worker.in_flight
         return best
 
-    def _calm(self, now: float, workers: list[Worker]) -> list[Worker]:
-        """Those with own requests in flight, and told load, not far over the fleet's for their size.
+    def _calm(self, workers: list[Worker]) -> list[Worker]:
+        """Those with own requests in flight not far over the fleet's for their size.
 
-        Guards against a favourite that many functions share; hurts while own counts are few, at a start."""
-        ready = [worker for worker in self.workers.values() if worker.ready]
-        size = sum(worker.entry.size for worker in ready) or 1.0
-        own = BOUND * (1 + sum(worker.in_flight for worker in ready)) / size
-        fresh = [worker for worker in ready if now - worker.told_s < TOLD_STANDS_S]
-        told_size = sum(worker.entry.size for worker in fresh) or 1.0
-        told = BOUND * sum(worker.told for worker in fresh) / told_size
-        return [
-            worker for worker in workers if worker.in_flight < max(BOUND_LEAST, own * worker.entry.size)
-            and (now - worker.told_s > TOLD_STANDS_S
-                 or worker.told <= TOLD_LEAST + told * worker.entry.size)
-        ]
+        Guards against a favourite that many functions share; hurts while own counts are few, at a start.
+        """
+        own = BOUND * (1 + len(self.flying)) / (self.size or 1.0)
+        return [worker for worker in workers if worker.in_flight < max(BOUND_LEAST, own * worker.entry.size)]
 
     def _rank(self, worker: Worker, function: int) -> float:
         """Rendezvous: every front end prefers the same workers for a function, so that they meet on copies.
@@ -699,13 +683,6 @@
             worker.limited_s = now
             worker.limit = max(LIMIT_LEAST, LIMIT_SHRINK * min(worker.limit, worker.warm_out + 1))
 
-    def _told(self, now: float, worker: Worker, report: Report | None) -> None:
-        if report is not None:
-            told = report.waiting if report.waiting is not None else report.in_hand
-            if told is not None:
-                worker.told = told
-                worker.told_s = now
-
     # ---- outlier ejection
 
     def _rate_worker(self, now: float, attempt: Attempt, event: Outcome) -> None:
@@ -810,7 +787,6 @@
         if attempt.warm and event.found in (Found.WARM, Found.UNTOLD):
             self._move_limit(now, attempt, event)
         self._judge_answer(attempt, event)
-        self._told(now, worker, event.report)
         self._rate_worker(now, attempt, event)
         if not attempt.warm:
             self._load_ended(worker, self.functions[ask.function], ask.function)
