--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import deque
+from dataclasses import dataclass, field
 from itertools import count
 
 from saffronstack.checks import check_settings
@@ -21,16 +22,15 @@
 )
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
+ALL = "all", 0  # the key that counts all requests
 KEEP_UNTOLD_S = 8.0  # how long an entry lives where no keep-alive is told
-RATE_SPAN_S = 10.0  # memory of the own request rate, which sizes the slow-start budget
+RATE_SPAN_S = 15.0  # memory of own requests: all, a function's, a tenant's; it also sizes slow start
 COLD_PART = 1.2  # of the own rate, for its share of capacity; workers can do more than the rate shows
 COLD_SPARE = 2.5  # deviations that are kept free for chance: other front ends send when they please
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
 ROOM_WEIGHT = 1.5  # how strongly room counts beside the function's rank
-PART_SPAN_S = 20.0  # memory of a function's part of the own requests
 PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
-SPREAD = 1.5  # workers among which a function's loads are spread, for each that its part of the requests fills
-SPREAD_LEAST = 1.0
+SPREAD = 1.5  # workers that a function's loads go to, for each that its part of the requests would fill
 SPREAD_MOST = 10.0
 SPREAD_GROW = 1.05  # by a send without an entry that finds a copy
 SPREAD_SHRINK = 0.7  # by one that needs a load
@@ -47,10 +47,12 @@
 JUDGE_S = 0.3  # the bound shrinks this often at most
 REPEATS = 0.2  # further attempts for each request, and how many may be saved up
 REPEATS_SAVED = 10.0
+LOAD_TRIES = 3  # attempts of one request that may each begin a load
 WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
 STACK_MOST = 64  # entries of one function that are kept, the freshest ones; each choice walks them
 HOLD_END_S = 0.05  # a held request is answered this long before its deadline
+IN_TIME = 1.0  # a load is begun only where this part of its usual time is left
 EJECT_SLOW = 3.0  # ejected from this multiple of the median worker's slowness
 EJECT_ERRORS = 0.25  # or from this part of errors over twice the median's
 EJECT_MISSES = 2  # or after so many attempts in a row that reached nothing
@@ -80,80 +82,73 @@
 ADVICE_S = 0.5  # clients are asked to stay away this long after a refusal
 
 
+@dataclass(eq=False, slots=True)
 class Worker:
     """What this front end knows of one worker."""
 
-    def __init__(self, entry: WorkerEntry) -> None:
-        self.entry = entry
-        self.ready = entry.state is WorkerState.READY
-        self.in_flight = 0
-        self.placed_mb = 0.0
-        self.warm_out = 0  # own sends to loaded copies in flight
-        self.limit = math.inf  # of those, moved by whether answers come in time
-        self.limited_s = 0.0
-        self.slow = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
-        self.answers = 0  # that `slow` rests on, up to what it needs
-        self.errors = 0.0  # recent part of its answers that were errors
-        self.misses = 0  # attempts in a row that reached nothing
-        self.ejected = False
-        self.trial_s = 0.0  # when the next trial may go to it while it is ejected
-        self.loading: dict[int, int] = {}  # functions with own sends out that need or join a load
-        self.warm_s = 0.0  # when its slow start is over
-        self.credit = 0.0  # sends that slow start allows it now, and when that was counted
-        self.credit_s = 0.0
-
-
+    entry: WorkerEntry
+    ready: bool = False
+    in_flight: int = 0
+    placed_mb: float = 0.0
+    warm_out: int = 0  # own sends to loaded copies in flight
+    limit: float = math.inf  # of those, moved by whether answers come in time
+    limited_s: float = 0.0
+    slow: float = 1.0  # recent time of its warm answers, as a multiple of what the class usually takes
+    answers: int = 0  # that `slow` rests on, up to what it needs
+    errors: float = 0.0  # recent part of its answers that were errors
+    misses: int = 0  # attempts in a row that reached nothing
+    ejected: bool = False
+    trial_s: float = 0.0  # when the next trial may go to it while it is ejected
+    loading: dict[int, int] = field(default_factory=dict)  # functions with own sends out that need a load
+    warm_s: float = 0.0  # when its slow start is over
+    credit: float = 0.0  # sends that slow start allows it now, and when that was counted
+    credit_s: float = 0.0
+
+
+@dataclass(slots=True)
 class Holding:
     """Copies of one function that own sends made one worker hold."""
 
-    def __init__(self) -> None:
-        self.copies = 0
-        self.in_flight = 0
-        self.used_s = 0.0
-        self.memory_mb = 0.0
+    memory_mb: float
+    copies: int = 0
+    in_flight: int = 0
+    used_s: float = 0.0
 
 
+@dataclass(eq=False, slots=True)
 class Function:
     """What this front end knows of one function."""
 
-    def __init__(self) -> None:
-        self.stack: list[tuple[Worker, float]] = []  # the warm stack: worker and when its lane was freed
-        self.waiting: list[Pending] = []  # held here until a lane or a load slot is free
-        self.busy = 0  # own sends in flight to loaded copies
-        self.loads = 0  # own sends and orders in flight that need a load
-        self.count = 0.0  # recent own requests for it, and when that was counted
-        self.count_s = 0.0
-        self.avoid: dict[int, float] = {}  # workers whose answer to an order was no: until when
+    stack: list[tuple[Worker, float]] = field(default_factory=list)  # the warm stack: when a lane was freed
+    waiting: list[Pending] = field(default_factory=list)  # held here until a lane or a load slot is free
+    busy: int = 0  # own sends in flight to loaded copies
+    loads: int = 0  # own sends and orders in flight that need a load
+    avoid: dict[int, float] = field(default_factory=dict)  # workers that answered no to an order: until when
 
 
+@dataclass(eq=False, slots=True)
 class Attempt:
     """One send and what it may have done."""
 
-    __slots__ = ("ask", "number", "sent_s", "strange", "warm", "worker")
-
-    def __init__(self, ask: Request, number: int, worker: Worker, sent_s: float, warm: bool,
-                 strange: bool) -> None:
-        self.ask = ask
-        self.number = number
-        self.worker = worker
-        self.sent_s = sent_s
-        self.warm = warm  # a loaded copy is expected
-        self.strange = strange  # the own account had no copy there
+    ask: Request
+    number: int
+    worker: Worker
+    sent_s: float
+    warm: bool  # a loaded copy is expected
+    strange: bool  # neither an entry nor the own account had a copy there
 
 
+@dataclass(eq=False, slots=True)
 class Pending:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("ask", "attempts", "cls", "maybe", "out", "value", "woken")
-
-    def __init__(self, ask: Request, cls: ClassSettings) -> None:
-        self.ask = ask
-        self.cls = cls
-        self.attempts: list[Attempt] = []
-        self.maybe: Attempt | None = None  # the first attempt that may have run
-        self.out = 0
-        self.value = cls.worth
-        self.woken = False
+    ask: Request
+    cls: ClassSettings
+    value: float
+    attempts: list[Attempt] = field(default_factory=list)
+    maybe: Attempt | None = None  # the first attempt that may have run
+    out: int = 0
+    woken: bool = False
 
 
 class Router:
@@ -170,7 +165,6 @@
         self.held: dict[int, Function] = {}  # those with requests waiting
         self.loads_out = 0
         self.value = 0.0  # recent mean worth of a request
-        self.tenant_rates: dict[int, tuple[float, float]] = {}
         self.norms: dict[int, float] = {}  # usual time of a warm answer, for each class
         self.eject_s = 0.0
         self.orders: dict[tuple[int, int], list[Request]] = {}
@@ -187,11 +181,8 @@
         self.met = 0.0  # recent part of the answers that met a copy of other front ends
         self.spread = SPREAD
         self.shed = 0.0  # part of the requests of mean worth that is refused at once
-        self.rate = 0.0  # own requests a second, starting low: safe for slow start
-        self.rate_s = 0.0
+        self.counts: dict[tuple[str, int], tuple[float, float]] = {}  # recent own requests; restarts at none
         self.repeats = REPEATS_SAVED  # further attempts that may be made now
-        self.count = 0.0  # recent own requests, and when that was counted
-        self.count_s = 0.0
         self.actions: list[Action] = []
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -224,20 +215,17 @@
                 worker.ready = worker.ready and number in named
         for entry in event.workers:
             known = self.workers.get(entry.worker)
-            worker = known or Worker(entry)
-            if known is None:
-                self.workers[entry.worker] = worker
-                self._started(now, worker)
-            elif entry.since_s > worker.entry.since_s:
-                self._forget_copies(worker)
-                worker.entry = entry
-                self._started(now, worker)
+            worker = self.workers.setdefault(entry.worker, known or Worker(entry))
+            started = known is None or entry.since_s > worker.entry.since_s
             worker.entry = entry
+            if started:
+                self._started(now, worker)
             worker.ready = entry.state is WorkerState.READY
         self.size = sum(worker.entry.size for worker in self.workers.values() if worker.ready)
 
     def _started(self, now: float, worker: Worker) -> None:
-        """Slow start: the first sends of all front ends must not fall on one moment, however many there are."""
+        """Slow start: the first sends of all front ends must not fall on one moment."""
+        self._forget_copies(worker)
         rules = self.settings.rules
         if rules.cold_s and worker.entry.since_s > 0:
             worker.warm_s = worker.entry.since_s + rules.cold_s
@@ -257,19 +245,14 @@
     def _request(self, now: float, ask: Request) -> None:
         if not 0 <= ask.class_index < len(self.settings.classes):
             raise ValueError(f"class_index {ask.class_index} names no class")
-        self.rate = self._rate(now) + 1 / RATE_SPAN_S
-        self.rate_s = now
         if self.settings.rules.load_span_s:
             self.request_times.append(now)
-        function = self.functions.setdefault(ask.function, Function())
-        function.count = 1 + function.count * math.exp((function.count_s - now) / PART_SPAN_S)
-        function.count_s = now
-        self.count = 1 + self.count * math.exp((self.count_s - now) / PART_SPAN_S)
-        self.count_s = now
-        pending = Pending(ask, self.settings.classes[ask.class_index])
+        for key in (ALL, ("function", ask.function), ("tenant", ask.tenant)):
+            self.counts[key] = self._recent(now, key) + 1, now
+        cls = self.settings.classes[ask.class_index]
+        pending = Pending(ask, cls, cls.worth * self._in_share(now, ask.tenant))
         self.pending[ask.request] = pending
         self.repeats = min(REPEATS_SAVED, self.repeats + REPEATS)
-        pending.value *= self._in_share(now, ask.tenant)
         self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
         if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * self.value:
             self._give_up(pending)
@@ -277,36 +260,40 @@
             self._try(now, pending)
 
     def _judge_answer(self, attempt: Attempt, event: Outcome) -> None:
-        """Refuse a part of the requests at once while many answers are late or full, least worth first.
+        """Learn whether copies are shared by all front ends, and how much to refuse at once.
 
-        Guards against queues at workers that many front ends fill, each with too few requests at any one
-        worker to limit them there. It could hurt where a few workers alone are slow.
-        """
+        Shared: many answers met a copy where the own account had none, as with few requests at each of
+        many front ends. Refusing guards against queues that they fill together, each with too few requests
+        at any one worker to limit them there. It could hurt where a few workers alone are slow."""
+        warm = event.found is Found.WARM
+        if event.result is Result.OK:
+            self.met += ((attempt.strange and warm) - self.met) / MET_SPAN
+        if event.result is Result.OK and attempt.strange:
+            spread = self.spread * (SPREAD_GROW if warm else SPREAD_SHRINK)
+            self.spread = min(SPREAD_MOST, max(1.0, spread))
         aim_s = self.settings.classes[attempt.ask.class_index].aim_s
-        if event.result is Result.FULL or (event.found is Found.WARM and event.elapsed_s > aim_s):
+        if event.result is Result.FULL or (warm and event.elapsed_s > aim_s):
             self.shed = min(SHED_MOST, self.shed + SHED_MORE)
-        elif event.found is Found.WARM:
+        elif warm:
             self.shed = max(0.0, self.shed - SHED_LESS)
 
     def _in_share(self, now: float, tenant: int) -> float:
         """What a tenant's request is worth beside others: less by the part of its traffic over its share.
 
         It is over its share where both its rate and its part of the own traffic say so: the rate alone
-        misjudges tenants at front ends that carry more than others, the part alone where all is calm.
-        """
+        misjudges tenants at front ends that carry more than others, the part alone where all is calm."""
         tenants = self.settings.tenants
         if tenant >= len(tenants):
             return 1.0
-        rate, since_s = self.tenant_rates.get(tenant, (0.0, now))
-        rate = rate * math.exp((since_s - now) / RATE_SPAN_S) + 1 / RATE_SPAN_S
-        self.tenant_rates[tenant] = rate, now
         quota = tenants[tenant].quota_rps
         total = sum(other.quota_rps for other in tenants) or 1.0
-        share = min(1.0, max(quota / self.settings.instances / rate, quota / total * self.rate / rate))
+        fair = max(quota / self.settings.instances * RATE_SPAN_S, quota / total * self._recent(now, ALL))
+        share = min(1.0, fair / max(1.0, self._recent(now, ("tenant", tenant))))
         return share + (1 - share) * self.settings.over_share_worth
 
-    def _rate(self, now: float) -> float:
-        return self.rate * math.exp((self.rate_s - now) / RATE_SPAN_S)
+    def _recent(self, now: float, key: tuple[str, int]) -> float:
+        counted, since_s = self.counts.get(key, (0.0, now))
+        return counted * math.exp((since_s - now) / RATE_SPAN_S)
 
     def _try(self, now: float, pending: Pending, patient: bool = True) -> None:
         """Send once more if the rules and the attempts left allow it, or hold; else the final answer."""
@@ -327,11 +314,11 @@
         part = PART_LEAST + (1 - PART_LEAST) * pending.value / self.value if self.value > 0 else 1.0
         open_ = [worker for worker in eligible if worker.warm_out < worker.limit * min(1.0, part)]
         warm = self._pop(now, function, open_)
-        warm = warm or self._spare_lane(ask, self._calm(open_))
         if warm is not None:
             self._send(now, pending, warm, function, ask.function not in warm.loading)
             return
-        if not eligible:
+        loads = sum(not attempt.warm for attempt in pending.attempts)
+        if not eligible or loads >= LOAD_TRIES:
             self._give_up(pending)
         elif self._may_load(now, ask, function, patient):
             worker = self._place(now, ask, function, eligible)
@@ -351,11 +338,11 @@
         """Bound own loads under way, and wait for a busy lane before loading another copy.
 
         Guards against loads that crowd the store and fill the workers' waiting rooms: after releases,
-        with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap.
-        """
+        with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap."""
         if self.met > MET_MOSTLY:
             return True
-        if self.loads_out >= self._most_loads():
+        in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
+        if self.loads_out >= self._most_loads() or not in_time:
             return False
         full = sum(worker.ready and not worker.ejected for worker, _ in function.stack)  # at their limit
         lanes = full + function.busy + function.loads * max(1.0, ask.lanes)
@@ -380,27 +367,14 @@
             self.load_judged_s = now
             self.load_part = max(LOADS_FLOOR / self.settings.instances, LOADS_SHRINK * self.load_part)
 
-    def _met(self, strange: bool, found: Found) -> None:
-        """Learn whether copies are mostly shared: the part of the answers that met one of other front ends.
-
-        `strange`: the own account had no copy there. Few requests at each of many front ends give a high
-        part, a front end that fills its workers by itself gives next to none.
-        """
-        self.met += ((strange and found is Found.WARM) - self.met) / MET_SPAN
-        if strange:
-            spread = self.spread * (SPREAD_GROW if found is Found.WARM else SPREAD_SHRINK)
-            self.spread = min(SPREAD_MOST, max(SPREAD_LEAST, spread))
-
     def _hold(self, now: float, pending: Pending, function: Function) -> None:
         function.waiting.append(pending)
         self.held[pending.ask.function] = function
-        patience_s = PATIENCE * pending.cls.aim_s
-        last_s = pending.ask.deadline_s - HOLD_END_S - now
+        wait_s = pending.ask.deadline_s - HOLD_END_S - now
         if not pending.woken:
-            pending.woken = True
-            self.actions.append(WakeMe(max(0.0, min(patience_s, last_s)), pending.ask.request))
-        else:
-            self.actions.append(WakeMe(max(0.0, last_s), pending.ask.request))
+            wait_s = min(wait_s, PATIENCE * pending.cls.aim_s)
+        pending.woken = True
+        self.actions.append(WakeMe(max(0.0, wait_s), pending.ask.request))
 
     def _woken(self, now: float, ref: int) -> None:
         pending = self.pending.get(ref)
@@ -491,28 +465,26 @@
         if not room:
             return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
         first = heapq.nsmallest(
-            self._spread(function), room,
+            self._spread(now, ask.function), room,
             key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
         return min(first, key=lambda worker: (worker.in_flight / worker.entry.size, self.random.random()))
 
-    def _spread(self, function: Function) -> int:
+    def _spread(self, now: float, function: int) -> int:
         """Over how many workers a function goes: those that its part of the own requests would fill.
 
         Guards against all front ends sending a hot function to one favourite, each with so few requests
         that none sees it; the part, unlike a rate, is much the same at small and large front ends. It
-        could hurt where front ends get different functions.
-        """
+        could hurt where front ends get different functions."""
         if self.met <= MET_MOSTLY:
             return 1
-        part = function.count / (self.count + PART_PRIOR)
+        part = self._recent(now, ("function", function)) / (self._recent(now, ALL) + PART_PRIOR)
         return max(1, round(self.spread * part * len(self.workers)))
 
     def _room_share(self, worker: Worker) -> float:
         """The part of its memory that is free by the own account: more room, more of the new loads.
 
         Where sends without an entry mostly find copies that others had loaded, meeting on them counts
-        for more, and the own account says little about the memory in use.
-        """
+        for more, and the own account says little about the memory in use."""
         if self.met > MET_MOSTLY:
             return 1.0
         kinds = self.settings.memory_mb_by_kind
@@ -520,28 +492,10 @@
         memory_mb = kinds[kind] if kind < len(kinds) else 0.0
         return max(1e-3, 1 - worker.placed_mb / memory_mb) ** ROOM_WEIGHT if memory_mb > 0 else 1.0
 
-    def _spare_lane(self, ask: Request, workers: list[Worker]) -> Worker | None:
-        """A worker where own sends of the function hold fewer lanes than its copies have.
-
-        Guards against bursts that load again while a copy, standing or under way, has lanes left; only
-        finished sends make entries. It could hurt where other front ends use those lanes.
-        """
-        best = None
-        least = math.inf
-        for worker in workers:
-            holding = self.holdings.get((worker.entry.worker, ask.function))
-            if not holding or not holding.in_flight:
-                continue
-            if holding.in_flight < holding.copies * ask.lanes and worker.in_flight < least:
-                best = worker
-                least = worker.in_flight
-        return best
-
     def _calm(self, workers: list[Worker]) -> list[Worker]:
         """Those with own requests in flight not far over the fleet's for their size.
 
-        Guards against a favourite that many functions share; hurts while own counts are few, at a start.
-        """
+        Guards against a favourite that many functions share; hurts while own counts are few, at a start."""
         own = BOUND * (1 + len(self.flying)) / (self.size or 1.0)
         return [worker for worker in workers if worker.in_flight < max(BOUND_LEAST, own * worker.entry.size)]
 
@@ -549,8 +503,7 @@
         """Rendezvous: every front end prefers the same workers for a function, so that they meet on copies.
 
         Guards against each front end filling cold slots of its own, also after a restart. It could hurt
-        where many hot functions share a favourite: `_calm` then passes over it.
-        """
+        where many hot functions share a favourite: `_calm` then passes over it."""
         mixed = (function * 0x9E3779B97F4A7C15 ^ worker.entry.worker * 0xC2B2AE3D27D4EB4F) & MASK
         mixed = ((mixed ^ mixed >> 31) * 0xBF58476D1CE4E5B9) & MASK
         mixed = ((mixed ^ mixed >> 27) * 0x94D049BB133111EB) & MASK
@@ -590,8 +543,7 @@
         key = worker.entry.worker, ask.function
         holding = self.holdings.get(key)
         if holding is None:
-            holding = self.holdings[key] = Holding()
-            holding.memory_mb = ask.memory_mb
+            holding = self.holdings[key] = Holding(ask.memory_mb)
         return holding
 
     def _place_copies(self, worker: Worker, holding: Holding, copies: int) -> None:
@@ -611,8 +563,7 @@
 
     def _may_order(self, now: float) -> bool:
         """Orders only where a miss loads nothing; elsewhere a request that waits loads as well and is
-        held back by the worker's own queue. The rule on loads bounds them.
-        """
+        held back by the worker's own queue. The rule on loads bounds them."""
         rules = self.settings.rules
         if not self.settings.allow.orders or self.settings.miss_mode is not MissMode.MISS:
             return False
@@ -671,8 +622,7 @@
         """Fewer warm sends at once to a worker whose answers are late or full, more while they are not.
 
         Guards against queues at the workers, whatever fills them; requests over the limit wait here,
-        where the newest and worthiest goes first. It could hurt where only a function is slow.
-        """
+        where the newest and worthiest goes first. It could hurt where only a function is slow."""
         worker = attempt.worker
         aim_s = self.settings.classes[attempt.ask.class_index].aim_s
         late = event.result is Result.FULL or event.elapsed_s > LATE_PART * aim_s
@@ -689,8 +639,7 @@
         """Take out workers that are slow, fail or are not reached, by the fleet's own norm; trials go on.
 
         Guards against slow, half-dead, unreachable and fast-failing workers whatever the cause. It could
-        hurt where a class's work differs much between workers; at most a part of the fleet is out.
-        """
+        hurt where a class's work differs much between workers; at most a part of the fleet is out."""
         worker = attempt.worker
         place = attempt.ask.class_index
         step = TRIAL_STEP if worker.ejected else EJECT_STEP
@@ -740,12 +689,12 @@
         The own rate for each unit of size is at most this front end's part of what such a worker carries;
         the worker can do the cold share of that at first and all of it after `cold_s`. Many front ends that
         send independently make a sum that varies like chance: the fewer sends the rule's span holds, the
-        more of them stays free. It could hurt by loading a young worker less than it can bear.
-        """
+        more of them stays free. It could hurt by loading a young worker less than it can bear."""
         rules = self.settings.rules
         age = max(0.0, now - worker.entry.since_s) / rules.cold_s
         share = rules.cold_share + (1 - rules.cold_share) * age
-        part = share * self._rate(now) * worker.entry.size / self.size if self.size > 0 else 0.0
+        rate = self._recent(now, ALL) / RATE_SPAN_S
+        part = share * rate * worker.entry.size / self.size if self.size > 0 else 0.0
         pace = COLD_PART * part * min(1.0, rules.tip_multiple or 1.0)
         span = rules.tip_after_s * self.settings.instances
         if part * span <= 0:
@@ -801,7 +750,6 @@
         if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
-            self._met(attempt.strange, event.found)
             holding.used_s = now
             fresh = 1
             if event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):  # the load freed all its lanes
