--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -35,7 +35,7 @@
 SPREAD_GROW = 1.05  # by a send without an entry that finds a copy
 SPREAD_SHRINK = 0.7  # by one that needs a load
 MET_SPAN = 30.0  # answers that the part which met another front end's copy rests on
-MET_MOSTLY = 0.15  # over this part, copies are taken to be shared by all front ends
+MET_MOSTLY = 0.25  # over this part, copies are taken to be shared by all front ends
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
 LOADS_EACH = 3.0  # own loads under way for each worker, over all front ends
@@ -160,7 +160,8 @@
         self.random = random.Random(seed)
         self.keep_s = settings.keep_alive_s or KEEP_UNTOLD_S
         self.workers: dict[int, Worker] = {}
-        self.size = 0.0  # of the ready workers together
+        self.ready = 0  # workers, and their size together
+        self.size = 0.0
         self.functions: dict[int, Function] = {}
         self.held: dict[int, Function] = {}  # those with requests waiting
         self.loads_out = 0
@@ -202,8 +203,6 @@
             self.pending.pop(event.request, None)
         return self.actions
 
-    # ---- the list of workers
-
     def _list(self, now: float, event: ListUpdate) -> None:
         if self.settings.must_subscribe and event.kind in (ListKind.CACHED, ListKind.FAILED):
             self.actions.append(Watch())
@@ -214,25 +213,24 @@
             for number, worker in self.workers.items():
                 worker.ready = worker.ready and number in named
         for entry in event.workers:
-            known = self.workers.get(entry.worker)
-            worker = self.workers.setdefault(entry.worker, known or Worker(entry))
-            started = known is None or entry.since_s > worker.entry.since_s
+            known = entry.worker in self.workers
+            worker = self.workers.setdefault(entry.worker, Worker(entry))
+            started = not known or entry.since_s > worker.entry.since_s
             worker.entry = entry
             if started:
                 self._started(now, worker)
             worker.ready = entry.state is WorkerState.READY
-        self.size = sum(worker.entry.size for worker in self.workers.values() if worker.ready)
+        ready = [worker.entry.size for worker in self.workers.values() if worker.ready]
+        self.ready = len(ready)
+        self.size = sum(ready)
 
     def _started(self, now: float, worker: Worker) -> None:
-        """Slow start: the first sends of all front ends must not fall on one moment."""
-        self._forget_copies(worker)
+        """Its copies are void. Slow start: the first sends of all front ends must not fall on one moment."""
         rules = self.settings.rules
         if rules.cold_s and worker.entry.since_s > 0:
             worker.warm_s = worker.entry.since_s + rules.cold_s
             worker.credit = self.random.random()
             worker.credit_s = now
-
-    def _forget_copies(self, worker: Worker) -> None:
         for (number, _), holding in self.holdings.items():
             if number == worker.entry.worker:
                 worker.placed_mb -= holding.copies * holding.memory_mb
@@ -262,9 +260,8 @@
     def _judge_answer(self, attempt: Attempt, event: Outcome) -> None:
         """Learn whether copies are shared by all front ends, and how much to refuse at once.
 
-        Shared: many answers met a copy where the own account had none, as with few requests at each of
-        many front ends. Refusing guards against queues that they fill together, each with too few requests
-        at any one worker to limit them there. It could hurt where a few workers alone are slow."""
+        Shared: many answers met a copy where the own account had none. Refusing guards against queues that
+        many front ends fill, each with little at any one worker; hurts where a few workers alone are slow."""
         warm = event.found is Found.WARM
         if event.result is Result.OK:
             self.met += ((attempt.strange and warm) - self.met) / MET_SPAN
@@ -278,10 +275,9 @@
             self.shed = max(0.0, self.shed - SHED_LESS)
 
     def _in_share(self, now: float, tenant: int) -> float:
-        """What a tenant's request is worth beside others: less by the part of its traffic over its share.
+        """What a tenant's request is worth: less by the part of its traffic over its share.
 
-        It is over its share where both its rate and its part of the own traffic say so: the rate alone
-        misjudges tenants at front ends that carry more than others, the part alone where all is calm."""
+        Over it where its rate and its part of the own traffic say so: front ends carry unequal traffic."""
         tenants = self.settings.tenants
         if tenant >= len(tenants):
             return 1.0
@@ -298,9 +294,8 @@
     def _try(self, now: float, pending: Pending, patient: bool = True) -> None:
         """Send once more if the rules and the attempts left allow it, or hold; else the final answer."""
         ask = pending.ask
-        most = self.settings.allow.max_attempts
         function = self.functions.setdefault(ask.function, Function())
-        spent = now >= ask.deadline_s or 0 < most <= len(pending.attempts)
+        spent = now >= ask.deadline_s or 0 < self.settings.allow.max_attempts <= len(pending.attempts)
         if spent or not self._may_send(now, pending) or (pending.attempts and self.repeats < 1):
             self._give_up(pending)
             return
@@ -312,7 +307,7 @@
             and self._cold_fits(now, worker) and (not worker.ejected or now >= worker.trial_s)
         ]
         part = PART_LEAST + (1 - PART_LEAST) * pending.value / self.value if self.value > 0 else 1.0
-        open_ = [worker for worker in eligible if worker.warm_out < worker.limit * min(1.0, part)]
+        open_ = {worker for worker in eligible if worker.warm_out < worker.limit * min(1.0, part)}
         warm = self._pop(now, function, open_)
         if warm is not None:
             self._send(now, pending, warm, function, ask.function not in warm.loading)
@@ -337,8 +332,8 @@
     def _may_load(self, now: float, ask: Request, function: Function, patient: bool) -> bool:
         """Bound own loads under way, and wait for a busy lane before loading another copy.
 
-        Guards against loads that crowd the store and fill the workers' waiting rooms: after releases,
-        with a slow store, with one-off functions, in bursts. It could hurt where loads are cheap."""
+        Guards against loads that crowd the store and the waiting rooms: releases, a slow store, one-off
+        functions, bursts. Hurts where loads are cheap; does not act where copies are shared."""
         if self.met > MET_MOSTLY:
             return True
         in_time = ask.deadline_s - now > IN_TIME * self.load_norm_s
@@ -349,8 +344,7 @@
         return len(function.waiting) >= WAIT_PER_LANE * lanes or (not patient and not function.loads)
 
     def _most_loads(self) -> float:
-        ready = sum(worker.ready for worker in self.workers.values())
-        return max(LOADS_LEAST, self.load_part * ready)
+        return max(LOADS_LEAST, self.load_part * self.ready)
 
     def _judge_load(self, now: float, result: Result, took_s: float) -> None:
         """More own loads while they take the usual time, fewer when slow or full; guards a crowded store."""
@@ -359,10 +353,9 @@
             self.load_norm_s += step * (took_s - self.load_norm_s) if self.load_norm_s else took_s
         elif result not in (Result.FULL, Result.TIMEOUT):
             return
-        ready = max(1, sum(worker.ready for worker in self.workers.values()))
         if result is Result.OK and took_s < SLOW_LOAD * self.load_norm_s:
             if self.loads_out + 2 > self._most_loads():
-                self.load_part += LOADS_GROW / ready
+                self.load_part += LOADS_GROW / max(1, self.ready)
         elif now > self.load_judged_s + JUDGE_S:
             self.load_judged_s = now
             self.load_part = max(LOADS_FLOOR / self.settings.instances, LOADS_SHRINK * self.load_part)
@@ -420,11 +413,10 @@
 
     def _give_up(self, pending: Pending) -> None:
         """The final answer: a refusal only where trying again is harmless."""
-        harmless = pending.maybe is None or pending.cls.effect is Effect.SAFE
-        if pending.cls.effect is Effect.KEYED and pending.cls.group is Group.ALL:
-            harmless = True
+        cls = pending.cls
+        everywhere = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         del self.pending[pending.ask.request]
-        if harmless and not pending.out:
+        if (everywhere or pending.maybe is None) and not pending.out:
             advice = min(ADVICE_S, self.settings.allow.max_retry_advice_s)
             self.actions.append(Refuse(pending.ask.request, advice))
         else:
@@ -448,8 +440,7 @@
         holding = self._holding(worker, ask)
         holding.in_flight += 1
         needed = math.ceil(holding.in_flight / max(1.0, ask.lanes))
-        if needed > holding.copies:
-            self._place_copies(worker, holding, needed)
+        self._place_copies(worker, holding, max(holding.copies, needed))
         worker.credit -= 1.0
         if worker.ejected:
             worker.trial_s = now + TRIAL_S
@@ -461,36 +452,32 @@
         """The worker for a new load."""
         eligible = [w for w in eligible if function.avoid.get(w.entry.worker, 0.0) <= now] or eligible
         calm = self._calm([w for w in eligible if len(w.loading) < OWN_LOADS]) or eligible
-        room = [worker for worker in calm if self._room_mb(worker) >= ask.memory_mb]
+        room = [worker for worker in calm if self._memory_mb(worker) - worker.placed_mb >= ask.memory_mb]
         if not room:
             return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
         first = heapq.nsmallest(
             self._spread(now, ask.function), room,
             key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
-        return min(first, key=lambda worker: (worker.in_flight / worker.entry.size, self.random.random()))
+        return min(first, key=lambda worker: (worker.in_flight, self.random.random()))
 
     def _spread(self, now: float, function: int) -> int:
         """Over how many workers a function goes: those that its part of the own requests would fill.
 
-        Guards against all front ends sending a hot function to one favourite, each with so few requests
-        that none sees it; the part, unlike a rate, is much the same at small and large front ends. It
-        could hurt where front ends get different functions."""
+        Guards against all front ends sending a hot function to one favourite, none of them seeing it; hurts
+        where front ends get different functions. A part, unlike a rate, is alike at small and large ones."""
         if self.met <= MET_MOSTLY:
             return 1
         part = self._recent(now, ("function", function)) / (self._recent(now, ALL) + PART_PRIOR)
-        return max(1, round(self.spread * part * len(self.workers)))
+        return max(1, round(self.spread * part * self.ready))
 
     def _room_share(self, worker: Worker) -> float:
-        """The part of its memory that is free by the own account: more room, more of the new loads.
-
-        Where sends without an entry mostly find copies that others had loaded, meeting on them counts
-        for more, and the own account says little about the memory in use."""
+        """The part of its memory that is free by the own account; where copies are shared, meeting counts."""
         if self.met > MET_MOSTLY:
             return 1.0
-        kinds = self.settings.memory_mb_by_kind
-        kind = worker.entry.kind
-        memory_mb = kinds[kind] if kind < len(kinds) else 0.0
-        return max(1e-3, 1 - worker.placed_mb / memory_mb) ** ROOM_WEIGHT if memory_mb > 0 else 1.0
+        return math.pow(max(1e-3, 1 - worker.placed_mb / self._memory_mb(worker)), ROOM_WEIGHT)
+
+    def _memory_mb(self, worker: Worker) -> float:
+        return max(1.0, dict(enumerate(self.settings.memory_mb_by_kind)).get(worker.entry.kind, math.inf))
 
     def _calm(self, workers: list[Worker]) -> list[Worker]:
         """Those with own requests in flight not far over the fleet's for their size.
@@ -502,8 +489,8 @@
     def _rank(self, worker: Worker, function: int) -> float:
         """Rendezvous: every front end prefers the same workers for a function, so that they meet on copies.
 
-        Guards against each front end filling cold slots of its own, also after a restart. It could hurt
-        where many hot functions share a favourite: `_calm` then passes over it."""
+        Guards against front ends each filling cold slots, also after a restart; hurts where hot functions
+        share a favourite: `_calm` and `_spread` then pass over it."""
         mixed = (function * 0x9E3779B97F4A7C15 ^ worker.entry.worker * 0xC2B2AE3D27D4EB4F) & MASK
         mixed = ((mixed ^ mixed >> 31) * 0xBF58476D1CE4E5B9) & MASK
         mixed = ((mixed ^ mixed >> 27) * 0x94D049BB133111EB) & MASK
@@ -518,7 +505,7 @@
             return worker.entry.zone == first.worker.entry.zone
         return worker.entry.cell == first.worker.entry.cell
 
-    def _pop(self, now: float, function: Function, eligible: list[Worker]) -> Worker | None:
+    def _pop(self, now: float, function: Function, eligible: set[Worker]) -> Worker | None:
         """The freshest entry at an eligible worker; dead and expired ones go."""
         stack = function.stack
         del stack[:-STACK_MOST]
@@ -532,13 +519,6 @@
                 return worker
         return None
 
-    def _room_mb(self, worker: Worker) -> float:
-        kinds = self.settings.memory_mb_by_kind
-        kind = worker.entry.kind
-        return (kinds[kind] if kind < len(kinds) else math.inf) - worker.placed_mb
-
-    # ---- the account of placed memory
-
     def _holding(self, worker: Worker, ask: Request) -> Holding:
         key = worker.entry.worker, ask.function
         holding = self.holdings.get(key)
@@ -559,8 +539,6 @@
                 self.workers[number].placed_mb -= holding.copies * holding.memory_mb
                 del self.holdings[number, function]
 
-    # ---- orders to load
-
     def _may_order(self, now: float) -> bool:
         """Orders only where a miss loads nothing; elsewhere a request that waits loads as well and is
         held back by the worker's own queue. The rule on loads bounds them."""
@@ -633,30 +611,27 @@
             worker.limited_s = now
             worker.limit = max(LIMIT_LEAST, LIMIT_SHRINK * min(worker.limit, worker.warm_out + 1))
 
-    # ---- outlier ejection
-
     def _rate_worker(self, now: float, attempt: Attempt, event: Outcome) -> None:
         """Take out workers that are slow, fail or are not reached, by the fleet's own norm; trials go on.
 
         Guards against slow, half-dead, unreachable and fast-failing workers whatever the cause. It could
         hurt where a class's work differs much between workers; at most a part of the fleet is out."""
         worker = attempt.worker
-        place = attempt.ask.class_index
         step = TRIAL_STEP if worker.ejected else EJECT_STEP
-        unreached = event.result in (Result.CONNECT_FAILED, Result.RESET)
-        worker.misses = worker.misses + 1 if unreached else 0
+        worker.misses = worker.misses + 1 if event.result in (Result.CONNECT_FAILED, Result.RESET) else 0
         failed = event.result is Result.ERROR and event.found is not Found.LOAD_FAILED
         if failed or event.result is Result.OK:
             worker.errors += step * (failed - worker.errors)
         plain = event.found in (Found.WARM, Found.UNTOLD) and attempt.warm
         if plain and event.result in (Result.OK, Result.TIMEOUT):
-            norm = self.norms.get(place) or event.elapsed_s or 1e-3
+            norm = self.norms.get(attempt.ask.class_index) or event.elapsed_s or 1e-3
             ratio = min(10.0, event.elapsed_s / norm)
             if event.result is Result.OK or ratio > worker.slow:
                 worker.slow += step * (ratio - worker.slow)
                 worker.answers = min(EJECT_LEAST, worker.answers + 1)
             if event.result is Result.OK:
-                self.norms[place] = norm + NORM_STEP * (min(event.elapsed_s, 5 * norm) - norm)
+                norm += NORM_STEP * (min(event.elapsed_s, 5 * norm) - norm)
+                self.norms[attempt.ask.class_index] = norm
         if now >= self.eject_s:
             self.eject_s = now + EJECT_EVERY_S
             self._eject(now)
@@ -681,15 +656,13 @@
                 worker.trial_s = now + TRIAL_S
             worker.ejected = worker in out
 
-    # ---- slow start
-
     def _cold_pace(self, now: float, worker: Worker) -> float:
         """Sends a second that this front end may give a young worker.
 
         The own rate for each unit of size is at most this front end's part of what such a worker carries;
-        the worker can do the cold share of that at first and all of it after `cold_s`. Many front ends that
-        send independently make a sum that varies like chance: the fewer sends the rule's span holds, the
-        more of them stays free. It could hurt by loading a young worker less than it can bear."""
+        the worker can do the cold share of that at first, all after `cold_s`. Front ends that send when they
+        please sum up by chance: the fewer sends the rule's span holds, the more of it stays free. It could
+        hurt by using a young worker less than it can bear."""
         rules = self.settings.rules
         age = max(0.0, now - worker.entry.since_s) / rules.cold_s
         share = rules.cold_share + (1 - rules.cold_share) * age
@@ -710,8 +683,6 @@
         worker.credit_s = now
         return worker.credit >= 1.0
 
-    # ---- outcomes
-
     def _outcome(self, now: float, event: Outcome) -> None:
         attempt = self.flying.pop((event.request, event.attempt), None)
         if attempt is None:
@@ -729,31 +700,27 @@
         self._serve_waiting(now)
 
     def _learn(self, now: float, attempt: Attempt, event: Outcome) -> None:
-        worker = attempt.worker
-        ask = attempt.ask
+        worker, ask = attempt.worker, attempt.ask
         worker.in_flight -= 1
         worker.warm_out -= attempt.warm
         if attempt.warm and event.found in (Found.WARM, Found.UNTOLD):
             self._move_limit(now, attempt, event)
         self._judge_answer(attempt, event)
         self._rate_worker(now, attempt, event)
-        if not attempt.warm:
-            self._load_ended(worker, self.functions[ask.function], ask.function)
         holding = self._holding(worker, ask)
         holding.in_flight -= 1
         function = self.functions[ask.function]
         function.busy -= attempt.warm
         stack = function.stack
         if not attempt.warm:
-            began = event.found is Found.BEGAN_LOAD
-            self._judge_load(now, event.result, event.elapsed_s if began else 0.0)
-        if event.result is not Result.OK or event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):
+            self._load_ended(worker, function, ask.function)
+            self._judge_load(now, event.result, event.elapsed_s if event.found is Found.BEGAN_LOAD else 0.0)
+        loaded = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
+        if event.result is not Result.OK or loaded:
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
             holding.used_s = now
-            fresh = 1
-            if event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD):  # the load freed all its lanes
-                fresh = max(1, int(ask.lanes) - holding.in_flight)
-            stack.extend([(worker, now)] * fresh)
+            lanes = int(ask.lanes) - holding.in_flight if loaded else 1  # a load frees all its lanes
+            stack.extend([(worker, now)] * max(1, lanes))
         due = now + self.keep_s, next(self.ticket), worker.entry.worker, ask.function
         heapq.heappush(self.expiries, due)
