--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -35,7 +35,7 @@
 SPREAD_GROW = 1.05  # by a send without an entry that finds a copy
 SPREAD_SHRINK = 0.7  # by one that needs a load
 MET_SPAN = 30.0  # answers that the part which met another front end's copy rests on
-MET_MOSTLY = 0.25  # over this part, copies are taken to be shared by all front ends
+MET_MOSTLY = 0.2  # over this part, copies are taken to be shared by all front ends
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
 BOUND_LEAST = 3  # and never fewer than this
 LOADS_EACH = 3.0  # own loads under way for each worker, over all front ends
@@ -252,7 +252,7 @@
         self.pending[ask.request] = pending
         self.repeats = min(REPEATS_SAVED, self.repeats + REPEATS)
         self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
-        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * self.value:
+        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * cls.worth:
             self._give_up(pending)
         else:
             self._try(now, pending)
