--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -252,7 +252,7 @@
         self.pending[ask.request] = pending
         self.repeats = min(REPEATS_SAVED, self.repeats + REPEATS)
         self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
-        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * cls.worth:
+        if self.met > MET_MOSTLY and self.random.random() * pending.value < self.shed * self.value:
             self._give_up(pending)
         else:
             self._try(now, pending)
