--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -269,7 +269,7 @@
             spread = self.spread * (SPREAD_GROW if warm else SPREAD_SHRINK)
             self.spread = min(SPREAD_MOST, max(1.0, spread))
         aim_s = self.settings.classes[attempt.ask.class_index].aim_s
-        if warm and event.elapsed_s > aim_s:
+        if event.result is Result.FULL or (warm and event.elapsed_s > aim_s):
             self.shed = min(SHED_MOST, self.shed + SHED_MORE)
         elif warm:
             self.shed = max(0.0, self.shed - SHED_LESS)
