--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -327,8 +327,6 @@
         else:
             self._give_up(pending)
 
-    # ---- holding requests back
-
     def _may_load(self, now: float, ask: Request, function: Function, patient: bool) -> bool:
         """Bound own loads under way, and wait for a busy lane before loading another copy.
 
@@ -721,6 +719,7 @@
         if event.result is Result.OK:
             holding.used_s = now
             lanes = int(ask.lanes) - holding.in_flight if loaded else 1  # a load frees all its lanes
-            stack.extend([(worker, now)] * max(1, lanes))
+            late = self.met > MET_MOSTLY and event.elapsed_s > self.settings.classes[ask.class_index].aim_s
+            stack.extend([(worker, now)] * (0 if late and not loaded else max(1, lanes)))
         due = now + self.keep_s, next(self.ticket), worker.entry.worker, ask.function
         heapq.heappush(self.expiries, due)
