--- a/tests/test_many_front_ends.py
+++ b/tests/test_many_front_ends.py
@@ -114,7 +114,7 @@
     gateway = Gateway(router(*range(1, 41), instances=300))
     shared(gateway)
     for elapsed_s, entries in ((0.1, 1), (1.0, 0)):
-        number, actions = gateway.ask(104.0, function=int(10 * elapsed_s))
+        number, _ = gateway.ask(104.0, function=int(10 * elapsed_s))
         gateway.end(104.0 + elapsed_s, number, elapsed_s=elapsed_s)
         assert len(gateway.decider.functions[int(10 * elapsed_s)].stack) == entries
 
