--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -45,8 +45,8 @@
 LOADS_LEAST = 5  # own loads that a front end may always have under way
 SLOW_LOAD = 3.0  # a load that takes this multiple of the usual is slow
 JUDGE_S = 0.3  # the bound shrinks this often at most
-REPEATS = 0.1  # further attempts for each request, and how many may be saved up
-REPEATS_SAVED = 5.0
+REPEATS = 0.1  # further attempts a request: full answers breed no loads; hurts where many answers are lost
+REPEATS_SAVED = 5.0  # how many may be saved up
 LOAD_TRIES = 3  # attempts of one request that may each begin a load
 WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
@@ -238,8 +238,6 @@
         for function in self.functions.values():
             function.stack = [entry for entry in function.stack if entry[0] is not worker]
 
-    # ---- requests
-
     def _request(self, now: float, ask: Request) -> None:
         if not 0 <= ask.class_index < len(self.settings.classes):
             raise ValueError(f"class_index {ask.class_index} names no class")
@@ -719,6 +717,7 @@
         if event.result is Result.OK:
             holding.used_s = now
             lanes = int(ask.lanes) - holding.in_flight if loaded else 1  # a load frees all its lanes
+            # No way back to a loaded or slow worker for the whole keep-alive; hurts functions slow by themselves.
             late = self.met > MET_MOSTLY and event.elapsed_s > self.settings.classes[ask.class_index].aim_s
             stack.extend([(worker, now)] * (0 if late and not loaded else max(1, lanes)))
         due = now + self.keep_s, next(self.ticket), worker.entry.worker, ask.function
