--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -717,7 +717,7 @@
         if event.result is Result.OK:
             holding.used_s = now
             lanes = int(ask.lanes) - holding.in_flight if loaded else 1  # a load frees all its lanes
-            # Guards against going back to a loaded or slow worker; hurts functions that are slow by themselves.
+            # Guards against going back to a loaded or slow worker; hurts functions that are slow anyway.
             late = self.met > MET_MOSTLY and event.elapsed_s > self.settings.classes[ask.class_index].aim_s
             stack.extend([(worker, now)] * (0 if late and not loaded else max(1, lanes)))
         due = now + self.keep_s, next(self.ticket), worker.entry.worker, ask.function
