--- a/saffronstack/simhost.py
+++ b/saffronstack/bench/simhost.py
@@ -7,7 +7,7 @@
 import traceback
 from typing import BinaryIO
 
-from saffronstack import wire
+from saffronstack.bench import wire
 from saffronstack.choice import Router
 
 
@@ -72,7 +72,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"saffronstack.simhost: {error}", file=sys.stderr)
+        print(f"saffronstack.bench.simhost: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -247,6 +247,10 @@
             self.counts[key] = self._recent(now, key) + 1, now
         cls = self.settings.classes[ask.class_index]
         pending = Pending(ask, cls, cls.worth * self._in_share(now, ask.tenant))
+        if ask.prior is not None:  # where the worker is unknown, so is its group: none fits
+            place = self.workers.get(ask.prior.worker)
+            place = place or Worker(WorkerEntry(ask.prior.worker, WorkerState.GONE, zone=-1, cell=-1))
+            pending.maybe = Attempt(ask, -1, place, ask.prior.sent_s, False, False)
         self.pending[ask.request] = pending
         self.repeats = min(REPEATS_SAVED, self.repeats + REPEATS)
         self.value += VALUE_STEP * (pending.value - self.value) if self.value else pending.value
--- /dev/null
+++ b/saffronstack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/saffronstack/cli/main.py
@@ -0,0 +1,138 @@
+"""`saffronstack`: the commands, on click."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+from saffronstack import config as configs
+from saffronstack.core.record import RecordError, replay
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+@click.version_option(package_name="saffronstack")
+def main() -> None:
+    """A gateway that runs calls on workers which load functions on demand."""
+
+
+@main.command()
+@click.option("--config", "path", type=click.Path(dir_okay=False), help="JSON5 configuration file.")
+@click.option(
+    "--with-standins", is_flag=True, help="Start stand-in workers and a sample configuration with it."
+)
+@click.option("--listen", help="HOST:PORT in place of the configuration's; port 0 takes a free one.")
+@click.option(
+    "--ledger", type=click.Path(file_okay=False), help="Ledger directory in place of the configuration's."
+)
+@click.option(
+    "--record", "record_to", type=click.Path(dir_okay=False), help="Write every decision to a file."
+)
+@click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console")
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
+def serve(
+    path: str | None,
+    with_standins: bool,
+    listen: str | None,
+    ledger: str | None,
+    record_to: str | None,
+    log_form: str,
+    log_level: str,
+) -> None:
+    """Run a gateway in the foreground until SIGTERM or SIGINT; SIGHUP rereads keys and workers."""
+    from saffronstack.cli.serve import run
+
+    if (path is None) == (not with_standins):
+        raise click.UsageError("give either --config FILE or --with-standins")
+    sys.exit(run(path, listen, ledger, record_to or "", log_form, log_level))
+
+
+@main.group("config")
+def config_group() -> None:
+    """Work with configuration files."""
+
+
+@config_group.command("check")
+@click.argument("path", type=click.Path())
+def config_check(path: str) -> None:
+    """Check a file: 0 and a summary, or 1 and what is wrong where."""
+    try:
+        found = configs.load(path)
+    except configs.ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+    click.echo(
+        f"{path}: good: {len(found.tenants)} tenants, {len(found.classes)} classes, "
+        f"{len(found.functions)} functions, {len(found.workers)} workers"
+    )
+
+
+@main.command("replay")
+@click.argument("path", type=click.Path())
+def replay_command(path: str) -> None:
+    """Feed a record of decisions to a fresh module; fails at the first decision that differs."""
+    try:
+        events, actions = replay(path)
+    except (RecordError, OSError) as error:
+        click.echo(f"{path}: {error}", err=True)
+        sys.exit(1)
+    click.echo(f"{path}: {events} events, {actions} actions, all decided alike")
+
+
+@main.command()
+@click.argument("function")
+@click.option("--payload", default="{}", help="JSON; @FILE reads a file.")
+@click.option("--to", "address", default="127.0.0.1:9000", show_default=True, help="HOST:PORT of a gateway.")
+@click.option("--deferred", is_flag=True, help="Have it run later; prints the request id.")
+@click.option("--wait", is_flag=True, help="With --deferred: wait for the final record.")
+@click.option("--tenant", default="", help="Tenant to claim where the gateway has no keys.")
+@click.option("--key", default="", help="Access key id; the secret comes from SAFFRONSTACK_SECRET.")
+@click.option("--timeout", "timeout_s", type=float, default=30.0, show_default=True, help="Seconds.")
+def invoke(
+    function: str,
+    payload: str,
+    address: str,
+    deferred: bool,
+    wait: bool,
+    tenant: str,
+    key: str,
+    timeout_s: float,
+) -> None:
+    """Call a function."""
+    from saffronstack.cli.client import invoke as call
+
+    sys.exit(call(function, payload, address, deferred, wait, tenant, key, timeout_s))
+
+
+@main.command()
+@click.argument("addresses", nargs=-1)
+@click.option(
+    "--timeout", "timeout_s", type=float, default=2.0, show_default=True, help="Seconds for each gateway."
+)
+@click.option("--json", "as_json", is_flag=True, help="One JSON line for each gateway.")
+def status(addresses: tuple[str, ...], timeout_s: float, as_json: bool) -> None:
+    """Ask gateways how they are; 1 where one does not answer."""
+    from saffronstack.cli.client import status as ask
+
+    sys.exit(ask(addresses or ("127.0.0.1:9000",), timeout_s, as_json))
+
+
+@main.group()
+def day() -> None:
+    """Scripted days with trouble."""
+
+
+@day.command("run")
+@click.argument("path", type=click.Path())
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--seconds", type=float, default=None, help="Length in place of the file's.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep configurations and traffic logs here.")
+def day_run(path: str, seed: int, seconds: float | None, keep: str | None) -> None:
+    """Play a day with real gateways and judge the five rules from the traffic; 1 if one is broken."""
+    from saffronstack.day.run import run
+
+    sys.exit(run(path, seed, seconds, keep))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/saffronstack/config/build.py
@@ -0,0 +1,166 @@
+"""What the program makes of a configuration: the module's settings, functions by name, workers."""
+
+from __future__ import annotations
+
+import fnmatch
+import re
+from collections import OrderedDict
+from dataclasses import dataclass
+from threading import Lock
+
+from saffronstack import interface as api
+from saffronstack.config.schema import Config, Function
+from saffronstack.core.calls import FunctionSpec
+from saffronstack.core.names import function_number, worker_number
+from saffronstack.core.roster import WorkerSpec
+
+SPECS_KEPT = 65536  # names that matched a pattern; the ones not used for longest are worked out again
+
+
+def settings_of(config: Config) -> api.Settings:
+    """The module's settings."""
+    return api.Settings(
+        classes=tuple(
+            api.ClassSettings(
+                name=c.name,
+                effect=api.Effect(c.effect),
+                aim_s=c.aim_s,
+                deadline_s=c.deadline_s,
+                worth=c.worth,
+                late_share=c.late_share,
+                group=api.Group(c.group),
+                window_s=c.window_s,
+            )
+            for c in config.classes
+        ),
+        instances=config.instances,
+        self_index=config.self_index,
+        zone=_places(config, "zone")[config.zone],
+        tenants=tuple(api.TenantSettings(t.name, t.share, t.quota_rps) for t in config.tenants)
+        if any(t.quota_rps for t in config.tenants)
+        else (),
+        over_share_worth=config.over_share_worth,
+        memory_mb_by_kind=tuple(kind.memory_mb for kind in config.kinds),
+        keep_alive_s=config.keep_alive_s,
+        miss_mode=api.MissMode(config.miss_mode),
+        order_timeout_s=config.order_timeout_s,
+        tells_warm=True,
+        tells_crowd=True,
+        report_via=api.ReportVia.ANSWERS,
+        rules=api.RuleSettings(
+            answer_slack_s=config.answer_margin_s / 2,
+            drain_grace_s=config.rules.drain_grace_s,
+            cold_share=config.rules.cold_share,
+            cold_s=config.rules.cold_s,
+            tip_multiple=config.rules.tip_multiple,
+            tip_after_s=config.rules.tip_after_s,
+            load_free=config.rules.load_free,
+            load_part=config.rules.load_part,
+            load_span_s=config.rules.load_span_s,
+        ),
+        allow=api.AllowSettings(
+            max_attempts=config.allow.max_attempts,
+            orders=config.allow.orders,
+            retry_advice=True,
+            max_retry_advice_s=config.allow.max_retry_advice_s,
+            connect_timeout_s=config.allow.connect_timeout_s,
+        ),
+    )
+
+
+def _places(config: Config, what: str) -> dict[str, int]:
+    """Numbers for zone or cell names, in the order of the names, so that a reread list keeps them."""
+    names = {getattr(worker, what) for worker in config.workers}
+    if what == "zone":
+        names.add(config.zone)
+    return {name: place for place, name in enumerate(sorted(names))}
+
+
+def workers_of(config: Config, numbers: PlaceNumbers | None = None) -> tuple[WorkerSpec, ...]:
+    """The workers as the core knows them; ``numbers`` keeps zones' and cells' numbers over rereads."""
+    numbers = numbers or PlaceNumbers(config)
+    kinds = {kind.name: place for place, kind in enumerate(config.kinds)}
+    specs = []
+    for worker in config.workers:
+        host, _, port = worker.address.rpartition(":")
+        specs.append(
+            WorkerSpec(
+                worker_number(worker.id),
+                worker.id,
+                host,
+                int(port),
+                worker.state == "draining",
+                worker.size,
+                kinds[worker.kind],
+                numbers.zone(worker.zone),
+                numbers.cell(worker.cell),
+                worker.started_at,
+            )
+        )
+    return tuple(specs)
+
+
+class PlaceNumbers:
+    """Numbers of zones and cells that never change while the program runs."""
+
+    def __init__(self, config: Config) -> None:
+        self._zones = _places(config, "zone")
+        self._cells = _places(config, "cell")
+
+    def zone(self, name: str) -> int:
+        """A zone's number, a new one for a new name."""
+        return self._zones.setdefault(name, len(self._zones))
+
+    def cell(self, name: str) -> int:
+        """A cell's number, a new one for a new name."""
+        return self._cells.setdefault(name, len(self._cells))
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """A function that may be called, with its configuration."""
+
+    spec: FunctionSpec
+    config: Function
+    deadline_s: float
+    effect: api.Effect
+
+
+class Functions:
+    """Functions by name: exact names first, then the patterns in their order. Used from any thread."""
+
+    def __init__(self, config: Config) -> None:
+        self._classes = {cls.name: (place, cls) for place, cls in enumerate(config.classes)}
+        self._exact = {function.name: function for function in config.functions if "*" not in function.name}
+        self._patterns = [
+            (re.compile(fnmatch.translate(function.name)), function)
+            for function in config.functions
+            if "*" in function.name
+        ]
+        self._known: OrderedDict[str, Known] = OrderedDict()
+        self._lock = Lock()
+
+    def get(self, name: str) -> Known | None:
+        """The function of that name, None where the configuration has none."""
+        known = self._known.get(name)
+        if known is not None:
+            return known
+        function = self._exact.get(name)
+        if function is None:
+            function = next((f for pattern, f in self._patterns if pattern.match(name)), None)
+        if function is None:
+            return None
+        place, cls = self._classes[function.call_class]
+        known = Known(
+            FunctionSpec(
+                name, function_number(name), place, function.memory_mb, function.lanes, function.load_s
+            ),
+            function,
+            cls.deadline_s,
+            api.Effect(cls.effect),
+        )
+        with self._lock:
+            self._known[name] = known
+            while len(self._known) > SPECS_KEPT:
+                self._known.popitem(last=False)
+        return known
--- /dev/null
+++ b/saffronstack/config/load.py
@@ -0,0 +1,99 @@
+"""Reads a configuration and says in plain words what is wrong with it: file, place, the nearest known key."""
+
+from __future__ import annotations
+
+import difflib
+import pathlib
+import re
+import types
+import typing
+from typing import Any
+
+import json5
+import msgspec
+
+from saffronstack.config.schema import Config
+from saffronstack.config.sense import senseless
+
+T = typing.TypeVar("T", bound=msgspec.Struct)
+_AT = re.compile(r" - at `\$\.?(.*)`$")
+
+
+class ConfigError(ValueError):
+    """The file can't be used; the text names file, place and reason."""
+
+
+def load(path: str) -> Config:
+    """The configuration in a file; ConfigError names what stands in the way."""
+    return parse(read_text(path), path)
+
+
+def read_text(path: str) -> str:
+    """The text of a file; ConfigError where it can't be read or is not UTF-8."""
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise ConfigError(f"{path}: can't be read: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise ConfigError(f"{path}: byte {error.start}: not UTF-8") from error
+
+
+def parse(text: str, name: str = "configuration") -> Config:
+    """The configuration in a text; ``name`` stands in the errors."""
+    config = convert(text, Config, name)
+    problems = senseless(config)
+    if problems:
+        raise ConfigError("\n".join(f"{name}: {problem}" for problem in problems))
+    return config
+
+
+def convert(text: str, kind: type[T], name: str) -> T:
+    """A JSON5 text as a struct of the schema; ConfigError where it does not fit."""
+    try:
+        raw = json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as error:
+        raise ConfigError(f"{name}: not JSON5: {error}") from error
+    except RecursionError as error:
+        raise ConfigError(f"{name}: nested too deeply") from error
+    unknown = _unknown(raw, kind, "")
+    if unknown:
+        raise ConfigError("\n".join(f"{name}: {line}" for line in unknown))
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        text = str(error)
+        match = _AT.search(text)
+        place = match[1] if match else ""
+        plain = text[: match.start()] if match else text
+        raise ConfigError(f"{name}: {place or 'top level'}: {plain}") from error
+
+
+def _unknown(raw: object, kind: Any, place: str) -> list[str]:
+    """A line for each key that the schema does not know, the nearest known one named."""
+    kind = _plain(kind)
+    lines: list[str] = []
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct) and isinstance(raw, dict):
+        fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+        for key, value in raw.items():
+            where = f"{place}.{key}" if place else str(key)
+            if key in fields:
+                lines.extend(_unknown(value, fields[key].type, where))
+                continue
+            near = difflib.get_close_matches(str(key), list(fields), n=1, cutoff=0.5)
+            hint = f"; did you mean {near[0]!r}?" if near else f"; known are {', '.join(sorted(fields))}"
+            lines.append(f"{where}: unknown key{hint}")
+    elif typing.get_origin(kind) is tuple and isinstance(raw, list):
+        inner = typing.get_args(kind)[0]
+        for number, value in enumerate(raw):
+            lines.extend(_unknown(value, inner, f"{place}[{number}]"))
+    return lines
+
+
+def _plain(kind: Any) -> Any:
+    """The type without annotations and without None."""
+    while typing.get_origin(kind) is typing.Annotated:
+        kind = typing.get_args(kind)[0]
+    if typing.get_origin(kind) in (typing.Union, types.UnionType):
+        rest = [part for part in typing.get_args(kind) if part is not type(None)]
+        return _plain(rest[0]) if len(rest) == 1 else kind
+    return kind
--- /dev/null
+++ b/saffronstack/config/schema.py
@@ -0,0 +1,163 @@
+"""The schema of the configuration. Times end in ``_s`` (seconds), sizes in ``_bytes`` or ``_mb``."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=140, pattern=r"^[A-Za-z0-9_.\-]+$")]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.\-]+:[0-9]{1,5}$")]
+
+
+class Struct(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
+    """What all parts share: unknown keys are refused, values do not change."""
+
+
+class Key(Struct, frozen=True, kw_only=True):
+    """An access key of a tenant, as SigV4 uses it."""
+
+    id: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9]{4,128}$")]
+    secret: Annotated[str, msgspec.Meta(min_length=8)]
+    tenant: Name
+
+
+class Tenant(Struct, frozen=True, kw_only=True):
+    """Who shares the fleet; ``quota_rps`` is over all gateways, in requests a second."""
+
+    name: Name
+    share: Share = 1.0
+    quota_rps: NotNegative = 0.0
+
+
+class CallClass(Struct, frozen=True, kw_only=True):
+    """A class of calls: what a second run would do, and how long its clients wait."""
+
+    name: Name
+    effect: Literal["safe", "keyed", "unsafe"]
+    aim_s: Positive
+    deadline_s: Positive
+    worth: Positive = 1.0
+    late_share: Share = 0.0
+    group: Literal["all", "zone", "cell"] = "all"
+    window_s: NotNegative = 0.0
+
+
+class Function(Struct, frozen=True, kw_only=True):
+    """A function, or all that match a pattern with ``*``; the first that matches holds."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=140, pattern=r"^[A-Za-z0-9_\-.*]+$")]
+    call_class: Name = msgspec.field(name="class")
+    memory_mb: Positive
+    lanes: Count = 1
+    load_s: Positive | None = None
+    qualifiers: tuple[str, ...] = ()
+    on_success: Name | None = None
+    on_failure: Name | None = None
+    maximum_event_age_s: Annotated[float, msgspec.Meta(ge=1, le=21600)] = 21600.0
+    maximum_retry_attempts: Annotated[int, msgspec.Meta(ge=0, le=10)] = 2
+
+
+class Kind(Struct, frozen=True, kw_only=True):
+    """A kind of machine."""
+
+    name: Name
+    memory_mb: Positive
+
+
+class Worker(Struct, frozen=True, kw_only=True):
+    """One worker; ``started_at`` is its last start in Unix seconds, 0 for long ago."""
+
+    id: Name
+    address: Address
+    kind: Name
+    size: Positive = 1.0
+    zone: Name = "zone-a"
+    cell: Name = "cell-a"
+    state: Literal["ready", "draining"] = "ready"
+    started_at: NotNegative = 0.0
+
+
+class Rules(Struct, frozen=True, kw_only=True):
+    """Figures of the rules; a zero ``cold_s`` or ``load_span_s`` means that the rule is absent."""
+
+    drain_grace_s: NotNegative = 2.0
+    cold_share: Share = 0.15
+    cold_s: NotNegative = 0.0
+    tip_multiple: NotNegative = 0.0
+    tip_after_s: NotNegative = 0.0
+    load_free: NotNegative = 0.0
+    load_part: NotNegative = 0.0
+    load_span_s: NotNegative = 0.0
+
+
+class Allow(Struct, frozen=True, kw_only=True):
+    """What the deployment permits."""
+
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=20)] = 4
+    max_retry_advice_s: NotNegative = 5.0
+    connect_timeout_s: Positive = 1.0
+    orders: bool = False
+
+
+class Limits(Struct, frozen=True, kw_only=True):
+    """Bounds of the front and of the worker connections."""
+
+    connections: Count = 4096
+    worker_connections: Count = 256
+    line_bytes: Annotated[int, msgspec.Meta(ge=256)] = 8192
+    head_bytes: Annotated[int, msgspec.Meta(ge=512)] = 32768
+    header_fields: Count = 100
+    payload_bytes: Count = 6 * 1024 * 1024
+    event_payload_bytes: Count = 1024 * 1024
+    response_bytes: Count = 6 * 1024 * 1024
+    head_timeout_s: Positive = 10.0
+    body_timeout_s: Positive = 30.0
+    write_timeout_s: Positive = 10.0
+    idle_timeout_s: Positive = 300.0
+    worker_idle_s: Positive = 20.0
+    open_calls: Count = 20000
+
+
+class Ledger(Struct, frozen=True, kw_only=True):
+    """Where deferred calls are kept, and its bounds."""
+
+    directory: Annotated[str, msgspec.Meta(min_length=1)]
+    segment_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 64 * 1024 * 1024
+    open_calls: Count = 200_000
+    open_bytes: Count = 2 * 1024 * 1024 * 1024
+    history: Count = 20_000
+    in_flight: Count = 32
+    commit_timeout_s: Positive = 5.0
+
+
+class Config(Struct, frozen=True, kw_only=True):
+    """The whole file."""
+
+    listen: Address = "127.0.0.1:9000"
+    region: Annotated[str, msgspec.Meta(pattern=r"^[a-z]{2}(-[a-z]+)+-[0-9]$")] = "us-east-1"
+    account: Annotated[str, msgspec.Meta(pattern=r"^[0-9]{12}$")] = "000000000000"
+    seed: int = 0
+    instances: Count = 1
+    self_index: Annotated[int, msgspec.Meta(ge=0)] = 0
+    zone: Name = "zone-a"
+    answer_margin_s: Positive = 0.1
+    clock_skew_s: Positive = 300.0
+    keep_alive_s: NotNegative = 10.0
+    over_share_worth: Share = 0.1
+    miss_mode: Literal["load", "miss"] = "load"
+    order_timeout_s: Positive = 10.0
+    keys: tuple[Key, ...] = ()
+    tenants: Annotated[tuple[Tenant, ...], msgspec.Meta(min_length=1)]
+    classes: Annotated[tuple[CallClass, ...], msgspec.Meta(min_length=1)]
+    functions: Annotated[tuple[Function, ...], msgspec.Meta(min_length=1)]
+    kinds: Annotated[tuple[Kind, ...], msgspec.Meta(min_length=1)]
+    workers: tuple[Worker, ...]
+    rules: Rules = Rules()
+    allow: Allow = Allow()
+    limits: Limits = Limits()
+    ledger: Ledger | None = None
--- /dev/null
+++ b/saffronstack/config/sense.py
@@ -0,0 +1,134 @@
+"""What a schema can't say: names that must exist, promises that can't be kept. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from saffronstack.config.schema import Config
+from saffronstack.core.names import function_number, worker_number
+
+LOOPBACK = ("127.", "localhost:")
+
+
+def senseless(config: Config) -> list[str]:
+    """Every problem found, each with its place; none: the configuration can be used."""
+    return [*_names(config), *_classes(config), *_functions(config), *_workers(config), *_listener(config)]
+
+
+def _doubles(place: str, names: Iterable[str]) -> list[str]:
+    seen: set[str] = set()
+    lines = []
+    for number, name in enumerate(names):
+        if name in seen:
+            lines.append(f"{place}[{number}]: {name!r} stands twice")
+        seen.add(name)
+    return lines
+
+
+def _names(config: Config) -> list[str]:
+    lines = _doubles("tenants", (t.name for t in config.tenants))
+    lines += _doubles("classes", (c.name for c in config.classes))
+    lines += _doubles("functions", (f.name for f in config.functions))
+    lines += _doubles("kinds", (k.name for k in config.kinds))
+    lines += _doubles("workers", (w.id for w in config.workers))
+    lines += _doubles("keys", (k.id for k in config.keys))
+    tenants = {tenant.name for tenant in config.tenants}
+    for number, key in enumerate(config.keys):
+        if key.tenant not in tenants:
+            lines.append(f"keys[{number}].tenant: no tenant is named {key.tenant!r}")
+    return lines
+
+
+def _classes(config: Config) -> list[str]:
+    lines = []
+    for number, cls in enumerate(config.classes):
+        place = f"classes[{number}] ({cls.name})"
+        if cls.aim_s > cls.deadline_s:
+            lines.append(f"{place}: aim_s {cls.aim_s:g} is past deadline_s {cls.deadline_s:g}")
+        if cls.effect == "keyed" and cls.window_s <= 0:
+            lines.append(f"{place}: a keyed class needs a window_s above 0")
+        if cls.effect != "keyed" and cls.window_s > 0:
+            lines.append(f"{place}: window_s belongs to keyed classes; {cls.effect} ones have none")
+        if config.answer_margin_s >= cls.deadline_s / 2:
+            lines.append(
+                f"{place}: answer_margin_s {config.answer_margin_s:g} leaves less than half of "
+                f"deadline_s {cls.deadline_s:g} for the work"
+            )
+    return lines
+
+
+def _functions(config: Config) -> list[str]:
+    lines = []
+    classes = {cls.name for cls in config.classes}
+    named = {f.name: f for f in config.functions if "*" not in f.name}
+    largest = max(kind.memory_mb for kind in config.kinds)
+    numbers: dict[int, str] = {}
+    for place, function in enumerate(config.functions):
+        where = f"functions[{place}] ({function.name})"
+        if function.call_class not in classes:
+            lines.append(f"{where}.class: no class is named {function.call_class!r}")
+        if function.memory_mb > largest:
+            lines.append(
+                f"{where}.memory_mb: {function.memory_mb:g} fits no kind of worker; "
+                f"the largest has {largest:g}"
+            )
+        for side in ("on_success", "on_failure"):
+            target = getattr(function, side)
+            if target is not None and target not in named:
+                lines.append(f"{where}.{side}: no function is named {target!r} (patterns don't count)")
+        other = numbers.setdefault(function_number(function.name), function.name)
+        if other != function.name:
+            lines.append(f"{where}: its number is that of {other!r}; rename one")
+    for name in named:
+        loop = _loop(
+            name, {n: [t for t in (f.on_success, f.on_failure) if t in named] for n, f in named.items()}
+        )
+        if loop:
+            lines.append(f"functions: destinations go in a circle: {' -> '.join(loop)}")
+            break
+    return lines
+
+
+def _loop(start: str, edges: dict[str, list[str]]) -> list[str]:
+    """A path of destinations from ``start`` back to itself, or nothing."""
+    paths = [[start]]
+    seen: set[str] = set()
+    while paths:
+        path = paths.pop()
+        for target in edges.get(path[-1], []):
+            if target == start:
+                return [*path, start]
+            if target not in seen:
+                seen.add(target)
+                paths.append([*path, target])
+    return []
+
+
+def _workers(config: Config) -> list[str]:
+    lines = []
+    kinds = {kind.name for kind in config.kinds}
+    numbers: dict[int, str] = {}
+    for place, worker in enumerate(config.workers):
+        where = f"workers[{place}] ({worker.id})"
+        if worker.kind not in kinds:
+            lines.append(f"{where}.kind: no kind is named {worker.kind!r}")
+        if not 0 < int(worker.address.rpartition(":")[2]) < 65536:
+            lines.append(f"{where}.address: no port {worker.address.rpartition(':')[2]}")
+        other = numbers.setdefault(worker_number(worker.id), worker.id)
+        if other != worker.id:
+            lines.append(f"{where}: its number is that of {other!r}; rename one")
+    lines += _doubles("workers, addresses", (w.address for w in config.workers))
+    return lines
+
+
+def _listener(config: Config) -> list[str]:
+    lines = []
+    if int(config.listen.rpartition(":")[2]) > 65535:
+        lines.append(f"listen: no port {config.listen.rpartition(':')[2]}")
+    if not config.keys and not config.listen.startswith(LOOPBACK):
+        lines.append("listen: without keys the front listens on loopback only; name keys or 127.0.0.1")
+    if config.self_index >= config.instances:
+        lines.append(f"self_index: {config.self_index} is none of {config.instances} instances")
+    if config.miss_mode == "miss" and not config.allow.orders:
+        lines.append("miss_mode: 'miss' needs allow.orders, or nothing is ever loaded")
+    return lines
--- /dev/null
+++ b/saffronstack/core/engine.py
@@ -0,0 +1,358 @@
+"""The engine: turns what happens into events, gives them to one `Router`, carries out its actions.
+
+One decision thread owns the Router, the timers and the open calls. Everything reaches it through one
+queue, so events have one order on one clock that never goes back. It never waits for I/O.
+"""
+
+from __future__ import annotations
+
+import queue
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Protocol
+
+import structlog
+
+from saffronstack import interface as api
+from saffronstack.choice import Router
+from saffronstack.core.calls import (
+    AttemptEnd,
+    Call,
+    Dispatcher,
+    Ending,
+    Final,
+    FunctionSpec,
+    Heard,
+    OrderEnd,
+    Prior,
+)
+from saffronstack.core.roster import Roster, WorkerSpec
+from saffronstack.core.threads import spawn
+from saffronstack.core.timers import Timers
+
+NEVER_RAN = (api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT, api.Result.MISS)
+IDLE_S = 1.0  # the decision thread looks up at least this often
+log = structlog.get_logger("saffronstack.engine")
+
+
+class Recorder(Protocol):
+    """Hears every event and what was decided on it, in their order, on the decision thread."""
+
+    def record(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
+        """One decision."""
+        ...
+
+
+@dataclass(eq=False, slots=True)
+class _Open:
+    """A call between its arrival and its final answer, or its last attempt's end."""
+
+    call: Call
+    sent: dict[int, tuple[int, float]] = field(default_factory=dict)  # attempts out: worker, when
+    made: int = 0
+    prior: Prior | None = None  # the first attempt that may have run
+    left: bool = False  # the module knows that the client has gone
+
+    def may_have_run(self) -> Prior | None:
+        """The first attempt that may have run; one that is still out counts."""
+        if self.prior is None and self.sent:
+            return Prior(*self.sent[min(self.sent)])
+        return self.prior
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    specs: tuple[WorkerSpec, ...]
+    wall_s: float
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the engine counted since it started; read by anyone, written by the decision thread."""
+
+    calls: int = 0
+    sends: int = 0
+    repeats: int = 0
+    orders: int = 0
+    events: int = 0
+    backstops: int = 0
+    faults: int = 0
+    endings: dict[str, int] = field(default_factory=lambda: {ending.value: 0 for ending in Ending})
+    results: dict[str, int] = field(default_factory=lambda: {result.value: 0 for result in api.Result})
+
+
+class Engine:
+    """Start it, submit calls, tell it what the workers' threads saw, stop it."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Callable[[], float],
+        recorder: Recorder | None = None,
+        backstop_s: float = 0.05,
+        open_most: int = 20000,
+    ) -> None:
+        """``clock`` is monotonic, in seconds. ``backstop_s``: how long past a call's deadline the engine
+        answers by itself, should the module have given no answer."""
+        self.settings = settings
+        self.counts = Counts()
+        self.backstop_s = backstop_s
+        self.open_most = open_most
+        self._router = Router(settings, seed)
+        self._clock = clock
+        self._recorder = recorder
+        self._dispatcher: Dispatcher | None = None
+        self._queue: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self._timers: Timers[api.Woken | _Open] = Timers()
+        self._open: dict[int, _Open] = {}
+        self._functions: dict[int, FunctionSpec] = {}
+        self._roster = Roster(settings.rules.cold_s)
+        self._numbers = count(1)
+        self._now = clock()
+        self._stopping = threading.Event()
+        self._stopped = threading.Event()
+
+    # ---- from any thread
+
+    def start(self, dispatcher: Dispatcher) -> None:
+        """Start the decision thread; ``dispatcher`` carries out what it decides."""
+        self._dispatcher = dispatcher
+        spawn("decisions", self._run)
+
+    def stop(self, timeout_s: float = 5.0) -> bool:
+        """End the decision thread after what is queued; whether it ended in time."""
+        self._stopping.set()
+        self._queue.put(None)
+        return self._stopped.wait(timeout_s)
+
+    def next_number(self) -> int:
+        """A number for a new call, never given before by this engine."""
+        return next(self._numbers)
+
+    def submit(self, call: Call) -> bool:
+        """Take a call: it gets exactly one final answer. False: too many are open, nothing was taken."""
+        if len(self._open) >= self.open_most or self._stopping.is_set():
+            return False
+        self._queue.put(call)
+        return True
+
+    def leave(self, call: Call) -> None:
+        """The client of a call has left."""
+        if call.settle(Final(Ending.GONE)):
+            self._queue.put(api.ClientGone(call.number))
+
+    def tell(self, what: AttemptEnd | OrderEnd | Heard) -> None:
+        """What a worker's thread saw."""
+        self._queue.put(what)
+
+    def update_workers(self, specs: Iterable[WorkerSpec], wall_s: float) -> None:
+        """The whole list of workers, told at ``wall_s`` (Unix seconds)."""
+        self._queue.put(_Told(tuple(specs), wall_s))
+
+    @property
+    def open_calls(self) -> int:
+        """Calls without a final answer or with an attempt out."""
+        return len(self._open)
+
+    @property
+    def queued(self) -> int:
+        """Events that wait for the decision thread."""
+        return self._queue.qsize()
+
+    # ---- the decision thread
+
+    def _run(self) -> None:
+        try:
+            while True:
+                due_s = self._timers.next_s()
+                wait_s = IDLE_S if due_s is None else min(IDLE_S, max(0.0, due_s - self._clock()))
+                try:
+                    item = self._queue.get(timeout=wait_s) if wait_s > 0 else self._queue.get_nowait()
+                except queue.Empty:
+                    item = self  # only the timers
+                if item is None:
+                    if self._queue.empty():
+                        break
+                    self._queue.put(None)
+                    continue
+                self._now = max(self._now, self._clock())
+                self._fire()
+                if item is not self:
+                    self._take(item)
+        finally:
+            self._abandon()
+            self._stopped.set()
+
+    def _fire(self) -> None:
+        while (due := self._timers.due(self._now)) is not None:
+            if isinstance(due, _Open):
+                self._backstop(due)
+            else:
+                self._decide(due)
+
+    def _take(self, item: object) -> None:
+        if isinstance(item, Call):
+            self._arrived(item)
+        elif isinstance(item, AttemptEnd):
+            self._ended(item)
+        elif isinstance(item, api.ClientGone):
+            self._decide(item)
+            opened = self._open.get(item.request)
+            if opened is not None:
+                opened.left = True
+                self._count(opened.call)
+                self._close(opened)
+        elif isinstance(item, OrderEnd):
+            if item.function is None:
+                self._decide(api.Probed(item.worker, item.result, item.elapsed_s, item.report))
+            else:
+                self._decide(api.Loaded(item.worker, item.function, item.copies, item.result, item.elapsed_s))
+        elif isinstance(item, Heard):
+            update = self._roster.heard(self._now, item)
+            if update is not None:
+                log.info("worker started anew", worker=item.worker, incarnation=item.incarnation)
+                self._decide(update)
+        elif isinstance(item, _Told):
+            self._decide(self._roster.told(self._now, item.wall_s, item.specs))
+
+    def _arrived(self, call: Call) -> None:
+        self.counts.calls += 1
+        spec = call.function
+        self._functions[spec.number] = spec
+        opened = self._open[call.number] = _Open(call, prior=call.prior)
+        self._timers.set(call.deadline_s + self.backstop_s, opened)
+        self._decide(
+            api.Request(
+                call.number,
+                spec.class_index,
+                spec.number,
+                call.deadline_s,
+                call.tenant,
+                spec.memory_mb,
+                float(spec.lanes),
+                spec.load_s,
+                prior=None if call.prior is None else api.Prior(call.prior.worker, call.prior.sent_s),
+            )
+        )
+
+    def _ended(self, end: AttemptEnd) -> None:
+        outcome = end.outcome
+        self.counts.results[outcome.result.value] += 1
+        opened = self._open.get(outcome.request)
+        if opened is not None:
+            worker, sent_s = opened.sent.pop(outcome.attempt, (outcome.worker, self._now))
+            if outcome.result not in NEVER_RAN and opened.prior is None:
+                opened.prior = Prior(worker, sent_s)
+            if end.answer is not None and end.call.final is not None and outcome.result is api.Result.OK:
+                self.counts.endings[Ending.SERVED.value] += end.call.final.ending is Ending.SERVED
+        self._decide(outcome)
+        self._close(opened)
+
+    def _decide(self, event: api.Event) -> None:
+        self.counts.events += 1
+        try:
+            actions = self._router.handle(self._now, event)
+        except Exception:
+            # The calls it concerns are answered by their backstops; the others go on.
+            self.counts.faults += 1
+            log.exception("decision failed", event=type(event).__name__)
+            return
+        if self._recorder is not None:
+            self._recorder.record(self._now, event, actions)
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: api.Action) -> None:
+        dispatcher = self._dispatcher
+        assert dispatcher is not None
+        if isinstance(action, api.Send):
+            opened = self._open[action.request]
+            attempt = opened.made
+            opened.made += 1
+            opened.sent[attempt] = action.worker, self._now
+            self.counts.sends += 1
+            self.counts.repeats += attempt > 0
+            dispatcher.send(opened.call, attempt, action.worker, action.timeout_s)
+        elif isinstance(action, api.WakeMe):
+            self._timers.set(self._now + action.after_s, api.Woken(action.ref))
+        elif isinstance(action, api.Refuse):
+            self._answer(action.request, Ending.REFUSED, action.stay_away_s)
+        elif isinstance(action, api.Fail):
+            self._answer(action.request, Ending.FAILED, 0.0)
+        elif isinstance(action, api.Load):
+            self.counts.orders += 1
+            dispatcher.load(action.worker, self._functions[action.function], action.copies)
+        elif isinstance(action, api.Unload):
+            self.counts.orders += 1
+            dispatcher.unload(action.worker, self._functions[action.function])
+        elif isinstance(action, api.Probe):
+            dispatcher.probe(action.worker)
+        elif isinstance(action, api.Cancel):
+            opened_ = self._open.get(action.request)
+            if opened_ is not None:
+                dispatcher.cancel(opened_.call, action.attempt)
+        elif isinstance(action, api.Log):
+            log.info("module", text=action.text)
+        # Watch and FetchList: this list is told without asking.
+
+    def _answer(self, request: int, ending: Ending, stay_away_s: float) -> None:
+        opened = self._open.get(request)
+        if opened is None:
+            return
+        reason = "no worker could take it" if ending is Ending.REFUSED else "it may have run"
+        call = opened.call
+        if call.settle(
+            Final(
+                ending,
+                stay_away_s=stay_away_s,
+                reason=reason,
+                prior=opened.may_have_run(),
+                attempts=opened.made,
+            )
+        ):
+            self._count(call)
+        self._close(opened)
+
+    def _backstop(self, opened: _Open) -> None:
+        """Past the deadline and unanswered: the engine's own answer, by the same rule as the module's."""
+        call = opened.call
+        if call.settled or self._open.get(call.number) is not opened:
+            return
+        self.counts.backstops += 1
+        log.warning("answered by the backstop", request_id=call.request_id)
+        ran = opened.may_have_run() is not None
+        safe = self.settings.classes[call.function.class_index].effect is api.Effect.SAFE
+        ending = Ending.FAILED if ran and not safe else Ending.REFUSED
+        self._answer(call.number, ending, 0.0)
+        self._decide(api.ClientGone(call.number))
+
+    def _count(self, call: Call) -> None:
+        if call.final is not None:
+            self.counts.endings[call.final.ending.value] += 1
+
+    def _close(self, opened: _Open | None) -> None:
+        """Forget a call that is over. One whose client left is over only once the module knows: until
+        then the module may still send for it, and the worker's thread turns that away."""
+        if opened is None or opened.sent or not opened.call.settled:
+            return
+        final = opened.call.final
+        if opened.left or final is None or final.ending is not Ending.GONE:
+            self._open.pop(opened.call.number, None)
+
+    def _abandon(self) -> None:
+        """The thread ends: what is still open gets an answer that promises nothing it can't keep."""
+        for opened in list(self._open.values()):
+            ran = opened.may_have_run()
+            ending = Ending.FAILED if ran is not None else Ending.REFUSED
+            opened.call.settle(Final(ending, reason="the gateway stops", prior=ran, attempts=opened.made))
+        self._open.clear()
+        while True:
+            try:
+                item = self._queue.get_nowait()
+            except queue.Empty:
+                return
+            if isinstance(item, Call):
+                item.settle(Final(Ending.REFUSED, reason="the gateway stops"))
--- /dev/null
+++ b/saffronstack/core/record.py
@@ -0,0 +1,186 @@
+"""Records of decisions: every event and what was decided on it, compressed, and their replay.
+
+A record is a zstandard stream of length-prefixed MessagePack values: first the settings and the seed, then
+one value for each event. A record that was cut short, as by a kill, replays up to where it was cut.
+"""
+
+from __future__ import annotations
+
+import queue
+import struct
+import threading
+from collections.abc import Iterator
+from typing import Any, BinaryIO
+
+import msgspec
+import structlog
+import zstandard
+
+from saffronstack import interface as api
+from saffronstack.choice import Router
+from saffronstack.core.threads import spawn
+
+VERSION = 1
+FLUSH_S = 0.5
+QUEUE_MOST = 200_000
+VALUE_MOST = 64 * 1024 * 1024  # bytes
+_LENGTH = struct.Struct("<I")
+_EVENTS: dict[str, Any] = {
+    kind.__name__: kind
+    for kind in (
+        api.ListUpdate,
+        api.Request,
+        api.Outcome,
+        api.Probed,
+        api.Loaded,
+        api.Woken,
+        api.ClientGone,
+        api.StreamStarted,
+        api.PeerMessage,
+    )
+}
+_ACTIONS: dict[str, Any] = {
+    kind.__name__: kind
+    for kind in (
+        api.Send,
+        api.Refuse,
+        api.Fail,
+        api.Cancel,
+        api.Probe,
+        api.Load,
+        api.Unload,
+        api.WakeMe,
+        api.Watch,
+        api.FetchList,
+        api.Log,
+    )
+}
+log = structlog.get_logger("saffronstack.record")
+
+
+class RecordError(ValueError):
+    """The record can't be read, or its replay differs; the text says where."""
+
+
+def _tagged(thing: object) -> list[object]:
+    return [type(thing).__name__, thing]
+
+
+def _untagged(raw: Any, kinds: dict[str, Any], number: int) -> Any:
+    try:
+        return msgspec.convert(raw[1], kinds[raw[0]])
+    except (KeyError, IndexError, TypeError, msgspec.ValidationError) as error:
+        raise RecordError(f"entry {number}: not an event or action of this version: {error}") from error
+
+
+class Recorder:
+    """Writes a record on a thread of its own; the decision thread only encodes and queues."""
+
+    def __init__(self, path: str, settings: api.Settings, seed: int) -> None:
+        """OSError where the file can't be made."""
+        self._file = open(path, "wb")  # noqa: SIM115 - closed by the writer thread
+        self._queue: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
+        self._encode = msgspec.msgpack.Encoder().encode
+        self._broken = False
+        self._ended = threading.Event()
+        self._queue.put(self._encode({"version": VERSION, "seed": seed, "settings": settings}))
+        spawn("record", self._write)
+
+    def record(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
+        """One decision. A record with a gap can't be replayed: where the disk can't follow, it ends."""
+        if self._broken:
+            return
+        if self._queue.qsize() > QUEUE_MOST:
+            self._broken = True
+            log.error("record ended: the disk does not follow")
+            return
+        self._queue.put(self._encode([now, _tagged(event), [_tagged(action) for action in actions]]))
+
+    def close(self, timeout_s: float = 5.0) -> bool:
+        """End the record; whether it was written out in time."""
+        self._queue.put(None)
+        return self._ended.wait(timeout_s)
+
+    def _write(self) -> None:
+        try:
+            with self._file, zstandard.ZstdCompressor(level=3).stream_writer(self._file) as stream:
+                unflushed = False
+                while True:
+                    try:
+                        value = self._queue.get(timeout=FLUSH_S)
+                    except queue.Empty:
+                        if unflushed:
+                            stream.flush(zstandard.FLUSH_BLOCK)
+                            self._file.flush()
+                            unflushed = False
+                        continue
+                    if value is None:
+                        break
+                    stream.write(_LENGTH.pack(len(value)) + value)
+                    unflushed = True
+        except (OSError, zstandard.ZstdError) as error:
+            self._broken = True
+            log.error("record ended", error=str(error))
+        finally:
+            self._ended.set()
+
+
+def _values(file: BinaryIO) -> Iterator[bytes]:
+    """The values up to the end or to where the record was cut."""
+    reader = zstandard.ZstdDecompressor().stream_reader(file)
+    held = b""
+
+    def take(size: int) -> bytes | None:
+        nonlocal held
+        while len(held) < size:
+            try:
+                more = reader.read(1 << 16)
+            except zstandard.ZstdError as error:
+                raise RecordError(f"byte {file.tell()}: not a zstandard stream: {error}") from error
+            if not more:
+                return None
+            held += more
+        taken, held = held[:size], held[size:]
+        return taken
+
+    while (head := take(_LENGTH.size)) is not None:
+        (length,) = _LENGTH.unpack(head)
+        if length > VALUE_MOST:
+            raise RecordError(f"a value of {length} bytes, {VALUE_MOST} at most")
+        value = take(length)
+        if value is None:
+            return
+        yield value
+
+
+def replay(path: str) -> tuple[int, int]:
+    """Feed a record to a fresh `Router`; how many events and actions agreed. RecordError at the first that
+    differs, naming entry, event and both lists of actions; OSError where the file can't be read."""
+    with open(path, "rb") as file:
+        values = _values(file)
+        first = next(values, None)
+        if first is None:
+            raise RecordError("the record holds nothing")
+        try:
+            head = msgspec.msgpack.decode(first)
+            if head["version"] != VERSION:
+                raise RecordError(f"version {head['version']}, not {VERSION}")
+            router = Router(msgspec.convert(head["settings"], api.Settings), int(head["seed"]))
+        except (KeyError, TypeError, msgspec.MsgspecError) as error:
+            raise RecordError(f"the record's head: {error}") from error
+        events = actions = 0
+        for number, value in enumerate(values, 1):
+            try:
+                now, event, recorded = msgspec.msgpack.decode(value)
+            except (msgspec.MsgspecError, ValueError, TypeError) as error:
+                raise RecordError(f"entry {number}: {error}") from error
+            told = _untagged(event, _EVENTS, number)
+            expected = [_untagged(action, _ACTIONS, number) for action in recorded]
+            decided = router.handle(now, told)
+            if decided != expected:
+                raise RecordError(
+                    f"entry {number}, at {now:.6f}, {told}: recorded {expected}, decided {decided}"
+                )
+            events += 1
+            actions += len(expected)
+        return events, actions
--- /dev/null
+++ b/saffronstack/core/roster.py
@@ -0,0 +1,84 @@
+"""The workers as the gateway was told of them, and as they were heard; turned into list updates. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from saffronstack.core.calls import Heard
+from saffronstack.interface import ListKind, ListUpdate, WorkerEntry, WorkerState
+
+EARLIEST_S = 1e-6  # a start time of 0 would mean "long ago" to the module
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerSpec:
+    """One worker as told; ``started_at`` in Unix seconds, 0 for long ago."""
+
+    number: int
+    name: str
+    host: str
+    port: int
+    draining: bool = False
+    size: float = 1.0
+    kind: int = 0
+    zone: int = 0
+    cell: int = 0
+    started_at: float = 0.0
+
+
+class Roster:
+    """Owned by the decision thread. A worker that left and returns counts as started anew."""
+
+    def __init__(self, cold_s: float) -> None:
+        self.cold_s = cold_s
+        self.version = 0
+        self.specs: dict[int, WorkerSpec] = {}
+        self.entries: dict[int, WorkerEntry] = {}
+        self._incarnations: dict[int, str] = {}
+
+    def told(self, now: float, wall: float, specs: Iterable[WorkerSpec]) -> ListUpdate:
+        """The whole list was told anew at ``now`` (monotonic) and ``wall`` (Unix seconds)."""
+        self.version += 1
+        self.specs = {spec.number: spec for spec in specs}
+        entries = {}
+        for spec in self.specs.values():
+            since_s = self._since(now, wall, spec.started_at)
+            known = self.entries.get(spec.number)
+            if known is not None:  # what the worker itself said of its start may be later than the list's
+                since_s = max(since_s, known.since_s)
+            state = WorkerState.DRAINING if spec.draining else WorkerState.READY
+            entries[spec.number] = WorkerEntry(
+                spec.number, state, spec.size, spec.kind, spec.zone, spec.cell, since_s
+            )
+        gone = [
+            replace(entry, state=WorkerState.GONE)
+            for number, entry in self.entries.items()
+            if number not in entries
+        ]
+        self.entries = entries
+        for entry in gone:
+            self._incarnations.pop(entry.worker, None)
+        return ListUpdate(ListKind.FULL, tuple(entries.values()), self.version)
+
+    def heard(self, now: float, heard: Heard) -> ListUpdate | None:
+        """A worker named its incarnation; a change where it started anew behind the list's back."""
+        entry = self.entries.get(heard.worker)
+        if entry is None or self._incarnations.get(heard.worker) == heard.incarnation:
+            return None
+        first = heard.worker not in self._incarnations
+        self._incarnations[heard.worker] = heard.incarnation
+        since_s = max(EARLIEST_S, now - heard.uptime_s)
+        young = 0 < heard.uptime_s < self.cold_s
+        if (first and not young) or since_s <= entry.since_s + 0.5:
+            return None
+        self.version += 1
+        entry = self.entries[heard.worker] = replace(entry, since_s=since_s)
+        return ListUpdate(ListKind.CHANGE, (entry,), self.version)
+
+    def _since(self, now: float, wall: float, started_at: float) -> float:
+        """A start on the module's clock; one past the cold time, or one in the future, is bounded."""
+        if not started_at:
+            return 0.0
+        age_s = max(0.0, wall - started_at)
+        return max(EARLIEST_S, now - age_s)
--- /dev/null
+++ b/saffronstack/day/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted days: real gateway processes, stand-in workers, traffic, trouble, and the verdict."""
--- /dev/null
+++ b/saffronstack/deferred/calls.py
@@ -0,0 +1,375 @@
+"""Deferred calls in service: taking them, trying them, finishing them, telling what became of them."""
+
+from __future__ import annotations
+
+import queue
+import random
+import threading
+import uuid
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import structlog
+
+from saffronstack.config.build import Functions, Known
+from saffronstack.config.schema import Config
+from saffronstack.core.calls import Call, Ending, Final, Prior
+from saffronstack.core.engine import Engine
+from saffronstack.core.threads import spawn
+from saffronstack.core.timers import Timers
+from saffronstack.deferred import invocation, recovery
+from saffronstack.deferred.ledger import Ledger, Ticket
+from saffronstack.deferred.records import Accepted, Attempted, Dropped, Finished, Voided
+from saffronstack.deferred.recovery import Condition, Finish, MayHaveRun, Policy, State, Try, Wait
+from saffronstack.interface import Effect
+
+IDLE_S = 0.5
+COMMIT_AGAIN_S = 0.5  # pause before a final record that could not be written is written again
+log = structlog.get_logger("saffronstack.deferred")
+
+
+class LedgerFull(Exception):
+    """No more calls are taken for now."""
+
+    def __init__(self, text: str, retry_after_s: float) -> None:
+        super().__init__(text)
+        self.retry_after_s = retry_after_s
+
+
+class CommitFailed(Exception):
+    """The call could not be made durable, and was not taken."""
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A call to take."""
+
+    request_id: str
+    function: str
+    tenant: str
+    payload: bytes
+    context: str = ""
+    key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Lookup:
+    """What became of a call; ``record`` is None while it is open."""
+
+    tenant: str
+    state: str
+    attempts: int = 0
+    record: bytes | None = None
+
+
+@dataclass(eq=False, slots=True)
+class _Live:
+    """A call in the dispatcher's hands."""
+
+    accepted: Accepted
+    state: State
+    attempts: int = 0
+    noted: bool = False  # an attempt was noted in the ledger since the last void
+    running: bool = False
+    ended: tuple[Condition, bytes | None, str, str] | None = None  # condition, response, error, reason
+    ticket: Ticket | None = None
+    delivery: Accepted | None = None  # the destination's call, in the same commit as the final record
+
+
+class _Guard:
+    """Notes an attempt in the ledger before its first byte goes out."""
+
+    def __init__(self, owner: DeferredCalls, live: _Live) -> None:
+        self._owner = owner
+        self._live = live
+
+    def may_send(self, attempt: int, worker: int) -> bool:
+        return self._owner.note_attempt(self._live, worker)
+
+
+class DeferredCalls:
+    """One dispatcher thread owns the calls under way; the ledger's writer owns the book."""
+
+    def __init__(
+        self,
+        config: Config,
+        ledger: Ledger,
+        engine: Engine,
+        functions: Functions,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        seed: int = 0,
+    ) -> None:
+        """``wall`` is read once: from then on Unix time follows the monotonic clock, whatever is set."""
+        assert config.ledger is not None
+        self._config = config
+        self._limits = config.ledger
+        self._ledger = ledger
+        self._engine = engine
+        self._functions = functions
+        self._clock = clock
+        self._offset = wall() - clock()
+        self._random = random.Random(seed)
+        self._tenants = {tenant.name: place for place, tenant in enumerate(config.tenants)}
+        self._classes = {cls.name: cls for cls in config.classes}
+        self._queue: queue.SimpleQueue[_Live | tuple[_Live, Final] | None] = queue.SimpleQueue()
+        self._due: Timers[_Live] = Timers()
+        self._live: dict[str, _Live] = {}
+        self._waiting: deque[_Live] = deque()  # due, behind the bound on calls under way
+        self._running = 0
+        self._stopping = False
+        self._ended = threading.Event()
+        self.taken = 0
+        self.finished: dict[str, int] = {condition.value: 0 for condition in Condition}
+
+    def now(self) -> float:
+        """Unix seconds that never step."""
+        return self._clock() + self._offset
+
+    def start(self) -> None:
+        """Take up what the ledger holds open, and start the dispatcher."""
+        book = self._ledger.book
+        for call in list(book.open.values()):
+            first = call.attempts[0] if call.attempts else None
+            ran = None if first is None else MayHaveRun(first.worker, first.at)
+            live = _Live(
+                call.accepted,
+                State(call.accepted.at, ran),
+                attempts=len(call.attempts),
+                noted=first is not None,
+            )
+            self._live[call.accepted.id] = live
+            self._due.set(0.0, live)
+        if book.open:
+            log.info("deferred calls taken up", open=len(book.open), in_doubt=self._ledger.found.in_doubt)
+        spawn("deferred", self._run)
+
+    def stop(self, timeout_s: float) -> bool:
+        """Start no more tries, let those under way end, keep the rest for the next start."""
+        self._stopping = True
+        self._queue.put(None)
+        return self._ended.wait(timeout_s)
+
+    @property
+    def open_calls(self) -> int:
+        """Calls without a durable final record."""
+        return len(self._ledger.book.open)
+
+    # ---- from the fronts' threads
+
+    def accept(self, submission: Submission) -> None:
+        """Take a call: it is durable when this returns. LedgerFull or CommitFailed: it was not taken."""
+        limits, book = self._limits, self._ledger.book
+        if self._stopping:
+            raise LedgerFull("The gateway stops.", 1.0)
+        if len(book.open) + self._ledger.queued >= limits.open_calls or book.open_bytes >= limits.open_bytes:
+            raise LedgerFull(f"{len(book.open)} deferred calls are open.", 2.0)
+        accepted = Accepted(
+            submission.request_id,
+            submission.function,
+            submission.tenant,
+            submission.payload,
+            submission.context,
+            submission.key,
+            self.now(),
+        )
+        ticket = self._ledger.append(accepted)
+        if not ticket.done.wait(limits.commit_timeout_s) and not ticket.revoke():
+            self._ledger.append(Dropped(accepted.id))
+            raise CommitFailed(f"not written within {limits.commit_timeout_s:g} s")
+        if not ticket.durable:
+            raise CommitFailed(str(ticket.error.strerror) if ticket.error else "not written in time")
+        self.taken += 1
+        self._queue.put(_Live(accepted, State(accepted.at)))
+
+    def lookup(self, request_id: str) -> Lookup | None:
+        """What became of a call, None where its id is not known."""
+        finished = self._ledger.book.finished.get(request_id)
+        if finished is not None:
+            return Lookup(finished.tenant, "final", record=finished.record)
+        call = self._ledger.book.open.get(request_id)
+        if call is None:
+            return None
+        live = self._live.get(request_id)
+        running = live is not None and live.running
+        return Lookup(call.accepted.tenant, "running" if running else "queued", live.attempts if live else 0)
+
+    def note_attempt(self, live: _Live, worker: int) -> bool:
+        """On a worker's thread: make an attempt durable before it is sent; False: it must not be sent."""
+        ticket = self._ledger.append(Attempted(live.accepted.id, worker, self.now()))
+        live.noted = True
+        if not ticket.done.wait(self._limits.commit_timeout_s):
+            ticket.revoke()
+            return False
+        return ticket.durable
+
+    # ---- the dispatcher thread
+
+    def _run(self) -> None:
+        try:
+            while not (self._stopping and not self._running and self._queue.empty()):
+                due_s = self._due.next_s()
+                wait_s = IDLE_S if due_s is None else min(IDLE_S, max(0.0, due_s - self.now()))
+                if self._waiting and self._running < self._limits.in_flight:
+                    wait_s = 0.0
+                try:
+                    item = self._queue.get(timeout=wait_s) if wait_s else self._queue.get_nowait()
+                except queue.Empty:
+                    pass
+                else:
+                    self._take(item)
+                while not self._stopping and (live := self._due.due(self.now())) is not None:
+                    self._look(live)
+                while self._waiting and self._running < self._limits.in_flight and not self._stopping:
+                    self._begin(self._waiting.popleft())
+        finally:
+            self._ended.set()
+
+    def _take(self, item: _Live | tuple[_Live, Final] | None) -> None:
+        if isinstance(item, _Live):
+            self._live[item.accepted.id] = item
+            self._waiting.append(item)
+        elif item is not None:
+            self._answered(*item)
+
+    def _look(self, live: _Live) -> None:
+        """A call whose time has come: a try, or the writing of its final record."""
+        if live.ended is None:
+            self._waiting.append(live)
+        elif live.ticket is not None and live.ticket.durable:
+            self._live.pop(live.accepted.id, None)
+            self.finished[live.ended[0].value] += 1
+            if live.delivery is not None:
+                self._take(_Live(live.delivery, State(live.delivery.at)))
+        elif live.ticket is not None and not live.ticket.done.is_set():
+            self._due.set(self.now() + 0.02, live)
+        else:
+            self._write_final(live)
+
+    def _known(self, live: _Live) -> tuple[Known | None, Policy | None]:
+        known = self._functions.get(live.accepted.function)
+        if known is None:
+            return None, None
+        cls = self._classes[known.config.call_class]
+        return known, Policy(
+            known.effect,
+            cls.window_s,
+            cls.deadline_s - self._config.answer_margin_s,
+            known.config.maximum_event_age_s,
+            known.config.maximum_retry_attempts,
+        )
+
+    def _begin(self, live: _Live) -> None:
+        known, policy = self._known(live)
+        step = recovery.next_step(live.state, policy, self.now())
+        if isinstance(step, Finish) or known is None:
+            condition = step.condition if isinstance(step, Finish) else Condition.REFUSED
+            reason = "its function is not in the configuration" if policy is None else _REASONS[condition]
+            self._finish(live, condition, None, "", reason)
+            return
+        assert isinstance(step, Try)
+        accepted, ran = live.accepted, live.state.ran
+        call = Call(
+            self._engine.next_number(),
+            accepted.id,
+            known.spec,
+            accepted.payload,
+            step.until - self._offset,
+            self._tenants.get(accepted.tenant, 0),
+            accepted.tenant,
+            accepted.key,
+            accepted.context,
+            prior=None if ran is None else Prior(ran.worker, ran.sent_at - self._offset),
+            guard=None if known.effect is Effect.SAFE else _Guard(self, live),
+            on_final=lambda call, final: self._queue.put((live, final)),
+        )
+        live.running = True
+        self._running += 1
+        if not self._engine.submit(call):
+            call.settle(Final(Ending.REFUSED, stay_away_s=0.5, prior=call.prior))
+
+    def _answered(self, live: _Live, final: Final) -> None:
+        live.running = False
+        self._running -= 1
+        live.attempts += final.attempts
+        ran = live.state.ran
+        if final.ending is Ending.SERVED:
+            pass  # the answer ends the doubt about earlier attempts
+        elif final.prior is not None:
+            ran = MayHaveRun(final.prior.worker, final.prior.sent_s + self._offset)
+        elif final.ending is Ending.FAILED and ran is None:  # no promise, though nothing was seen to run
+            ran = MayHaveRun(0, self.now())
+        elif live.noted and ran is None:
+            live.noted = False
+            self._ledger.append(Voided(live.accepted.id))
+        known, policy = self._known(live)
+        if policy is None or known is None:
+            self._due.set(0.0, live)
+            return
+        state, step = recovery.after_answer(
+            replace(live.state, ran=ran),
+            policy,
+            final.ending,
+            bool(final.function_error),
+            final.stay_away_s,
+            self.now(),
+            self._random.random(),
+        )
+        live.state = state
+        if isinstance(step, Finish):
+            served = final.ending is Ending.SERVED
+            self._finish(
+                live,
+                step.condition,
+                final.payload if served else None,
+                final.function_error,
+                "" if served else _REASONS[step.condition],
+            )
+        elif isinstance(step, Wait):
+            self._due.set(step.until, live)
+
+    def _finish(
+        self, live: _Live, condition: Condition, response: bytes | None, error: str, reason: str
+    ) -> None:
+        live.ended = condition, response, error, reason
+        self._write_final(live)
+
+    def _write_final(self, live: _Live) -> None:
+        """The final record and, in the same commit, the call that delivers it: both or neither."""
+        assert live.ended is not None
+        condition, response, error, reason = live.ended
+        accepted, now = live.accepted, self.now()
+        arn = f"arn:aws:lambda:{self._config.region}:{self._config.account}:function:{accepted.function}"
+        content = invocation.record(
+            request_id=accepted.id,
+            arn=arn,
+            condition=condition,
+            attempts=live.attempts,
+            request=accepted.payload,
+            at=now,
+            response=response,
+            function_error=error,
+            reason=reason,
+        )
+        finished = Finished(accepted.id, accepted.function, accepted.tenant, now, content)
+        known = self._functions.get(accepted.function)
+        target = None
+        if known is not None:
+            target = known.config.on_success if condition is Condition.SUCCESS else known.config.on_failure
+        if target is None:
+            live.ticket = self._ledger.append(finished)
+        else:
+            delivery_id = str(uuid.uuid5(uuid.NAMESPACE_OID, accepted.id))
+            live.delivery = Accepted(delivery_id, target, accepted.tenant, content, "", delivery_id, now)
+            live.ticket = self._ledger.append(finished, live.delivery)
+        self._due.set(now + (COMMIT_AGAIN_S if self._ledger.failing else 0.01), live)
+
+
+_REASONS = {
+    Condition.SUCCESS: "",
+    Condition.RETRIES_EXHAUSTED: "the function failed each time",
+    Condition.EXPIRED: "its maximum event age passed before a worker could take it",
+    Condition.REFUSED: "it was refused for good",
+    Condition.UNKNOWN: "it may have run, and may not be sent again",
+}
--- /dev/null
+++ b/saffronstack/gateway.py
@@ -0,0 +1,144 @@
+"""A gateway put together: configuration, engine, worker pools, ledger and front, and its way to stop."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import structlog
+
+from saffronstack.config.build import Functions, PlaceNumbers, settings_of, workers_of
+from saffronstack.config.schema import Config
+from saffronstack.core.engine import Engine
+from saffronstack.core.record import Recorder
+from saffronstack.deferred.calls import DeferredCalls
+from saffronstack.deferred.ledger import Ledger
+from saffronstack.deferred.segments import Files
+from saffronstack.http1.messages import Limits
+from saffronstack.invoke.app import Access, App
+from saffronstack.invoke.pages import Pages
+from saffronstack.invoke.server import FrontLimits, Server
+from saffronstack.workers.fleet import Fleet
+from saffronstack.workers.pool import PoolLimits
+
+log = structlog.get_logger("saffronstack.gateway")
+REREAD = ("keys", "workers")  # what a reread may change; the rest needs a restart
+
+
+class Gateway:
+    """Everything one gateway process runs."""
+
+    def __init__(
+        self,
+        config: Config,
+        *,
+        record_to: str = "",
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+        files: Files | None = None,
+    ) -> None:
+        """OSError where the address can't be had, LedgerError where the ledger can't be used."""
+        self.config = config
+        self._clock, self._wall = clock, wall
+        limits = config.limits
+        settings = settings_of(config)
+        self._recorder = Recorder(record_to, settings, config.seed) if record_to else None
+        self.engine = Engine(
+            settings,
+            config.seed,
+            clock,
+            self._recorder,
+            backstop_s=config.answer_margin_s / 2,
+            open_most=limits.open_calls,
+        )
+        self._numbers = PlaceNumbers(config)
+        self.fleet = Fleet(
+            PoolLimits(
+                limits.worker_connections,
+                config.allow.connect_timeout_s,
+                limits.worker_idle_s,
+                config.order_timeout_s,
+                Limits(body=limits.response_bytes),
+            ),
+            self.engine.tell,
+            clock,
+        )
+        self.functions = Functions(config)
+        self.ledger: Ledger | None = None
+        self.deferred: DeferredCalls | None = None
+        if config.ledger is not None:
+            self.ledger = Ledger(
+                config.ledger.directory, config.ledger.history, config.ledger.segment_bytes, files
+            )
+            self.deferred = DeferredCalls(
+                config, self.ledger, self.engine, self.functions, clock, wall, config.seed
+            )
+        self.pages = Pages(self)
+        self.app = App(config, self.engine, self.functions, self.deferred, clock, wall, self.pages.table())
+        host, _, port = config.listen.rpartition(":")
+        messages = Limits(
+            limits.line_bytes,
+            limits.head_bytes,
+            limits.header_fields,
+            max(limits.payload_bytes, limits.event_payload_bytes),
+        )
+        self.server = Server(
+            host,
+            int(port),
+            self.app,
+            FrontLimits(
+                messages,
+                limits.connections,
+                limits.head_timeout_s,
+                limits.body_timeout_s,
+                limits.write_timeout_s,
+                limits.idle_timeout_s,
+            ),
+            clock,
+        )
+        self.draining = False
+
+    def start(self) -> tuple[str, int]:
+        """Start it; the address on which calls are taken from now on."""
+        specs = workers_of(self.config, self._numbers)
+        self.fleet.told(specs)
+        self.engine.update_workers(specs, self._wall())
+        self.engine.start(self.fleet)
+        if self.deferred is not None:
+            self.deferred.start()
+        self.server.start()
+        return self.server.address
+
+    def reread(self, config: Config) -> list[str]:
+        """Take what can be taken from a new configuration; the names of the parts that need a restart."""
+        left = [
+            name
+            for name in type(config).__struct_fields__
+            if name not in REREAD and getattr(config, name) != getattr(self.config, name)
+        ]
+        kinds = {kind.name for kind in self.config.kinds}
+        if any(worker.kind not in kinds for worker in config.workers):
+            return [*left, "workers (of kinds that are new)"]
+        if bool(config.keys) != bool(self.config.keys):
+            left.append("keys (from none to some, or the reverse)")
+        else:
+            self.app.access = Access.of(config)
+        specs = workers_of(config, self._numbers)
+        self.fleet.told(specs)
+        self.engine.update_workers(specs, self._wall())
+        return left
+
+    def stop(self) -> bool:
+        """Take nothing more, answer what was taken, end; whether all ended within the deadlines."""
+        self.draining = True
+        longest_s = max(cls.deadline_s for cls in self.config.classes)
+        clean = self.server.drain(longest_s + self.config.limits.write_timeout_s)
+        if self.deferred is not None:
+            clean = self.deferred.stop(longest_s + 1.0) and clean
+        clean = self.engine.stop() and clean
+        self.fleet.end()
+        if self.ledger is not None:
+            clean = self.ledger.close() and clean
+        if self._recorder is not None:
+            clean = self._recorder.close() and clean
+        return clean
--- /dev/null
+++ b/saffronstack/http1/reader.py
@@ -0,0 +1,252 @@
+"""Reads HTTP/1.1 messages from bytes as they come (RFC 9112), strictly.
+
+What two readers could understand differently is refused, never mended: a proxy that guesses lets one
+request hide in another. The verdict does not depend on how the bytes were split.
+"""
+
+from __future__ import annotations
+
+import re
+from enum import Enum
+
+from saffronstack.http1.messages import Headers, HttpError, Limits, RequestHead, ResponseHead
+
+_BAD_ENDING = re.compile(rb"(?<!\r)\n|\r(?!\n|\Z)|\x00")
+_REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/1\.([01])")
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?")
+_FIELD = re.compile(
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*((?:[\x21-\x7e\x80-\xff](?:[ \t\x21-\x7e\x80-\xff]*"
+    rb"[\x21-\x7e\x80-\xff])?)?)[ \t]*"
+)
+_LENGTH = re.compile(r"[0-9]{1,18}")
+_CHUNK = re.compile(rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?")
+CHUNK_LINE = 256  # bytes of a chunk's size line, extensions included
+
+
+class _Body(Enum):
+    NONE = 0
+    LENGTH = 1
+    CHUNK_SIZE = 2
+    CHUNK_DATA = 3
+    CHUNK_END = 4
+    TRAILERS = 5
+    UNTIL_CLOSE = 6
+
+
+class MessageReader:
+    """One connection's incoming messages: `feed` bytes, take a head, then its body, then the next head."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self._buffer = bytearray()
+        self._scanned = 0
+        self._body = _Body.NONE
+        self._left = 0
+        self._content = bytearray()
+        self._ended = False
+
+    def feed(self, data: bytes) -> None:
+        """More bytes from the peer; empty ones mean that it has ended its side."""
+        if data:
+            self._buffer += data
+        else:
+            self._ended = True
+
+    @property
+    def pending(self) -> int:
+        """Bytes that were fed and not yet taken."""
+        return len(self._buffer)
+
+    @property
+    def ended(self) -> bool:
+        """The peer has ended its side."""
+        return self._ended
+
+    # ---- heads
+
+    def request(self) -> RequestHead | None:
+        """The next request's head, None while bytes are missing; HttpError where it can't be taken."""
+        block = self._head_block()
+        if block is None:
+            return None
+        line, _, rest = block.partition(b"\r\n")
+        if len(line) > self.limits.line:
+            raise HttpError(431, f"request line of {len(line)} bytes, {self.limits.line} at most")
+        match = _REQUEST_LINE.fullmatch(line)
+        if match is None:
+            raise HttpError(400, "malformed request line")
+        headers = self._fields(rest)
+        minor = int(match[3])
+        if len(headers.all("host")) != 1 and (minor or "host" in headers):
+            raise HttpError(400, "exactly one Host field is needed")
+        self._frame(headers, minor, request=True)
+        expects = minor == 1 and headers.get("expect").lower() == "100-continue"
+        return RequestHead(
+            match[1].decode(), match[2].decode(), minor, headers, _keeps(headers, minor), expects
+        )
+
+    def response(self, to_head: bool = False) -> ResponseHead | None:
+        """The next response's head; 1xx ones are passed over. ``to_head``: it answers a HEAD request."""
+        while True:
+            block = self._head_block()
+            if block is None:
+                return None
+            line, _, rest = block.partition(b"\r\n")
+            match = _STATUS_LINE.fullmatch(line)
+            if match is None:
+                raise HttpError(400, "malformed status line")
+            status, minor = int(match[2]), int(match[1])
+            headers = self._fields(rest)
+            if status == 101:
+                raise HttpError(400, "unasked switch of protocols")
+            if status < 200:
+                continue
+            if to_head or status in (204, 304):
+                self._body = _Body.NONE
+            else:
+                self._frame(headers, minor, request=False)
+            keeps = _keeps(headers, minor) and self._body is not _Body.UNTIL_CLOSE
+            return ResponseHead(status, (match[3] or b"").decode("latin-1"), minor, headers, keeps)
+
+    def _head_block(self) -> bytes | None:
+        buffer, limits = self._buffer, self.limits
+        end = buffer.find(b"\r\n\r\n", self._scanned)
+        part = buffer[: end + 4] if end >= 0 else buffer[: limits.head + 1]
+        if _BAD_ENDING.search(part):
+            raise HttpError(400, "bare CR, bare LF or NUL in the head")
+        if end < 0:
+            if len(buffer) > limits.head:
+                raise HttpError(431, f"head over {limits.head} bytes")
+            if len(buffer) > limits.line and b"\r\n" not in buffer[: limits.line + 2]:
+                raise HttpError(431, f"line over {limits.line} bytes")
+            self._scanned = max(0, len(buffer) - 3)
+            return None
+        if end + 4 > limits.head:
+            raise HttpError(431, f"head over {limits.head} bytes")
+        block = bytes(buffer[:end])
+        del buffer[: end + 4]
+        self._scanned = 0
+        return block
+
+    def _fields(self, block: bytes) -> Headers:
+        items: list[tuple[str, str]] = []
+        lines = block.split(b"\r\n") if block else []
+        if len(lines) > self.limits.fields:
+            raise HttpError(431, f"{len(lines)} header fields, {self.limits.fields} at most")
+        for line in lines:
+            if len(line) > self.limits.line:
+                raise HttpError(431, f"header line of {len(line)} bytes, {self.limits.line} at most")
+            match = _FIELD.fullmatch(line)
+            if match is None:
+                what = "folded header line" if line[:1] in (b" ", b"\t") else "malformed header line"
+                raise HttpError(400, what)
+            items.append((match[1].decode().lower(), match[2].decode("latin-1")))
+        return Headers(items)
+
+    def _frame(self, headers: Headers, minor: int, request: bool) -> None:
+        """How the body ends (RFC 9112, section 6.3)."""
+        lengths, codings = headers.all("content-length"), headers.all("transfer-encoding")
+        if codings and (lengths or minor == 0):
+            raise HttpError(400, "Transfer-Encoding beside Content-Length or in HTTP/1.0")
+        self._content = bytearray()
+        if codings:
+            if len(codings) > 1 or codings[0].lower() != "chunked":
+                raise HttpError(501, "only the chunked transfer encoding is known")
+            self._body = _Body.CHUNK_SIZE
+            return
+        if len(lengths) > 1:
+            raise HttpError(400, "more than one Content-Length")
+        if lengths:
+            if not _LENGTH.fullmatch(lengths[0]):
+                raise HttpError(400, "malformed Content-Length")
+            self._left = int(lengths[0])
+            if self._left > self.limits.body:
+                raise HttpError(413, f"body of {self._left} bytes, {self.limits.body} at most")
+            self._body = _Body.LENGTH if self._left else _Body.NONE
+        else:
+            self._body = _Body.NONE if request else _Body.UNTIL_CLOSE
+
+    # ---- bodies
+
+    def body(self) -> bytes | None:
+        """The whole body of the head taken last, None while bytes are missing."""
+        if self._body is _Body.NONE:
+            return b""
+        if self._body is _Body.LENGTH:
+            if len(self._buffer) < self._left:
+                return None
+            content = bytes(self._buffer[: self._left])
+            del self._buffer[: self._left]
+            self._body = _Body.NONE
+            return content
+        if self._body is _Body.UNTIL_CLOSE:
+            if len(self._buffer) > self.limits.body:
+                raise HttpError(413, f"body over {self.limits.body} bytes")
+            if not self._ended:
+                return None
+            content = bytes(self._buffer)
+            self._buffer.clear()
+            self._body = _Body.NONE
+            return content
+        return self._chunked()
+
+    def _chunked(self) -> bytes | None:
+        while self._body is not _Body.NONE:
+            if self._body is _Body.CHUNK_DATA:
+                taken = self._buffer[: self._left]
+                self._content += taken
+                del self._buffer[: len(taken)]
+                self._left -= len(taken)
+                if self._left:
+                    return None
+                self._body = _Body.CHUNK_END
+                continue
+            limit = self.limits.line if self._body is _Body.TRAILERS else CHUNK_LINE
+            line = self._line(limit)
+            if line is None:
+                return None
+            if self._body is _Body.CHUNK_END:
+                if line:
+                    raise HttpError(400, "a chunk is longer than its size")
+                self._body = _Body.CHUNK_SIZE
+            elif self._body is _Body.CHUNK_SIZE:
+                match = _CHUNK.fullmatch(line)
+                if match is None:
+                    raise HttpError(400, "malformed chunk size")
+                self._left = int(match[1], 16)
+                if len(self._content) + self._left > self.limits.body:
+                    raise HttpError(413, f"body over {self.limits.body} bytes")
+                self._body = _Body.CHUNK_DATA if self._left else _Body.TRAILERS
+                self._trailers = 0
+            elif line:
+                self._trailers += 1
+                if self._trailers > self.limits.fields:
+                    raise HttpError(431, "too many trailer fields")
+                names = [name for name, _ in self._fields(line).items]
+                if names[0] in ("content-length", "transfer-encoding", "host"):
+                    raise HttpError(400, f"{names[0]} among the trailers")
+            else:
+                self._body = _Body.NONE
+        content = bytes(self._content)
+        self._content = bytearray()
+        return content
+
+    _trailers = 0
+
+    def _line(self, limit: int) -> bytes | None:
+        end = self._buffer.find(b"\r\n")
+        part = self._buffer[: end + 2] if end >= 0 else self._buffer[: limit + 2]
+        if _BAD_ENDING.search(part):
+            raise HttpError(400, "bare CR, bare LF or NUL in the chunked body")
+        if end > limit or (end < 0 and len(self._buffer) > limit + 1):
+            raise HttpError(400, f"chunk line over {limit} bytes")
+        if end < 0:
+            return None
+        line = bytes(self._buffer[:end])
+        del self._buffer[: end + 2]
+        return line
+
+
+def _keeps(headers: Headers, minor: int) -> bool:
+    words = {word.strip().lower() for value in headers.all("connection") for word in value.split(",")}
+    return "close" not in words and (minor == 1 or "keep-alive" in words)
--- /dev/null
+++ b/saffronstack/http1/writer.py
@@ -0,0 +1,55 @@
+"""Writes HTTP/1.1 messages. Header values come from the program or were read strictly; they are checked."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+
+_SAFE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
+}
+
+
+def _fields(headers: Iterable[tuple[str, str]]) -> str:
+    lines = []
+    for name, value in headers:
+        if not _SAFE.fullmatch(value):
+            raise ValueError(f"header {name} holds a character that can't be sent")
+        lines.append(f"{name}: {value}\r\n")
+    return "".join(lines)
+
+
+def response(
+    status: int, headers: Iterable[tuple[str, str]], body: bytes = b"", close: bool = False
+) -> bytes:
+    """A whole response; 204 carries neither body nor length (RFC 9110, section 8.6)."""
+    fields = _fields(headers)
+    length = "" if status == 204 else f"Content-Length: {len(body)}\r\n"
+    ending = "Connection: close\r\n" if close else ""
+    head = f"HTTP/1.1 {status} {REASONS.get(status, '')}\r\n{fields}{length}{ending}\r\n"
+    return head.encode("latin-1") + body
+
+
+def request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes = b"") -> bytes:
+    """A whole request; the caller names Host."""
+    fields = _fields(headers)
+    return (
+        f"{method} {target} HTTP/1.1\r\n{fields}Content-Length: {len(body)}\r\n\r\n".encode("latin-1") + body
+    )
+
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/saffronstack/interface.py
+++ b/saffronstack/interface.py
@@ -207,6 +207,14 @@
     version: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Prior:
+    """An attempt in an earlier life of a request that may have run; ``sent_s`` is clock time."""
+
+    worker: int
+    sent_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A client's request: exactly one final answer is owed by ``deadline_s`` (clock time)."""
@@ -222,6 +230,7 @@
     work_s: float | None = None
     is_repeat: bool = False
     is_write: bool = False
+    prior: Prior | None = None  # only of a deferred request that goes on after a break
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/saffronstack/invoke/app.py
@@ -0,0 +1,298 @@
+"""What a request to the invoke front means, and its answer. Sockets are `server`'s, decisions the core's."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import uuid
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from saffronstack.config.build import Functions, Known
+from saffronstack.config.schema import Config
+from saffronstack.core.calls import Call, Ending, Final
+from saffronstack.core.engine import Engine
+from saffronstack.core.names import LATEST
+from saffronstack.deferred.calls import CommitFailed, DeferredCalls, LedgerFull, Submission
+from saffronstack.http1 import writer
+from saffronstack.http1.messages import HttpError, RequestHead
+from saffronstack.invoke import errors, names, sigv4
+from saffronstack.invoke.errors import InvokeError
+
+CONTEXT_MOST = 3583  # bytes of X-Amz-Client-Context, by the API's page
+KEY_MOST = 128
+CHECK_CLIENT_S = 0.2  # how often a waiting thread looks whether its client is still there
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """An answer to write."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+    def encode(self, close: bool) -> bytes:
+        """Its bytes."""
+        return writer.response(self.status, self.headers, self.body, close)
+
+
+class ClientLeft(Exception):
+    """The client ended its side while its call was open."""
+
+
+class Page(Protocol):
+    """A page beside the API: metrics, health."""
+
+    def __call__(self) -> Response:
+        """The page now."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Access:
+    """Keys and tenants, changed as a whole by a reread."""
+
+    secrets: Mapping[str, str]
+    tenant_by_key: Mapping[str, str]
+
+    @staticmethod
+    def of(config: Config) -> Access:
+        """What a configuration says."""
+        return Access(
+            {key.id: key.secret for key in config.keys}, {key.id: key.tenant for key in config.keys}
+        )
+
+
+def response_id() -> str:
+    """A request id in the API's form."""
+    return str(uuid.uuid4())
+
+
+class App:
+    """Answers requests; used by every connection's thread."""
+
+    def __init__(
+        self,
+        config: Config,
+        engine: Engine,
+        functions: Functions,
+        deferred: DeferredCalls | None,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        pages: Mapping[str, Page],
+    ) -> None:
+        self.access = Access.of(config)
+        self._config = config
+        self._engine = engine
+        self._functions = functions
+        self._deferred = deferred
+        self._clock = clock
+        self._wall = wall
+        self._pages = pages
+        self._tenants = {tenant.name: place for place, tenant in enumerate(config.tenants)}
+        self._validate = msgspec.json.Decoder(msgspec.Raw).decode
+
+    def answer(self, head: RequestHead, body: bytes, client_there: Callable[[], bool]) -> Response:
+        """The answer to one request; ClientLeft where nobody waits for it any more."""
+        request_id = response_id()
+        try:
+            path, query = names.parse_target(head.target)
+            if (page := self._pages.get(path)) is not None:
+                return page() if head.method == "GET" else self._method(request_id, "GET")
+            if match := names.PATH.fullmatch(path):
+                if head.method != "POST":
+                    return self._method(request_id, "POST")
+                target = names.parse_function(match[1], query, self._config.account, self._config.region)
+                return self._invoke(request_id, head, body, target, client_there)
+            if match := names.DEFERRED.fullmatch(path):
+                return self._record(request_id, head, body, match[1])
+            raise InvokeError(404, "ResourceNotFoundException", f"No such path: {path[:200]}")
+        except InvokeError as error:
+            return self.error(request_id, error)
+
+    def error(self, request_id: str, error: InvokeError) -> Response:
+        """An error as the API words it."""
+        return Response(
+            error.status,
+            (
+                ("Content-Type", "application/json"),
+                ("x-amzn-RequestId", request_id),
+                ("x-amzn-ErrorType", error.kind),
+                *error.headers,
+            ),
+            error.body(),
+        )
+
+    def malformed(self, error: HttpError) -> Response:
+        """The answer to bytes that are no acceptable request."""
+        kind = {413: "RequestTooLargeException", 408: "RequestTimeoutException"}.get(
+            error.status, "InvalidRequestContentException"
+        )
+        return self.error(response_id(), InvokeError(error.status, kind, error.text))
+
+    def body_limit(self, head: RequestHead) -> int:
+        """Bytes of body that may come with a request, known from its head."""
+        limits = self._config.limits
+        is_event = head.headers.get("x-amz-invocation-type") == "Event"
+        return limits.event_payload_bytes if is_event else limits.payload_bytes
+
+    def _method(self, request_id: str, allowed: str) -> Response:
+        answer = self.error(request_id, InvokeError(405, "MethodNotAllowedException", f"Use {allowed}."))
+        return Response(answer.status, (*answer.headers, ("Allow", allowed)), answer.body)
+
+    def _tenant(self, head: RequestHead, body: bytes) -> str:
+        """The tenant's name: by signature where keys are set, else as the key id claims, else the first."""
+        access = self.access
+        if access.secrets:
+            key = sigv4.verify(
+                head.method,
+                head.target,
+                head.headers,
+                body,
+                access.secrets,
+                self._wall(),
+                self._config.clock_skew_s,
+            )
+            return access.tenant_by_key[key]
+        claimed = sigv4.credential(head.headers) if "authorization" in head.headers else None
+        if claimed is not None and claimed.key in self._tenants:
+            return claimed.key
+        return self._config.tenants[0].name
+
+    def _invoke(
+        self,
+        request_id: str,
+        head: RequestHead,
+        body: bytes,
+        target: names.Target,
+        client_there: Callable[[], bool],
+    ) -> Response:
+        tenant = self._tenant(head, body)
+        known = self._known(target)
+        kind = head.headers.get("x-amz-invocation-type", "RequestResponse")
+        if kind not in ("RequestResponse", "Event", "DryRun"):
+            raise errors.bad_parameter(
+                f"Value '{kind[:64]}' at 'invocationType' is none of RequestResponse, Event, DryRun."
+            )
+        log_type = head.headers.get("x-amz-log-type", "None")
+        if log_type not in ("None", "Tail"):
+            raise errors.bad_parameter(f"Value '{log_type[:64]}' at 'logType' is none of None, Tail.")
+        payload = self._payload(body)
+        context = self._context(head.headers.get("x-amz-client-context"))
+        key = head.headers.get("idempotency-key")
+        if len(key) > KEY_MOST:
+            raise errors.bad_parameter(f"Idempotency-Key: {len(key)} characters, {KEY_MOST} at most.")
+        key = f"{tenant}:{key}" if key else request_id
+        version = ("X-Amz-Executed-Version", target.qualifier)
+        if kind == "DryRun":
+            return Response(204, (("x-amzn-RequestId", request_id), version))
+        if kind == "Event":
+            self._defer(request_id, known, payload, tenant, context, key)
+            return Response(202, (("x-amzn-RequestId", request_id), version))
+        call = Call(
+            self._engine.next_number(),
+            request_id,
+            known.spec,
+            payload,
+            self._clock() + known.deadline_s - self._config.answer_margin_s,
+            self._tenants.get(tenant, 0),
+            tenant,
+            key,
+            context,
+            log_type == "Tail",
+        )
+        final = self._run(call, client_there)
+        headers = (("Content-Type", "application/json"), ("x-amzn-RequestId", request_id), version)
+        return _final_response(final, headers, call.wants_log)
+
+    def _run(self, call: Call, client_there: Callable[[], bool]) -> Final:
+        """Hand a call to the engine and wait for its final answer, watching the client meanwhile."""
+        if not self._engine.submit(call):
+            raise errors.too_many("Too many calls are open.", 1.0)
+        latest_s = call.deadline_s + self._config.answer_margin_s * 0.8
+        while True:
+            final = call.wait(min(CHECK_CLIENT_S, max(0.0, latest_s - self._clock())))
+            if final is not None:
+                return final
+            if self._clock() >= latest_s:  # the engine itself is stuck: an answer all the same
+                call.settle(Final(Ending.FAILED, reason="the gateway did not decide in time"))
+            elif not client_there():
+                self._engine.leave(call)
+                if call.final is not None and call.final.ending is Ending.GONE:
+                    raise ClientLeft
+
+    def _known(self, target: names.Target) -> Known:
+        known = self._functions.get(target.name)
+        if known is None or target.qualifier not in (LATEST, *known.config.qualifiers):
+            qualifier = "" if target.qualifier == LATEST else target.qualifier
+            raise errors.not_found(
+                names.arn(self._config.region, self._config.account, target.name, qualifier)
+            )
+        return known
+
+    def _payload(self, body: bytes) -> bytes:
+        if not body:
+            return b"{}"
+        try:
+            self._validate(body)
+            body.decode()
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise errors.bad_content(f"Could not parse request body into json: {error}") from error
+        except RecursionError as error:
+            raise errors.bad_content("Could not parse request body into json: nested too deeply") from error
+        return body
+
+    def _context(self, text: str) -> str:
+        if not text:
+            return ""
+        if len(text) > CONTEXT_MOST:
+            raise errors.bad_content(f"Client context must be no more than {CONTEXT_MOST} bytes.")
+        try:
+            self._validate(base64.b64decode(text, validate=True))
+        except (binascii.Error, ValueError) as error:
+            raise errors.bad_content("Client context must be a valid Base64-encoded JSON object.") from error
+        return text
+
+    # ---- deferred calls
+
+    def _defer(
+        self, request_id: str, known: Known, payload: bytes, tenant: str, context: str, key: str
+    ) -> None:
+        if self._deferred is None:
+            raise errors.service("This gateway takes no deferred calls: its configuration names no ledger.")
+        try:
+            self._deferred.accept(Submission(request_id, known.spec.name, tenant, payload, context, key))
+        except LedgerFull as error:
+            raise errors.too_many(str(error), error.retry_after_s) from error
+        except CommitFailed as error:
+            raise errors.too_many(f"Deferred calls can't be written down now: {error}", 5.0) from error
+
+    def _record(self, request_id: str, head: RequestHead, body: bytes, wanted: str) -> Response:
+        """Our extension: what became of a deferred call, for the tenant that made it."""
+        if head.method != "GET":
+            return self._method(request_id, "GET")
+        tenant = self._tenant(head, body)
+        found = self._deferred.lookup(wanted) if self._deferred is not None else None
+        if found is None or (self.access.secrets and found.tenant != tenant):
+            raise InvokeError(404, "ResourceNotFoundException", f"No deferred call has the id {wanted[:64]}")
+        headers = (("Content-Type", "application/json"), ("x-amzn-RequestId", request_id))
+        if found.record is not None:
+            return Response(200, headers, found.record)
+        state = {"requestId": wanted, "state": found.state, "attempts": found.attempts}
+        return Response(202, headers, msgspec.json.encode(state))
+
+
+def _final_response(final: Final, headers: tuple[tuple[str, str], ...], wants_log: bool) -> Response:
+    if final.ending is Ending.SERVED:
+        extra = (("X-Amz-Function-Error", final.function_error),) if final.function_error else ()
+        tail = (("X-Amz-Log-Result", final.log_tail),) if wants_log and final.log_tail else ()
+        return Response(200, (*headers, *extra, *tail), final.payload)
+    if final.ending is Ending.REFUSED:
+        raise errors.too_many(f"Rate exceeded: {final.reason or 'refused'}.", final.stay_away_s)
+    return Response(
+        200, (*headers, ("X-Amz-Function-Error", "Unhandled")), errors.outcome_unknown(final.reason)
+    )
--- /dev/null
+++ b/saffronstack/invoke/names.py
@@ -0,0 +1,66 @@
+"""Function names as the Lambda API takes them: a name, a partial ARN or a whole one, with a qualifier."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+from saffronstack.core.names import LATEST
+from saffronstack.invoke.errors import InvokeError, bad_parameter
+
+PATH = re.compile(r"/2015-03-31/functions/([^/]+)/invocations/?")
+DEFERRED = re.compile(r"/deferred/([^/]+)")
+_NAME = re.compile(
+    r"(?:arn:(?P<partition>aws[a-zA-Z-]*):lambda:(?P<region>[a-z]{2}(?:-[a-z]+)+-\d):)?"
+    r"(?:(?P<account>\d{12}):)?(?:function:)?"
+    r"(?P<name>[a-zA-Z0-9_.-]+)(?::(?P<qualifier>\$LATEST|[a-zA-Z0-9_-]+))?"
+)
+_QUALIFIER = re.compile(r"\$LATEST|[a-zA-Z0-9_-]{1,128}")
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Which function, in which version."""
+
+    name: str
+    qualifier: str
+
+
+def parse_target(text: str) -> tuple[str, dict[str, str]]:
+    """A request target's path and query; InvokeError where it is malformed."""
+    if not text.startswith("/"):
+        raise bad_parameter("The request target must be a path.")
+    try:
+        parts = urlsplit(text)
+        pairs = parse_qsl(
+            parts.query, keep_blank_values=True, strict_parsing=bool(parts.query), max_num_fields=16
+        )
+    except ValueError as error:
+        raise bad_parameter(f"The query string is malformed: {error}.") from error
+    return parts.path, dict(pairs)
+
+
+def parse_function(part: str, query: dict[str, str], account: str, region: str) -> Target:
+    """The function that a path's (percent-encoded) part and the query name; InvokeError otherwise."""
+    text = unquote(part)
+    match = _NAME.fullmatch(text)
+    if match is None or len(text) > 170:
+        raise bad_parameter(
+            f"Value '{text[:200]}' at 'functionName' failed to satisfy the function name pattern."
+        )
+    if (match["account"] or account) != account or (match["region"] or region) != region:
+        raise InvokeError(404, "ResourceNotFoundException", f"Function not found: {text}")
+    asked = query.get("Qualifier", "")
+    if asked and not _QUALIFIER.fullmatch(asked):
+        raise bad_parameter(f"Value '{asked[:200]}' at 'qualifier' failed to satisfy the qualifier pattern.")
+    if asked and match["qualifier"] and asked != match["qualifier"]:
+        raise bad_parameter(
+            "The derived qualifier from the function name does not match the specified qualifier."
+        )
+    return Target(match["name"], asked or match["qualifier"] or LATEST)
+
+
+def arn(region: str, account: str, name: str, qualifier: str = "") -> str:
+    """The ARN of a function."""
+    return f"arn:aws:lambda:{region}:{account}:function:{name}" + (f":{qualifier}" if qualifier else "")
--- /dev/null
+++ b/saffronstack/invoke/server.py
@@ -0,0 +1,254 @@
+"""The front's sockets: accepting, one thread for each connection, time-outs on every wait."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import socket
+import threading
+from collections.abc import Callable
+
+import structlog
+
+from saffronstack.core.threads import spawn
+from saffronstack.http1 import writer
+from saffronstack.http1.messages import HttpError, Limits, RequestHead
+from saffronstack.http1.reader import MessageReader
+from saffronstack.http1.sockets import READ_SIZE, PeerClosed, peer_state, read_until
+from saffronstack.invoke import errors
+from saffronstack.invoke.app import App, ClientLeft, response_id
+
+log = structlog.get_logger("saffronstack.front")
+BACKLOG = 1024
+ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or threads
+LINGER_S = 0.5  # how long bytes of a refused request are still read, so that its answer is not reset away
+LINGER_BYTES = 1 << 20
+
+
+class FrontLimits:
+    """Bounds of the front; times in seconds."""
+
+    def __init__(
+        self, messages: Limits, connections: int, head_s: float, body_s: float, write_s: float, idle_s: float
+    ) -> None:
+        self.messages = messages
+        self.connections = connections
+        self.head_s = head_s
+        self.body_s = body_s
+        self.write_s = write_s
+        self.idle_s = idle_s
+
+
+class Server:
+    """Listens and serves until it is drained."""
+
+    def __init__(
+        self, host: str, port: int, app: App, limits: FrontLimits, clock: Callable[[], float]
+    ) -> None:
+        """OSError where the address can't be had."""
+        self._app = app
+        self._limits = limits
+        self._clock = clock
+        self._listener = socket.create_server((host, port), backlog=BACKLOG, reuse_port=False)
+        self._listener.settimeout(0.5)
+        self._reserve = _reserve()
+        self._lock = threading.Condition()
+        self._idle: set[socket.socket] = set()
+        self._open = 0
+        self._draining = False
+        self.accepted = 0
+        self.turned_away = 0
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port listened on."""
+        host, port = self._listener.getsockname()[:2]
+        return host, port
+
+    @property
+    def connections(self) -> int:
+        """Connections open now."""
+        return self._open
+
+    def start(self) -> None:
+        """Accept connections on a thread of its own."""
+        spawn("accept", self._accept)
+
+    def drain(self, timeout_s: float) -> bool:
+        """Accept nothing more, end idle connections, let the others finish; whether all ended in time."""
+        with self._lock:
+            self._draining = True
+            idle = list(self._idle)
+        with contextlib.suppress(OSError):
+            self._listener.close()
+        for sock in idle:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RD)
+        with self._lock:
+            return self._lock.wait_for(lambda: self._open == 0, timeout_s)
+
+    # ---- accepting
+
+    def _accept(self) -> None:
+        pause = threading.Event()
+        while not self._draining:
+            try:
+                sock, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            except OSError as error:
+                if self._draining:
+                    return
+                if error.errno in (errno.EMFILE, errno.ENFILE):
+                    self._shed_one()
+                elif error.errno not in (errno.ECONNABORTED, errno.EINTR):
+                    log.error("accept failed", error=str(error))
+                pause.wait(ACCEPT_PAUSE_S)
+                continue
+            self.accepted += 1
+            with self._lock:
+                full = self._open >= self._limits.connections
+                self._open += not full
+            if full:
+                self._turn_away(sock)
+                continue
+            try:
+                spawn("client", lambda sock=sock: self._serve(sock))  # type: ignore[misc]
+            except RuntimeError:
+                self._closed()
+                self._turn_away(sock)
+                pause.wait(ACCEPT_PAUSE_S)
+
+    def _shed_one(self) -> None:
+        """Out of descriptors: a kept one is given up for a moment, so that one client is told."""
+        log.warning("out of file descriptors")
+        if self._reserve is not None:
+            os.close(self._reserve)
+            self._reserve = None
+        try:
+            self._listener.settimeout(0)
+            sock, _ = self._listener.accept()
+        except OSError:
+            pass
+        else:
+            self._turn_away(sock)
+        finally:
+            with contextlib.suppress(OSError):
+                self._listener.settimeout(0.5)
+            self._reserve = _reserve()
+
+    def _turn_away(self, sock: socket.socket) -> None:
+        """Nothing of this client was read, so sending again is harmless; the wait here is bounded."""
+        self.turned_away += 1
+        answer = self._app.error(response_id(), errors.too_many("Too many connections.", 1.0))
+        with contextlib.suppress(OSError):
+            sock.settimeout(0.05)
+            sock.sendall(answer.encode(close=True))
+            sock.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(OSError):
+            sock.close()
+
+    def _closed(self) -> None:
+        with self._lock:
+            self._open -= 1
+            self._lock.notify_all()
+
+    # ---- one connection
+
+    def _serve(self, sock: socket.socket) -> None:
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            reader = MessageReader(self._limits.messages)
+            while self._one(sock, reader):
+                pass
+        except (OSError, ClientLeft):
+            pass  # the client has left, or takes no answer: there is nobody to tell
+        except Exception:
+            log.exception("connection thread failed")
+        finally:
+            with self._lock:
+                self._idle.discard(sock)
+            with contextlib.suppress(OSError):
+                sock.close()
+            self._closed()
+
+    def _one(self, sock: socket.socket, reader: MessageReader) -> bool:
+        """One request and its answer; whether the connection goes on."""
+        try:
+            head = self._head(sock, reader)
+            if head is None:
+                return False
+            body = self._body(sock, reader, head)
+        except HttpError as error:
+            self._refuse(sock, error)
+            return False
+        answer = self._app.answer(head, body, lambda: peer_state(sock))
+        close = self._draining or not head.keep_alive
+        sock.settimeout(self._limits.write_s)
+        sock.sendall(answer.encode(close))
+        if close:
+            self._linger(sock)
+        return not close
+
+    def _head(self, sock: socket.socket, reader: MessageReader) -> RequestHead | None:
+        """The next head; None where the client has ended, or stays idle for too long."""
+        if not reader.pending:
+            with self._lock:
+                if self._draining:
+                    return None
+                self._idle.add(sock)
+            try:
+                sock.settimeout(self._limits.idle_s)
+                reader.feed(sock.recv(READ_SIZE))
+            except TimeoutError:
+                return None
+            finally:
+                with self._lock:
+                    self._idle.discard(sock)
+        try:
+            return read_until(sock, reader, reader.request, self._clock() + self._limits.head_s, self._clock)
+        except TimeoutError as error:
+            raise HttpError(408, f"no whole request head within {self._limits.head_s:g} s") from error
+        except PeerClosed:
+            return None
+
+    def _body(self, sock: socket.socket, reader: MessageReader, head: RequestHead) -> bytes:
+        limit = self._app.body_limit(head)
+        told = head.headers.get("content-length")
+        if told and int(told) > limit:
+            raise HttpError(413, f"{told} bytes payload is too large; the limit is {limit} bytes")
+        if head.expects_continue:
+            sock.settimeout(self._limits.write_s)
+            sock.sendall(writer.CONTINUE)
+        try:
+            body = read_until(sock, reader, reader.body, self._clock() + self._limits.body_s, self._clock)
+        except TimeoutError as error:
+            raise HttpError(408, f"no whole request body within {self._limits.body_s:g} s") from error
+        if len(body) > limit:
+            raise HttpError(413, f"{len(body)} bytes payload is too large; the limit is {limit} bytes")
+        return body
+
+    def _refuse(self, sock: socket.socket, error: HttpError) -> None:
+        sock.settimeout(self._limits.write_s)
+        sock.sendall(self._app.malformed(error).encode(close=True))
+        self._linger(sock)
+
+    def _linger(self, sock: socket.socket) -> None:
+        """Read on for a moment: closing on unread bytes would reset the answer away."""
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_WR)
+            end_s, left = self._clock() + LINGER_S, LINGER_BYTES
+            while left > 0 and (wait := end_s - self._clock()) > 0:
+                sock.settimeout(wait)
+                data = sock.recv(READ_SIZE)
+                if not data:
+                    return
+                left -= len(data)
+
+
+def _reserve() -> int | None:
+    try:
+        return os.open(os.devnull, os.O_RDONLY)
+    except OSError:
+        return None
--- /dev/null
+++ b/saffronstack/invoke/sigv4.py
@@ -0,0 +1,157 @@
+"""AWS Signature Version 4 on the receiving side, from its published algorithm. No I/O."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from functools import lru_cache
+from urllib.parse import parse_qsl, quote, urlsplit
+
+from saffronstack.http1.messages import Headers
+from saffronstack.invoke.errors import InvokeError
+
+ALGORITHM = "AWS4-HMAC-SHA256"
+_AUTHORIZATION = re.compile(
+    r"AWS4-HMAC-SHA256 +Credential=(?P<key>[A-Za-z0-9]{4,128})/(?P<date>\d{8})/(?P<region>[a-z0-9-]+)/"
+    r"(?P<service>[a-z0-9-]+)/aws4_request *, *SignedHeaders=(?P<headers>[a-z0-9;_.-]+) *, *"
+    r"Signature=(?P<signature>[0-9a-f]{64})"
+)
+_SPACES = re.compile(r"[ \t]+")
+
+
+@dataclass(frozen=True, slots=True)
+class Credential:
+    """What a request's Authorization says."""
+
+    key: str
+    date: str
+    region: str
+    service: str
+    signed: tuple[str, ...]
+    signature: str
+
+
+def _denied(kind: str, message: str) -> InvokeError:
+    return InvokeError(403, kind, message)
+
+
+def credential(headers: Headers) -> Credential | None:
+    """The credential of a request, None where it is unsigned; InvokeError where it is malformed."""
+    fields = headers.all("authorization")
+    if not fields:
+        return None
+    match = _AUTHORIZATION.fullmatch(fields[0]) if len(fields) == 1 else None
+    if match is None:
+        raise _denied(
+            "IncompleteSignatureException", "The Authorization header is not a valid AWS4-HMAC-SHA256 one."
+        )
+    return Credential(
+        match["key"],
+        match["date"],
+        match["region"],
+        match["service"],
+        tuple(match["headers"].split(";")),
+        match["signature"],
+    )
+
+
+def canonical_request(
+    method: str, target: str, headers: Headers, signed: tuple[str, ...], body_hash: str
+) -> str:
+    """The canonical request: path encoded once more as services other than S3 want it, query sorted."""
+    parts = urlsplit(target)
+    pairs = parse_qsl(parts.query, keep_blank_values=True)
+    query = "&".join(
+        f"{name}={value}"
+        for name, value in sorted(
+            (quote(name, safe="-_.~"), quote(value, safe="-_.~")) for name, value in pairs
+        )
+    )
+    lines = [
+        f"{name}:{','.join(_SPACES.sub(' ', value.strip()) for value in headers.all(name))}\n"
+        for name in signed
+    ]
+    path = quote(_normal(parts.path), safe="/~")
+    return "\n".join((method, path, query, "".join(lines), ";".join(signed), body_hash))
+
+
+def _normal(path: str) -> str:
+    """The path without empty and dot segments, its last slash kept."""
+    kept: list[str] = []
+    for part in path.split("/"):
+        if part == "..":
+            del kept[-1:]
+        elif part not in ("", "."):
+            kept.append(part)
+    last = "/" if path.endswith("/") and kept else ""
+    return "/" + "/".join(kept) + last
+
+
+@lru_cache(maxsize=1024)
+def signing_key(secret: str, date: str, region: str, service: str) -> bytes:
+    """The key derived for a day, region and service."""
+    key = f"AWS4{secret}".encode()
+    for part in (date, region, service, "aws4_request"):
+        key = hmac.new(key, part.encode(), hashlib.sha256).digest()
+    return key
+
+
+def sign(secret: str, cred: Credential, stamp: str, canonical: str) -> str:
+    """The signature in hexadecimal."""
+    scope = f"{cred.date}/{cred.region}/{cred.service}/aws4_request"
+    digest = hashlib.sha256(canonical.encode("utf-8", "surrogateescape")).hexdigest()
+    text = f"{ALGORITHM}\n{stamp}\n{scope}\n{digest}"
+    return hmac.new(
+        signing_key(secret, cred.date, cred.region, cred.service), text.encode(), hashlib.sha256
+    ).hexdigest()
+
+
+def verify(
+    method: str,
+    target: str,
+    headers: Headers,
+    body: bytes,
+    secrets: Mapping[str, str],
+    now: float,
+    skew_s: float,
+) -> str:
+    """The access key id of a request that is signed rightly; InvokeError otherwise.
+
+    ``now`` is Unix time in seconds; a stamp further away than ``skew_s`` is refused."""
+    cred = credential(headers)
+    if cred is None:
+        raise _denied("MissingAuthenticationTokenException", "Missing Authentication Token")
+    secret = secrets.get(cred.key)
+    if secret is None:
+        raise _denied("UnrecognizedClientException", "The security token included in the request is invalid.")
+    if "host" not in cred.signed or cred.service != "lambda":
+        raise _denied(
+            "InvalidSignatureException", "Host must be signed, and the credential be scoped to 'lambda'."
+        )
+    stamp = headers.get("x-amz-date")
+    try:
+        stamped = datetime.strptime(stamp, "%Y%m%dT%H%M%SZ").replace(tzinfo=UTC).timestamp()
+    except ValueError as error:
+        raise _denied(
+            "IncompleteSignatureException", "X-Amz-Date must be a time like 20150331T000000Z."
+        ) from error
+    if "x-amz-date" not in cred.signed or not stamp.startswith(cred.date):
+        raise _denied("InvalidSignatureException", "X-Amz-Date must be signed, and of the credential's day.")
+    if abs(now - stamped) > skew_s:
+        raise _denied(
+            "InvalidSignatureException",
+            f"Signature expired or not yet current: {stamp} is more than {skew_s:g} s from this clock.",
+        )
+    body_hash = hashlib.sha256(body).hexdigest()
+    canonical = canonical_request(method, target, headers, cred.signed, body_hash)
+    if not hmac.compare_digest(sign(secret, cred, stamp, canonical), cred.signature):
+        raise _denied(
+            "InvalidSignatureException",
+            "The request signature we calculated does not match the signature "
+            "you provided. Check your AWS Secret Access Key and signing method.",
+        )
+    return cred.key
--- /dev/null
+++ b/saffronstack/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in workers with memory, lanes, cores, a shared store and injectable faults, for tests and days."""
--- /dev/null
+++ b/saffronstack/standin/model.py
@@ -0,0 +1,291 @@
+"""What a stand-in worker holds and does with a call: copies in memory, loads, lanes, cores. No sockets."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Profile:
+    """One stand-in worker's figures; times in seconds, memory in MB."""
+
+    memory_mb: float = 4096.0
+    cores: int = 4
+    queue: int = 64
+    loads: int = 4
+    keep_alive_s: float = 10.0
+    work_s: float = 0.01
+    load_s: float = 0.2
+    cold_share: float = 1.0
+    cold_s: float = 0.0
+    work_by_function: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with a worker now; changed as a whole."""
+
+    silent: bool = False  # reads the request and never answers, the function does not run
+    silent_after_run: bool = False
+    lose_answers: float = 0.0  # part of the calls whose answer is lost after the run
+    reset_mid_answer: bool = False
+    half_header: bool = False
+    garbage: bool = False
+    slow: float = 1.0  # times as long
+    errors: float = 0.0  # part of the calls answered 500 at once, the function not run
+    die_mid_load: bool = False
+    die_mid_call: bool = False
+    handshake_s: float = 0.0
+
+
+class Died(Exception):
+    """The worker died under the call."""
+
+
+class Full(Exception):
+    """No room to wait: the function did not run."""
+
+
+class Store:
+    """The store that all workers fetch from: fetches over its capacity take longer, past a limit none."""
+
+    def __init__(self, capacity: int = 16, most: int = 256) -> None:
+        self.capacity = capacity
+        self.most = most
+        self.slow = 1.0
+        self.fetches = 0
+        self._out = 0
+        self._lock = threading.Lock()
+
+    def fetch(self, seconds: float, pause: Callable[[float], None]) -> bool:
+        """Fetch once; False where the store turned it away."""
+        with self._lock:
+            if self._out >= self.most:
+                return False
+            self._out += 1
+            self.fetches += 1
+            crowd = max(1.0, self._out / self.capacity)
+        try:
+            pause(seconds * crowd * self.slow)
+        finally:
+            with self._lock:
+                self._out -= 1
+        return True
+
+
+@dataclass(slots=True)
+class _Copies:
+    memory_mb: float
+    lanes: int
+    standing: int = 0
+    loading: int = 0
+    busy: int = 0
+    held: int = 0
+    used_s: float = 0.0
+
+    @property
+    def total(self) -> int:
+        return self.standing + self.loading
+
+
+class Model:
+    """One incarnation of a worker; every wait ends at its caller's deadline or the worker's death."""
+
+    def __init__(
+        self, profile: Profile, faults: Callable[[], Faults], store: Store, clock: Callable[[], float]
+    ) -> None:
+        self.profile = profile
+        self.started_s = clock()
+        self._faults = faults
+        self._store = store
+        self._clock = clock
+        self._state = threading.Condition()
+        self._dead = threading.Event()
+        self._copies: dict[str, _Copies] = {}
+        self._waiting = 0
+        self._working = 0
+        self._loads = 0
+
+    def die(self) -> None:
+        """All copies are void, every call under way ends."""
+        self._dead.set()
+        with self._state:
+            self._state.notify_all()
+
+    def speed(self) -> float:
+        """Part of its capacity that a young worker can do."""
+        profile = self.profile
+        if not profile.cold_s:
+            return 1.0
+        return min(
+            1.0,
+            profile.cold_share + (1 - profile.cold_share) * (self._clock() - self.started_s) / profile.cold_s,
+        )
+
+    def report(self) -> tuple[int, int, float, int]:
+        """Calls in hand, calls waiting, part of the cores busy, loads under way."""
+        with self._state:
+            return (
+                self._waiting + self._working,
+                self._waiting,
+                min(1.0, self._working / self.profile.cores),
+                self._loads,
+            )
+
+    def call(
+        self, function: str, memory_mb: float, lanes: int, deadline_s: float, ran: Callable[[], None]
+    ) -> tuple[str, int]:
+        """Run a call; what it found and how many calls of its function were here. ``ran`` marks the run.
+
+        Full, TimeoutError or Died where it does not run."""
+        with self._state:
+            if self._waiting >= self.profile.queue:
+                raise Full
+            copies = self._copies.setdefault(function, _Copies(memory_mb, lanes))
+            crowd = copies.held
+            copies.held += 1
+            self._waiting += 1
+        try:
+            found = self._lane(function, copies, deadline_s)
+        except BaseException:
+            with self._state:
+                copies.held -= 1
+                self._waiting -= 1
+            raise
+        try:
+            self._core(deadline_s)
+            try:
+                ran()
+                if self._faults().die_mid_call:
+                    raise Died
+                work_s = self.profile.work_by_function.get(function, self.profile.work_s)
+                self._pause(work_s * self._faults().slow / self.speed())
+            finally:
+                with self._state:
+                    self._working -= 1
+        finally:
+            with self._state:
+                copies.busy -= 1
+                copies.held -= 1
+                copies.used_s = self._clock()
+                self._state.notify_all()
+        return found, crowd
+
+    def hold(self, function: str, memory_mb: float, lanes: int, count: int, deadline_s: float) -> int:
+        """An order to hold copies; how many stand. Full where there is no room."""
+        with self._state:
+            copies = self._copies.setdefault(function, _Copies(memory_mb, lanes))
+            copies.used_s = self._clock()
+        while True:
+            with self._state:
+                missing = count - copies.total
+                if missing > 0 and not self._room(copies):
+                    raise Full
+                if missing <= 0:
+                    if not self._wait(lambda: copies.standing >= count or not copies.loading, deadline_s):
+                        raise TimeoutError
+                    return copies.standing
+                copies.loading += 1
+                self._loads += 1
+            self._load(copies)
+
+    def standing(self, function: str) -> int:
+        """Copies that stand."""
+        with self._state:
+            copies = self._copies.get(function)
+            return copies.standing if copies else 0
+
+    def drop(self, function: str | None = None) -> None:
+        """Unload idle copies: of one function, or of all (a new release)."""
+        with self._state:
+            for name, copies in self._copies.items():
+                if function in (None, name):
+                    copies.standing = min(copies.standing, -(-copies.busy // copies.lanes))
+            self._state.notify_all()
+
+    # ---- inside
+
+    def _wait(self, ready: Callable[[], bool], deadline_s: float) -> bool:
+        """Wait, holding the state, for something or the deadline; Died where the worker did."""
+        while not ready():
+            if self._dead.is_set():
+                raise Died
+            left = deadline_s - self._clock()
+            if left <= 0:
+                return False
+            self._state.wait(min(left, 0.5))
+        return True
+
+    def _pause(self, seconds: float) -> None:
+        if self._dead.wait(seconds):
+            raise Died
+
+    def _lane(self, function: str, copies: _Copies, deadline_s: float) -> str:
+        found = "warm"
+        while True:
+            with self._state:
+                self._expire()
+
+                def free() -> bool:
+                    return copies.busy < copies.standing * copies.lanes
+
+                def may_load() -> bool:
+                    wants = copies.held > copies.total * copies.lanes
+                    return wants and self._loads < self.profile.loads and self._room(copies)
+
+                if not self._wait(lambda: free() or may_load(), deadline_s):
+                    raise TimeoutError
+                if free():
+                    copies.busy += 1
+                    self._waiting -= 1
+                    return found
+                found = "began-load"
+                copies.loading += 1
+                self._loads += 1
+            self._load(copies)
+
+    def _load(self, copies: _Copies) -> None:
+        stands = False
+        try:
+            if self._faults().die_mid_load:
+                self._pause(self.profile.load_s / 2)
+                raise Died
+            stands = self._store.fetch(self.profile.load_s * 0.7, self._pause)
+            self._pause(self.profile.load_s * 0.3)
+        finally:
+            with self._state:
+                copies.loading -= 1
+                copies.standing += stands
+                copies.used_s = self._clock()
+                self._loads -= 1
+                self._state.notify_all()
+
+    def _used_mb(self) -> float:
+        return sum(c.total * c.memory_mb for c in self._copies.values())
+
+    def _room(self, wanted: _Copies) -> bool:
+        """Make room for one more copy out of idle ones, the longest unused first."""
+        while self._used_mb() + wanted.memory_mb > self.profile.memory_mb:
+            idle = [
+                c
+                for c in self._copies.values()
+                if c is not wanted and c.standing * c.lanes >= c.busy + c.lanes
+            ]
+            if not idle:
+                return False
+            min(idle, key=lambda c: c.used_s).standing -= 1
+        return True
+
+    def _expire(self) -> None:
+        now = self._clock()
+        for copies in self._copies.values():
+            if not copies.busy and copies.used_s + self.profile.keep_alive_s < now:
+                copies.standing = 0
+
+    def _core(self, deadline_s: float) -> None:
+        with self._state:
+            if not self._wait(lambda: self._working < self.profile.cores, deadline_s):
+                raise TimeoutError
+            self._working += 1
--- /dev/null
+++ b/saffronstack/standin/worker.py
@@ -0,0 +1,302 @@
+"""A stand-in worker on a socket: docs/worker-protocol.md, faults, and a log of what it saw."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+import struct
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from urllib.parse import unquote, urlsplit
+
+import msgspec
+
+from saffronstack.core.threads import spawn
+from saffronstack.http1 import writer
+from saffronstack.http1.messages import HttpError, Limits, RequestHead
+from saffronstack.http1.reader import MessageReader
+from saffronstack.http1.sockets import READ_SIZE, PeerClosed, peer_state, read_until
+from saffronstack.standin.model import Died, Faults, Full, Model, Profile, Store
+
+IDLE_S = 120.0
+LONGEST_S = 60.0
+Entry = dict[str, object]
+
+
+class StandIn:
+    """One worker. It can stop, and return cold at the same address as another incarnation."""
+
+    def __init__(
+        self,
+        name: str,
+        profile: Profile,
+        store: Store,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        clock: Callable[[], float] = time.monotonic,
+        seed: int = 0,
+        log: Callable[[Entry], None] | None = None,
+    ) -> None:
+        self.name = name
+        self.profile = profile
+        self.faults = Faults()
+        self.log: list[Entry] = []
+        self.incarnation = ""
+        self.model: Model
+        self._store = store
+        self._clock = clock
+        self._write = log or self.log.append
+        self._random = random.Random(seed)
+        self._host, self._port = host, port
+        self._listener: socket.socket | None = None
+        self._connections: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        self.start()
+
+    @property
+    def address(self) -> str:
+        """HOST:PORT."""
+        return f"{self._host}:{self._port}"
+
+    def start(self) -> None:
+        """Begin an incarnation: nothing is loaded."""
+        if self._listener is not None:
+            return
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.model = Model(self.profile, lambda: self.faults, self._store, self._clock)
+        self._listener = socket.create_server((self._host, self._port), backlog=512)
+        self._port = self._listener.getsockname()[1]
+        self._listener.settimeout(0.2)
+        self._note("start")
+        spawn(f"standin-{self.name}", lambda: self._accept(self._listener, self.model, self.incarnation))
+
+    def stop(self) -> None:
+        """Die at once: the listener and every connection close, every call under way is lost."""
+        with self._lock:
+            listener, self._listener = self._listener, None
+            connections, self._connections = self._connections, set()
+        if listener is None:
+            return
+        self._note("stop")
+        listener.close()
+        self.model.die()
+        for sock in connections:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def runs(self, function: str = "") -> list[Entry]:
+        """Log entries of runs."""
+        return [e for e in list(self.log) if e["what"] == "run" and function in ("", e["function"])]
+
+    def _note(self, what: str, **more: object) -> None:
+        self._write(
+            {"t": self._clock(), "worker": self.name, "incarnation": self.incarnation, "what": what, **more}
+        )
+
+    def _accept(self, listener: socket.socket | None, model: Model, incarnation: str) -> None:
+        assert listener is not None
+        while self._listener is listener:
+            try:
+                sock, _ = listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            with self._lock:
+                if self._listener is not listener:
+                    sock.close()
+                    return
+                self._connections.add(sock)
+            spawn("standin-connection", lambda sock=sock: self._serve(sock, model, incarnation))  # type: ignore[misc]
+
+    def _serve(self, sock: socket.socket, model: Model, incarnation: str) -> None:
+        reader = MessageReader(Limits(body=16 * 1024 * 1024))
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.faults.handshake_s:
+                time.sleep(self.faults.handshake_s)
+            while True:
+                if not reader.pending:
+                    sock.settimeout(IDLE_S)
+                    reader.feed(sock.recv(READ_SIZE))
+                until = self._clock() + 30.0
+                head = read_until(sock, reader, reader.request, until, self._clock)
+                body = read_until(sock, reader, reader.body, until, self._clock)
+                if not self._one(sock, model, incarnation, head, body):
+                    return
+        except (OSError, PeerClosed, HttpError, Died):
+            pass
+        finally:
+            with self._lock:
+                self._connections.discard(sock)
+            with contextlib.suppress(OSError):
+                sock.close()
+
+    def _one(
+        self, sock: socket.socket, model: Model, incarnation: str, head: RequestHead, body: bytes
+    ) -> bool:
+        path = urlsplit(head.target).path
+        if path.startswith("/standin/"):
+            return self._control(sock, path, body)
+        if path.startswith("/saffron/v1/copies/"):
+            return self._order(sock, model, incarnation, head, unquote(path.rpartition("/")[2]))
+        if path == "/saffron/v1/report":
+            return self._answer(sock, model, incarnation, 200, (), b"{}")
+        return self._call(sock, model, incarnation, head, body)
+
+    def _answer(
+        self,
+        sock: socket.socket,
+        model: Model,
+        incarnation: str,
+        status: int,
+        extra: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> bool:
+        in_hand, waiting, busy, loads = model.report()
+        data = writer.response(
+            status,
+            (
+                ("Content-Type", "application/json"),
+                ("X-Saffron-Incarnation", incarnation),
+                ("X-Saffron-Uptime-Ms", str(int((self._clock() - model.started_s) * 1000))),
+                ("X-Saffron-In-Hand", str(in_hand)),
+                ("X-Saffron-Waiting", str(waiting)),
+                ("X-Saffron-Busy", f"{busy:.3f}"),
+                ("X-Saffron-Loads", str(loads)),
+                *extra,
+            ),
+            body,
+        )
+        faults = self.faults
+        sock.settimeout(10.0)
+        if faults.half_header:
+            sock.sendall(data[:20])
+            return False
+        if faults.garbage:
+            sock.sendall(b"\x00\xffnot http at all\r\n\r\n")
+            return False
+        if faults.reset_mid_answer:
+            sock.sendall(data[: len(data) - max(1, len(body) // 2)])
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            return False
+        sock.sendall(data)
+        return True
+
+    def _call(
+        self, sock: socket.socket, model: Model, incarnation: str, head: RequestHead, body: bytes
+    ) -> bool:
+        get = head.headers.get
+        who: Entry = {
+            "id": get("x-amzn-requestid"),
+            "attempt": int(get("x-saffron-attempt", "0")),
+            "key": get("idempotency-key"),
+            "function": get("x-saffron-function"),
+            "tenant": get("x-saffron-tenant"),
+        }
+        self._note("arrive", **who)
+        faults = self.faults
+        if faults.silent:
+            self._hang(sock, model, who)
+            return False
+        if self._random.random() < faults.errors:
+            self._note("answer", status=500, **who)
+            return self._answer(sock, model, incarnation, 500, (), b'{"errorType":"Standin.Broken"}')
+        run_id = uuid.uuid4().hex
+        deadline_s = self._clock() + min(LONGEST_S, float(get("x-saffron-left-ms", "3000")) / 1000)
+        try:
+            found, crowd = model.call(
+                str(who["function"]),
+                float(get("x-saffron-memory-mb", "128")),
+                int(get("x-saffron-lanes", "1")),
+                deadline_s,
+                lambda: self._note("run", run=run_id, **who),
+            )
+        except (Full, TimeoutError):
+            self._note("answer", status=429, **who)
+            return self._answer(sock, model, incarnation, 429, (("X-Saffron-Ran", "no"),), b"{}")
+        except Died:
+            self._note("died", **who)
+            if (
+                self._listener is not None
+                and model is self.model
+                and faults.die_mid_call | faults.die_mid_load
+            ):
+                self.stop()
+            return False
+        if faults.silent_after_run:
+            self._hang(sock, model, who)
+            return False
+        if self._random.random() < faults.lose_answers:
+            self._note("lost", **who)
+            return False
+        payload = msgspec.json.encode(
+            {
+                "input": msgspec.Raw(body or b"null"),
+                "run": run_id,
+                "function": who["function"],
+                "worker": self.name,
+            }
+        )
+        open_ = peer_state(sock)
+        self._note("answer", status=200, open=open_, run=run_id, **who)
+        return self._answer(
+            sock,
+            model,
+            incarnation,
+            200,
+            (("X-Saffron-Found", found), ("X-Saffron-Crowd", str(min(30, crowd)))),
+            payload,
+        )
+
+    def _hang(self, sock: socket.socket, model: Model, who: Entry) -> None:
+        """Hold the connection without an answer until the peer gives up."""
+        end_s = self._clock() + LONGEST_S
+        while self._clock() < end_s and peer_state(sock) and model is self.model and self._listener:
+            time.sleep(0.02)
+        self._note("abandoned", **who)
+
+    def _order(
+        self, sock: socket.socket, model: Model, incarnation: str, head: RequestHead, function: str
+    ) -> bool:
+        get = head.headers.get
+        if head.method == "DELETE":
+            model.drop(function)
+            return self._answer(sock, model, incarnation, 204, (), b"")
+        if head.method == "GET":
+            return self._answer(sock, model, incarnation, 200, (), str(model.standing(function)).encode())
+        count = int(urlsplit(head.target).query.rpartition("=")[2] or 1)
+        self._note("order", function=function, count=count)
+        try:
+            held = model.hold(
+                function,
+                float(get("x-saffron-memory-mb", "128")),
+                int(get("x-saffron-lanes", "1")),
+                count,
+                self._clock() + 8.0,
+            )
+        except (Full, TimeoutError):
+            return self._answer(sock, model, incarnation, 429, (), str(model.standing(function)).encode())
+        return self._answer(sock, model, incarnation, 200, (), str(held).encode())
+
+    def _control(self, sock: socket.socket, path: str, body: bytes) -> bool:
+        """Faults told over the socket, for workers in another process."""
+        status = 204
+        try:
+            if path == "/standin/faults":
+                self.faults = msgspec.json.decode(body, type=Faults)
+            elif path == "/standin/flush":
+                self.model.drop()
+            elif path == "/standin/store":
+                self._store.slow = float(msgspec.json.decode(body)["slow"])
+            else:
+                status = 404
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+            status = 400
+        sock.settimeout(5.0)
+        sock.sendall(writer.response(status, ()))
+        return True
--- /dev/null
+++ b/saffronstack/workers/__init__.py
@@ -0,0 +1,1 @@
+"""The client side towards workers: connections, attempts, orders; see docs/worker-protocol.md."""
--- /dev/null
+++ b/saffronstack/workers/fleet.py
@@ -0,0 +1,103 @@
+"""All workers' pools: the dispatcher that carries out the engine's actions."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable
+
+from saffronstack.core.calls import AttemptEnd, Call, FunctionSpec, OrderEnd
+from saffronstack.core.roster import WorkerSpec
+from saffronstack.interface import Outcome, Result
+from saffronstack.workers.pool import AttemptJob, OrderJob, PoolLimits, Tell, WorkerPool
+
+
+class Fleet:
+    """Pools by worker number; the list is changed by `told`, before the engine hears of the same list."""
+
+    def __init__(self, limits: PoolLimits, tell: Tell, clock: Callable[[], float]) -> None:
+        self._limits = limits
+        self._tell = tell
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pools: dict[int, WorkerPool] = {}
+        self._out: dict[tuple[int, int], AttemptJob] = {}
+
+    def told(self, specs: Iterable[WorkerSpec]) -> None:
+        """The whole list. From this moment nothing new leaves for a worker that drains or is gone."""
+        with self._lock:
+            told = {spec.number: spec for spec in specs}
+            for number, pool in list(self._pools.items()):
+                spec = told.get(number)
+                if spec is None or (spec.host, spec.port) != (pool.spec.host, pool.spec.port):
+                    del self._pools[number]
+                    pool.end()
+            for number, spec in told.items():
+                known = self._pools.get(number)
+                if known is None:
+                    known = self._pools[number] = WorkerPool(spec, self._limits, self._ended, self._clock)
+                if spec.draining:
+                    known.close()
+                else:
+                    known.reopen()
+
+    def end(self) -> None:
+        """End every pool."""
+        self.told(())
+
+    @property
+    def connections(self) -> int:
+        """Threads of all pools, each with a connection at most."""
+        with self._lock:
+            return sum(pool.threads for pool in self._pools.values())
+
+    def _ended(self, what: object) -> None:
+        if isinstance(what, AttemptEnd):
+            with self._lock:
+                self._out.pop((what.call.number, what.outcome.attempt), None)
+        self._tell(what)  # type: ignore[arg-type]
+
+    # ---- the dispatcher
+
+    def send(self, call: Call, attempt: int, worker: int, timeout_s: float) -> None:
+        """Start an attempt."""
+        deadline_s = call.deadline_s
+        if timeout_s > 0:
+            deadline_s = min(deadline_s, self._clock() + timeout_s)
+        job = AttemptJob(call, attempt, deadline_s)
+        with self._lock:
+            pool = self._pools.get(worker)
+            if pool is not None:
+                self._out[call.number, attempt] = job
+        if pool is None:
+            outcome = Outcome(call.number, attempt, worker, Result.MOOT, 0.0, call.settled)
+            self._tell(AttemptEnd(call, outcome, reason="the worker has left the list"))
+            return
+        pool.submit(job)
+
+    def cancel(self, call: Call, attempt: int) -> None:
+        """Stop waiting for an attempt."""
+        with self._lock:
+            job = self._out.get((call.number, attempt))
+        if job is not None:
+            job.cancel()
+
+    def probe(self, worker: int) -> None:
+        """Ask a worker for its report."""
+        self._order(worker, OrderJob(None))
+
+    def load(self, worker: int, function: FunctionSpec, copies: int) -> None:
+        """Order copies."""
+        self._order(worker, OrderJob(function, copies))
+
+    def unload(self, worker: int, function: FunctionSpec) -> None:
+        """Order idle copies out."""
+        self._order(worker, OrderJob(function, unload=True))
+
+    def _order(self, worker: int, job: OrderJob) -> None:
+        with self._lock:
+            pool = self._pools.get(worker)
+        if pool is not None:
+            pool.submit(job)
+        elif not job.unload:
+            number = None if job.function is None else job.function.number
+            self._tell(OrderEnd(worker, Result.CONNECT_FAILED, 0.0, number))
--- /dev/null
+++ b/saffronstack/workers/pool.py
@@ -0,0 +1,364 @@
+"""One worker's connections: threads that each hold at most one, and take one job at a time."""
+
+from __future__ import annotations
+
+import queue
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from saffronstack.core.calls import AttemptEnd, Call, Ending, Final, FunctionSpec, Heard, OrderEnd
+from saffronstack.core.roster import WorkerSpec
+from saffronstack.core.threads import spawn
+from saffronstack.http1.messages import HttpError, Limits, ResponseHead
+from saffronstack.http1.reader import MessageReader
+from saffronstack.http1.sockets import PeerClosed, read_until
+from saffronstack.interface import Outcome, Result
+from saffronstack.workers import protocol
+
+log = structlog.get_logger("saffronstack.workers")
+Tell = Callable[[AttemptEnd | OrderEnd | Heard], None]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLimits:
+    """Bounds of the connections to one worker; times in seconds."""
+
+    connections: int = 256
+    connect_timeout_s: float = 1.0
+    idle_s: float = 20.0
+    order_timeout_s: float = 10.0
+    messages: Limits = field(default_factory=Limits)
+
+
+@dataclass(eq=False, slots=True)
+class AttemptJob:
+    """An attempt to carry out."""
+
+    call: Call
+    number: int
+    deadline_s: float
+    cancelled: bool = False
+    connection: Connection | None = None
+
+    def cancel(self) -> None:
+        """Stop waiting, from any thread: the read of its thread ends at once."""
+        self.cancelled = True
+        connection = self.connection
+        if connection is not None:
+            connection.abort()
+
+
+@dataclass(eq=False, slots=True)
+class OrderJob:
+    """A probe (no function) or an order; ``unload`` expects no end."""
+
+    function: FunctionSpec | None
+    copies: int = 0
+    unload: bool = False
+
+
+class Connection:
+    """One connection to a worker, used by one thread at a time."""
+
+    def __init__(self, sock: socket.socket, limits: Limits) -> None:
+        self._sock = sock
+        self._reader = MessageReader(limits)
+        self.keep = True
+
+    def clean(self) -> bool:
+        """Whether it can carry another request: still open, and nothing unasked has come."""
+        try:
+            self._sock.settimeout(0)
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return self._reader.pending == 0
+        except OSError:
+            return False
+        return False
+
+    def send(self, data: bytes, deadline_s: float, clock: Callable[[], float]) -> bool:
+        """Write it all. False where not one byte was taken, so that the worker can't have read any;
+        OSError or TimeoutError once some were."""
+        sent = 0
+        view = memoryview(data)
+        while sent < len(data):
+            left = deadline_s - clock()
+            try:
+                if left <= 0:
+                    raise TimeoutError("no time left to send")
+                self._sock.settimeout(left)
+                sent += self._sock.send(view[sent:])
+            except OSError:
+                self.keep = False
+                if not sent:
+                    return False
+                raise
+        return True
+
+    def receive(self, deadline_s: float, clock: Callable[[], float]) -> tuple[ResponseHead, bytes]:
+        """The response; TimeoutError, PeerClosed, OSError or HttpError where none comes whole."""
+        self.keep = False
+        head = read_until(self._sock, self._reader, self._reader.response, deadline_s, clock)
+        body = read_until(self._sock, self._reader, self._reader.body, deadline_s, clock)
+        self.keep = head.keep_alive
+        return head, body
+
+    def abort(self) -> None:
+        """End it under the thread that uses it."""
+        self.keep = False
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """Close it."""
+        self._sock.close()
+
+
+class WorkerPool:
+    """Threads are started as jobs need them, up to the bound, and end after a while without one."""
+
+    def __init__(self, spec: WorkerSpec, limits: PoolLimits, tell: Tell, clock: Callable[[], float]) -> None:
+        self.spec = spec
+        self.limits = limits
+        self.closed = False  # told as draining or gone: nothing new leaves, whatever was queued
+        self._tell = tell
+        self._clock = clock
+        self._jobs: queue.SimpleQueue[AttemptJob | OrderJob | None] = queue.SimpleQueue()
+        self._lock = threading.Lock()
+        self._threads = 0
+        self._idle = 0
+        self._taken = 0  # jobs queued and not yet taken by a thread
+        self._incarnation = ""
+
+    # ---- from the decision thread and from rereads of the list
+
+    def submit(self, job: AttemptJob | OrderJob) -> None:
+        """Carry out a job on a thread of this pool. At the bound it ends as full, unsent."""
+        with self._lock:
+            refused = None if self._idle > self._taken else self._grow()
+            if refused is None:
+                self._taken += 1
+                self._jobs.put(job)
+        if refused is not None:  # told outside the lock: whoever hears of it holds locks of its own
+            self._refuse(job, *refused)
+
+    def _grow(self) -> tuple[Result, str] | None:
+        """One thread more, or why the job can't be taken. The caller holds the lock."""
+        if self._threads >= self.limits.connections:
+            return Result.FULL, "all connections to the worker are in use"
+        try:
+            spawn(f"worker-{self.spec.name}", self._run)
+        except RuntimeError:
+            return None if self._threads else (Result.MOOT, "no thread could be started")
+        self._threads += 1
+        self._idle += 1
+        return None
+
+    def close(self) -> None:
+        """Nothing new to this worker; what is out goes on."""
+        self.closed = True
+
+    def reopen(self) -> None:
+        """The worker is ready again."""
+        self.closed = False
+
+    def end(self) -> None:
+        """The worker is gone: idle threads and connections end at once, busy ones after their job."""
+        self.closed = True
+        with self._lock:
+            for _ in range(self._threads):
+                self._jobs.put(None)
+
+    @property
+    def threads(self) -> int:
+        """Threads, and so connections at most."""
+        return self._threads
+
+    # ---- the threads
+
+    def _run(self) -> None:
+        connection: Connection | None = None
+        try:
+            while True:
+                try:
+                    job = self._jobs.get(timeout=self.limits.idle_s)
+                except queue.Empty:
+                    with self._lock:  # a job queued in this moment counted on this thread
+                        if self._taken >= self._idle:
+                            continue
+                        self._idle -= 1
+                        self._threads -= 1
+                        return
+                with self._lock:
+                    self._idle -= 1
+                    if job is None:
+                        self._threads -= 1
+                        return
+                    self._taken -= 1
+                try:
+                    connection = self._carry_out(job, connection)
+                finally:
+                    with self._lock:
+                        self._idle += 1
+        finally:
+            if connection is not None:
+                connection.close()
+
+    def _carry_out(self, job: AttemptJob | OrderJob, connection: Connection | None) -> Connection | None:
+        """Do a job and tell its end, whatever happens; the connection that is left for the next."""
+        try:
+            if isinstance(job, AttemptJob):
+                return self._attempt(job, connection)
+            return self._order(job, connection)
+        except Exception:
+            log.exception("worker thread failed", worker=self.spec.name)
+            if connection is not None:
+                connection.close()
+            # Whether bytes left is not known here: RESET claims nothing.
+            self._refuse(job, Result.RESET, "the gateway's worker thread failed")
+            return None
+
+    def _refuse(self, job: AttemptJob | OrderJob, result: Result, reason: str) -> None:
+        if isinstance(job, AttemptJob):
+            outcome = Outcome(job.call.number, job.number, self.spec.number, result, 0.0, job.call.settled)
+            self._tell(AttemptEnd(job.call, outcome, reason=reason))
+        elif not job.unload:
+            number = None if job.function is None else job.function.number
+            self._tell(OrderEnd(self.spec.number, result, 0.0, number))
+
+    def _connected(self, connection: Connection | None, deadline_s: float) -> Connection:
+        """A usable connection; OSError where none can be made in time."""
+        if connection is not None:
+            if connection.clean():
+                return connection
+            connection.close()
+        left = min(self.limits.connect_timeout_s, deadline_s - self._clock())
+        if left <= 0:
+            raise TimeoutError("no time left to connect")
+        sock = socket.create_connection((self.spec.host, self.spec.port), timeout=left)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return Connection(sock, self.limits.messages)
+
+    def _attempt(self, job: AttemptJob, connection: Connection | None) -> Connection | None:
+        started_s = self._clock()
+        call = job.call
+        judged, connection = self._exchange(job, connection)
+        final = None
+        if judged.answer is not None:
+            final = Final(
+                Ending.SERVED,
+                judged.answer.payload,
+                judged.answer.function_error,
+                judged.answer.log_tail,
+                attempts=job.number + 1,
+                worker=self.spec.name,
+            )
+            call.settle(final)
+        if judged.incarnation and judged.incarnation != self._incarnation:
+            self._incarnation = judged.incarnation
+            self._tell(Heard(self.spec.number, judged.incarnation, judged.uptime_s))
+        outcome = Outcome(
+            call.number,
+            job.number,
+            self.spec.number,
+            judged.result,
+            self._clock() - started_s,
+            call.settled,
+            judged.found,
+            judged.crowd,
+            judged.report,
+        )
+        self._tell(AttemptEnd(call, outcome, judged.answer, judged.reason))
+        if connection is not None and not connection.keep:
+            connection.close()
+            connection = None
+        return connection
+
+    def _stands(self, job: AttemptJob) -> bool:
+        """Whether the attempt may still go out: asked right before its first byte."""
+        return not (self.closed or job.cancelled or job.call.settled) and self._clock() < job.deadline_s
+
+    def _exchange(
+        self, job: AttemptJob, connection: Connection | None
+    ) -> tuple[protocol.Judged, Connection | None]:
+        call, host = job.call, f"{self.spec.host}:{self.spec.port}"
+        moot = protocol.Judged(Result.MOOT, reason="no longer wanted when it was to be sent")
+        guard = call.guard
+        if not self._stands(job):
+            return moot, connection
+        for _ in range(2):  # a kept connection may turn out closed when nothing has left yet
+            try:
+                connection = self._connected(connection, job.deadline_s)
+            except OSError as error:
+                return protocol.Judged(Result.CONNECT_FAILED, reason=str(error)), None
+            if guard is not None:
+                if not guard.may_send(job.number, self.spec.number):
+                    return protocol.Judged(Result.MOOT, reason="the ledger could not note it"), connection
+                guard = None
+            if not self._stands(job):
+                return moot, connection
+            job.connection = connection
+            request = protocol.invoke(host, call, job.number, job.deadline_s - self._clock())
+            try:
+                if not connection.send(request, job.deadline_s, self._clock):
+                    continue
+                head, body = connection.receive(job.deadline_s, self._clock)
+            except TimeoutError:
+                if job.cancelled:
+                    return protocol.Judged(Result.CANCELLED, reason="cancelled"), connection
+                return protocol.Judged(Result.TIMEOUT, reason="no answer in time"), connection
+            except (HttpError, OSError, PeerClosed) as error:
+                result = Result.CANCELLED if job.cancelled else Result.RESET
+                return protocol.Judged(result, reason=str(error)), connection
+            finally:
+                job.connection = None
+            return protocol.judge(head, body), connection
+        return protocol.Judged(Result.CONNECT_FAILED, reason="the connection took no byte"), connection
+
+    def _order(self, job: OrderJob, connection: Connection | None) -> Connection | None:
+        started_s = self._clock()
+        deadline_s = started_s + self.limits.order_timeout_s
+        host = f"{self.spec.host}:{self.spec.port}"
+        result, copies, report = Result.RESET, 0, None
+        if job.function is None:
+            request = protocol.probe(host)
+        elif job.unload:
+            request = protocol.unload(host, job.function)
+        else:
+            request = protocol.order(host, job.function, job.copies)
+        try:
+            connection = self._connected(connection, deadline_s)
+            if self.closed and job.copies:
+                result = Result.FULL
+            elif connection.send(request, deadline_s, self._clock):
+                head, body = connection.receive(deadline_s, self._clock)
+                report = protocol.report_of(head.headers)
+                result = (
+                    Result.OK
+                    if head.status in (200, 204)
+                    else Result.FULL
+                    if head.status == 429
+                    else Result.ERROR
+                )
+                copies = int(body) if body.isdigit() and len(body) < 4 else 0
+            else:
+                result = Result.CONNECT_FAILED
+        except TimeoutError:
+            result = Result.TIMEOUT
+        except ConnectionRefusedError:
+            result = Result.CONNECT_FAILED
+        except (HttpError, OSError):
+            result = Result.RESET
+        if not job.unload:
+            number = None if job.function is None else job.function.number
+            self._tell(OrderEnd(self.spec.number, result, self._clock() - started_s, number, copies, report))
+        if connection is not None and not connection.keep:
+            connection.close()
+            connection = None
+        return connection
--- /dev/null
+++ b/saffronstack/workers/protocol.py
@@ -0,0 +1,128 @@
+"""The words spoken with workers (docs/worker-protocol.md): requests out, answers judged. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from saffronstack.core.calls import Answer, Call, FunctionSpec
+from saffronstack.http1 import writer
+from saffronstack.http1.messages import Headers, ResponseHead
+from saffronstack.interface import Found, Report, Result
+
+INVOKE_PATH = "/2015-03-31/functions/function/invocations"
+COPIES_PATH = "/saffron/v1/copies/"
+REPORT_PATH = "/saffron/v1/report"
+FOUND = {
+    "warm": Found.WARM,
+    "began-load": Found.BEGAN_LOAD,
+    "awaited-load": Found.AWAITED_LOAD,
+    "load-failed": Found.LOAD_FAILED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Judged:
+    """What an answer to an attempt means."""
+
+    result: Result
+    found: Found = Found.UNTOLD
+    crowd: int | None = None
+    report: Report | None = None
+    answer: Answer | None = None
+    incarnation: str = ""
+    uptime_s: float = 0.0
+    reason: str = ""
+
+
+def invoke(host: str, call: Call, attempt: int, left_s: float) -> bytes:
+    """The request of an attempt; ``left_s`` is how long its answer is still wanted."""
+    spec = call.function
+    headers = [
+        ("Host", host),
+        ("Content-Type", "application/json"),
+        ("X-Amzn-RequestId", call.request_id),
+        ("X-Saffron-Attempt", str(attempt)),
+        ("Idempotency-Key", call.key or call.request_id),
+        ("X-Saffron-Left-Ms", str(max(0, int(left_s * 1000)))),
+        ("X-Saffron-Tenant", call.tenant_name),
+        *_function(spec),
+    ]
+    if call.client_context:
+        headers.append(("X-Amz-Client-Context", call.client_context))
+    if call.wants_log:
+        headers.append(("X-Amz-Log-Type", "Tail"))
+    return writer.request("POST", INVOKE_PATH, headers, call.payload)
+
+
+def _function(spec: FunctionSpec) -> list[tuple[str, str]]:
+    return [
+        ("X-Saffron-Function", spec.name),
+        ("X-Saffron-Memory-Mb", f"{spec.memory_mb:g}"),
+        ("X-Saffron-Lanes", str(spec.lanes)),
+    ]
+
+
+def order(host: str, spec: FunctionSpec, copies: int) -> bytes:
+    """An order to hold so many copies; 0 only asks."""
+    target = COPIES_PATH + quote(spec.name, safe="")
+    headers = [("Host", host), *_function(spec)]
+    if not copies:
+        return writer.request("GET", target, headers)
+    return writer.request("PUT", f"{target}?count={copies}", headers)
+
+
+def unload(host: str, spec: FunctionSpec) -> bytes:
+    """An order to drop idle copies."""
+    return writer.request(
+        "DELETE", COPIES_PATH + quote(spec.name, safe=""), [("Host", host), *_function(spec)]
+    )
+
+
+def probe(host: str) -> bytes:
+    """A question for the worker's report."""
+    return writer.request("GET", REPORT_PATH, [("Host", host)])
+
+
+def judge(head: ResponseHead, body: bytes) -> Judged:
+    """An answer to an attempt. Only an answer that says so itself proves that the function did not run."""
+    headers = head.headers
+    found = FOUND.get(headers.get("x-saffron-found"), Found.UNTOLD)
+    crowd = _number(headers.get("x-saffron-crowd"))
+    incarnation = headers.get("x-saffron-incarnation")[:64]
+    uptime_s = (_number(headers.get("x-saffron-uptime-ms")) or 0.0) / 1000
+    not_run = headers.get("x-saffron-ran") == "no"
+    report = report_of(headers)
+    answer = None
+    reason = ""
+    if head.status == 200:
+        result = Result.OK
+        answer = Answer(body, headers.get("x-amz-function-error"), headers.get("x-amz-log-result"))
+    elif head.status == 429 and not_run:
+        result = Result.FULL
+    elif head.status == 404 and not_run:
+        result = Result.MISS
+    else:
+        result, reason = Result.ERROR, f"worker answered {head.status}"
+    return Judged(
+        result, found, None if crowd is None else int(crowd), report, answer, incarnation, uptime_s, reason
+    )
+
+
+def report_of(headers: Headers) -> Report | None:
+    """The load report of an answer's headers, None where it holds none."""
+    values = [_number(headers.get(f"x-saffron-{name}")) for name in ("in-hand", "waiting", "busy", "loads")]
+    if all(value is None for value in values):
+        return None
+    return Report(in_hand=values[0], waiting=values[1], busy=values[2], loads=values[3])
+
+
+def _number(text: str) -> float | None:
+    """A finite number of at least 0; whatever else a worker writes counts as not told."""
+    if not text or len(text) > 20:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < 1e15 else None
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 import pytest
 
 from saffronstack import interface as api
-from saffronstack import simhost, wire
+from saffronstack.bench import simhost, wire
 from saffronstack.choice import Router
 
 REQUEST = ("13 0300 c4913a5d4fdb0100 0000 00000000 010ad2557c000000 cba145b6f34d2140 fa7e6abc7493883f "
