--- /dev/null
+++ b/saffronstack/audit/traffic.py
@@ -0,0 +1,107 @@
+"""What was seen at the sockets. Times are of one monotonic clock, in seconds."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Try:
+    """One request of a client, as its socket saw it."""
+
+    op: str  # what the client wants done once; its repeats share it
+    gateway: int
+    function: str
+    sent_s: float
+    deadline_s: float  # clock time at which the client gives up
+    deferred: bool = False
+    tenant: str = ""
+    id: str = ""  # request id of the answer
+    ended_s: float = 0.0
+    end: str = ""  # served, refused, failed, accepted, error, broken, not_taken; empty: nothing came
+    extra_bytes: int = 0  # that followed the answer unasked
+
+
+@dataclass(slots=True)
+class Seen:
+    """One line of a worker's log."""
+
+    t: float
+    worker: str
+    incarnation: str
+    what: str
+    id: str = ""
+    attempt: int = 0
+    function: str = ""
+    status: int = 0
+    open: bool = True
+    late: float = 0.0
+    count: int = 0
+    op: str = ""
+
+
+@dataclass(slots=True)
+class Told:
+    """Gateways were told of a worker: ready, draining or gone; ``started_s`` is its start, 0 for long ago."""
+
+    t: float
+    worker: str
+    state: str
+    started_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Stopped:
+    """A gateway was killed (or asked to end) at ``t`` and came back at ``back_s``."""
+
+    gateway: int
+    t: float
+    killed: bool
+    back_s: float = float("inf")
+
+
+@dataclass(slots=True)
+class FunctionRule:
+    """What the rules need of a function."""
+
+    effect: str
+    group: str = "all"
+    window_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Figures:
+    """The rules' figures, and what a worker can do."""
+
+    drain_grace_s: float = 2.0
+    tip_multiple: float = 0.0
+    tip_after_s: float = 1.0
+    cold_share: float = 1.0
+    cold_s: float = 0.0
+    capacity_rps: dict[str, float] = field(default_factory=dict)  # by worker, warm
+    load_free: float = 0.0
+    load_part: float = 0.0
+    load_span_s: float = 0.0
+    gateways: int = 1
+    slack_s: float = 0.005  # of clocks read on different threads
+
+
+@dataclass(slots=True)
+class Traffic:
+    """All that was seen in a run."""
+
+    functions: dict[str, FunctionRule]
+    zones: dict[str, tuple[str, str]] = field(default_factory=dict)  # worker: zone and cell
+    tries: list[Try] = field(default_factory=list)
+    seen: list[Seen] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
+    stopped: list[Stopped] = field(default_factory=list)
+    finals: dict[str, list[str]] = field(
+        default_factory=lambda: defaultdict(list)
+    )  # distinct conditions by id
+
+    def rule_of(self, function: str) -> FunctionRule:
+        """A function's rule; one that a pattern covers stands under its first part."""
+        rule = self.functions.get(function) or self.functions.get(function.partition("-")[0] + "-*")
+        return rule or FunctionRule("unsafe")
--- a/saffronstack/cli/client.py
+++ b/saffronstack/cli/client.py
@@ -18,7 +18,7 @@
 from saffronstack.http1 import writer
 from saffronstack.http1.messages import Headers, HttpError, Limits
 from saffronstack.http1.reader import MessageReader
-from saffronstack.http1.sockets import read_until
+from saffronstack.http1.sockets import peer_state, read_until
 from saffronstack.invoke import sigv4
 
 SECRET = "SAFFRONSTACK_SECRET"
@@ -56,6 +56,8 @@
     ) -> Answer:
         """One exchange; OSError (TimeoutError, ConnectionError) or HttpError where no whole answer came."""
         deadline_s = time.monotonic() + self.timeout_s
+        if self._sock is not None and not peer_state(self._sock):
+            self.close()  # the gateway ended it while it was idle
         if self._sock is None:
             host, _, port = self.address.rpartition(":")
             self._sock = socket.create_connection((host, int(port)), timeout=self.timeout_s)
@@ -116,6 +118,10 @@
             ),
         )
 
+    def unasked(self) -> int:
+        """Bytes that came after the last answer without having been asked for."""
+        return self._reader.pending
+
     def close(self) -> None:
         """End the connection."""
         if self._sock is not None:
--- a/saffronstack/config/schema.py
+++ b/saffronstack/config/schema.py
@@ -21,7 +21,7 @@
 class Key(Struct, frozen=True, kw_only=True):
     """An access key of a tenant, as SigV4 uses it."""
 
-    id: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9]{4,128}$")]
+    id: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{4,128}$")]
     secret: Annotated[str, msgspec.Meta(min_length=8)]
     tenant: Name
 
--- /dev/null
+++ b/saffronstack/day/clients.py
@@ -0,0 +1,125 @@
+"""The day's clients: open-loop traffic whose every try is noted as its socket saw it."""
+
+from __future__ import annotations
+
+import queue
+import random
+import threading
+import time
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+
+from saffronstack.audit.traffic import Try
+from saffronstack.cli.client import Answer, Client
+from saffronstack.core.threads import spawn
+from saffronstack.day.plan import Mix
+from saffronstack.http1.messages import HttpError
+
+PATIENCE_S = 3.0  # the classes' deadline in the sample configuration
+UNKNOWN = b"Saffronstack.OutcomeUnknown"
+
+
+class Clients:
+    """Threads that take operations from one queue; a refused or untaken one goes to another gateway next."""
+
+    def __init__(
+        self,
+        addresses: list[str],
+        mix: Mix,
+        seed: int,
+        rate: Callable[[float], float],
+        name_of: Callable[[str], str],
+        tenants: tuple[str, ...],
+    ) -> None:
+        """``rate`` gives calls a second at a time into the day; ``name_of`` maps a function to the one called."""
+        self.tries: list[Try] = []
+        self.dropped = 0
+        self._addresses = addresses
+        self._mix = mix
+        self._random = random.Random(seed)
+        self._rate = rate
+        self._name_of = name_of
+        self._tenants = tenants
+        self._queue: queue.Queue[tuple[str, str, bool, str] | None] = queue.Queue(maxsize=mix.clients * 4)
+        self._lock = threading.Lock()
+        self._threads = [spawn("client", partial(self._run, n)) for n in range(mix.clients)]
+
+    def play(self, seconds: float) -> None:
+        """Send for so long, at random moments; what no thread is free for is dropped and counted."""
+        functions, weights = zip(*self._mix.functions.items(), strict=True)
+        start = time.monotonic()
+        at = 0.0
+        number = 0
+        while at < seconds:
+            at += self._random.expovariate(max(0.1, self._rate(at)))
+            pause = start + at - time.monotonic()
+            if pause > 0:
+                time.sleep(pause)
+            function = self._name_of(self._random.choices(functions, weights)[0])
+            deferred = self._random.random() < self._mix.deferred_share
+            number += 1
+            try:
+                self._queue.put_nowait(
+                    (f"op-{number}", function, deferred, self._random.choice(self._tenants))
+                )
+            except queue.Full:
+                self.dropped += 1
+
+    def end(self, timeout_s: float) -> bool:
+        """Let every operation end; whether all did in time."""
+        for _ in self._threads:
+            self._queue.put(None)
+        end_s = time.monotonic() + timeout_s
+        for thread in self._threads:
+            thread.join(max(0.0, end_s - time.monotonic()))
+        return not any(thread.is_alive() for thread in self._threads)
+
+    def _run(self, number: int) -> None:
+        clients: dict[tuple[int, str], Client] = {}
+        chance = random.Random(number)
+        while (item := self._queue.get()) is not None:
+            op, function, deferred, tenant = item
+            gateway = chance.randrange(len(self._addresses))
+            for _ in range(self._mix.tries):
+                client = clients.get((gateway, tenant))
+                if client is None:
+                    client = clients[gateway, tenant] = Client(
+                        self._addresses[gateway], PATIENCE_S, tenant=tenant
+                    )
+                end = self._try(client, Try(op, gateway, function, 0.0, 0.0, deferred, tenant))
+                if end == "refused":
+                    time.sleep(0.2)
+                elif end != "not_taken":
+                    break
+                gateway = (gateway + 1) % len(self._addresses)
+        for client in clients.values():
+            client.close()
+
+    def _try(self, client: Client, t: Try) -> str:
+        payload = msgspec.json.encode({"op": t.op, "tenant": t.tenant})
+        t.sent_s = time.monotonic()
+        t.deadline_s = t.sent_s + PATIENCE_S
+        try:
+            answer = client.invoke(t.function, payload, "Event" if t.deferred else "RequestResponse")
+        except ConnectionRefusedError:
+            t.end = "not_taken"
+        except (OSError, HttpError):
+            t.end = "broken"
+        else:
+            t.id = answer.headers.get("x-amzn-requestid")
+            t.end = _ending(answer)
+            t.extra_bytes = client.unasked()
+        t.ended_s = time.monotonic()
+        with self._lock:
+            self.tries.append(t)
+        return t.end
+
+
+def _ending(answer: Answer) -> str:
+    if answer.status == 202:
+        return "accepted"
+    if answer.status == 200:
+        return "failed" if UNKNOWN in answer.body else "served"
+    return "refused" if answer.status == 429 else "error"
--- /dev/null
+++ b/saffronstack/day/processes.py
@@ -0,0 +1,140 @@
+"""The day's processes: gateways that can be killed and come back, and the stand-ins' host."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import queue
+import signal
+import subprocess
+import sys
+import time
+from typing import IO, Any
+
+from saffronstack.core.threads import spawn
+from saffronstack.standin.worker import hold_port
+
+START_S = 20.0
+ANSWER_S = 30.0
+
+
+class DayFailed(Exception):
+    """The day itself could not be played: a process did not do its part."""
+
+
+def _lines(stream: IO[bytes]) -> queue.SimpleQueue[bytes]:
+    """Lines of a process, read by a thread, so that waiting for one has a time-out."""
+    lines: queue.SimpleQueue[bytes] = queue.SimpleQueue()
+
+    def read() -> None:
+        for line in stream:
+            lines.put(line)
+        lines.put(b"")
+
+    spawn("lines", read)
+    return lines
+
+
+class GatewayProcess:
+    """One gateway: its configuration file, ledger and port stay over its lives."""
+
+    def __init__(self, number: int, directory: pathlib.Path) -> None:
+        self.number = number
+        self.path = directory / f"gateway-{number}.json5"
+        self.ledger = directory / f"ledger-{number}"
+        self.errors = directory / f"gateway-{number}.log"
+        self._placeholder = hold_port("127.0.0.1")
+        self.address = f"127.0.0.1:{self._placeholder.getsockname()[1]}"
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def write(self, content: dict[str, Any]) -> None:
+        """Change the configuration file as a whole."""
+        partial = self.path.with_suffix(".tmp")
+        partial.write_text(json.dumps(content, indent=1))
+        os.replace(partial, self.path)
+
+    def start(self) -> None:
+        """Start it and wait until it takes calls; DayFailed where it does not."""
+        with open(self.errors, "ab") as errors:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "saffronstack.cli.main",
+                    "serve",
+                    "--config",
+                    str(self.path),
+                    "--listen",
+                    self.address,
+                    "--log",
+                    "json",
+                ],
+                stdout=subprocess.PIPE,
+                stderr=errors,
+            )
+        assert self.process.stdout is not None
+        try:
+            line = _lines(self.process.stdout).get(timeout=START_S).decode()
+        except queue.Empty:
+            line = ""
+        if "http://" not in line:
+            raise DayFailed(f"gateway {self.number} did not start; see {self.errors}")
+        self.address = line.strip().rpartition("http://")[2]
+
+    def hangup(self) -> None:
+        """Have it reread its configuration."""
+        if self.process is not None:
+            self.process.send_signal(signal.SIGHUP)
+
+    def kill(self) -> None:
+        """Kill it outright."""
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait(ANSWER_S)
+
+    def ask_to_end(self) -> int:
+        """SIGTERM and wait; its exit status."""
+        assert self.process is not None
+        self.process.terminate()
+        try:
+            return self.process.wait(ANSWER_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return -9
+
+
+class StandInHost:
+    """The process with all stand-in workers."""
+
+    def __init__(self, head: dict[str, Any]) -> None:
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "saffronstack.standin.host"], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
+        assert self._process.stdout is not None
+        self._answers = _lines(self._process.stdout)
+        self.workers: list[dict[str, Any]] = self._ask(head)["workers"]
+
+    def _ask(self, what: dict[str, Any]) -> dict[str, Any]:
+        assert self._process.stdin is not None
+        try:
+            self._process.stdin.write(json.dumps(what).encode() + b"\n")
+            self._process.stdin.flush()
+            answer: dict[str, Any] = json.loads(self._answers.get(timeout=ANSWER_S) or b"{}")
+        except (OSError, queue.Empty) as error:
+            raise DayFailed("the stand-ins' process does not answer") from error
+        return answer
+
+    def order(self, do: str, workers: list[int], **more: Any) -> None:
+        """A command for some workers, by number."""
+        self._ask({"do": do, "workers": workers, **more})
+
+    def end(self) -> None:
+        """End the process once its log is written."""
+        assert self._process.stdin is not None
+        time.sleep(0.3)
+        self._process.stdin.close()
+        try:
+            self._process.wait(ANSWER_S)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
--- a/saffronstack/day/run.py
+++ b/saffronstack/day/run.py
@@ -1,3 +1,229 @@
-"""placeholder"""
+"""`saffronstack day run`: plays a day, gathers what the sockets saw, prints the verdict."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import tempfile
+import time
+from collections import Counter
+from typing import Any
+
+import click
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from saffronstack.audit.rules import Breach, judge
+from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic, Try
+from saffronstack.cli.client import Client
+from saffronstack.config import ConfigError
+from saffronstack.day import plan as plans
+from saffronstack.day.clients import Clients
+from saffronstack.day.director import Director
+from saffronstack.day.plan import Plan
+from saffronstack.day.processes import DayFailed, GatewayProcess, StandInHost
+from saffronstack.http1.messages import HttpError
+from saffronstack.standin.fleet import sample
+
+FINALS_S = 40.0  # how long deferred calls may take to end after the last was sent
+WANTED_S = 0.5
+RULES = ("no call lost", "no effect twice", "drains kept", "cold workers not pushed over", "loads rationed")
+
+
 def run(path: str, seed: int, seconds: float | None, keep: str | None) -> int:
-    return 1
+    """Play the day in a file; 0 with all rules kept, 1 with one broken, 2 where it can't be played."""
+    try:
+        plan = plans.load(path)
+        if seconds is not None:
+            plan = msgspec.structs.replace(plan, seconds=seconds)
+        with contextlib.ExitStack() as stack:
+            if keep is None:
+                directory = pathlib.Path(
+                    stack.enter_context(tempfile.TemporaryDirectory(prefix="saffronstack-day-"))
+                )
+            else:
+                directory = pathlib.Path(keep)
+                directory.mkdir(parents=True, exist_ok=True)
+            return _Day(plan, seed, directory).play()
+    except (ConfigError, DayFailed, OSError) as error:
+        click.echo(f"{path}: {error}", err=True)
+        return 2
+
+
+class _Day:
+    def __init__(self, plan: Plan, seed: int, directory: pathlib.Path) -> None:
+        self.plan = plan
+        self.seed = seed
+        self.log = directory / "workers.jsonl"
+        self.log.unlink(missing_ok=True)
+        self.gateways = [GatewayProcess(n, directory) for n in range(plan.gateways)]
+
+    def content(self, gateway: GatewayProcess, workers: list[dict[str, Any]]) -> dict[str, Any]:
+        """A gateway's configuration."""
+        plan = self.plan
+        content = sample(workers, gateway.address, str(gateway.ledger), plan.workers.memory_mb)
+        content["functions"].append(
+            {"name": "scan-*", "class": "lookup", "memory_mb": 256, "lanes": 1, "load_s": plan.workers.load_s}
+        )
+        return {
+            **content,
+            "instances": plan.gateways,
+            "self_index": gateway.number,
+            "seed": self.seed * 100 + gateway.number,
+            "keep_alive_s": plan.workers.keep_alive_s,
+            "rules": msgspec.to_builtins(plan.rules),
+        }
+
+    def play(self) -> int:
+        """Everything, from the first process to the verdict."""
+        plan, workers = self.plan, self.plan.workers
+        profile = {
+            "memory_mb": workers.memory_mb,
+            "cores": workers.cores,
+            "work_s": workers.work_s,
+            "load_s": workers.load_s,
+            "queue": workers.queue,
+            "keep_alive_s": workers.keep_alive_s,
+        }
+        host = StandInHost(
+            {"count": workers.count, "log": str(self.log), "seed": self.seed, "profiles": [profile]}
+        )
+        try:
+            for gateway in self.gateways:
+                gateway.write(self.content(gateway, host.workers))
+                gateway.start()
+            director = Director(plan, self.gateways, host, self.content, self.seed)
+            clients = Clients(
+                [g.address for g in self.gateways],
+                plan.traffic,
+                self.seed,
+                lambda at: plan.traffic.rate * director.rate_factor,
+                director.name_of,
+                ("corner-books", "campus-app"),
+            )
+            director.begin(time.monotonic())
+            clients.play(plan.seconds)
+            director.end(60.0)
+            problems = director.problems
+            if not clients.end(30.0):
+                problems.append("clients did not end")
+            finals = self._finals(clients.tries)
+            for gateway in self.gateways:
+                status = gateway.ask_to_end()
+                if status != 0:
+                    problems.append(f"gateway {gateway.number} ended with status {status} when asked to")
+        finally:
+            for gateway in self.gateways:
+                if gateway.process is not None and gateway.process.poll() is None:
+                    gateway.kill()
+            host.end()
+        traffic = self._traffic(host, director, clients.tries, finals)
+        figures = Figures(
+            drain_grace_s=plan.rules.drain_grace_s,
+            tip_multiple=plan.rules.tip_multiple,
+            tip_after_s=plan.rules.tip_after_s,
+            cold_share=plan.rules.cold_share,
+            cold_s=plan.rules.cold_s,
+            capacity_rps={w["id"]: workers.cores / workers.work_s for w in host.workers},
+            gateways=plan.gateways,
+        )
+        return self._report(traffic, judge(traffic, figures), problems, clients.dropped)
+
+    def _finals(self, tries: list[Try]) -> dict[str, list[str]]:
+        """The final records of the deferred calls, each asked for again once all are there: one that changed
+        would show as two."""
+        clients = {g.number: Client(g.address, 5.0) for g in self.gateways}
+        finals: dict[str, list[str]] = {t.id: [] for t in tries if t.end == "accepted"}
+        gateway_of = {t.id: t.gateway for t in tries if t.end == "accepted"}
+        end_s = time.monotonic() + FINALS_S
+        left = set(finals)
+        while left and time.monotonic() < end_s:
+            for id_ in sorted(left):
+                if (condition := _condition(clients[gateway_of[id_]], id_)) is not None:
+                    finals[id_].append(condition)
+                    left.discard(id_)
+            time.sleep(0.1)
+        for id_, conditions in finals.items():
+            again = _condition(clients[gateway_of[id_]], id_)
+            if again is not None and again not in conditions:
+                conditions.append(again)
+        for client in clients.values():
+            client.close()
+        return finals
+
+    def _traffic(
+        self, host: StandInHost, director: Director, tries: list[Try], finals: dict[str, list[str]]
+    ) -> Traffic:
+        lines = self.log.read_bytes().splitlines()
+        seen = [msgspec.json.decode(line, type=Seen) for line in lines]
+        seen.sort(key=lambda entry: entry.t)
+        functions = {
+            "identify-copy": FunctionRule("safe"),
+            "suggest-price": FunctionRule("safe"),
+            "scan-*": FunctionRule("safe"),
+            "record-sale": FunctionRule("unsafe"),
+            "adjust-setting": FunctionRule("keyed", "all", 10.0),
+        }
+        zones = {w["id"]: (w["zone"], w["cell"]) for w in host.workers}
+        traffic = Traffic(functions, zones, tries, seen, director.told, director.stopped)
+        traffic.finals.update(finals)
+        return traffic
+
+    def _report(self, traffic: Traffic, breaches: list[Breach], problems: list[str], dropped: int) -> int:
+        broken = Counter(breach.rule for breach in breaches)
+        click.echo(
+            f"{self.plan.name}, seed {self.seed}: {len(traffic.tries)} tries, {self.plan.gateways} gateways "
+            f"before {self.plan.workers.count} emulated workers, {len(traffic.stopped)} gateway stops, "
+            f"{dropped} calls not sent for want of clients"
+        )
+        click.echo(
+            f"{'function':<16}{'calls':>7}{'served':>8}{'in time':>9}{'refused':>9}{'failed':>8}{'broken':>8}"
+            f"{'p50 ms':>9}{'p99 ms':>9}"
+        )
+        for function in [*self.plan.traffic.functions, "scan"]:
+            tries = [
+                t
+                for t in traffic.tries
+                if not t.deferred
+                and t.end != "not_taken"
+                and (t.function == function or (function == "scan" and t.function.startswith("scan-")))
+            ]
+            if not tries:
+                continue
+            ends = Counter(t.end for t in tries)
+            times = HdrHistogram(1, 60_000_000, 3)
+            served = [t for t in tries if t.end == "served"]
+            for t in served:
+                times.record_value(max(1, int((t.ended_s - t.sent_s) * 1e6)))
+            in_time = sum(t.ended_s - t.sent_s <= WANTED_S for t in served)
+            click.echo(
+                f"{function:<16}{len(tries):>7}{ends['served']:>8}{in_time / len(tries):>9.1%}"
+                f"{ends['refused']:>9}{ends['failed']:>8}{ends['broken']:>8}"
+                f"{times.get_value_at_percentile(50) / 1000:>9.1f}"
+                f"{times.get_value_at_percentile(99) / 1000:>9.1f}"
+            )
+        conditions = Counter(c for found in traffic.finals.values() for c in found)
+        click.echo(
+            f"deferred: {len(traffic.finals)} accepted, "
+            + (", ".join(f"{count} {name}" for name, count in sorted(conditions.items())) or "none ended")
+        )
+        for number, name in enumerate(RULES, 1):
+            click.echo(
+                f"rule {number}, {name}: {'kept' if not broken[number] else f'BROKEN {broken[number]} times'}"
+            )
+        for breach in breaches[:20]:
+            click.echo(f"  rule {breach.rule}: {breach.text}")
+        for problem in problems:
+            click.echo(f"  problem: {problem}")
+        return 1 if breaches or problems else 0
+
+
+def _condition(client: Client, id_: str) -> str | None:
+    try:
+        answer = client.request("GET", f"/deferred/{id_}")
+        if answer.status != 200:
+            return None
+        condition: str = msgspec.json.decode(answer.body)["requestContext"]["condition"]
+        return condition
+    except (OSError, HttpError, ValueError, KeyError):
+        return None
--- a/saffronstack/invoke/server.py
+++ b/saffronstack/invoke/server.py
@@ -24,6 +24,7 @@
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or threads
 LINGER_S = 0.5  # how long bytes of a refused request are still read, so that its answer is not reset away
 LINGER_BYTES = 1 << 20
+IDLE_GRACE_S = 0.5  # idle connections stay this long after no new one is accepted
 
 
 class FrontLimits:
@@ -79,9 +80,13 @@
         """Accept nothing more, end idle connections, let the others finish; whether all ended in time."""
         with self._lock:
             self._draining = True
-            idle = list(self._idle)
         with contextlib.suppress(OSError):
             self._listener.close()
+        with self._lock:
+            # Requests already on their way to an idle connection are answered, with a word that it closes.
+            if self._lock.wait_for(lambda: self._open == 0, IDLE_GRACE_S):
+                return True
+            idle = list(self._idle)
         for sock in idle:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RD)
--- a/saffronstack/invoke/sigv4.py
+++ b/saffronstack/invoke/sigv4.py
@@ -16,7 +16,7 @@
 
 ALGORITHM = "AWS4-HMAC-SHA256"
 _AUTHORIZATION = re.compile(
-    r"AWS4-HMAC-SHA256 +Credential=(?P<key>[A-Za-z0-9]{4,128})/(?P<date>\d{8})/(?P<region>[a-z0-9-]+)/"
+    r"AWS4-HMAC-SHA256 +Credential=(?P<key>[A-Za-z0-9_-]{4,128})/(?P<date>\d{8})/(?P<region>[a-z0-9-]+)/"
     r"(?P<service>[a-z0-9-]+)/aws4_request *, *SignedHeaders=(?P<headers>[a-z0-9;_.-]+) *, *"
     r"Signature=(?P<signature>[0-9a-f]{64})"
 )
--- /dev/null
+++ b/saffronstack/standin/host.py
@@ -0,0 +1,82 @@
+"""A process full of stand-in workers, ruled by JSON lines on its standard input, logging to a file."""
+
+from __future__ import annotations
+
+import queue
+import sys
+from typing import Any
+
+import msgspec
+
+from saffronstack.core.threads import spawn
+from saffronstack.standin.fleet import StandInFleet
+from saffronstack.standin.model import Faults, Profile
+from saffronstack.standin.worker import Entry
+
+
+class _Log:
+    """Lines written by a thread of their own, so that no worker waits for the disk."""
+
+    def __init__(self, path: str) -> None:
+        self._file = open(path, "ab")  # noqa: SIM115 - open as long as the process
+        self._queue: queue.SimpleQueue[Entry] = queue.SimpleQueue()
+        spawn("log", self._run)
+
+    def write(self, entry: Entry) -> None:
+        """One line more."""
+        self._queue.put(entry)
+
+    def _run(self) -> None:
+        encode = msgspec.json.encode
+        while True:
+            lines = [encode(self._queue.get())]
+            while not self._queue.empty():
+                lines.append(encode(self._queue.get()))
+            self._file.write(b"\n".join(lines) + b"\n")
+            self._file.flush()
+
+    def drained(self) -> bool:
+        """Whether all was written."""
+        return self._queue.empty()
+
+
+def main() -> int:
+    """``{"count", "log", "seed", "profiles"}`` first, then commands, until the input ends."""
+    head = msgspec.json.decode(sys.stdin.buffer.readline())
+    profiles = [msgspec.convert(profile, Profile) for profile in head["profiles"]]
+    log = _Log(head["log"])
+    fleet = StandInFleet(
+        head["count"], lambda n: profiles[n % len(profiles)], seed=head["seed"], log=log.write
+    )
+    _say({"workers": fleet.entries()})
+    for line in sys.stdin.buffer:
+        command = msgspec.json.decode(line)
+        _obey(fleet, command)
+        _say({"done": command["do"]})
+    fleet.stop()
+    return 0
+
+
+def _obey(fleet: StandInFleet, command: dict[str, Any]) -> None:
+    if command["do"] == "store":
+        fleet.store.slow = float(command["slow"])
+        return
+    for number in command["workers"]:
+        worker = fleet.workers[number]
+        if command["do"] == "faults":
+            worker.faults = msgspec.convert(command["faults"], Faults)
+        elif command["do"] == "stop":
+            worker.stop()
+        elif command["do"] == "start":
+            worker.start()
+        elif command["do"] == "flush":
+            worker.model.drop()
+
+
+def _say(what: dict[str, Any]) -> None:
+    sys.stdout.buffer.write(msgspec.json.encode(what) + b"\n")
+    sys.stdout.buffer.flush()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/saffronstack/standin/worker.py
+++ b/saffronstack/standin/worker.py
@@ -26,6 +26,26 @@
 Entry = dict[str, object]
 
 
+class _Payload(msgspec.Struct):
+    op: str = ""
+
+
+def _op(body: bytes) -> str:
+    """What the client calls its operation, where its payload says so."""
+    try:
+        return msgspec.json.decode(body, type=_Payload).op
+    except msgspec.MsgspecError:
+        return ""
+
+
+def hold_port(host: str, port: int = 0) -> socket.socket:
+    """A bound socket that never listens; a listener with SO_REUSEADDR may take the port beside it."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    return sock
+
+
 class StandIn:
     """One worker. It can stop, and return cold at the same address as another incarnation."""
 
@@ -51,7 +71,10 @@
         self._clock = clock
         self._write = log or self.log.append
         self._random = random.Random(seed)
-        self._host, self._port = host, port
+        # Bound and never listening, it keeps the port for the worker's next life: the system would give a
+        # port without a listener to the next outgoing connection, and meanwhile it refuses connections.
+        self._placeholder = hold_port(host, port)
+        self._host, self._port = self._placeholder.getsockname()[:2]
         self._listener: socket.socket | None = None
         self._connections: set[socket.socket] = set()
         self._lock = threading.Lock()
@@ -69,7 +92,6 @@
         self.incarnation = uuid.uuid4().hex[:12]
         self.model = Model(self.profile, lambda: self.faults, self._store, self._clock)
         self._listener = socket.create_server((self._host, self._port), backlog=512)
-        self._port = self._listener.getsockname()[1]
         self._listener.settimeout(0.2)
         self._note("start")
         spawn(f"standin-{self.name}", lambda: self._accept(self._listener, self.model, self.incarnation))
@@ -82,6 +104,8 @@
         if listener is None:
             return
         self._note("stop")
+        with contextlib.suppress(OSError):
+            listener.shutdown(socket.SHUT_RDWR)  # wakes the thread in accept, which keeps the port open
         listener.close()
         self.model.die()
         for sock in connections:
@@ -117,8 +141,9 @@
         reader = MessageReader(Limits(body=16 * 1024 * 1024))
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if self.faults.handshake_s:
-                time.sleep(self.faults.handshake_s)
+            late_s = self.faults.handshake_s
+            if late_s:
+                time.sleep(late_s)
             while True:
                 if not reader.pending:
                     sock.settimeout(IDLE_S)
@@ -126,8 +151,9 @@
                 until = self._clock() + 30.0
                 head = read_until(sock, reader, reader.request, until, self._clock)
                 body = read_until(sock, reader, reader.body, until, self._clock)
-                if not self._one(sock, model, incarnation, head, body):
+                if not self._one(sock, model, incarnation, head, body, late_s):
                     return
+                late_s = 0.0
         except (OSError, PeerClosed, HttpError, Died):
             pass
         finally:
@@ -137,16 +163,20 @@
                 sock.close()
 
     def _one(
-        self, sock: socket.socket, model: Model, incarnation: str, head: RequestHead, body: bytes
+        self,
+        sock: socket.socket,
+        model: Model,
+        incarnation: str,
+        head: RequestHead,
+        body: bytes,
+        late_s: float,
     ) -> bool:
         path = urlsplit(head.target).path
-        if path.startswith("/standin/"):
-            return self._control(sock, path, body)
         if path.startswith("/saffron/v1/copies/"):
             return self._order(sock, model, incarnation, head, unquote(path.rpartition("/")[2]))
         if path == "/saffron/v1/report":
             return self._answer(sock, model, incarnation, 200, (), b"{}")
-        return self._call(sock, model, incarnation, head, body)
+        return self._call(sock, model, incarnation, head, body, late_s)
 
     def _answer(
         self,
@@ -188,7 +218,13 @@
         return True
 
     def _call(
-        self, sock: socket.socket, model: Model, incarnation: str, head: RequestHead, body: bytes
+        self,
+        sock: socket.socket,
+        model: Model,
+        incarnation: str,
+        head: RequestHead,
+        body: bytes,
+        late_s: float,
     ) -> bool:
         get = head.headers.get
         who: Entry = {
@@ -197,8 +233,9 @@
             "key": get("idempotency-key"),
             "function": get("x-saffron-function"),
             "tenant": get("x-saffron-tenant"),
+            "op": _op(body),
         }
-        self._note("arrive", **who)
+        self._note("arrive", late=late_s, **who)  # ``late``: how long it may have lain in the socket
         faults = self.faults
         if faults.silent:
             self._hang(sock, model, who)
@@ -282,21 +319,3 @@
         except (Full, TimeoutError):
             return self._answer(sock, model, incarnation, 429, (), str(model.standing(function)).encode())
         return self._answer(sock, model, incarnation, 200, (), str(held).encode())
-
-    def _control(self, sock: socket.socket, path: str, body: bytes) -> bool:
-        """Faults told over the socket, for workers in another process."""
-        status = 204
-        try:
-            if path == "/standin/faults":
-                self.faults = msgspec.json.decode(body, type=Faults)
-            elif path == "/standin/flush":
-                self.model.drop()
-            elif path == "/standin/store":
-                self._store.slow = float(msgspec.json.decode(body)["slow"])
-            else:
-                status = 404
-        except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
-            status = 400
-        sock.settimeout(5.0)
-        sock.sendall(writer.response(status, ()))
-        return True
