--- /dev/null
+++ b/benchmarks/gateway.py
@@ -0,0 +1,240 @@
+"""The gateway beside a bare byte proxy and the workers alone, in one run; deferred accepts; recovery; memory.
+
+python benchmarks/gateway.py [--seconds 4] [--open 100000]
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+from saffronstack import config as configs
+from saffronstack.cli.client import Client
+from saffronstack.config.build import Functions
+from saffronstack.day.processes import StandInHost
+from saffronstack.deferred.ledger import Ledger
+from saffronstack.deferred.records import Accepted
+from saffronstack.standin.fleet import sample
+
+HERE = pathlib.Path(__file__).parent
+POST = (
+    "POST /2015-03-31/functions/{}/invocations HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\n"
+    "X-Amzn-RequestId: x\r\nX-Saffron-Function: identify-copy\r\nX-Saffron-Memory-Mb: 128\r\n"
+    'X-Saffron-Lanes: 64\r\nX-Saffron-Left-Ms: 3000\r\n{}\r\n{{"isbn": 12}}'
+)
+CALL = POST.format("identify-copy", "")
+EVENT = POST.format("identify-copy", "X-Amz-Invocation-Type: Event\r\n")
+PROCESSES = 4
+
+
+def load(
+    addresses: list[str], request: str, connections: int, seconds: float
+) -> tuple[float, float, float, int]:
+    """Calls a second, p50 and p99 in milliseconds, errors; from several processes at once."""
+    parts = [connections // PROCESSES + (n < connections % PROCESSES) for n in range(PROCESSES)]
+    running = []
+    for number, part in enumerate(parts):
+        if not part:
+            continue
+        process = subprocess.Popen(
+            [sys.executable, str(HERE / "load.py")], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+        assert process.stdin is not None
+        turned = addresses[number % len(addresses) :] + addresses[: number % len(addresses)]
+        process.stdin.write(
+            json.dumps({"addresses": turned, "request": request, "connections": part, "seconds": seconds})
+            + "\n"
+        )
+        process.stdin.flush()
+        running.append(process)
+    times: list[float] = []
+    errors: list[str] = []
+    for process in running:
+        out, _ = process.communicate(timeout=seconds + 60)
+        result = json.loads(out)
+        times += result["times"]
+        errors += result["errors"]
+    times.sort()
+    if not times:
+        return 0.0, 0.0, 0.0, len(errors)
+    return (
+        len(times) / seconds,
+        times[len(times) // 2] * 1000,
+        times[int(len(times) * 0.99)] * 1000,
+        len(errors),
+    )
+
+
+def rss_kb(pid: int) -> int:
+    """Resident memory of a process."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    return 0
+
+
+def gateway(directory: pathlib.Path, content: dict[str, Any]) -> tuple[subprocess.Popen[str], str]:
+    """A gateway process and its address."""
+    path = directory / "gateway.json5"
+    path.write_text(json.dumps(content))
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "saffronstack.cli.main",
+            "serve",
+            "--config",
+            str(path),
+            "--listen",
+            "127.0.0.1:0",
+            "--log-level",
+            "error",
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert process.stdout is not None
+    return process, process.stdout.readline().strip().rpartition("/")[2]
+
+
+def throughput(directory: pathlib.Path, seconds: float, connections: list[int]) -> None:
+    """Direct, proxy, gateway, side by side at each number of connections."""
+    hosts = [
+        StandInHost(
+            {
+                "count": 1,
+                "log": os.devnull,
+                "seed": n,
+                "profiles": [
+                    {"work_s": 0.0, "load_s": 0.001, "cores": 64, "memory_mb": 65536, "queue": 1024}
+                ],
+            }
+        )
+        for n in range(4)
+    ]
+    workers = [{**host.workers[0], "id": f"w{n}"} for n, host in enumerate(hosts)]
+    addresses = [str(worker["address"]) for worker in workers]
+    content = sample(workers, "127.0.0.1:0", str(directory / "ledger"), 65536)
+    content["functions"][0] |= {"lanes": 64, "memory_mb": 128}
+    process, address = gateway(directory, content)
+    proxy = subprocess.Popen(
+        [sys.executable, str(HERE / "proxy.py"), *addresses], stdout=subprocess.PIPE, text=True
+    )
+    assert proxy.stdout is not None
+    proxied = proxy.stdout.readline().strip()
+    try:
+        load([address], CALL, 8, 1.0)
+        print(f"{'connections':>11} {'path':<8} {'calls/s':>9} {'p50 ms':>8} {'p99 ms':>8} {'errors':>7}")
+        for count in connections:
+            rows = {}
+            for path, where in (("direct", addresses), ("proxy", [proxied]), ("gateway", [address])):
+                rows[path] = load(where, CALL, count, seconds)
+                rate, p50, p99, errors = rows[path]
+                print(f"{count:>11} {path:<8} {rate:>9.0f} {p50:>8.2f} {p99:>8.2f} {errors:>7}", flush=True)
+            added = rows["gateway"][1] - rows["direct"][1], rows["gateway"][2] - rows["direct"][2]
+            print(
+                f"{count:>11} gateway: {rows['gateway'][0] / max(1, rows['proxy'][0]):.2f} of the proxy, "
+                f"adds {added[0]:.2f} ms at p50, {added[1]:.2f} ms at p99"
+            )
+        for count in (8, 128):
+            rate, p50, p99, errors = load([address], EVENT, count, seconds)
+            print(
+                f"deferred accepts with fsync, {count} connections: {rate:.0f}/s, p50 {p50:.2f} ms, "
+                f"p99 {p99:.2f} ms, {errors} errors",
+                flush=True,
+            )
+        idle(process.pid, address)
+    finally:
+        process.kill()
+        proxy.kill()
+        for host in hosts:
+            host.end()
+
+
+def idle(pid: int, address: str) -> None:
+    """Resident memory for each idle connection."""
+    host, _, port = address.rpartition(":")
+    before = rss_kb(pid)
+    socks = [socket.create_connection((host, int(port))) for _ in range(2000)]
+    time.sleep(2.0)
+    after = rss_kb(pid)
+    print(
+        f"memory for an idle connection: {(after - before) / len(socks):.1f} KiB resident ({len(socks)} held)"
+    )
+    for sock in socks:
+        sock.close()
+
+
+def recovery(directory: pathlib.Path, count: int) -> None:
+    """How long a gateway with so many open deferred calls takes until it takes calls."""
+    target = directory / "open"
+    ledger = Ledger(str(target), 1000, 64 << 20)
+    start = time.perf_counter()
+    tickets = [
+        ledger.append(
+            Accepted(
+                f"00000000-0000-0000-0000-{n:012d}",
+                "record-sale",
+                "corner-books",
+                b'{"isbn": "978-0", "price": 12}',
+                "",
+                f"k{n}",
+                time.time(),
+            )
+        )
+        for n in range(count)
+    ]
+    assert all(ticket.done.wait(60) and ticket.durable for ticket in tickets)
+    print(
+        f"wrote {count} open deferred calls in {time.perf_counter() - start:.2f} s, "
+        f"{ledger.written_bytes / count:.0f} bytes each"
+    )
+    ledger.close()
+    content = sample([], "127.0.0.1:0", str(target))
+    configs.parse(json.dumps(content))
+    Functions(configs.parse(json.dumps(content)))
+    start = time.perf_counter()
+    again = Ledger(str(target), 1000, 64 << 20)
+    print(f"read back {len(again.book.open)} open calls in {time.perf_counter() - start:.2f} s")
+    again.close()
+    start = time.perf_counter()
+    process, address = gateway(directory, content)
+    took = time.perf_counter() - start
+    client = Client(address, 10)
+    state = json.loads(client.request("GET", "/status").body)
+    print(
+        f"a gateway takes calls {took:.2f} s after its start with {state['deferred']['open']} open calls, "
+        f"{rss_kb(process.pid) / 1024:.0f} MiB resident"
+    )
+    with contextlib.suppress(OSError):
+        client.close()
+    process.kill()
+
+
+def main() -> None:
+    """Run everything."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--open", type=int, default=100_000)
+    parser.add_argument("--connections", type=int, nargs="*", default=[1, 8, 32, 128])
+    options = parser.parse_args()
+    print(
+        f"{os.cpu_count()} cores, Python {sys.version.split()[0]}; {PROCESSES} load processes, 4 workers "
+        "in processes of their own"
+    )
+    with tempfile.TemporaryDirectory() as name:
+        throughput(pathlib.Path(name), options.seconds, options.connections)
+        recovery(pathlib.Path(name), options.open)
+
+
+if __name__ == "__main__":
+    main()
--- a/saffronstack/cli/client.py
+++ b/saffronstack/cli/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import os
 import pathlib
 import socket
@@ -18,7 +17,7 @@
 from saffronstack.http1 import writer
 from saffronstack.http1.messages import Headers, HttpError, Limits
 from saffronstack.http1.reader import MessageReader
-from saffronstack.http1.sockets import peer_state, read_until
+from saffronstack.http1.sockets import Stream, read_until
 from saffronstack.invoke import sigv4
 
 SECRET = "SAFFRONSTACK_SECRET"
@@ -48,7 +47,7 @@
         self.address = address
         self.timeout_s = timeout_s
         self._key, self._secret, self._region, self._tenant = key, secret, region, tenant
-        self._sock: socket.socket | None = None
+        self._stream: Stream | None = None
         self._reader = MessageReader(Limits(body=64 * 1024 * 1024))
 
     def request(
@@ -56,20 +55,19 @@
     ) -> Answer:
         """One exchange; OSError (TimeoutError, ConnectionError) or HttpError where no whole answer came."""
         deadline_s = time.monotonic() + self.timeout_s
-        if self._sock is not None and not peer_state(self._sock):
+        if self._stream is not None and not self._stream.silent():
             self.close()  # the gateway ended it while it was idle
-        if self._sock is None:
+        if self._stream is None:
             host, _, port = self.address.rpartition(":")
-            self._sock = socket.create_connection((host, int(port)), timeout=self.timeout_s)
-            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._stream = Stream(socket.create_connection((host, int(port)), timeout=self.timeout_s))
             self._reader = MessageReader(Limits(body=64 * 1024 * 1024))
-        sock = self._sock
+        stream = self._stream
         try:
-            sock.settimeout(self.timeout_s)
             headers = [("Host", self.address), *extra, *self._signature(method, target, body)]
-            sock.sendall(writer.request(method, target, headers, body))
-            head = read_until(sock, self._reader, self._reader.response, deadline_s, time.monotonic)
-            content = read_until(sock, self._reader, self._reader.body, deadline_s, time.monotonic)
+            if not stream.send(writer.request(method, target, headers, body), deadline_s, time.monotonic):
+                raise ConnectionResetError("the gateway took no byte")
+            head = read_until(stream, self._reader, self._reader.response, deadline_s, time.monotonic)
+            content = read_until(stream, self._reader, self._reader.body, deadline_s, time.monotonic)
         except (OSError, HttpError):
             self.close()
             raise
@@ -124,10 +122,9 @@
 
     def close(self) -> None:
         """End the connection."""
-        if self._sock is not None:
-            with contextlib.suppress(OSError):
-                self._sock.close()
-            self._sock = None
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
 
 
 def invoke(
--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -28,6 +28,7 @@
 @click.option(
     "--record", "record_to", type=click.Path(dir_okay=False), help="Write every decision to a file."
 )
+@click.option("--cpus", default="one", show_default=True, help="one, all, or numbers like 2,3.")
 @click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console")
 @click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
 def serve(
@@ -36,6 +37,7 @@
     listen: str | None,
     ledger: str | None,
     record_to: str | None,
+    cpus: str,
     log_form: str,
     log_level: str,
 ) -> None:
@@ -44,7 +46,7 @@
 
     if (path is None) == (not with_standins):
         raise click.UsageError("give either --config FILE or --with-standins")
-    sys.exit(run(path, listen, ledger, record_to or "", log_form, log_level))
+    sys.exit(run(path, listen, ledger, record_to or "", cpus, log_form, log_level))
 
 
 @main.group("config")
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 import queue
 import signal
 import sys
@@ -42,8 +43,34 @@
     )
 
 
+def choose_cpus(wanted: str, allowed: set[int], turn: int) -> set[int]:
+    """The processors to run on; ValueError where ``wanted`` is none of the forms or not allowed here.
+
+    One is the default: only one thread holds the interpreter's lock at a time, and handing it over between
+    processors costs more than the work between two of them (docs/results.md). ``turn`` spreads gateways."""
+    if wanted == "all":
+        return allowed
+    if wanted == "one":
+        return {sorted(allowed)[turn % len(allowed)]}
+    chosen = {int(part) for part in wanted.split(",")}
+    if not chosen <= allowed:
+        raise ValueError(f"--cpus: {sorted(chosen - allowed)} are not allowed here, only {sorted(allowed)}")
+    return chosen
+
+
+def _pin(wanted: str) -> None:
+    if hasattr(os, "sched_setaffinity"):
+        os.sched_setaffinity(0, choose_cpus(wanted, set(os.sched_getaffinity(0)), os.getpid()))
+
+
 def run(
-    path: str | None, listen: str | None, ledger: str | None, record_to: str, form: str, level: str
+    path: str | None,
+    listen: str | None,
+    ledger: str | None,
+    record_to: str,
+    cpus: str,
+    form: str,
+    level: str,
 ) -> int:
     """Serve until a signal says stop; 0 after a clean end, 1 after an unclean one, 2 where it can't start."""
     set_up_logs(form, level)
@@ -57,6 +84,8 @@
         signal.signal(wanted, note)
     standins: StandInFleet | None = None
     try:
+        if path is not None:  # with stand-ins in the same process there is more to run
+            _pin(cpus)
         if path is None:
             standins = StandInFleet(4)
             directory = ledger or tempfile.mkdtemp(prefix="saffronstack-ledger-")
@@ -65,7 +94,7 @@
         else:
             config = _overridden(configs.load(path), listen, ledger)
         gateway = Gateway(config, record_to=record_to)
-    except (configs.ConfigError, LedgerError, OSError) as error:
+    except (configs.ConfigError, LedgerError, OSError, ValueError) as error:
         click.echo(f"saffronstack serve: {error}", err=True)
         if standins is not None:
             standins.stop()
--- a/saffronstack/core/engine.py
+++ b/saffronstack/core/engine.py
@@ -10,7 +10,6 @@
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from functools import partial
 from itertools import count
 from typing import Protocol
 
@@ -169,31 +168,36 @@
         try:
             while True:
                 due_s = self._timers.next_s()
-                wait_s = IDLE_S if due_s is None else min(IDLE_S, max(0.0, due_s - self._clock()))
-                try:
+                wait_s = IDLE_S if due_s is None else min(IDLE_S, due_s - self._clock())
+                item: object = self
+                try:  # noqa: SIM105 - the loop is the program's narrowest place, and a context costs more
                     item = self._queue.get(timeout=wait_s) if wait_s > 0 else self._queue.get_nowait()
                 except queue.Empty:
-                    item = self  # only the timers
+                    pass  # only the timers
                 if item is None:
                     if self._queue.empty():
-                        break
+                        return
                     self._queue.put(None)
                     continue
                 self._now = max(self._now, self._clock())
-                self._guarded(self._fire)
+                # Whatever goes wrong with one item, the thread goes on: every other call depends on it.
+                if due_s is not None and due_s <= self._now:
+                    try:
+                        self._fire()
+                    except Exception:
+                        self._fault()
                 if item is not self:
-                    self._guarded(partial(self._take, item))
+                    try:
+                        self._take(item)
+                    except Exception:
+                        self._fault()
         finally:
             self._abandon()
             self._stopped.set()
 
-    def _guarded(self, step: Callable[[], None]) -> None:
-        """Whatever goes wrong with one item, the thread goes on: every other call depends on it."""
-        try:
-            step()
-        except Exception:
-            self.counts.faults += 1
-            log.exception("step of the decision thread failed")
+    def _fault(self) -> None:
+        self.counts.faults += 1
+        log.exception("step of the decision thread failed")
 
     def _fire(self) -> None:
         while (due := self._timers.due(self._now)) is not None:
--- a/saffronstack/http1/messages.py
+++ b/saffronstack/http1/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 
 class HttpError(Exception):
@@ -24,25 +24,27 @@
     body: int = 6 * 1024 * 1024
 
 
-@dataclass(slots=True)
 class Headers:
-    """Header fields in their order, names in lower case."""
+    """Header fields in their order, names in lower case; not changed once made."""
+
+    __slots__ = ("_first", "items")
 
-    items: list[tuple[str, str]] = field(default_factory=list)
+    def __init__(self, items: list[tuple[str, str]]) -> None:
+        self.items = items
+        self._first = dict(reversed(items))
 
     def get(self, name: str, default: str = "") -> str:
         """The first field of that (lower-case) name."""
-        for known, value in self.items:
-            if known == name:
-                return value
-        return default
+        return self._first.get(name, default)
 
     def all(self, name: str) -> list[str]:
         """Every field of that (lower-case) name."""
+        if name not in self._first:
+            return []
         return [value for known, value in self.items if known == name]
 
     def __contains__(self, name: str) -> bool:
-        return any(known == name for known, _ in self.items)
+        return name in self._first
 
 
 @dataclass(slots=True)
--- a/saffronstack/http1/reader.py
+++ b/saffronstack/http1/reader.py
@@ -11,13 +11,11 @@
 
 from saffronstack.http1.messages import Headers, HttpError, Limits, RequestHead, ResponseHead
 
-_BAD_ENDING = re.compile(rb"(?<!\r)\n|\r(?!\n|\Z)|\x00")
 _REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/1\.([01])")
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?")
-_FIELD = re.compile(
-    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*((?:[\x21-\x7e\x80-\xff](?:[ \t\x21-\x7e\x80-\xff]*"
-    rb"[\x21-\x7e\x80-\xff])?)?)[ \t]*"
-)
+# Two plain patterns in place of one for the whole line: that one would try every split of a run of spaces.
+_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _CHUNK = re.compile(rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?")
 CHUNK_LINE = 256  # bytes of a chunk's size line, extensions included
@@ -112,7 +110,7 @@
         buffer, limits = self._buffer, self.limits
         end = buffer.find(b"\r\n\r\n", self._scanned)
         part = buffer[: end + 4] if end >= 0 else buffer[: limits.head + 1]
-        if _BAD_ENDING.search(part):
+        if _has_bad_ending(part):
             raise HttpError(400, "bare CR, bare LF or NUL in the head")
         if end < 0:
             if len(buffer) > limits.head:
@@ -129,18 +127,20 @@
         return block
 
     def _fields(self, block: bytes) -> Headers:
-        items: list[tuple[str, str]] = []
-        lines = block.split(b"\r\n") if block else []
+        lines = block.decode("latin-1").split("\r\n") if block else []
         if len(lines) > self.limits.fields:
             raise HttpError(431, f"{len(lines)} header fields, {self.limits.fields} at most")
+        items: list[tuple[str, str]] = []
+        is_name, is_value = _NAME.fullmatch, _VALUE.fullmatch
+        most = self.limits.line
         for line in lines:
-            if len(line) > self.limits.line:
-                raise HttpError(431, f"header line of {len(line)} bytes, {self.limits.line} at most")
-            match = _FIELD.fullmatch(line)
-            if match is None:
-                what = "folded header line" if line[:1] in (b" ", b"\t") else "malformed header line"
+            if len(line) > most:
+                raise HttpError(431, f"header line of {len(line)} bytes, {most} at most")
+            name, colon, value = line.partition(":")
+            if not colon or not is_name(name) or not is_value(value):
+                what = "folded header line" if line[:1] in (" ", "\t") else "malformed header line"
                 raise HttpError(400, what)
-            items.append((match[1].decode().lower(), match[2].decode("latin-1")))
+            items.append((name.lower(), value.strip(" \t")))
         return Headers(items)
 
     def _frame(self, headers: Headers, minor: int, request: bool) -> None:
@@ -236,7 +236,7 @@
     def _line(self, limit: int) -> bytes | None:
         end = self._buffer.find(b"\r\n")
         part = self._buffer[: end + 2] if end >= 0 else self._buffer[: limit + 2]
-        if _BAD_ENDING.search(part):
+        if _has_bad_ending(part):
             raise HttpError(400, "bare CR, bare LF or NUL in the chunked body")
         if end > limit or (end < 0 and len(self._buffer) > limit + 1):
             raise HttpError(400, f"chunk line over {limit} bytes")
@@ -250,3 +250,10 @@
 def _keeps(headers: Headers, minor: int) -> bool:
     words = {word.strip().lower() for value in headers.all("connection") for word in value.split(",")}
     return "close" not in words and (minor == 1 or "keep-alive" in words)
+
+
+def _has_bad_ending(part: bytes | bytearray) -> bool:
+    """Whether a NUL, a bare CR or a bare LF is in it; a CR at its end may yet be followed by its LF."""
+    pairs = part.count(b"\r\n")
+    returns = part.count(b"\r") - part.endswith(b"\r")
+    return part.count(b"\n") != pairs or returns != pairs or b"\0" in part
--- a/saffronstack/invoke/server.py
+++ b/saffronstack/invoke/server.py
@@ -15,7 +15,7 @@
 from saffronstack.http1 import writer
 from saffronstack.http1.messages import HttpError, Limits, RequestHead
 from saffronstack.http1.reader import MessageReader
-from saffronstack.http1.sockets import READ_SIZE, PeerClosed, peer_state, read_until
+from saffronstack.http1.sockets import PeerClosed, Stream, read_until
 from saffronstack.invoke import errors
 from saffronstack.invoke.app import App, ClientLeft, response_id
 
@@ -55,7 +55,7 @@
         self._listener.settimeout(0.5)
         self._reserve = _reserve()
         self._lock = threading.Condition()
-        self._idle: set[socket.socket] = set()
+        self._idle: set[Stream] = set()
         self._open = 0
         self._draining = False
         self.accepted = 0
@@ -86,10 +86,9 @@
             # Requests already on their way to an idle connection are answered, with a word that it closes.
             if self._lock.wait_for(lambda: self._open == 0, IDLE_GRACE_S):
                 return True
-            idle = list(self._idle)
-        for sock in idle:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RD)
+            idle = list(self._idle)  # a copy in one step; threads add and take out themselves alone
+        for stream in idle:
+            stream.abort(socket.SHUT_RD)
         with self._lock:
             return self._lock.wait_for(lambda: self._open == 0, timeout_s)
 
@@ -162,91 +161,84 @@
     # ---- one connection
 
     def _serve(self, sock: socket.socket) -> None:
+        stream = Stream(sock)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             reader = MessageReader(self._limits.messages)
-            while self._one(sock, reader):
+            while self._one(stream, reader):
                 pass
         except (OSError, ClientLeft):
             pass  # the client has left, or takes no answer: there is nobody to tell
         except Exception:
             log.exception("connection thread failed")
         finally:
-            with self._lock:
-                self._idle.discard(sock)
-            with contextlib.suppress(OSError):
-                sock.close()
+            stream.close()
             self._closed()
 
-    def _one(self, sock: socket.socket, reader: MessageReader) -> bool:
+    def _one(self, stream: Stream, reader: MessageReader) -> bool:
         """One request and its answer; whether the connection goes on."""
         try:
-            head = self._head(sock, reader)
+            head = self._head(stream, reader)
             if head is None:
                 return False
-            body = self._body(sock, reader, head)
+            body = self._body(stream, reader, head)
         except HttpError as error:
-            self._refuse(sock, error)
+            self._write(stream, self._app.malformed(error).encode(close=True))
+            self._linger(stream)
             return False
-        answer = self._app.answer(head, body, lambda: peer_state(sock))
+        answer = self._app.answer(head, body, stream.open)
         close = self._draining or not head.keep_alive
-        sock.settimeout(self._limits.write_s)
-        sock.sendall(answer.encode(close))
+        self._write(stream, answer.encode(close))
         if close:
-            self._linger(sock)
+            self._linger(stream)
         return not close
 
-    def _head(self, sock: socket.socket, reader: MessageReader) -> RequestHead | None:
+    def _write(self, stream: Stream, data: bytes) -> None:
+        if not stream.send(data, self._clock() + self._limits.write_s, self._clock):
+            raise ClientLeft
+
+    def _head(self, stream: Stream, reader: MessageReader) -> RequestHead | None:
         """The next head; None where the client has ended, or stays idle for too long."""
         if not reader.pending:
-            with self._lock:
-                if self._draining:
-                    return None
-                self._idle.add(sock)
+            self._idle.add(stream)
             try:
-                sock.settimeout(self._limits.idle_s)
-                reader.feed(sock.recv(READ_SIZE))
+                if self._draining and not stream.open():
+                    return None
+                reader.feed(stream.receive(self._limits.idle_s))
             except TimeoutError:
                 return None
             finally:
-                with self._lock:
-                    self._idle.discard(sock)
+                self._idle.discard(stream)
         try:
-            return read_until(sock, reader, reader.request, self._clock() + self._limits.head_s, self._clock)
+            until_s = self._clock() + self._limits.head_s
+            return read_until(stream, reader, reader.request, until_s, self._clock)
         except TimeoutError as error:
             raise HttpError(408, f"no whole request head within {self._limits.head_s:g} s") from error
         except PeerClosed:
             return None
 
-    def _body(self, sock: socket.socket, reader: MessageReader, head: RequestHead) -> bytes:
+    def _body(self, stream: Stream, reader: MessageReader, head: RequestHead) -> bytes:
         limit = self._app.body_limit(head)
         told = head.headers.get("content-length")
         if told and int(told) > limit:
             raise HttpError(413, f"{told} bytes payload is too large; the limit is {limit} bytes")
         if head.expects_continue:
-            sock.settimeout(self._limits.write_s)
-            sock.sendall(writer.CONTINUE)
+            self._write(stream, writer.CONTINUE)
         try:
-            body = read_until(sock, reader, reader.body, self._clock() + self._limits.body_s, self._clock)
+            until_s = self._clock() + self._limits.body_s
+            body = read_until(stream, reader, reader.body, until_s, self._clock)
         except TimeoutError as error:
             raise HttpError(408, f"no whole request body within {self._limits.body_s:g} s") from error
         if len(body) > limit:
             raise HttpError(413, f"{len(body)} bytes payload is too large; the limit is {limit} bytes")
         return body
 
-    def _refuse(self, sock: socket.socket, error: HttpError) -> None:
-        sock.settimeout(self._limits.write_s)
-        sock.sendall(self._app.malformed(error).encode(close=True))
-        self._linger(sock)
-
-    def _linger(self, sock: socket.socket) -> None:
+    def _linger(self, stream: Stream) -> None:
         """Read on for a moment: closing on unread bytes would reset the answer away."""
         with contextlib.suppress(OSError):
-            sock.shutdown(socket.SHUT_WR)
+            stream.abort(socket.SHUT_WR)
             end_s, left = self._clock() + LINGER_S, LINGER_BYTES
             while left > 0 and (wait := end_s - self._clock()) > 0:
-                sock.settimeout(wait)
-                data = sock.recv(READ_SIZE)
+                data = stream.receive(wait)
                 if not data:
                     return
                 left -= len(data)
--- a/saffronstack/standin/worker.py
+++ b/saffronstack/standin/worker.py
@@ -18,7 +18,7 @@
 from saffronstack.http1 import writer
 from saffronstack.http1.messages import HttpError, Limits, RequestHead
 from saffronstack.http1.reader import MessageReader
-from saffronstack.http1.sockets import READ_SIZE, PeerClosed, peer_state, read_until
+from saffronstack.http1.sockets import PeerClosed, Stream, read_until
 from saffronstack.standin.model import Died, Faults, Full, Model, Profile, Store
 
 IDLE_S = 120.0
@@ -138,20 +138,19 @@
             spawn("standin-connection", lambda sock=sock: self._serve(sock, model, incarnation))  # type: ignore[misc]
 
     def _serve(self, sock: socket.socket, model: Model, incarnation: str) -> None:
+        stream = Stream(sock)
         reader = MessageReader(Limits(body=16 * 1024 * 1024))
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             late_s = self.faults.handshake_s
             if late_s:
                 time.sleep(late_s)
             while True:
                 if not reader.pending:
-                    sock.settimeout(IDLE_S)
-                    reader.feed(sock.recv(READ_SIZE))
+                    reader.feed(stream.receive(IDLE_S))
                 until = self._clock() + 30.0
-                head = read_until(sock, reader, reader.request, until, self._clock)
-                body = read_until(sock, reader, reader.body, until, self._clock)
-                if not self._one(sock, model, incarnation, head, body, late_s):
+                head = read_until(stream, reader, reader.request, until, self._clock)
+                body = read_until(stream, reader, reader.body, until, self._clock)
+                if not self._one(stream, model, incarnation, head, body, late_s):
                     return
                 late_s = 0.0
         except (OSError, PeerClosed, HttpError, Died):
@@ -159,12 +158,11 @@
         finally:
             with self._lock:
                 self._connections.discard(sock)
-            with contextlib.suppress(OSError):
-                sock.close()
+            stream.close()
 
     def _one(
         self,
-        sock: socket.socket,
+        stream: Stream,
         model: Model,
         incarnation: str,
         head: RequestHead,
@@ -173,14 +171,14 @@
     ) -> bool:
         path = urlsplit(head.target).path
         if path.startswith("/saffron/v1/copies/"):
-            return self._order(sock, model, incarnation, head, unquote(path.rpartition("/")[2]))
+            return self._order(stream, model, incarnation, head, unquote(path.rpartition("/")[2]))
         if path == "/saffron/v1/report":
-            return self._answer(sock, model, incarnation, 200, (), b"{}")
-        return self._call(sock, model, incarnation, head, body, late_s)
+            return self._answer(stream, model, incarnation, 200, (), b"{}")
+        return self._call(stream, model, incarnation, head, body, late_s)
 
     def _answer(
         self,
-        sock: socket.socket,
+        stream: Stream,
         model: Model,
         incarnation: str,
         status: int,
@@ -203,23 +201,22 @@
             body,
         )
         faults = self.faults
-        sock.settimeout(10.0)
+        until = self._clock() + 10.0
         if faults.half_header:
-            sock.sendall(data[:20])
+            stream.send(data[:20], until, self._clock)
             return False
         if faults.garbage:
-            sock.sendall(b"\x00\xffnot http at all\r\n\r\n")
+            stream.send(b"\x00\xffnot http at all\r\n\r\n", until, self._clock)
             return False
         if faults.reset_mid_answer:
-            sock.sendall(data[: len(data) - max(1, len(body) // 2)])
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            stream.send(data[: len(data) - max(1, len(body) // 2)], until, self._clock)
+            stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             return False
-        sock.sendall(data)
-        return True
+        return stream.send(data, until, self._clock)
 
     def _call(
         self,
-        sock: socket.socket,
+        stream: Stream,
         model: Model,
         incarnation: str,
         head: RequestHead,
@@ -238,11 +235,11 @@
         self._note("arrive", late=late_s, **who)  # ``late``: how long it may have lain in the socket
         faults = self.faults
         if faults.silent:
-            self._hang(sock, model, who)
+            self._hang(stream, model, who)
             return False
         if self._random.random() < faults.errors:
             self._note("answer", status=500, **who)
-            return self._answer(sock, model, incarnation, 500, (), b'{"errorType":"Standin.Broken"}')
+            return self._answer(stream, model, incarnation, 500, (), b'{"errorType":"Standin.Broken"}')
         run_id = uuid.uuid4().hex
         deadline_s = self._clock() + min(LONGEST_S, float(get("x-saffron-left-ms", "3000")) / 1000)
         try:
@@ -255,7 +252,7 @@
             )
         except (Full, TimeoutError):
             self._note("answer", status=429, **who)
-            return self._answer(sock, model, incarnation, 429, (("X-Saffron-Ran", "no"),), b"{}")
+            return self._answer(stream, model, incarnation, 429, (("X-Saffron-Ran", "no"),), b"{}")
         except Died:
             self._note("died", **who)
             if (
@@ -266,7 +263,7 @@
                 self.stop()
             return False
         if faults.silent_after_run:
-            self._hang(sock, model, who)
+            self._hang(stream, model, who)
             return False
         if self._random.random() < faults.lose_answers:
             self._note("lost", **who)
@@ -279,10 +276,10 @@
                 "worker": self.name,
             }
         )
-        open_ = peer_state(sock)
+        open_ = stream.open()
         self._note("answer", status=200, open=open_, run=run_id, **who)
         return self._answer(
-            sock,
+            stream,
             model,
             incarnation,
             200,
@@ -290,22 +287,22 @@
             payload,
         )
 
-    def _hang(self, sock: socket.socket, model: Model, who: Entry) -> None:
+    def _hang(self, stream: Stream, model: Model, who: Entry) -> None:
         """Hold the connection without an answer until the peer gives up."""
         end_s = self._clock() + LONGEST_S
-        while self._clock() < end_s and peer_state(sock) and model is self.model and self._listener:
+        while self._clock() < end_s and stream.open() and model is self.model and self._listener:
             time.sleep(0.02)
         self._note("abandoned", **who)
 
     def _order(
-        self, sock: socket.socket, model: Model, incarnation: str, head: RequestHead, function: str
+        self, stream: Stream, model: Model, incarnation: str, head: RequestHead, function: str
     ) -> bool:
         get = head.headers.get
         if head.method == "DELETE":
             model.drop(function)
-            return self._answer(sock, model, incarnation, 204, (), b"")
+            return self._answer(stream, model, incarnation, 204, (), b"")
         if head.method == "GET":
-            return self._answer(sock, model, incarnation, 200, (), str(model.standing(function)).encode())
+            return self._answer(stream, model, incarnation, 200, (), str(model.standing(function)).encode())
         count = int(urlsplit(head.target).query.rpartition("=")[2] or 1)
         self._note("order", function=function, count=count)
         try:
@@ -317,5 +314,5 @@
                 self._clock() + 8.0,
             )
         except (Full, TimeoutError):
-            return self._answer(sock, model, incarnation, 429, (), str(model.standing(function)).encode())
-        return self._answer(sock, model, incarnation, 200, (), str(held).encode())
+            return self._answer(stream, model, incarnation, 429, (), str(model.standing(function)).encode())
+        return self._answer(stream, model, incarnation, 200, (), str(held).encode())
--- a/saffronstack/workers/pool.py
+++ b/saffronstack/workers/pool.py
@@ -15,7 +15,7 @@
 from saffronstack.core.threads import spawn
 from saffronstack.http1.messages import HttpError, Limits, ResponseHead
 from saffronstack.http1.reader import MessageReader
-from saffronstack.http1.sockets import PeerClosed, read_until
+from saffronstack.http1.sockets import PeerClosed, Stream, read_until
 from saffronstack.interface import Outcome, Result
 from saffronstack.workers import protocol
 
@@ -65,59 +65,38 @@
     """One connection to a worker, used by one thread at a time."""
 
     def __init__(self, sock: socket.socket, limits: Limits) -> None:
-        self._sock = sock
+        self._stream = Stream(sock)
         self._reader = MessageReader(limits)
         self.keep = True
 
     def clean(self) -> bool:
         """Whether it can carry another request: still open, and nothing unasked has come."""
-        try:
-            self._sock.settimeout(0)
-            self._sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return self._reader.pending == 0
-        except OSError:
-            return False
-        return False
+        return not self._reader.pending and self._stream.silent()
 
     def send(self, data: bytes, deadline_s: float, clock: Callable[[], float]) -> bool:
-        """Write it all. False where not one byte was taken, so that the worker can't have read any;
-        OSError or TimeoutError once some were."""
-        sent = 0
-        view = memoryview(data)
-        while sent < len(data):
-            left = deadline_s - clock()
-            try:
-                if left <= 0:
-                    raise TimeoutError("no time left to send")
-                self._sock.settimeout(left)
-                sent += self._sock.send(view[sent:])
-            except OSError:
-                self.keep = False
-                if not sent:
-                    return False
-                raise
+        """As `Stream.send`; a connection that did not take it all is not kept."""
+        keep, self.keep = self.keep, False
+        if not self._stream.send(data, deadline_s, clock):
+            return False
+        self.keep = keep
         return True
 
     def receive(self, deadline_s: float, clock: Callable[[], float]) -> tuple[ResponseHead, bytes]:
         """The response; TimeoutError, PeerClosed, OSError or HttpError where none comes whole."""
         self.keep = False
-        head = read_until(self._sock, self._reader, self._reader.response, deadline_s, clock)
-        body = read_until(self._sock, self._reader, self._reader.body, deadline_s, clock)
+        head = read_until(self._stream, self._reader, self._reader.response, deadline_s, clock)
+        body = read_until(self._stream, self._reader, self._reader.body, deadline_s, clock)
         self.keep = head.keep_alive
         return head, body
 
     def abort(self) -> None:
         """End it under the thread that uses it."""
         self.keep = False
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
+        self._stream.abort()
 
     def close(self) -> None:
         """Close it."""
-        self._sock.close()
+        self._stream.close()
 
 
 class WorkerPool:
@@ -242,7 +221,6 @@
         if left <= 0:
             raise TimeoutError("no time left to connect")
         sock = socket.create_connection((self.spec.host, self.spec.port), timeout=left)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return Connection(sock, self.limits.messages)
 
     def _attempt(self, job: AttemptJob, connection: Connection | None) -> Connection | None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from saffronstack.cli.serve import choose_cpus
 from saffronstack.config import ConfigError
 from saffronstack.day import plan
 
@@ -114,3 +115,13 @@
     with pytest.raises(ConfigError, match=r"troubles\[0\].kind: Invalid enum value 'locusts'"):
         plan.load(str(path))
     assert saffronstack("day", "run", str(path)).returncode == 2
+
+
+def test_processors_are_chosen_in_turn_and_checked() -> None:
+    assert choose_cpus("one", {3, 5}, 4) == {3}
+    assert choose_cpus("one", {3, 5}, 5) == {5}
+    assert choose_cpus("all", {3, 5}, 0) == {3, 5}
+    assert choose_cpus("5", {3, 5}, 0) == {5}
+    for wanted in ("7", "x"):
+        with pytest.raises(ValueError, match=r"not allowed|invalid literal"):
+            choose_cpus(wanted, {3, 5}, 0)
--- a/tests/test_invoke_api.py
+++ b/tests/test_invoke_api.py
@@ -268,16 +268,11 @@
         "POST", "/p", fields, cred.signed, "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
     )
     signature = more.get("signature") or sigv4.sign(SECRET, cred, stamp, canonical)
-    fields.items.append(
-        (
-            "authorization",
-            (
-                f"AWS4-HMAC-SHA256 Credential=AKIDEXAMPLE/{cred.date}/us-east-1/{cred.service}/aws4_request, "
-                f"SignedHeaders=host;x-amz-date, Signature={signature}"
-            ),
-        )
+    authorization = (
+        f"AWS4-HMAC-SHA256 Credential=AKIDEXAMPLE/{cred.date}/us-east-1/{cred.service}/aws4_request, "
+        f"SignedHeaders=host;x-amz-date, Signature={signature}"
     )
-    return fields
+    return Headers([*fields.items, ("authorization", authorization)])
 
 
 def check(
