--- /dev/null
+++ b/tests/test_architecture.py
@@ -0,0 +1,73 @@
+"""Imports run one way, as docs/architecture.md has it."""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent / "saffronstack"
+POLICY = {"choice", "interface", "checks"}
+MAY = {
+    "http1": {"http1"},
+    "core": {"core"} | POLICY,
+    "workers": {"workers", "core", "http1"} | POLICY,
+    "config": {"config", "core"} | POLICY,
+    "deferred": {"deferred", "config", "core"} | POLICY,
+    "invoke": {"invoke", "deferred", "config", "core", "http1"} | POLICY,
+    "standin": {"standin", "core", "http1"},
+    "audit": {"audit"},
+    "bench": {"bench"} | POLICY,
+}
+
+
+def imported(path: pathlib.Path) -> set[str]:
+    """Parts of the package that a file imports when it runs."""
+    found = set()
+    tree = ast.parse(path.read_text())
+    guarded = {
+        id(inner)
+        for node in ast.walk(tree)
+        if isinstance(node, ast.If) and "TYPE_CHECKING" in ast.dump(node.test)
+        for inner in ast.walk(node)
+    }
+    for node in ast.walk(tree):
+        if id(node) in guarded:
+            continue
+        names: list[str] = []
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names = (
+                [f"saffronstack.{alias.name}" for alias in node.names]
+                if node.module == "saffronstack"
+                else [node.module]
+            )
+        elif isinstance(node, ast.Import):
+            names = [alias.name for alias in node.names]
+        found |= {name.split(".")[1] for name in names if name.startswith("saffronstack.")}
+    return found
+
+
+@pytest.mark.parametrize("package", sorted(MAY))
+def test_a_package_imports_only_what_stands_below_it(package: str) -> None:
+    for path in (ROOT / package).rglob("*.py"):
+        assert imported(path) <= MAY[package], path
+
+
+def test_stand_ins_serve_the_command_line_and_the_days_alone() -> None:
+    users = {path.relative_to(ROOT).parts[0] for path in ROOT.rglob("*.py") if "standin" in imported(path)}
+    assert users <= {"cli", "day", "standin"}
+
+
+def test_the_bench_adapter_runs_on_the_standard_library() -> None:
+    import sys
+
+    for path in [*(ROOT / "bench").glob("*.py"), *(ROOT / f"{name}.py" for name in POLICY)]:
+        for node in ast.walk(ast.parse(path.read_text())):
+            module = node.module if isinstance(node, ast.ImportFrom) else None
+            names = (
+                [module] if module else [a.name for a in node.names] if isinstance(node, ast.Import) else []
+            )
+            for name in names:
+                top = str(name).split(".")[0]
+                assert top == "saffronstack" or top in sys.stdlib_module_names, (path, name)
