A log's end comes back from the stand-ins, where the client asked for it

Need: LogType=Tail had no test that fails without the header on the whole path.

Change: stand-ins send X-Amz-Log-Result when asked; the test reads it with boto3.

--- a/saffronstack/http1/sockets.py
+++ b/saffronstack/http1/sockets.py
@@ -15,7 +15,7 @@
 from saffronstack.http1.reader import MessageReader
 
 T = TypeVar("T")
-READ_SIZE = 16 * 1024
+READ_SIZE = 64 * 1024
 _TIMEVAL = struct.Struct("ll")
 LEAST_S = 0.001  # a zero time-out would mean none
 
--- a/saffronstack/standin/worker.py
+++ b/saffronstack/standin/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import contextlib
 import random
 import socket
@@ -276,6 +277,10 @@
                 "worker": self.name,
             }
         )
+        log_tail: tuple[tuple[str, str], ...] = ()
+        if get("x-amz-log-type") == "Tail":
+            text = f"START RequestId: {who['id']}\nrun {run_id}\nEND RequestId: {who['id']}\n"
+            log_tail = (("X-Amz-Log-Result", base64.b64encode(text.encode()).decode()),)
         open_ = stream.open()
         self._note("answer", status=200, open=open_, run=run_id, **who)
         return self._answer(
@@ -283,7 +288,7 @@
             model,
             incarnation,
             200,
-            (("X-Saffron-Found", found), ("X-Saffron-Crowd", str(min(30, crowd)))),
+            (("X-Saffron-Found", found), ("X-Saffron-Crowd", str(min(30, crowd))), *log_tail),
             payload,
         )
 
--- a/tests/test_invoke_api.py
+++ b/tests/test_invoke_api.py
@@ -170,10 +170,12 @@
     client.close()
 
 
-def test_client_context_reaches_the_worker_and_a_log_comes_back_only_when_asked(stack: Stack) -> None:
+def test_a_log_tail_comes_back_only_when_asked(stack: Stack) -> None:
     context = base64.b64encode(b'{"custom": {}}').decode()
-    answer = boto(stack.address).invoke(FunctionName="identify-copy", ClientContext=context, LogType="Tail")
-    assert answer["StatusCode"] == 200
+    client = boto(stack.address)
+    answer = client.invoke(FunctionName="identify-copy", ClientContext=context, LogType="Tail")
+    assert b"END RequestId" in base64.b64decode(answer["LogResult"])
+    assert "LogResult" not in client.invoke(FunctionName="identify-copy")
 
 
 def test_metrics_are_in_prometheus_text(stack: Stack) -> None:
--- a/tests/test_kill_points.py
+++ b/tests/test_kill_points.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
@@ -125,7 +126,7 @@
         sock.connect_ex(address)
     fleet = StandInFleet(0)
     entry = {"id": "slow", "address": f"127.0.0.1:{address[1]}", "kind": "standin"}
-    changes = {"workers": [entry], "allow": {"connect_timeout_s": 5.0}}
+    changes: dict[str, Any] = {"workers": [entry], "allow": {"connect_timeout_s": 5.0}}
     classes = [{**cls, "deadline_s": 6.0} for cls in configuration(fleet)["classes"]]
     with running(fleet=fleet, classes=classes, **changes) as stack:
         client = stack.raw()
