--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -82,7 +82,9 @@
     return 0
 
 
-def gateway(directory: pathlib.Path, content: dict[str, Any]) -> tuple[subprocess.Popen[str], str]:
+def gateway(
+    directory: pathlib.Path, content: dict[str, Any], processes: int = 1
+) -> tuple[subprocess.Popen[str], str]:
     """A gateway process and its address."""
     path = directory / "gateway.json5"
     path.write_text(json.dumps(content))
@@ -98,6 +100,8 @@
             "127.0.0.1:0",
             "--log-level",
             "error",
+            "--processes",
+            str(processes),
         ],
         stdout=subprocess.PIPE,
         text=True,
@@ -126,6 +130,9 @@
     content = sample(workers, "127.0.0.1:0", str(directory / "ledger"), 65536)
     content["functions"][0] |= {"lanes": 64, "memory_mb": 128}
     process, address = gateway(directory, content)
+    (directory / "four").mkdir()
+    four = {**content, "ledger": {"directory": str(directory / "four")}}
+    several, shared = gateway(directory / "four", four, PROCESSES)
     proxy = subprocess.Popen(
         [sys.executable, str(HERE / "proxy.py"), *addresses], stdout=subprocess.PIPE, text=True
     )
@@ -136,7 +143,12 @@
         print(f"{'connections':>11} {'path':<8} {'calls/s':>9} {'p50 ms':>8} {'p99 ms':>8} {'errors':>7}")
         for count in connections:
             rows = {}
-            for path, where in (("direct", addresses), ("proxy", [proxied]), ("gateway", [address])):
+            for path, where in (
+                ("direct", addresses),
+                ("proxy", [proxied]),
+                ("gateway", [address]),
+                ("4 proc.", [shared]),
+            ):
                 rows[path] = load(where, CALL, count, seconds)
                 rate, p50, p99, errors = rows[path]
                 print(f"{count:>11} {path:<8} {rate:>9.0f} {p50:>8.2f} {p99:>8.2f} {errors:>7}", flush=True)
@@ -145,6 +157,9 @@
                 f"{count:>11} gateway: {rows['gateway'][0] / max(1, rows['proxy'][0]):.2f} of the proxy, "
                 f"adds {added[0]:.2f} ms at p50, {added[1]:.2f} ms at p99"
             )
+            print(
+                f"{count:>11} 4 processes: {rows['4 proc.'][0] / max(1, rows['proxy'][0]):.2f} of the proxy"
+            )
         for count in (8, 128):
             rate, p50, p99, errors = load([address], EVENT, count, seconds)
             print(
@@ -155,6 +170,7 @@
         idle(process.pid, address)
     finally:
         process.kill()
+        several.kill()
         proxy.kill()
         for host in hosts:
             host.end()
--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -28,6 +28,10 @@
 @click.option(
     "--record", "record_to", type=click.Path(dir_okay=False), help="Write every decision to a file."
 )
+@click.option(
+    "--processes", type=click.IntRange(1, 256), default=1, show_default=True, help="On one address."
+)
+@click.option("--member", hidden=True, default="")
 @click.option("--cpus", default="one", show_default=True, help="one, all, or numbers like 2,3.")
 @click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console")
 @click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
@@ -37,16 +41,23 @@
     listen: str | None,
     ledger: str | None,
     record_to: str | None,
+    processes: int,
+    member: str,
     cpus: str,
     log_form: str,
     log_level: str,
 ) -> None:
     """Run a gateway in the foreground until SIGTERM or SIGINT; SIGHUP rereads keys and workers."""
-    from saffronstack.cli.serve import run
+    from saffronstack.cli.serve import Options, run, supervise
 
     if (path is None) == (not with_standins):
         raise click.UsageError("give either --config FILE or --with-standins")
-    sys.exit(run(path, listen, ledger, record_to or "", cpus, log_form, log_level))
+    options = Options(path, listen, ledger, record_to or "", cpus, log_form, log_level, member)
+    if processes > 1:
+        if path is None or record_to:
+            raise click.UsageError("--processes goes with --config, and not with --record")
+        sys.exit(supervise(options, processes))
+    sys.exit(run(options))
 
 
 @main.group("config")
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -9,6 +9,8 @@
 import signal
 import sys
 import tempfile
+import time
+from dataclasses import dataclass
 from types import FrameType
 
 import click
@@ -17,6 +19,9 @@
 
 from saffronstack import config as configs
 from saffronstack.config.schema import Config, Ledger
+from saffronstack.core.threads import spawn
+from saffronstack.daemon.members import Members, member_directory, stranded
+from saffronstack.daemon.supervisor import StartFailed, Supervisor, command_of
 from saffronstack.deferred.ledger import LedgerError
 from saffronstack.gateway import Gateway
 from saffronstack.standin.fleet import StandInFleet, sample
@@ -58,23 +63,27 @@
     return chosen
 
 
-def _pin(wanted: str) -> None:
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What the command line says."""
+
+    path: str | None
+    listen: str | None
+    ledger: str | None
+    record_to: str
+    cpus: str
+    log_form: str
+    log_level: str
+    member: str = ""  # INDEX/COUNT of a process under a supervisor
+
+
+def _pin(wanted: str, turn: int) -> None:
     if hasattr(os, "sched_setaffinity"):
-        os.sched_setaffinity(0, choose_cpus(wanted, set(os.sched_getaffinity(0)), os.getpid()))
-
-
-def run(
-    path: str | None,
-    listen: str | None,
-    ledger: str | None,
-    record_to: str,
-    cpus: str,
-    form: str,
-    level: str,
-) -> int:
-    """Serve until a signal says stop; 0 after a clean end, 1 after an unclean one, 2 where it can't start."""
-    set_up_logs(form, level)
-    # The handler only queues: signals arrive between any two instructions of this thread.
+        os.sched_setaffinity(0, choose_cpus(wanted, set(os.sched_getaffinity(0)), turn))
+
+
+def _signals() -> queue.SimpleQueue[int]:
+    """Signals as they come. The handler only queues: it may run between any two instructions."""
     signals: queue.SimpleQueue[int] = queue.SimpleQueue()
 
     def note(number: int, _frame: FrameType | None) -> None:
@@ -82,18 +91,37 @@
 
     for wanted in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(wanted, note)
+    return signals
+
+
+def _end_with_parent(signals: queue.SimpleQueue[int]) -> None:
+    """Standard input is a pipe of the supervisor's: its end is the supervisor's, however that came."""
+
+    def watch() -> None:
+        while os.read(0, 1024):
+            continue
+        signals.put(signal.SIGTERM)
+
+    spawn("parent", watch)
+
+
+def run(options: Options) -> int:
+    """Serve until a signal says stop; 0 after a clean end, 1 after an unclean one, 2 where it can't start."""
+    set_up_logs(options.log_form, options.log_level)
+    signals = _signals()
     standins: StandInFleet | None = None
+    members: Members | None = None
     try:
-        if path is not None:  # with stand-ins in the same process there is more to run
-            _pin(cpus)
-        if path is None:
+        if options.path is None:
             standins = StandInFleet(4)
-            directory = ledger or tempfile.mkdtemp(prefix="saffronstack-ledger-")
-            text = json.dumps(sample(standins.entries(), listen or "127.0.0.1:9000", directory))
-            config = configs.parse(text, "sample configuration")
+            directory = options.ledger or tempfile.mkdtemp(prefix="saffronstack-ledger-")
+            listen = options.listen or "127.0.0.1:9000"
+            config = configs.parse(json.dumps(sample(standins.entries(), listen, directory)), "sample")
         else:
-            config = _overridden(configs.load(path), listen, ledger)
-        gateway = Gateway(config, record_to=record_to)
+            config, members = _member(_overridden(configs.load(options.path), options), options.member)
+            # With stand-ins in the same process there would be more to run.
+            _pin(options.cpus, members.index if members is not None else os.getpid())
+        gateway = Gateway(config, record_to=options.record_to, members=members)
     except (configs.ConfigError, LedgerError, OSError, ValueError) as error:
         click.echo(f"saffronstack serve: {error}", err=True)
         if standins is not None:
@@ -102,6 +130,8 @@
     host, port = gateway.start()
     click.echo(f"saffronstack takes calls on http://{host}:{port}")
     sys.stdout.flush()
+    if members is not None:
+        _end_with_parent(signals)
     while True:
         try:
             number = signals.get(timeout=1.0)
@@ -109,8 +139,8 @@
             continue
         if number != signal.SIGHUP:
             break
-        if path is not None:
-            _reread(gateway, path, listen, ledger)
+        if options.path is not None:
+            _reread(gateway, options)
     log.info("stopping", signal=signal.Signals(number).name)
     clean = gateway.stop()
     if standins is not None:
@@ -119,7 +149,67 @@
     return 0 if clean else 1
 
 
-def _overridden(config: Config, listen: str | None, ledger: str | None) -> Config:
+def supervise(options: Options, count: int) -> int:
+    """Serve with several processes on one address, each a front end of its own to the module."""
+    set_up_logs(options.log_form, options.log_level)
+    signals = _signals()
+    assert options.path is not None
+    try:
+        config = _overridden(configs.load(options.path), options)
+        left = stranded(config.ledger.directory, count) if config.ledger is not None else []
+        if left:
+            raise ValueError(
+                f"deferred calls may be open in {', '.join(left)}: start as many processes as before, "
+                "or let a gateway of its own finish them (--ledger)"
+            )
+        host, _, port = config.listen.rpartition(":")
+        arguments = [
+            "serve",
+            "--config",
+            options.path,
+            "--cpus",
+            options.cpus,
+            "--log",
+            options.log_form,
+            "--log-level",
+            options.log_level,
+        ]
+        if options.ledger:
+            arguments += ["--ledger", options.ledger]
+        supervisor = Supervisor(command_of(arguments), count, host, int(port))
+        supervisor.start()
+    except (configs.ConfigError, StartFailed, OSError, ValueError) as error:
+        click.echo(f"saffronstack serve: {error}", err=True)
+        return 2
+    click.echo(f"saffronstack takes calls on http://{supervisor.host}:{supervisor.port}")
+    sys.stdout.flush()
+    number = supervisor.watch(signals)
+    log.info("stopping", signal=signal.Signals(number).name)
+    longest_s = max(cls.deadline_s for cls in config.classes) + config.limits.write_timeout_s + 15.0
+    return 0 if supervisor.stop(longest_s) == 0 else 1
+
+
+def _member(config: Config, member: str) -> tuple[Config, Members | None]:
+    """One process's own configuration: its place among all front ends, its ledger, its seed."""
+    if not member:
+        return config, None
+    index, count = (int(part) for part in member.split("/"))
+    directory = config.ledger.directory if config.ledger is not None else ""
+    ledger = config.ledger
+    if ledger is not None:
+        ledger = msgspec.structs.replace(ledger, directory=member_directory(directory, index))
+    own = msgspec.structs.replace(
+        config,
+        ledger=ledger,
+        instances=config.instances * count,
+        self_index=config.self_index * count + index,
+        seed=config.seed * count + index,
+    )
+    return own, Members(index, count, directory, time.monotonic)
+
+
+def _overridden(config: Config, options: Options) -> Config:
+    listen, ledger = options.listen, options.ledger
     if listen:
         config = msgspec.structs.replace(config, listen=listen)
     if ledger:
@@ -128,10 +218,11 @@
     return config
 
 
-def _reread(gateway: Gateway, path: str, listen: str | None, ledger: str | None) -> None:
+def _reread(gateway: Gateway, options: Options) -> None:
     """A file that can't be used changes nothing."""
+    assert options.path is not None
     try:
-        config = _overridden(configs.load(path), listen, ledger)
+        config, _ = _member(_overridden(configs.load(options.path), options), options.member)
     except configs.ConfigError as error:
         log.error("configuration kept as it was", why=str(error))
         return
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -11,6 +11,7 @@
 from saffronstack.config.schema import Config
 from saffronstack.core.engine import Engine
 from saffronstack.core.record import Recorder
+from saffronstack.daemon.members import Members
 from saffronstack.deferred.calls import DeferredCalls
 from saffronstack.deferred.ledger import Ledger
 from saffronstack.deferred.segments import Files
@@ -36,8 +37,11 @@
         clock: Callable[[], float] = time.monotonic,
         wall: Callable[[], float] = time.time,
         files: Files | None = None,
+        members: Members | None = None,
     ) -> None:
-        """OSError where the address can't be had, LedgerError where the ledger can't be used."""
+        """``members``: it is one process of several on one address, and ``config`` its own.
+
+        OSError where the address can't be had, LedgerError where the ledger can't be used."""
         self.config = config
         self._clock, self._wall = clock, wall
         limits = config.limits
@@ -73,8 +77,11 @@
             self.deferred = DeferredCalls(
                 config, self.ledger, self.engine, self.functions, clock, wall, config.seed
             )
+        self.members = members or Members(0, 1, "", clock)
         self.pages = Pages(self)
-        self.app = App(config, self.engine, self.functions, self.deferred, clock, wall, self.pages.table())
+        self.app = App(
+            config, self.engine, self.functions, self.deferred, clock, wall, self.pages.table(), self.members
+        )
         host, _, port = config.listen.rpartition(":")
         messages = Limits(
             limits.line_bytes,
@@ -82,20 +89,18 @@
             limits.header_fields,
             max(limits.payload_bytes, limits.event_payload_bytes),
         )
-        self.server = Server(
-            host,
-            int(port),
-            self.app,
-            FrontLimits(
-                messages,
-                limits.connections,
-                limits.head_timeout_s,
-                limits.body_timeout_s,
-                limits.write_timeout_s,
-                limits.idle_timeout_s,
-            ),
-            clock,
+        front = FrontLimits(
+            messages,
+            limits.connections,
+            limits.head_timeout_s,
+            limits.body_timeout_s,
+            limits.write_timeout_s,
+            limits.idle_timeout_s,
         )
+        self.server = Server(host, int(port), self.app, front, clock, shared=self.members.count > 1)
+        self.peers: Server | None = None  # where the other processes ask this one
+        if self.members.count > 1 and self.ledger is not None:
+            self.peers = Server("127.0.0.1", 0, self.app, front, clock)
         self.draining = False
 
     def start(self) -> tuple[str, int]:
@@ -106,6 +111,10 @@
         self.engine.start(self.fleet)
         if self.deferred is not None:
             self.deferred.start()
+        if self.peers is not None:
+            self.peers.start()
+            host, port = self.peers.address
+            self.members.publish(f"{host}:{port}")
         self.server.start()
         return self.server.address
 
@@ -133,6 +142,8 @@
         self.draining = True
         longest_s = max(cls.deadline_s for cls in self.config.classes)
         clean = self.server.drain(longest_s + self.config.limits.write_timeout_s)
+        if self.peers is not None:
+            clean = self.peers.drain(2.0) and clean
         if self.deferred is not None:
             clean = self.deferred.stop(longest_s + 1.0) and clean
         clean = self.engine.stop() and clean
--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -16,6 +16,7 @@
 from saffronstack.core.calls import Call, Ending, Final
 from saffronstack.core.engine import Engine
 from saffronstack.core.names import LATEST
+from saffronstack.daemon.members import FORWARDED, Members
 from saffronstack.deferred.calls import CommitFailed, DeferredCalls, LedgerFull, Submission
 from saffronstack.http1 import writer
 from saffronstack.http1.messages import HttpError, RequestHead
@@ -84,6 +85,7 @@
         clock: Callable[[], float],
         wall: Callable[[], float],
         pages: Mapping[str, Page],
+        members: Members,
     ) -> None:
         self.access = Access.of(config)
         self._config = config
@@ -93,16 +95,22 @@
         self._clock = clock
         self._wall = wall
         self._pages = pages
+        self._members = members
         self._tenants = {tenant.name: place for place, tenant in enumerate(config.tenants)}
         self._validate = msgspec.json.Decoder(msgspec.Raw).decode
 
     def answer(self, head: RequestHead, body: bytes, client_there: Callable[[], bool]) -> Response:
         """The answer to one request; ClientLeft where nobody waits for it any more."""
-        request_id = response_id()
+        request_id = self._members.mark(response_id())
         try:
             path, query = names.parse_target(head.target)
             if (page := self._pages.get(path)) is not None:
-                return page() if head.method == "GET" else self._method(request_id, "GET")
+                if head.method != "GET":
+                    return self._method(request_id, "GET")
+                index = query.get("process", "")
+                if index.isdigit() and len(index) < 4 and int(index) != self._members.index:
+                    return self._elsewhere(int(index), head)
+                return page()
             if match := names.PATH.fullmatch(path):
                 if head.method != "POST":
                     return self._method(request_id, "POST")
@@ -271,12 +279,26 @@
         except CommitFailed as error:
             raise errors.too_many(f"Deferred calls can't be written down now: {error}", 5.0) from error
 
+    def _elsewhere(self, index: int, head: RequestHead) -> Response:
+        """A GET that another process of this gateway has to answer; its signature is checked there."""
+        fields = _passed_on(head.headers.items, ("host", "authorization"))
+        answer = None
+        if index < self._members.count and FORWARDED not in head.headers:
+            answer = self._members.ask(index, head.target, fields)
+        if answer is None:
+            raise errors.service(f"Process {index} of this gateway does not answer now.", 503)
+        found, body = answer
+        return Response(found.status, tuple(_passed_on(found.headers.items, ("content-type",))), body)
+
     def _record(self, request_id: str, head: RequestHead, body: bytes, wanted: str) -> Response:
         """Our extension: what became of a deferred call, for the tenant that made it."""
         if head.method != "GET":
             return self._method(request_id, "GET")
         tenant = self._tenant(head, body)
         found = self._deferred.lookup(wanted) if self._deferred is not None else None
+        owner = self._members.owner(wanted)
+        if found is None and owner is not None and FORWARDED not in head.headers:
+            return self._elsewhere(owner, head)
         if found is None or (self.access.secrets and found.tenant != tenant):
             raise InvokeError(404, "ResourceNotFoundException", f"No deferred call has the id {wanted[:64]}")
         headers = (("Content-Type", "application/json"), ("x-amzn-RequestId", request_id))
@@ -286,6 +308,10 @@
         return Response(202, headers, msgspec.json.encode(state))
 
 
+def _passed_on(fields: list[tuple[str, str]], names: tuple[str, ...]) -> list[tuple[str, str]]:
+    return [(name, value) for name, value in fields if name in names or name.startswith("x-amz")]
+
+
 def _final_response(final: Final, headers: tuple[tuple[str, str], ...], wants_log: bool) -> Response:
     if final.ending is Ending.SERVED:
         extra = (("X-Amz-Function-Error", final.function_error),) if final.function_error else ()
--- a/saffronstack/invoke/pages.py
+++ b/saffronstack/invoke/pages.py
@@ -102,6 +102,8 @@
         counts = gateway.engine.counts
         content: dict[str, object] = {
             "pid": os.getpid(),
+            "process": gateway.members.index,
+            "processes": gateway.members.count,
             "draining": gateway.draining,
             "open_calls": gateway.engine.open_calls,
             "calls": counts.calls,
--- a/saffronstack/invoke/server.py
+++ b/saffronstack/invoke/server.py
@@ -45,13 +45,19 @@
     """Listens and serves until it is drained."""
 
     def __init__(
-        self, host: str, port: int, app: App, limits: FrontLimits, clock: Callable[[], float]
+        self,
+        host: str,
+        port: int,
+        app: App,
+        limits: FrontLimits,
+        clock: Callable[[], float],
+        shared: bool = False,
     ) -> None:
-        """OSError where the address can't be had."""
+        """``shared``: other processes listen on the address as well. OSError where it can't be had."""
         self._app = app
         self._limits = limits
         self._clock = clock
-        self._listener = socket.create_server((host, port), backlog=BACKLOG, reuse_port=False)
+        self._listener = socket.create_server((host, port), backlog=BACKLOG, reuse_port=shared)
         self._listener.settimeout(0.5)
         self._reserve = _reserve()
         self._lock = threading.Condition()
