--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -21,7 +21,7 @@
 from saffronstack.cli.client import Client
 from saffronstack.config.build import Functions
 from saffronstack.day.processes import StandInHost
-from saffronstack.deferred.ledger import Ledger
+from saffronstack.deferred.ledger import open_ledger
 from saffronstack.deferred.records import Accepted
 from saffronstack.standin.fleet import sample
 
@@ -193,7 +193,7 @@
 def recovery(directory: pathlib.Path, count: int) -> None:
     """How long a gateway with so many open deferred calls takes until it takes calls."""
     target = directory / "open"
-    ledger = Ledger(str(target), 1000, 64 << 20)
+    ledger = open_ledger(str(target), 1000, 64 << 20)
     start = time.perf_counter()
     tickets = [
         ledger.append(
@@ -219,8 +219,8 @@
     configs.parse(json.dumps(content))
     Functions(configs.parse(json.dumps(content)))
     start = time.perf_counter()
-    again = Ledger(str(target), 1000, 64 << 20)
-    print(f"read back {len(again.book.open)} open calls in {time.perf_counter() - start:.2f} s")
+    again = open_ledger(str(target), 1000, 64 << 20)
+    print(f"read back {len(again.state.open)} open calls in {time.perf_counter() - start:.2f} s")
     again.close()
     start = time.perf_counter()
     process, address = gateway(directory, content)
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -22,7 +22,7 @@
 from saffronstack.core.threads import spawn
 from saffronstack.daemon.members import Members, member_directory, stranded
 from saffronstack.daemon.supervisor import StartFailed, Supervisor, command_of
-from saffronstack.deferred.ledger import LedgerError
+from saffronstack.durable.journal import JournalError
 from saffronstack.gateway import Gateway
 from saffronstack.standin.fleet import StandInFleet, sample
 
@@ -122,7 +122,7 @@
             # With stand-ins in the same process there would be more to run.
             _pin(options.cpus, members.index if members is not None else os.getpid())
         gateway = Gateway(config, record_to=options.record_to, members=members)
-    except (configs.ConfigError, LedgerError, OSError, ValueError) as error:
+    except (configs.ConfigError, JournalError, OSError, ValueError) as error:
         click.echo(f"saffronstack serve: {error}", err=True)
         if standins is not None:
             standins.stop()
--- a/saffronstack/deferred/book.py
+++ b/saffronstack/deferred/book.py
@@ -66,6 +66,10 @@
         if call is not None:
             self.open_bytes -= call.size
 
+    def needed_bytes(self) -> int:
+        """About how large a snapshot is."""
+        return self.open_bytes + sum(len(record.record) + 128 for record in self.finished.values())
+
     def snapshot(self) -> Iterator[AnyRecord]:
         """Records that add up to this state."""
         yield Snapshot(len(self.open), len(self.finished))
--- a/saffronstack/deferred/calls.py
+++ b/saffronstack/deferred/calls.py
@@ -19,9 +19,10 @@
 from saffronstack.core.threads import spawn
 from saffronstack.core.timers import Timers
 from saffronstack.deferred import invocation, recovery
-from saffronstack.deferred.ledger import Ledger, Ticket
-from saffronstack.deferred.records import Accepted, Attempted, Dropped, Finished, Voided
+from saffronstack.deferred.ledger import Ledger
+from saffronstack.deferred.records import Accepted, AnyRecord, Attempted, Dropped, Finished, Voided
 from saffronstack.deferred.recovery import Condition, Finish, MayHaveRun, Policy, State, Try, Wait
+from saffronstack.durable.journal import Ticket
 from saffronstack.interface import Effect
 
 IDLE_S = 0.5
@@ -73,7 +74,7 @@
     noted: bool = False  # an attempt was noted in the ledger since the last void
     running: bool = False
     ended: tuple[Condition, bytes | None, str, str] | None = None  # condition, response, error, reason
-    ticket: Ticket | None = None
+    ticket: Ticket[AnyRecord] | None = None
     delivery: Accepted | None = None  # the destination's call, in the same commit as the final record
 
 
@@ -129,7 +130,7 @@
 
     def start(self) -> None:
         """Take up what the ledger holds open, and start the dispatcher."""
-        book = self._ledger.book
+        book = self._ledger.state
         for call in list(book.open.values()):
             first = call.attempts[0] if call.attempts else None
             ran = None if first is None else MayHaveRun(first.worker, first.at)
@@ -154,13 +155,13 @@
     @property
     def open_calls(self) -> int:
         """Calls without a durable final record."""
-        return len(self._ledger.book.open)
+        return len(self._ledger.state.open)
 
     # ---- from the fronts' threads
 
     def accept(self, submission: Submission) -> None:
         """Take a call: it is durable when this returns. LedgerFull or CommitFailed: it was not taken."""
-        limits, book = self._limits, self._ledger.book
+        limits, book = self._limits, self._ledger.state
         if self._stopping:
             raise LedgerFull("The gateway stops.", 1.0)
         if len(book.open) + self._ledger.queued >= limits.open_calls or book.open_bytes >= limits.open_bytes:
@@ -185,10 +186,10 @@
 
     def lookup(self, request_id: str) -> Lookup | None:
         """What became of a call, None where its id is not known."""
-        finished = self._ledger.book.finished.get(request_id)
+        finished = self._ledger.state.finished.get(request_id)
         if finished is not None:
             return Lookup(finished.tenant, "final", record=finished.record)
-        call = self._ledger.book.open.get(request_id)
+        call = self._ledger.state.open.get(request_id)
         if call is None:
             return None
         live = self._live.get(request_id)
--- a/saffronstack/deferred/segments.py
+++ b/saffronstack/durable/segments.py
@@ -16,19 +16,20 @@
 from dataclasses import dataclass, field
 
 import xxhash
+import zstandard
 
-from saffronstack.deferred import records
-from saffronstack.deferred.records import AnyRecord
-
-MAGIC = b"SfL1"
+MAGIC = b"SfL1"  # plain content
+PACKED = b"SfZ1"  # content compressed with zstandard
 HEADER = struct.Struct("<4sQIQ")
 LENGTH = struct.Struct("<I")
-NAME = re.compile(r"ledger-(\d{10})\.seg")
+CONTENT_MOST = 256 * 1024 * 1024  # bytes of a block, unpacked
+_MAGICS = re.compile(rb"SfL1|SfZ1")
+NAME = re.compile(r"[a-z]+-(\d{10})\.seg")
 
 
-def segment_name(number: int) -> str:
+def segment_name(number: int, prefix: str = "ledger") -> str:
     """The file name of a segment."""
-    return f"ledger-{number:010d}.seg"
+    return f"{prefix}-{number:010d}.seg"
 
 
 def segment_numbers(directory: pathlib.Path) -> list[int]:
@@ -37,10 +38,13 @@
     return sorted(int(match[1]) for match in found if match)
 
 
-def pack(number: int, encoded: Iterable[bytes]) -> bytes:
+def pack(number: int, encoded: Iterable[bytes], compress: bool = False) -> bytes:
     """One block, once."""
     content = b"".join(LENGTH.pack(len(part)) + part for part in encoded)
-    return HEADER.pack(MAGIC, number, len(content), _sum(number, content)) + content
+    magic = PACKED if compress else MAGIC
+    if compress:
+        content = zstandard.ZstdCompressor(level=3).compress(content)
+    return HEADER.pack(magic, number, len(content), _sum(number, content)) + content
 
 
 def _sum(number: int, content: bytes) -> int:
@@ -55,14 +59,21 @@
     at: int
     end: int
     content: bytes
-
-    def records(self) -> Iterator[AnyRecord]:
-        """Its records; ValueError where they are none (the checksum held: another version wrote them)."""
+    packed: bool = False
+
+    def parts(self) -> Iterator[bytes]:
+        """Its records, encoded; ValueError where the content is none."""
+        content = self.content
+        if self.packed:
+            try:
+                content = zstandard.ZstdDecompressor().decompress(content, max_output_size=CONTENT_MOST)
+            except zstandard.ZstdError as error:
+                raise ValueError(str(error)) from error
         at = 0
-        while at < len(self.content):
-            (length,) = LENGTH.unpack_from(self.content, at)
+        while at < len(content):
+            (length,) = LENGTH.unpack_from(content, at)
             at += LENGTH.size
-            yield records.decode(self.content[at : at + length])
+            yield content[at : at + length]
             at += length
 
 
@@ -107,7 +118,7 @@
     if found.blocks and found.blocks[-1].end == at and _is_prefix(data[at:], data[found.blocks[-1].at : at]):
         found.torn_at = at
         return
-    length = HEADER.unpack(head)[2] if len(head) == HEADER.size and head[:4] == MAGIC else 0
+    length = HEADER.unpack(head)[2] if len(head) == HEADER.size and head[:4] in (MAGIC, PACKED) else 0
     whole = 2 * (HEADER.size + length)
     if any(data[at:]) and len(data) - at >= whole > 2 * HEADER.size:
         found.damaged_at = at if found.damaged_at is None else found.damaged_at
@@ -120,22 +131,22 @@
 
 
 def _block_at(data: bytes, at: int) -> Block | None:
-    if len(data) - at < HEADER.size or data[at : at + 4] != MAGIC:
+    if len(data) - at < HEADER.size or data[at : at + 4] not in (MAGIC, PACKED):
         return None
     _, number, length, checksum = HEADER.unpack_from(data, at)
     end = at + HEADER.size + length
     if end > len(data):
         return None
     content = data[at + HEADER.size : end]
-    return Block(number, at, end, content) if _sum(number, content) == checksum else None
+    packed = data[at : at + 4] == PACKED
+    return Block(number, at, end, content, packed) if _sum(number, content) == checksum else None
 
 
 def _next_block(data: bytes, at: int) -> Block | None:
-    while (at := data.find(MAGIC, at)) >= 0:
-        block = _block_at(data, at)
+    for found in _MAGICS.finditer(data, at):
+        block = _block_at(data, found.start())
         if block is not None:
             return block
-        at += 1
     return None
 
 
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -13,8 +13,8 @@
 from saffronstack.core.record import Recorder
 from saffronstack.daemon.members import Members
 from saffronstack.deferred.calls import DeferredCalls
-from saffronstack.deferred.ledger import Ledger
-from saffronstack.deferred.segments import Files
+from saffronstack.deferred.ledger import Ledger, open_ledger
+from saffronstack.durable.segments import Files
 from saffronstack.http1.messages import Limits
 from saffronstack.invoke.app import Access, App
 from saffronstack.invoke.pages import Pages
@@ -41,7 +41,7 @@
     ) -> None:
         """``members``: it is one process of several on one address, and ``config`` its own.
 
-        OSError where the address can't be had, LedgerError where the ledger can't be used."""
+        OSError where the address can't be had, JournalError where the ledger can't be used."""
         self.config = config
         self._clock, self._wall = clock, wall
         limits = config.limits
@@ -71,7 +71,7 @@
         self.ledger: Ledger | None = None
         self.deferred: DeferredCalls | None = None
         if config.ledger is not None:
-            self.ledger = Ledger(
+            self.ledger = open_ledger(
                 config.ledger.directory, config.ledger.history, config.ledger.segment_bytes, files
             )
             self.deferred = DeferredCalls(
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -18,7 +18,7 @@
 import pytest
 
 from saffronstack import config as configs
-from saffronstack.deferred.segments import Files
+from saffronstack.durable.segments import Files
 from saffronstack.gateway import Gateway
 from saffronstack.standin.fleet import StandInFleet
 from saffronstack.standin.model import Profile
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -9,9 +9,8 @@
 
 import pytest
 
-from saffronstack.deferred import segments
 from saffronstack.deferred.book import Book
-from saffronstack.deferred.ledger import Ledger, LedgerError, read_back
+from saffronstack.deferred.ledger import CODEC, Ledger, open_ledger
 from saffronstack.deferred.records import (
     Accepted,
     AnyRecord,
@@ -22,7 +21,14 @@
     decode,
     encode,
 )
-from saffronstack.deferred.segments import Files
+from saffronstack.durable import segments
+from saffronstack.durable.journal import Found, JournalError
+from saffronstack.durable.journal import read_back as read_journal
+from saffronstack.durable.segments import Files
+
+
+def read_back(directory: pathlib.Path, history: int) -> Found[Book]:
+    return read_journal(directory, Book(history), CODEC)
 
 
 def accepted(n: int, payload: bytes = b"{}") -> Accepted:
@@ -34,7 +40,7 @@
 
 
 def filled(directory: pathlib.Path, count: int = 5, **more: int) -> Ledger:
-    ledger = Ledger(str(directory), more.get("history", 100), more.get("segment_bytes", 1 << 20))
+    ledger = open_ledger(str(directory), more.get("history", 100), more.get("segment_bytes", 1 << 20))
     for n in range(count):
         commit(ledger, accepted(n))
     return ledger
@@ -67,21 +73,21 @@
     commit(ledger, Dropped("id-3"))
     assert ledger.close()
     found = read_back(tmp_path, 100)
-    assert sorted(found.book.open) == ["id-1", "id-2", "id-4", "id-9"]
-    assert found.book.open["id-1"].attempts == [Attempted("id-1", 7, 2.0)]
-    assert found.book.open["id-2"].attempts == []
-    assert list(found.book.finished) == ["id-0"]
+    assert sorted(found.state.open) == ["id-1", "id-2", "id-4", "id-9"]
+    assert found.state.open["id-1"].attempts == [Attempted("id-1", 7, 2.0)]
+    assert found.state.open["id-2"].attempts == []
+    assert list(found.state.finished) == ["id-0"]
     assert not found.in_doubt
     assert found.lines == []
 
 
 def test_a_directory_has_one_owner(tmp_path: pathlib.Path) -> None:
     ledger = filled(tmp_path, 1)
-    with pytest.raises(LedgerError, match="another process"):
-        Ledger(str(tmp_path), 10, 1 << 20)
+    with pytest.raises(JournalError, match="another process"):
+        open_ledger(str(tmp_path), 10, 1 << 20)
     assert ledger.close()
-    again = Ledger(str(tmp_path), 10, 1 << 20)
-    assert list(again.book.open) == ["id-0"]
+    again = open_ledger(str(tmp_path), 10, 1 << 20)
+    assert list(again.state.open) == ["id-0"]
     assert again.close()
 
 
@@ -97,8 +103,8 @@
         (target / only_segment(source).name).write_bytes(data[:cut])
         found = read_back(target, 10)
         whole = sum(2 * end - _start(ends, place) <= cut for place, end in enumerate(ends))
-        assert len(found.book.open) >= whole
-        assert sorted(found.book.open) == [f"id-{n}" for n in range(len(found.book.open))]
+        assert len(found.state.open) >= whole
+        assert sorted(found.state.open) == [f"id-{n}" for n in range(len(found.state.open))]
         assert not found.in_doubt, cut
 
 
@@ -120,7 +126,7 @@
     for at in range(len(data)):
         (target / name).write_bytes(data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1 :])
         found = read_back(target, 10)
-        assert sorted(found.book.open) == ["id-0", "id-1", "id-2"], at
+        assert sorted(found.state.open) == ["id-0", "id-1", "id-2"], at
         assert not found.in_doubt
         if at < len(data) - len(data) // 6:
             assert any(name in line and "byte" in line for line in found.lines), at
@@ -138,14 +144,14 @@
     found = read_back(tmp_path, 10)
     assert found.in_doubt
     assert any("both copies" in line or "missing" in line for line in found.lines)
-    assert all(call.attempts for call in found.book.open.values())
-    ledger = Ledger(str(tmp_path), 10, 1 << 20)  # the doubt outlives the next start and its compaction
+    assert all(call.attempts for call in found.state.open.values())
+    ledger = open_ledger(str(tmp_path), 10, 1 << 20)  # the doubt outlives the next start and its compaction
     commit(ledger, accepted(50))
     assert ledger.close()
     again = read_back(tmp_path, 10)
     assert not again.in_doubt
-    assert again.book.open["id-0"].attempts
-    assert not again.book.open["id-50"].attempts
+    assert again.state.open["id-0"].attempts
+    assert not again.state.open["id-50"].attempts
 
 
 def test_a_lost_segment_is_noticed(tmp_path: pathlib.Path) -> None:
@@ -178,7 +184,7 @@
 @pytest.mark.parametrize("room", [0, 1, 30, 60, 100])
 def test_a_full_disk_fails_the_new_and_keeps_the_old(tmp_path: pathlib.Path, room: int) -> None:
     files = Faulty()
-    ledger = Ledger(str(tmp_path), 10, 1 << 20, files)
+    ledger = open_ledger(str(tmp_path), 10, 1 << 20, files)
     commit(ledger, accepted(0))
     files.room = room
     ticket = ledger.append(accepted(1))
@@ -191,13 +197,13 @@
     assert ledger.failing == ""
     assert ledger.close()
     found = read_back(tmp_path, 10)
-    assert sorted(found.book.open) == ["id-0", "id-2"]
+    assert sorted(found.state.open) == ["id-0", "id-2"]
     assert not found.in_doubt
 
 
 def test_a_failed_sync_is_no_commit(tmp_path: pathlib.Path) -> None:
     files = Faulty()
-    ledger = Ledger(str(tmp_path), 10, 1 << 20, files)
+    ledger = open_ledger(str(tmp_path), 10, 1 << 20, files)
     commit(ledger, accepted(0))
     files.sync_fails = True
     ticket = ledger.append(accepted(1))
@@ -206,7 +212,7 @@
     files.sync_fails = False
     commit(ledger, accepted(2))
     assert ledger.close()
-    assert sorted(read_back(tmp_path, 10).book.open) == ["id-0", "id-2"]
+    assert sorted(read_back(tmp_path, 10).state.open) == ["id-0", "id-2"]
 
 
 def test_a_block_given_up_and_left_on_the_disk_yields_to_the_later_segment(tmp_path: pathlib.Path) -> None:
@@ -216,12 +222,12 @@
     (tmp_path / segments.segment_name(1)).write_bytes(one * 2 + given_up * 2)
     (tmp_path / segments.segment_name(2)).write_bytes(later * 2)
     found = read_back(tmp_path, 10)
-    assert sorted(found.book.open) == ["id-0", "id-2"]
+    assert sorted(found.state.open) == ["id-0", "id-2"]
     assert not found.in_doubt
 
 
 def test_compaction_keeps_open_calls_and_a_bounded_history(tmp_path: pathlib.Path) -> None:
-    ledger = Ledger(str(tmp_path), 5, 4096)
+    ledger = open_ledger(str(tmp_path), 5, 4096)
     for n in range(200):
         commit(ledger, accepted(n, b"x" * 100))
         if n % 10:
@@ -230,8 +236,8 @@
     size = sum(path.stat().st_size for path in tmp_path.glob("*.seg"))
     assert size < 60_000
     found = read_back(tmp_path, 5)
-    assert sorted(found.book.open) == sorted(f"id-{n}" for n in range(0, 200, 10))
-    assert list(found.book.finished) == [f"id-{n}" for n in range(195, 200)]
+    assert sorted(found.state.open) == sorted(f"id-{n}" for n in range(0, 200, 10))
+    assert list(found.state.finished) == [f"id-{n}" for n in range(195, 200)]
     assert not found.in_doubt
 
 
@@ -241,7 +247,7 @@
     older = tmp_path / "older"
     assert filled(older, 30, segment_bytes=600).close()
     numbers = segments.segment_numbers(older)
-    ledger = Ledger(str(older), 10, 1 << 20)
+    ledger = open_ledger(str(older), 10, 1 << 20)
     ledger.found.lines = ["compact at once"]
     book = Book(10)
     book.apply(accepted(77))
@@ -253,12 +259,12 @@
     (target / segments.segment_name(numbers[-1] + 1)).write_bytes(block * 2)
     assert ledger.close()
     found = read_back(target, 10)
-    assert list(found.book.open) == ["id-77"]
+    assert list(found.state.open) == ["id-77"]
     assert not found.in_doubt
 
 
 def test_many_threads_share_commits(tmp_path: pathlib.Path) -> None:
-    ledger = Ledger(str(tmp_path), 10, 1 << 20)
+    ledger = open_ledger(str(tmp_path), 10, 1 << 20)
     failed: list[int] = []
 
     def work(base: int) -> None:
@@ -273,10 +279,10 @@
     for thread in threads:
         thread.join(20)
     assert failed == []
-    assert len(ledger.book.open) == 400
+    assert len(ledger.state.open) == 400
     assert ledger.commits < 400
     assert ledger.close()
-    assert len(read_back(tmp_path, 10).book.open) == 400
+    assert len(read_back(tmp_path, 10).state.open) == 400
 
 
 def test_a_revoked_ticket_is_not_written(tmp_path: pathlib.Path) -> None:
@@ -287,7 +293,7 @@
             gate.wait(5)
             super().sync(descriptor)
 
-    ledger = Ledger(str(tmp_path), 10, 1 << 20, Slow())
+    ledger = open_ledger(str(tmp_path), 10, 1 << 20, Slow())
     first = ledger.append(accepted(0))
     while not first.started:
         pass
@@ -298,4 +304,4 @@
     assert second.done.wait(5)
     assert not second.durable
     assert ledger.close()
-    assert list(read_back(tmp_path, 10).book.open) == ["id-0"]
+    assert list(read_back(tmp_path, 10).state.open) == ["id-0"]
