Metering begins: exact shares of what copies held, each worker record counted once, losses charged

Need: tenants are to be charged for the memory their functions hold, through lost answers, dead workers and killed gateways.

Change: metering/ (exact split over calls, checks of workers' records, an account with numbers kept as ranges and provisional charges, a meter that makes records durable before it acknowledges them, merging of gateways), the stand-ins number and keep their records until a gateway acknowledged them, the worker's part of the protocol.

Result: 32 tests; end to end the totals equal the workers' own records but for what division leaves over, with answers lost, reset, garbled and silent, and over two gateways of which one was cut off between receipt and commit.

--- a/saffronstack/config/schema.py
+++ b/saffronstack/config/schema.py
@@ -135,6 +135,14 @@
     commit_timeout_s: Positive = 5.0
 
 
+class Metering(Struct, frozen=True, kw_only=True):
+    """Where usage is kept."""
+
+    directory: Annotated[str, msgspec.Meta(min_length=1)]
+    segment_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 16 * 1024 * 1024
+    ask_every_s: Positive = 1.0
+
+
 class Config(Struct, frozen=True, kw_only=True):
     """The whole file."""
 
@@ -161,3 +169,4 @@
     allow: Allow = Allow()
     limits: Limits = Limits()
     ledger: Ledger | None = None
+    metering: Metering | None = None
--- a/saffronstack/core/calls.py
+++ b/saffronstack/core/calls.py
@@ -81,6 +81,7 @@
     guard: SendGuard | None = None
     on_final: Callable[[Call, Final], None] | None = None
     final: Final | None = None
+    class_name: str = ""
     _claim: threading.Lock = field(default_factory=threading.Lock)
     _done: threading.Lock = field(default_factory=threading.Lock)
 
@@ -126,6 +127,7 @@
     outcome: Outcome
     answer: Answer | None = None
     reason: str = ""
+    incarnation: str = ""  # of the worker, as last heard
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronstack/deferred/calls.py
+++ b/saffronstack/deferred/calls.py
@@ -284,6 +284,7 @@
             prior=None if ran is None else Prior(ran.worker, ran.sent_at - self._offset),
             guard=None if known.effect is Effect.SAFE else _Guard(self, live),
             on_final=lambda call, final: self._queue.put((live, final)),
+            class_name=known.config.call_class,
         )
         live.running = True
         self._running += 1
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -11,6 +11,7 @@
 from saffronstack.config.schema import Config
 from saffronstack.core.engine import Engine
 from saffronstack.core.record import Recorder
+from saffronstack.core.roster import WorkerSpec
 from saffronstack.daemon.members import Members
 from saffronstack.deferred.calls import DeferredCalls
 from saffronstack.deferred.ledger import Ledger, open_ledger
@@ -19,8 +20,9 @@
 from saffronstack.invoke.app import Access, App
 from saffronstack.invoke.pages import Pages
 from saffronstack.invoke.server import FrontLimits, Server
+from saffronstack.metering.meter import Meter, open_usage_log
 from saffronstack.workers.fleet import Fleet
-from saffronstack.workers.pool import PoolLimits
+from saffronstack.workers.pool import PoolLimits, UsageJob
 
 log = structlog.get_logger("saffronstack.gateway")
 REREAD = ("keys", "workers")  # what a reread may change; the rest needs a restart
@@ -56,6 +58,11 @@
             open_most=limits.open_calls,
         )
         self._numbers = PlaceNumbers(config)
+        self.meter: Meter | None = None
+        if config.metering is not None:
+            journal = open_usage_log(config.metering.directory, config.metering.segment_bytes, files)
+            every_s = config.metering.ask_every_s
+            self.meter = Meter(journal, self._ask_usage, clock, wall, self._memory_kib, every_s)
         self.fleet = Fleet(
             PoolLimits(
                 limits.worker_connections,
@@ -66,6 +73,7 @@
             ),
             self.engine.tell,
             clock,
+            self.meter,
         )
         self.functions = Functions(config)
         self.ledger: Ledger | None = None
@@ -103,10 +111,19 @@
             self.peers = Server("127.0.0.1", 0, self.app, front, clock)
         self.draining = False
 
+    def _ask_usage(self, worker: int, body: bytes, done: Callable[[bytes | None], None]) -> None:
+        self.fleet.ask_usage(worker, UsageJob(body, done))
+
+    def _memory_kib(self, worker: WorkerSpec) -> int:
+        return int(self.config.kinds[worker.kind].memory_mb * 1024)
+
     def start(self) -> tuple[str, int]:
         """Start it; the address on which calls are taken from now on."""
         specs = workers_of(self.config, self._numbers)
         self.fleet.told(specs)
+        if self.meter is not None:
+            self.meter.roster(list(specs))
+            self.meter.start()
         self.engine.update_workers(specs, self._wall())
         self.engine.start(self.fleet)
         if self.deferred is not None:
@@ -134,6 +151,8 @@
             self.app.access = Access.of(config)
         specs = workers_of(config, self._numbers)
         self.fleet.told(specs)
+        if self.meter is not None:
+            self.meter.roster(list(specs))
         self.engine.update_workers(specs, self._wall())
         return left
 
@@ -147,6 +166,8 @@
         if self.deferred is not None:
             clean = self.deferred.stop(longest_s + 1.0) and clean
         clean = self.engine.stop() and clean
+        if self.meter is not None:
+            clean = self.meter.stop() and clean
         self.fleet.end()
         if self.ledger is not None:
             clean = self.ledger.close() and clean
--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -212,6 +212,7 @@
             key,
             context,
             log_type == "Tail",
+            class_name=known.config.call_class,
         )
         final = self._run(call, client_there)
         headers = (("Content-Type", "application/json"), ("x-amzn-RequestId", request_id), version)
--- /dev/null
+++ b/saffronstack/metering/records.py
@@ -0,0 +1,182 @@
+"""What workers report and what the usage log keeps. Memory in KiB, spans in microseconds of the worker's own
+monotonic clock, amounts in KiB microseconds (integers), labels in Unix seconds."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Ref(msgspec.Struct, array_like=True, frozen=True):
+    """A call, as a worker knows it."""
+
+    id: str
+    tenant: str
+    call_class: str
+
+
+class Usage(msgspec.Struct, array_like=True, frozen=True):
+    """What the copies of one function held at one worker between two changes.
+
+    ``seq`` counts from 1 in each incarnation, without gaps. ``load``, ``run`` and ``idle`` count copies;
+    ``waiting`` are the calls that wait for the loads, ``running`` those that run on the copies."""
+
+    worker: str
+    incarnation: str
+    seq: int
+    function: str
+    memory_kib: int
+    start_us: int
+    end_us: int
+    load: int
+    run: int
+    idle: int
+    waiting: tuple[Ref, ...]
+    running: tuple[Ref, ...]
+
+
+class Asked(msgspec.Struct, frozen=True):
+    """What a gateway sends a worker: records it has made durable, and calls whose record it misses."""
+
+    gateway: str
+    ack: tuple[tuple[str, int], ...] = ()  # incarnation, seq
+    missing: tuple[str, ...] = ()  # request ids
+    limit: int = 500
+
+
+class Offered(msgspec.Struct, frozen=True):
+    """The worker's answer. ``mine``: acknowledged by this gateway first; ``gone``: by another one before."""
+
+    worker: str
+    incarnation: str
+    now_us: int
+    mine: tuple[tuple[str, int], ...] = ()
+    gone: tuple[tuple[str, int], ...] = ()
+    known: tuple[str, ...] = ()  # of the missing calls, those that have ended: their records are all made
+    dropped: int = 0  # records that the worker's bound cost, since its start
+    records: tuple[Usage, ...] = ()
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True, tag_field="kind"):
+    """What all records of the log share."""
+
+
+class Received(Entry, frozen=True, tag="r"):
+    """A worker's record; ``at`` labels its end."""
+
+    usage: Usage
+    at: float
+
+
+class Confirmed(Entry, frozen=True, tag="c"):
+    """The worker counts a record as given to this gateway and will offer it to no other."""
+
+    worker: str
+    incarnation: str
+    seq: int
+
+
+class Given(Entry, frozen=True, tag="g"):
+    """Another gateway acknowledged it first: it is not ours."""
+
+    worker: str
+    incarnation: str
+    seq: int
+
+
+class Provisional(Entry, frozen=True, tag="p"):
+    """A call whose answer was lost: charged from its send to its loss, less what records charge it already,
+    until its worker says that it has ended there (and so that all its records are on their way)."""
+
+    worker: str
+    incarnation: str
+    call: Ref
+    function: str
+    amount: int
+    at: float
+
+
+class Replaced(Entry, frozen=True, tag="x"):
+    """A provisional charge is void: the worker said that the call has ended, so its records tell all."""
+
+    worker: str
+    call_id: str
+
+
+class Charged(Entry, frozen=True, tag="k"):
+    """What the counted records of a worker charge one call, in a snapshot."""
+
+    worker: str
+    call_id: str
+    amount: int
+
+
+class Estimated(Entry, frozen=True, tag="e"):
+    """The worker's incarnation is dead: its provisional charges are final, as estimates."""
+
+    worker: str
+    incarnation: str
+
+
+class Total(Entry, frozen=True, tag="t"):
+    """A sum, in a snapshot."""
+
+    tenant: str
+    function: str
+    call_class: str
+    worker: str
+    bucket: int
+    load: int
+    run: int
+    idle: int
+    estimated: int
+
+
+class Held(Entry, frozen=True, tag="h"):
+    """What a worker's copies held in all, in a snapshot; and its confirmed numbers in an incarnation."""
+
+    worker: str
+    incarnation: str
+    low: int
+    high: int
+
+
+class Occupied(Entry, frozen=True, tag="o"):
+    """What a worker's copies held, summed without splitting it, in a snapshot."""
+
+    worker: str
+    load: int
+    run: int
+    idle: int
+
+
+class Start(Entry, frozen=True, tag="s"):
+    """All before this record is void; the gateway whose log this is."""
+
+    gateway: str
+
+
+AnyEntry = (
+    Received
+    | Confirmed
+    | Given
+    | Provisional
+    | Replaced
+    | Estimated
+    | Charged
+    | Total
+    | Held
+    | Occupied
+    | Start
+)
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(AnyEntry).decode
+
+
+def encode(entry: AnyEntry) -> bytes:
+    """A log record as MessagePack."""
+    return _encode(entry)
+
+
+def decode(data: bytes) -> AnyEntry:
+    """The log record; ValueError where the bytes are none."""
+    return _decode(data)
--- /dev/null
+++ b/saffronstack/standin/usage.py
@@ -0,0 +1,96 @@
+"""What a stand-in worker says of its copies' memory: numbered records, kept until acknowledged."""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+
+from saffronstack.metering.records import Asked, Offered, Ref, Usage
+
+KEPT = 100_000  # records, and calls and acknowledgements remembered
+AGAIN_S = 1.0  # a record is offered anew when no acknowledgement came for so long
+
+
+class Outbox:
+    """Records of one incarnation; used from every connection's thread."""
+
+    def __init__(self, worker: str, incarnation: str) -> None:
+        self.worker = worker
+        self.incarnation = incarnation
+        self.dropped = 0
+        self.all: list[Usage] = []  # for tests: the truth, whatever was delivered
+        self._seq = 0
+        self._lock = threading.Lock()
+        self._open: OrderedDict[int, tuple[Usage, float]] = OrderedDict()  # record, and when it was offered
+        self._owners: OrderedDict[int, str] = OrderedDict()
+        self._calls: OrderedDict[str, None] = OrderedDict()
+
+    def add(
+        self,
+        function: str,
+        memory_kib: int,
+        start_us: int,
+        end_us: int,
+        copies: tuple[int, int, int],
+        waiting: tuple[Ref, ...],
+        running: tuple[Ref, ...],
+    ) -> None:
+        """A span has ended."""
+        with self._lock:
+            self._seq += 1
+            usage = Usage(
+                self.worker,
+                self.incarnation,
+                self._seq,
+                function,
+                memory_kib,
+                start_us,
+                end_us,
+                *copies,
+                waiting,
+                running,
+            )
+            self.all.append(usage)
+            self._open[self._seq] = usage, -1e9
+            while len(self._open) > KEPT:
+                self._open.popitem(last=False)
+                self.dropped += 1
+            while len(self._owners) > KEPT:
+                self._owners.popitem(last=False)
+
+    def ended(self, call_id: str) -> None:
+        """A call has left: all its spans are closed."""
+        with self._lock:
+            self._calls[call_id] = None
+            if len(self._calls) > KEPT:
+                self._calls.popitem(last=False)
+
+    def answer(self, asked: Asked, now_s: float) -> Offered:
+        """Take acknowledgements: a record is the first gateway's that acknowledges it. Offer what is open."""
+        mine: list[tuple[str, int]] = []
+        gone: list[tuple[str, int]] = []
+        with self._lock:
+            for incarnation, seq in asked.ack:
+                if incarnation != self.incarnation:
+                    continue
+                self._open.pop(seq, None)
+                owner = self._owners.setdefault(seq, asked.gateway)
+                (mine if owner == asked.gateway else gone).append((incarnation, seq))
+            known = tuple(id_ for id_ in asked.missing if id_ in self._calls)
+            records: list[Usage] = []
+            for seq, (usage, offered_s) in self._open.items():
+                if len(records) >= asked.limit:
+                    break
+                if now_s - offered_s >= AGAIN_S:
+                    records.append(usage)
+                    self._open[seq] = usage, now_s
+        return Offered(
+            self.worker,
+            self.incarnation,
+            int(now_s * 1e6),
+            tuple(mine),
+            tuple(gone),
+            known,
+            self.dropped,
+            tuple(records),
+        )
--- a/saffronstack/standin/worker.py
+++ b/saffronstack/standin/worker.py
@@ -20,8 +20,11 @@
 from saffronstack.http1.messages import HttpError, Limits, RequestHead
 from saffronstack.http1.reader import MessageReader
 from saffronstack.http1.sockets import PeerClosed, Stream, read_until
+from saffronstack.metering.records import Asked, Ref
 from saffronstack.standin.model import Died, Faults, Full, Model, Profile, Store
+from saffronstack.standin.usage import Outbox
 
+USAGE_IN_ANSWER = 8  # records in an answer's header
 IDLE_S = 120.0
 LONGEST_S = 60.0
 Entry = dict[str, object]
@@ -68,6 +71,7 @@
         self.log: list[Entry] = []
         self.incarnation = ""
         self.model: Model
+        self.outbox: Outbox
         self._store = store
         self._clock = clock
         self._write = log or self.log.append
@@ -91,7 +95,8 @@
         if self._listener is not None:
             return
         self.incarnation = uuid.uuid4().hex[:12]
-        self.model = Model(self.profile, lambda: self.faults, self._store, self._clock)
+        self.outbox = Outbox(self.name, self.incarnation)
+        self.model = Model(self.profile, lambda: self.faults, self._store, self._clock, self.outbox)
         self._listener = socket.create_server((self._host, self._port), backlog=512)
         self._listener.settimeout(0.2)
         self._note("start")
@@ -173,6 +178,8 @@
         path = urlsplit(head.target).path
         if path.startswith("/saffron/v1/copies/"):
             return self._order(stream, model, incarnation, head, unquote(path.rpartition("/")[2]))
+        if path == "/saffron/v1/usage":
+            return self._usage(stream, model, incarnation, body)
         if path == "/saffron/v1/report":
             return self._answer(stream, model, incarnation, 200, (), b"{}")
         return self._call(stream, model, incarnation, head, body, late_s)
@@ -250,6 +257,7 @@
                 int(get("x-saffron-lanes", "1")),
                 deadline_s,
                 lambda: self._note("run", run=run_id, **who),
+                Ref(str(who["id"]), str(who["tenant"]), get("x-saffron-class")),
             )
         except (Full, TimeoutError):
             self._note("answer", status=429, **who)
@@ -281,6 +289,10 @@
         if get("x-amz-log-type") == "Tail":
             text = f"START RequestId: {who['id']}\nrun {run_id}\nEND RequestId: {who['id']}\n"
             log_tail = (("X-Amz-Log-Result", base64.b64encode(text.encode()).decode()),)
+        if get("x-saffron-gateway"):
+            asked = Asked(get("x-saffron-gateway"), limit=USAGE_IN_ANSWER)
+            offered = msgspec.msgpack.encode(self.outbox.answer(asked, self._clock()))
+            log_tail += (("X-Saffron-Usage", base64.b64encode(offered).decode()),)
         open_ = stream.open()
         self._note("answer", status=200, open=open_, run=run_id, **who)
         return self._answer(
@@ -292,6 +304,15 @@
             payload,
         )
 
+    def _usage(self, stream: Stream, model: Model, incarnation: str, body: bytes) -> bool:
+        try:
+            asked = msgspec.msgpack.decode(body, type=Asked)
+        except (msgspec.MsgspecError, ValueError):
+            return self._answer(stream, model, incarnation, 400, (), b"")
+        model.settle()
+        offered = self.outbox.answer(asked, self._clock())
+        return self._answer(stream, model, incarnation, 200, (), msgspec.msgpack.encode(offered))
+
     def _hang(self, stream: Stream, model: Model, who: Entry) -> None:
         """Hold the connection without an answer until the peer gives up."""
         end_s = self._clock() + LONGEST_S
--- a/saffronstack/workers/fleet.py
+++ b/saffronstack/workers/fleet.py
@@ -8,15 +8,18 @@
 from saffronstack.core.calls import AttemptEnd, Call, FunctionSpec, OrderEnd
 from saffronstack.core.roster import WorkerSpec
 from saffronstack.interface import Outcome, Result
-from saffronstack.workers.pool import AttemptJob, OrderJob, PoolLimits, Tell, WorkerPool
+from saffronstack.workers.pool import AttemptJob, Heed, OrderJob, PoolLimits, Tell, UsageJob, WorkerPool
 
 
 class Fleet:
     """Pools by worker number; the list is changed by `told`, before the engine hears of the same list."""
 
-    def __init__(self, limits: PoolLimits, tell: Tell, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, limits: PoolLimits, tell: Tell, clock: Callable[[], float], heed: Heed | None = None
+    ) -> None:
         self._limits = limits
         self._tell = tell
+        self._heed = heed
         self._clock = clock
         self._lock = threading.Lock()
         self._pools: dict[int, WorkerPool] = {}
@@ -34,7 +37,9 @@
             for number, spec in told.items():
                 known = self._pools.get(number)
                 if known is None:
-                    known = self._pools[number] = WorkerPool(spec, self._limits, self._ended, self._clock)
+                    known = self._pools[number] = WorkerPool(
+                        spec, self._limits, self._ended, self._clock, self._heed
+                    )
                 if spec.draining:
                     known.close()
                 else:
@@ -50,6 +55,20 @@
         with self._lock:
             return sum(pool.threads for pool in self._pools.values())
 
+    def specs(self) -> list[WorkerSpec]:
+        """The workers of the list."""
+        with self._lock:
+            return [pool.spec for pool in self._pools.values()]
+
+    def ask_usage(self, worker: int, job: UsageJob) -> None:
+        """Ask a worker for its records of usage; ``job.done`` hears the answer."""
+        with self._lock:
+            pool = self._pools.get(worker)
+        if pool is None:
+            job.done(None)
+        else:
+            pool.submit(job)
+
     def _ended(self, what: object) -> None:
         if isinstance(what, AttemptEnd):
             with self._lock:
--- a/saffronstack/workers/pool.py
+++ b/saffronstack/workers/pool.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import structlog
 
@@ -20,6 +21,7 @@
 from saffronstack.workers import protocol
 
 log = structlog.get_logger("saffronstack.workers")
+USAGE_S = 2.0  # how long a worker may take to answer a question about usage
 Tell = Callable[[AttemptEnd | OrderEnd | Heard], None]
 
 
@@ -61,6 +63,31 @@
     unload: bool = False
 
 
+@dataclass(eq=False, slots=True)
+class UsageJob:
+    """Acknowledge records of usage and ask for more; ``done`` hears the answer, None where none came."""
+
+    body: bytes
+    done: Callable[[bytes | None], None]
+
+
+class Heed(Protocol):
+    """Hears what workers say of usage, on their threads; returns at once."""
+
+    @property
+    def gateway(self) -> str:
+        """The name by which workers know whom they gave records to."""
+        ...
+
+    def heard(self, worker: WorkerSpec, text: str) -> None:
+        """The usage header of an answer."""
+        ...
+
+    def ended(self, end: AttemptEnd) -> None:
+        """An attempt's end."""
+        ...
+
+
 class Connection:
     """One connection to a worker, used by one thread at a time."""
 
@@ -102,13 +129,21 @@
 class WorkerPool:
     """Threads are started as jobs need them, up to the bound, and end after a while without one."""
 
-    def __init__(self, spec: WorkerSpec, limits: PoolLimits, tell: Tell, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        spec: WorkerSpec,
+        limits: PoolLimits,
+        tell: Tell,
+        clock: Callable[[], float],
+        heed: Heed | None = None,
+    ) -> None:
         self.spec = spec
         self.limits = limits
         self.closed = False  # told as draining or gone: nothing new leaves, whatever was queued
         self._tell = tell
+        self._heed = heed
         self._clock = clock
-        self._jobs: queue.SimpleQueue[AttemptJob | OrderJob | None] = queue.SimpleQueue()
+        self._jobs: queue.SimpleQueue[AttemptJob | OrderJob | UsageJob | None] = queue.SimpleQueue()
         self._lock = threading.Lock()
         self._threads = 0
         self._idle = 0
@@ -117,7 +152,7 @@
 
     # ---- from the decision thread and from rereads of the list
 
-    def submit(self, job: AttemptJob | OrderJob) -> None:
+    def submit(self, job: AttemptJob | OrderJob | UsageJob) -> None:
         """Carry out a job on a thread of this pool. At the bound it ends as full, unsent."""
         with self._lock:
             refused = None if self._idle > self._taken else self._grow()
@@ -189,11 +224,15 @@
             if connection is not None:
                 connection.close()
 
-    def _carry_out(self, job: AttemptJob | OrderJob, connection: Connection | None) -> Connection | None:
+    def _carry_out(
+        self, job: AttemptJob | OrderJob | UsageJob, connection: Connection | None
+    ) -> Connection | None:
         """Do a job and tell its end, whatever happens; the connection that is left for the next."""
         try:
             if isinstance(job, AttemptJob):
                 return self._attempt(job, connection)
+            if isinstance(job, UsageJob):
+                return self._ask_usage(job, connection)
             return self._order(job, connection)
         except Exception:
             log.exception("worker thread failed", worker=self.spec.name)
@@ -203,10 +242,12 @@
             self._refuse(job, Result.RESET, "the gateway's worker thread failed")
             return None
 
-    def _refuse(self, job: AttemptJob | OrderJob, result: Result, reason: str) -> None:
+    def _refuse(self, job: AttemptJob | OrderJob | UsageJob, result: Result, reason: str) -> None:
         if isinstance(job, AttemptJob):
             outcome = Outcome(job.call.number, job.number, self.spec.number, result, 0.0, job.call.settled)
             self._tell(AttemptEnd(job.call, outcome, reason=reason))
+        elif isinstance(job, UsageJob):
+            job.done(None)
         elif not job.unload:
             number = None if job.function is None else job.function.number
             self._tell(OrderEnd(self.spec.number, result, 0.0, number))
@@ -252,7 +293,12 @@
             judged.crowd,
             judged.report,
         )
-        self._tell(AttemptEnd(call, outcome, judged.answer, judged.reason))
+        if judged.usage and self._heed is not None:
+            self._heed.heard(self.spec, judged.usage)
+        end = AttemptEnd(call, outcome, judged.answer, judged.reason, self._incarnation)
+        if self._heed is not None:
+            self._heed.ended(end)
+        self._tell(end)
         if connection is not None and not connection.keep:
             connection.close()
             connection = None
@@ -282,7 +328,8 @@
             if not self._stands(job):
                 return moot, connection
             job.connection = connection
-            request = protocol.invoke(host, call, job.number, job.deadline_s - self._clock())
+            gateway = self._heed.gateway if self._heed is not None else ""
+            request = protocol.invoke(host, call, job.number, job.deadline_s - self._clock(), gateway)
             try:
                 if not connection.send(request, job.deadline_s, self._clock):
                     continue
@@ -340,3 +387,20 @@
             connection.close()
             connection = None
         return connection
+
+    def _ask_usage(self, job: UsageJob, connection: Connection | None) -> Connection | None:
+        deadline_s = self._clock() + USAGE_S
+        body: bytes | None = None
+        try:
+            connection = self._connected(connection, deadline_s)
+            request = protocol.usage(f"{self.spec.host}:{self.spec.port}", job.body)
+            if connection.send(request, deadline_s, self._clock):
+                head, content = connection.receive(deadline_s, self._clock)
+                body = content if head.status == 200 else None
+        except (HttpError, OSError):
+            body = None
+        job.done(body)
+        if connection is not None and not connection.keep:
+            connection.close()
+            connection = None
+        return connection
--- a/saffronstack/workers/protocol.py
+++ b/saffronstack/workers/protocol.py
@@ -11,6 +11,7 @@
 from saffronstack.interface import Found, Report, Result
 
 INVOKE_PATH = "/2015-03-31/functions/function/invocations"
+USAGE_PATH = "/saffron/v1/usage"
 COPIES_PATH = "/saffron/v1/copies/"
 REPORT_PATH = "/saffron/v1/report"
 FOUND = {
@@ -33,9 +34,10 @@
     incarnation: str = ""
     uptime_s: float = 0.0
     reason: str = ""
+    usage: str = ""  # records of what its copies held, base64
 
 
-def invoke(host: str, call: Call, attempt: int, left_s: float) -> bytes:
+def invoke(host: str, call: Call, attempt: int, left_s: float, gateway: str = "") -> bytes:
     """The request of an attempt; ``left_s`` is how long its answer is still wanted."""
     spec = call.function
     headers = [
@@ -46,8 +48,11 @@
         ("Idempotency-Key", call.key or call.request_id),
         ("X-Saffron-Left-Ms", str(max(0, int(left_s * 1000)))),
         ("X-Saffron-Tenant", call.tenant_name),
+        ("X-Saffron-Class", call.class_name),
         *_function(spec),
     ]
+    if gateway:  # it meters: the worker may send records of usage with its answer
+        headers.append(("X-Saffron-Gateway", gateway))
     if call.client_context:
         headers.append(("X-Amz-Client-Context", call.client_context))
     if call.wants_log:
@@ -84,6 +89,11 @@
     return writer.request("GET", REPORT_PATH, [("Host", host)])
 
 
+def usage(host: str, body: bytes) -> bytes:
+    """Acknowledge records of usage and ask for more; ``body`` is MessagePack."""
+    return writer.request("POST", USAGE_PATH, [("Host", host)], body)
+
+
 def judge(head: ResponseHead, body: bytes) -> Judged:
     """An answer to an attempt. Only an answer that says so itself proves that the function did not run."""
     headers = head.headers
@@ -105,7 +115,15 @@
     else:
         result, reason = Result.ERROR, f"worker answered {head.status}"
     return Judged(
-        result, found, None if crowd is None else int(crowd), report, answer, incarnation, uptime_s, reason
+        result,
+        found,
+        None if crowd is None else int(crowd),
+        report,
+        answer,
+        incarnation,
+        uptime_s,
+        reason,
+        headers.get("x-saffron-usage"),
     )
 
 
--- /dev/null
+++ b/tests/test_metering.py
@@ -0,0 +1,391 @@
+"""Metering: exact shares, each record once, whatever is lost, killed, repeated or lied about."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import random
+import shutil
+import threading
+import time
+from collections import defaultdict
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from saffronstack import config as configs
+from saffronstack.durable.journal import read_back
+from saffronstack.metering.account import Account, Ranges, merge
+from saffronstack.metering.checks import refusal
+from saffronstack.metering.meter import CODEC, open_usage_log
+from saffronstack.metering.records import (
+    AnyEntry,
+    Asked,
+    Confirmed,
+    Estimated,
+    Given,
+    Provisional,
+    Received,
+    Ref,
+    Replaced,
+    Start,
+    Usage,
+    decode,
+    encode,
+)
+from saffronstack.metering.split import Phase, occupied, split
+from saffronstack.standin.fleet import StandInFleet
+from saffronstack.standin.model import Profile
+from saffronstack.standin.usage import Outbox
+from tests.support.stack import Stack, eventually, running
+
+refs = st.builds(Ref, st.uuids().map(str), st.sampled_from(["a", "b", "c"]), st.just("lookup"))
+some = st.lists(refs, max_size=7, unique_by=lambda ref: ref.id).map(tuple)
+records = st.builds(
+    Usage,
+    st.sampled_from(["w1", "w2"]),
+    st.sampled_from(["i", "j"]),
+    st.integers(1, 40),
+    st.just("f"),
+    st.integers(1, 10_000),
+    st.integers(0, 1000),
+    st.integers(1001, 9999),
+    st.integers(0, 3),
+    st.integers(0, 3),
+    st.integers(0, 3),
+    some,
+    some,
+)
+
+
+def usage(seq: int = 1, worker: str = "w1", incarnation: str = "i", run: int = 1, **more: Any) -> Usage:
+    base: dict[str, Any] = {
+        "function": "f",
+        "memory_kib": 1000,
+        "start_us": 0,
+        "end_us": 1000,
+        "load": 0,
+        "idle": 0,
+        "waiting": (),
+        "running": (Ref("id-1", "a", "c"),),
+    }
+    return Usage(worker=worker, incarnation=incarnation, seq=seq, run=run, **{**base, **more})
+
+
+@given(records)
+@settings(derandomize=True, max_examples=300)
+def test_shares_sum_up_to_what_was_held(record: Usage) -> None:
+    sums = {phase: 0 for phase in Phase}
+    for share in split(record):
+        assert share.amount > 0
+        sums[share.phase] += share.amount
+    assert tuple(sums.values()) == occupied(record)
+    for phase, calls in ((Phase.LOAD, record.waiting), (Phase.RUN, record.running)):
+        parts = [share.amount for share in split(record) if share.phase is phase and share.call.id]
+        assert not parts or (max(parts) - min(parts) <= 1 and len(calls) >= len(parts))
+
+
+def test_the_worked_example() -> None:
+    """Three calls of two tenants overlap on a copy of 1,000 KiB; a load is shared by the two that wait for it."""
+    a, b, c = Ref("1", "corner", "x"), Ref("2", "campus", "x"), Ref("3", "campus", "x")
+    record = usage(end_us=10, load=1, run=1, waiting=(a, b), running=(a, b, c))
+    assert [(s.call.id, s.phase, s.amount) for s in split(record)] == [
+        ("1", Phase.LOAD, 5000),
+        ("2", Phase.LOAD, 5000),
+        ("1", Phase.RUN, 3334),
+        ("2", Phase.RUN, 3333),
+        ("3", Phase.RUN, 3333),
+    ]
+
+
+@given(st.lists(st.tuples(st.integers(0, 60), st.integers(0, 9))))
+@settings(derandomize=True, max_examples=300)
+def test_ranges_hold_what_was_added(spans: list[tuple[int, int]]) -> None:
+    ranges, plain = Ranges(), set()
+    for low, length in spans:
+        ranges.add(low, low + length)
+        plain |= set(range(low, low + length + 1))
+    assert [n for n in range(80) if n in ranges] == sorted(plain)
+    assert all(a[1] + 1 < b[0] for a, b in zip(ranges.spans, ranges.spans[1:], strict=False))
+
+
+@given(
+    st.lists(st.tuples(records, st.sampled_from(["received", "again", "confirmed", "given"])), max_size=40)
+)
+@settings(derandomize=True, max_examples=200)
+def test_each_record_counts_once_and_a_snapshot_is_the_state(steps: list[tuple[Usage, str]]) -> None:
+    account = Account("g")
+    first: dict[tuple[str, str, int], Usage] = {}
+    for record, step in steps:
+        key = record.worker, record.incarnation, record.seq
+        if step in ("received", "again") and key not in first:
+            first[key] = record
+            account.apply(Received(record, 0.0))
+        if step == "again":
+            account.apply(Received(record, 5.0))
+        if step == "confirmed":
+            account.apply(Confirmed(*key))
+        if step == "given" and key in account.unconfirmed:
+            account.apply(Given(*key))
+            del first[key]
+    held: dict[str, list[int]] = defaultdict(lambda: [0, 0, 0])
+    for record in first.values():
+        for place, amount in enumerate(occupied(record)):
+            held[record.worker][place] += amount
+    assert {w: v for w, v in account.occupied.items() if any(v)} == {w: v for w, v in held.items() if any(v)}
+    assert account.unbalanced() == []
+    copy = Account()
+    for entry in account.snapshot():
+        copy.apply(decode(encode(entry)))
+    assert copy.by_tenant() == {t: v for t, v in account.by_tenant().items() if v or t in copy.by_tenant()}
+    assert copy.unconfirmed == account.unconfirmed
+    assert {k: r.spans for k, r in copy.confirmed.items()} == {
+        k: r.spans for k, r in account.confirmed.items()
+    }
+
+
+def test_a_loss_is_charged_less_what_records_say_until_its_worker_says_it_ended() -> None:
+    charge = Provisional("w1", "i", Ref("id-1", "a", "c"), "f", 1_500_000, 0.0)
+    account = Account("g")
+    account.apply(charge)
+    assert account.by_tenant() == {"a": 1_500_000}
+    account.apply(Received(usage(), 0.0))
+    assert account.by_tenant() == {"a": 1_500_000}  # of which a record tells 1,000,000
+    account.apply(Received(usage(2), 0.0))
+    assert account.by_tenant() == {"a": 2_000_000}
+    account.apply(Replaced("w1", "id-1"))
+    account.apply(Given("w1", "i", 2))
+    assert account.by_tenant() == {"a": 1_000_000}
+    account.apply(Provisional("w1", "i", Ref("id-3", "b", "c"), "f", 50, 0.0))
+    account.apply(charge)
+    account.apply(Estimated("w1", "other"))
+    assert len(account.provisional) == 2
+    copy = Account()
+    for entry in account.snapshot():
+        copy.apply(entry)
+    for each in (account, copy):
+        each.apply(Estimated("w1", "i"))  # dead: what no record told stays as an estimate
+        assert each.provisional == {}
+        assert each.by_tenant() == {"a": 1_500_000, "b": 50}
+        assert sum(amounts[3] for amounts in each.totals.values()) == 500_050
+
+
+def test_merging_counts_a_record_of_two_gateways_and_a_file_given_twice_once() -> None:
+    one, two = Account("g1"), Account("g2")
+    for entry in (
+        Received(usage(1), 0.0),
+        Received(usage(2), 0.0),
+        Confirmed("w1", "i", 2),
+        Provisional("w1", "i", Ref("id-9", "b", "c"), "f", 9, 0.0),
+    ):
+        one.apply(entry)
+    late = Received(usage(3, running=(Ref("id-9", "b", "c"),)), 0.0)
+    for entry in (Received(usage(1), 0.0), Confirmed("w1", "i", 1), late):
+        two.apply(entry)
+    for accounts in ([one, two], [two, one], [one, two, one]):
+        merged = merge(accounts)
+        assert {t: v for t, v in merged.account.by_tenant().items() if v} == {"a": 2_000_000, "b": 1_000_000}
+        assert merged.account.unbalanced() == []
+    assert "given twice" in merge([one, one]).notes[0]
+    assert one.by_tenant() == {"a": 2_000_000, "b": 9}  # merging changes nothing
+
+
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        ({"start_us": -5}, "span"),
+        ({"end_us": 0}, "span"),
+        ({"end_us": 10**12, "start_us": 0}, "span"),
+        ({"start_us": 4_000_000, "end_us": 5_000_000}, "future"),
+        ({"run": -1}, "copies"),
+        ({"run": 10**9}, "copies"),
+        ({"memory_kib": 10**9}, "KiB"),
+        ({"memory_kib": 0}, "KiB"),
+        ({"seq": 0}, "number"),
+        ({"worker": "w2"}, "names"),
+        ({"incarnation": "x"}, "names"),
+        ({"function": ""}, "twice"),
+        ({"function": "f" * 300}, "too long"),
+        ({"running": (Ref("a", "t", "c"), Ref("a", "t", "c"))}, "twice"),
+    ],
+)
+def test_lies_are_refused(change: dict[str, Any], words: str) -> None:
+    assert refusal(usage(), "w1", "i", 2_000_000, 4_000_000) == ""
+    assert words in refusal(usage(**{"seq": 1, **change}), "w1", "i", 2_000_000, 4_000_000)
+
+
+def test_an_outbox_gives_each_record_to_one_gateway() -> None:
+    box = Outbox("w1", "i")
+    box.add("f", 1, 0, 5, (0, 1, 0), (), (Ref("a", "t", "c"),))
+    box.ended("a")
+    assert [r.seq for r in box.answer(Asked("g1"), 10.0).records] == [1]
+    assert box.answer(Asked("g2"), 10.5).records == ()
+    assert [r.seq for r in box.answer(Asked("g2"), 12.0).records] == [1]
+    assert box.answer(Asked("g2", (("i", 1),), ("a", "b")), 12.0).mine == (("i", 1),)
+    late = box.answer(Asked("g1", (("i", 1), ("old", 1)), ("a", "b")), 20.0)
+    assert (late.gone, late.mine, late.known, late.records) == ((("i", 1),), (), ("a",), ())
+
+
+# ---- the whole path
+
+
+def truth(fleet: StandInFleet) -> dict[str, int]:
+    """What each tenant held, from the workers' own records: an oracle that knows no log and no gateway."""
+    sums: dict[str, int] = defaultdict(int)
+    for worker in fleet.workers:
+        for record in list(worker.outbox.all):
+            span = record.memory_kib * (record.end_us - record.start_us)
+            for calls, copies in ((record.waiting, record.load), (record.running, record.run)):
+                for ref in calls:
+                    sums[ref.tenant] += span * copies // len(calls)
+    return {tenant: amount for tenant, amount in sums.items() if amount}
+
+
+def metered(tmp_path: pathlib.Path, **more: Any) -> dict[str, Any]:
+    return {"metering": {"directory": str(tmp_path / "usage"), "ask_every_s": 0.1}, **more}
+
+
+def near(found: dict[str, int], wanted: dict[str, int]) -> bool:
+    """Equal but for what division leaves over."""
+    found = {tenant: amount for tenant, amount in found.items() if tenant and amount}
+    return set(found) == set(wanted) and all(
+        abs(found[t] - wanted[t]) <= wanted[t] // 100_000 + 1000 for t in wanted
+    )
+
+
+def settled(stack: Stack) -> bool:
+    meter = stack.gateway.meter
+    assert meter is not None
+    account = meter.journal.state
+    return not account.provisional and near(account.by_tenant(), truth(stack.fleet))
+
+
+@pytest.mark.parametrize("fault", ["none", "lose_answers", "reset_mid_answer", "garbage", "silent_after_run"])
+def test_totals_are_the_workers_own_whatever_answers_are_lost(tmp_path: pathlib.Path, fault: str) -> None:
+    with running(2, profile=Profile(work_s=0.02, load_s=0.05), **metered(tmp_path)) as stack:
+        chance = random.Random(7)
+        for worker in stack.fleet.workers:
+            if fault != "none":
+                setattr(worker.faults, fault, 0.4 if fault == "lose_answers" else True)
+        threads = []
+        for n in range(24):
+            function = chance.choice(["identify-copy", "suggest-price", "record-sale", "adjust-setting"])
+
+            def call(function: str = function, tenant: str = ("corner-books", "campus-app")[n % 2]) -> None:
+                client = stack.client(tenant=tenant)
+                client.invoke(function, b"{}")
+                client.close()
+
+            threads.append(threading.Thread(target=call))
+            threads[-1].start()
+            time.sleep(0.005)
+        for thread in threads:
+            thread.join(10)
+        for worker in stack.fleet.workers:
+            worker.faults = type(worker.faults)()
+        eventually(lambda: settled(stack), 15)
+        assert stack.gateway.meter is not None
+        assert stack.gateway.meter.journal.state.unbalanced() == []
+        assert stack.gateway.meter.refused == 0
+
+
+def test_a_worker_that_dies_with_the_answer_leaves_an_estimate(tmp_path: pathlib.Path) -> None:
+    with running(1, profile=Profile(work_s=0.3, load_s=0.02), **metered(tmp_path)) as stack:
+        worker = stack.fleet.workers[0]
+        assert stack.call("suggest-price").status == 200
+        meter = stack.gateway.meter
+        assert meter is not None
+        eventually(lambda: settled(stack))
+        thread = threading.Thread(target=lambda: stack.call("record-sale"))
+        thread.start()
+        eventually(lambda: stack.runs("record-sale") == 1)
+        time.sleep(0.1)
+        worker.stop()
+        thread.join(10)
+        eventually(lambda: meter.journal.state.provisional)
+        worker.start()
+        eventually(lambda: stack.call("suggest-price").status == 200)
+        eventually(lambda: not meter.journal.state.provisional)
+        estimates = sum(amounts[3] for amounts in meter.journal.state.totals.values())
+        assert estimates > 0.05 * 1e6 * 128 * 1024
+
+
+def test_a_kill_between_receipt_and_commit_and_a_record_offered_to_two_gateways(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The first gateway's log is cut off at a moment; what it lacks, a second gateway gets, and nothing twice."""
+    fleet = StandInFleet(2, lambda n: Profile(work_s=0.01, load_s=0.02))
+    with running(fleet=fleet, **metered(tmp_path / "one")) as stack:
+        for _ in range(10):
+            stack.call("identify-copy")
+        kept = tmp_path / "kept"
+        shutil.copytree(tmp_path / "one" / "usage", kept)  # what a kill at this moment leaves
+        meter = stack.gateway.meter
+        assert meter is not None
+        meter._ask = lambda worker, body, done: None  # and from here on nothing of it reaches a worker
+    with running(fleet=fleet, **metered(tmp_path / "two")) as stack:
+        for _ in range(10):
+            stack.call("identify-copy")
+        time.sleep(1.2)
+
+        def whole() -> bool:
+            accounts = [Account(), Account()]
+            for account, directory in zip(accounts, (kept, tmp_path / "two" / "usage"), strict=True):
+                read_back(directory, account, CODEC)
+            found = merge(accounts).account
+            return found.unbalanced() == [] and near(found.by_tenant(), truth(fleet))
+
+        eventually(whole, 15)
+    fleet.stop()
+
+
+def test_a_usage_log_survives_and_compacts(tmp_path: pathlib.Path) -> None:
+    journal = open_usage_log(str(tmp_path), 4096)
+    entries: list[AnyEntry] = []
+    for n in range(1, 400):
+        entries += [
+            Received(usage(n, running=(Ref(f"id-{n}", "ab"[n % 2], "c"),)), 0.0),
+            Confirmed("w1", "i", n),
+        ]
+    for entry in entries:
+        ticket = journal.append(entry)
+    assert ticket.done.wait(10)
+    name = journal.state.gateway
+    sums = journal.state.by_tenant()
+    assert journal.close()
+    again = open_usage_log(str(tmp_path), 4096)
+    assert again.state.gateway == name != ""
+    assert again.state.by_tenant() == sums == {"a": 199_000_000, "b": 200_000_000}
+    assert again.state.knows("w1", "i", 77)
+    assert again.close()
+    assert sum(path.stat().st_size for path in tmp_path.glob("*.seg")) < 20_000
+    assert all(path.name.startswith("usage-") for path in tmp_path.glob("*.seg"))
+
+
+def test_a_lying_worker_costs_only_its_lies(tmp_path: pathlib.Path) -> None:
+    with running(1, **metered(tmp_path)) as stack:
+        worker = stack.fleet.workers[0]
+        stack.call("identify-copy")
+        worker.outbox.add("identify-copy", 10**9, 0, 1, (0, 1, 0), (), (Ref("x", "campus-app", "c"),))
+        worker.outbox.all.pop()
+        stack.call("identify-copy")
+        meter = stack.gateway.meter
+        assert meter is not None
+        eventually(lambda: meter.refused and settled(stack))
+        meter.heard(meter._workers["worker-1"], "!!")
+        meter.heard(meter._workers["worker-1"], "AAAA")
+        eventually(lambda: meter.refused >= 3)
+        assert stack.call("identify-copy").status == 200
+
+
+def test_the_configuration_knows_metering() -> None:
+    with pytest.raises(configs.ConfigError, match=r"metering\.dir: unknown key; did you mean 'directory'"):
+        configs.parse(json.dumps({"metering": {"dir": "x"}}))
+
+
+def test_the_log_begins_with_its_gateways_name() -> None:
+    account = Account()
+    account.apply(Start("g"))
+    assert account.gateway == "g"
