--- a/saffronstack/core/engine.py
+++ b/saffronstack/core/engine.py
@@ -109,7 +109,7 @@
         self._timers: Timers[api.Woken | _Open] = Timers()
         self._open: dict[int, _Open] = {}
         self._functions: dict[int, FunctionSpec] = {}
-        self._roster = Roster(settings.rules.cold_s)
+        self._roster = Roster()
         self._numbers = count(1)
         self._now = clock()
         self._stopping = threading.Event()
--- a/saffronstack/core/roster.py
+++ b/saffronstack/core/roster.py
@@ -30,8 +30,7 @@
 class Roster:
     """Owned by the decision thread. A worker that left and returns counts as started anew."""
 
-    def __init__(self, cold_s: float) -> None:
-        self.cold_s = cold_s
+    def __init__(self) -> None:
         self.version = 0
         self.specs: dict[int, WorkerSpec] = {}
         self.entries: dict[int, WorkerEntry] = {}
@@ -69,8 +68,9 @@
         first = heard.worker not in self._incarnations
         self._incarnations[heard.worker] = heard.incarnation
         since_s = max(EARLIEST_S, now - heard.uptime_s)
-        young = 0 < heard.uptime_s < self.cold_s
-        if (first and not young) or since_s <= entry.since_s + 0.5:
+        # The first incarnation heard is no news of a start: the list says when workers started. A gateway
+        # that starts beside a young fleet would hold back most of its calls (docs/gateway-design.md).
+        if first or since_s <= entry.since_s + 0.5:
             return None
         self.version += 1
         entry = self.entries[heard.worker] = replace(entry, since_s=since_s)
--- a/saffronstack/metering/checks.py
+++ b/saffronstack/metering/checks.py
@@ -31,8 +31,8 @@
         return f"{copies} copies of {usage.memory_kib} KiB on a worker of {memory_kib} KiB"
     if len(usage.waiting) + len(usage.running) > CALLS_MOST:
         return f"{len(usage.waiting) + len(usage.running)} calls at once"
-    if len({ref.id for ref in usage.running}) != len(usage.running) or not usage.function:
-        return "a call stands twice in it, or it names no function"
+    if not usage.function:
+        return "it names no function"
     texts = (
         usage.function,
         *(text for ref in (*usage.waiting, *usage.running) for text in (ref.id, ref.tenant)),
--- a/saffronstack/standin/model.py
+++ b/saffronstack/standin/model.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import count
 
 from saffronstack.metering.records import Ref
 from saffronstack.standin.usage import Outbox
@@ -87,8 +88,8 @@
     memory_mb: float
     lanes: int
     since_us: int
-    waiting: dict[str, Ref] = field(default_factory=dict)
-    running: dict[str, Ref] = field(default_factory=dict)
+    waiting: dict[int, Ref] = field(default_factory=dict)  # by a ticket: an attempt that was given up may
+    running: dict[int, Ref] = field(default_factory=dict)  # still run when its call comes again
     standing: int = 0
     loading: int = 0
     busy: int = 0
@@ -123,6 +124,7 @@
         self._waiting = 0
         self._working = 0
         self._loads = 0
+        self._tickets = count()
 
     def die(self) -> None:
         """All copies are void, every call under way ends."""
@@ -169,14 +171,15 @@
             self._close(copies)
             crowd = copies.held
             copies.held += 1
-            copies.waiting[ref.id] = ref
+            ticket = next(self._tickets)
+            copies.waiting[ticket] = ref
             self._waiting += 1
         try:
-            found = self._lane(copies, ref, deadline_s)
+            found = self._lane(copies, ticket, deadline_s)
         except BaseException:
             with self._state:
                 self._close(copies)
-                copies.waiting.pop(ref.id, None)
+                copies.waiting.pop(ticket, None)
                 self._left(ref)
                 copies.held -= 1
                 self._waiting -= 1
@@ -195,7 +198,7 @@
         finally:
             with self._state:
                 self._close(copies)
-                copies.running.pop(ref.id, None)
+                copies.running.pop(ticket, None)
                 self._left(ref)
                 copies.busy -= 1
                 copies.held -= 1
@@ -286,7 +289,7 @@
         if self._dead.wait(seconds):
             raise Died
 
-    def _lane(self, copies: _Copies, ref: Ref, deadline_s: float) -> str:
+    def _lane(self, copies: _Copies, ticket: int, deadline_s: float) -> str:
         found = "warm"
         while True:
             with self._state:
@@ -304,7 +307,7 @@
                 self._close(copies)
                 if free():
                     copies.busy += 1
-                    copies.running[ref.id] = copies.waiting.pop(ref.id)
+                    copies.running[ticket] = copies.waiting.pop(ticket)
                     self._waiting -= 1
                     return found
                 found = "began-load"
