Usage on the command line, and the page on metering

Need: what gateways meter must be read, merged and checked by people.

The benchmark calls eight functions, since one goes to one worker by design.

Result: the command-line test sums and verifies a log, and a forged sum is found.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -31,13 +31,14 @@
     "X-Amzn-RequestId: x\r\nX-Saffron-Function: identify-copy\r\nX-Saffron-Memory-Mb: 128\r\n"
     'X-Saffron-Lanes: 64\r\nX-Saffron-Left-Ms: 3000\r\n{}\r\n{{"isbn": 12}}'
 )
-CALL = POST.format("identify-copy", "")
-EVENT = POST.format("identify-copy", "X-Amz-Invocation-Type: Event\r\n")
+FUNCTIONS = [f"bench-{n}" for n in range(8)]  # several, so that their calls spread over the workers
+CALLS = [POST.format(name, "") for name in FUNCTIONS]
+EVENTS = [POST.format(name, "X-Amz-Invocation-Type: Event\r\n") for name in FUNCTIONS]
 PROCESSES = 4
 
 
 def load(
-    addresses: list[str], request: str, connections: int, seconds: float
+    addresses: list[str], requests: list[str], connections: int, seconds: float
 ) -> tuple[float, float, float, int]:
     """Calls a second, p50 and p99 in milliseconds, errors; from several processes at once."""
     parts = [connections // PROCESSES + (n < connections % PROCESSES) for n in range(PROCESSES)]
@@ -51,7 +52,14 @@
         assert process.stdin is not None
         turned = addresses[number % len(addresses) :] + addresses[: number % len(addresses)]
         process.stdin.write(
-            json.dumps({"addresses": turned, "request": request, "connections": part, "seconds": seconds})
+            json.dumps(
+                {
+                    "addresses": turned,
+                    "requests": requests[2 * number :] + requests[: 2 * number],
+                    "connections": part,
+                    "seconds": seconds,
+                }
+            )
             + "\n"
         )
         process.stdin.flush()
@@ -128,7 +136,8 @@
     workers = [{**host.workers[0], "id": f"w{n}"} for n, host in enumerate(hosts)]
     addresses = [str(worker["address"]) for worker in workers]
     content = sample(workers, "127.0.0.1:0", str(directory / "ledger"), 65536)
-    content["functions"][0] |= {"lanes": 64, "memory_mb": 128}
+    lookup = {"class": "lookup", "memory_mb": 128, "lanes": 64}
+    content["functions"] += [{"name": name, **lookup} for name in FUNCTIONS]
     process, address = gateway(directory, content)
     (directory / "four").mkdir()
     four = {**content, "ledger": {"directory": str(directory / "four")}}
@@ -139,7 +148,7 @@
     assert proxy.stdout is not None
     proxied = proxy.stdout.readline().strip()
     try:
-        load([address], CALL, 8, 1.0)
+        load([address], CALLS, 8, 1.0)
         print(f"{'connections':>11} {'path':<8} {'calls/s':>9} {'p50 ms':>8} {'p99 ms':>8} {'errors':>7}")
         for count in connections:
             rows = {}
@@ -149,7 +158,7 @@
                 ("gateway", [address]),
                 ("4 proc.", [shared]),
             ):
-                rows[path] = load(where, CALL, count, seconds)
+                rows[path] = load(where, CALLS, count, seconds)
                 rate, p50, p99, errors = rows[path]
                 print(f"{count:>11} {path:<8} {rate:>9.0f} {p50:>8.2f} {p99:>8.2f} {errors:>7}", flush=True)
             added = rows["gateway"][1] - rows["direct"][1], rows["gateway"][2] - rows["direct"][2]
@@ -161,7 +170,7 @@
                 f"{count:>11} 4 processes: {rows['4 proc.'][0] / max(1, rows['proxy'][0]):.2f} of the proxy"
             )
         for count in (8, 128):
-            rate, p50, p99, errors = load([address], EVENT, count, seconds)
+            rate, p50, p99, errors = load([address], EVENTS, count, seconds)
             print(
                 f"deferred accepts with fsync, {count} connections: {rate:.0f}/s, p50 {p50:.2f} ms, "
                 f"p99 {p99:.2f} ms, {errors} errors",
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -39,14 +39,17 @@
 
 
 def main() -> None:
-    """``{"addresses", "request", "connections", "seconds"}`` on standard input."""
+    """``{"addresses", "requests", "connections", "seconds"}`` on standard input; a connection keeps to one."""
     order = json.loads(sys.stdin.readline())
-    addresses, request = order["addresses"], order["request"].encode()
+    addresses, requests = order["addresses"], [request.encode() for request in order["requests"]]
     times: list[float] = []
     errors: list[str] = []
     until = time.perf_counter() + order["seconds"]
     threads = [
-        threading.Thread(target=loop, args=(addresses[n % len(addresses)], request, until, times, errors))
+        threading.Thread(
+            target=loop,
+            args=(addresses[n % len(addresses)], requests[n % len(requests)], until, times, errors),
+        )
         for n in range(order["connections"])
     ]
     for thread in threads:
--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -130,6 +130,34 @@
     sys.exit(ask(addresses or ("127.0.0.1:9000",), timeout_s, as_json))
 
 
+@main.group(invoke_without_command=True)
+@click.pass_context
+def usage(context: click.Context) -> None:
+    """What tenants' functions held in memory, from the usage logs of one or more gateways."""
+    if context.invoked_subcommand is None:
+        click.echo(context.get_help())
+
+
+@usage.command("show")
+@click.argument("directories", nargs=-1, required=True, type=click.Path())
+@click.option("--by", default="tenant", show_default=True, help="tenant,function,class,worker,day,hour")
+@click.option("--format", "form", type=click.Choice(["table", "jsonl", "csv"]), default="table")
+def usage_show(directories: tuple[str, ...], by: str, form: str) -> None:
+    """Sums in MB s. The same log given twice counts once."""
+    from saffronstack.cli.usage import show
+
+    sys.exit(show(directories, tuple(part.strip() for part in by.split(",")), form))
+
+
+@usage.command("verify")
+@click.argument("directories", nargs=-1, required=True, type=click.Path())
+def usage_verify(directories: tuple[str, ...]) -> None:
+    """Check that the logs are whole and that shares sum up to what was held; 1 where not."""
+    from saffronstack.cli.usage import verify
+
+    sys.exit(verify(directories))
+
+
 @main.group()
 def day() -> None:
     """Scripted days with trouble."""
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -198,9 +198,13 @@
     ledger = config.ledger
     if ledger is not None:
         ledger = msgspec.structs.replace(ledger, directory=member_directory(directory, index))
+    metering = config.metering
+    if metering is not None:
+        metering = msgspec.structs.replace(metering, directory=member_directory(metering.directory, index))
     own = msgspec.structs.replace(
         config,
         ledger=ledger,
+        metering=metering,
         instances=config.instances * count,
         self_index=config.self_index * count + index,
         seed=config.seed * count + index,
--- /dev/null
+++ b/saffronstack/metering/report.py
@@ -0,0 +1,123 @@
+"""Usage as people read it: sums by what they ask for, as a table, JSON lines or CSV. No I/O."""
+
+from __future__ import annotations
+
+import csv
+import io
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+import msgspec
+
+from saffronstack.metering.account import Account
+
+MB_S = 1024 * 1_000_000  # KiB microseconds in a megabyte second
+COLUMNS = ("tenant", "function", "class", "worker", "day", "hour")
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One sum, in MB s; ``provisional`` is charged until a worker's record or death settles it."""
+
+    by: tuple[str, ...]
+    loading: float
+    running: float
+    idle: float
+    estimated: float
+    provisional: float
+
+    @property
+    def charged(self) -> float:
+        """Loading and running, with estimates and what is provisional."""
+        return self.loading + self.running + self.estimated + self.provisional
+
+
+def rows(account: Account, by: tuple[str, ...]) -> list[Row]:
+    """Sums by some of the columns, largest charge first; ValueError names a column that there is none of."""
+    unknown = [name for name in by if name not in COLUMNS]
+    if unknown:
+        raise ValueError(f"no column {unknown[0]!r}; there are {', '.join(COLUMNS)}")
+    sums: dict[tuple[str, ...], list[int]] = defaultdict(lambda: [0, 0, 0, 0, 0])
+    for (tenant, function, call_class, worker, bucket), amounts in account.totals.items():
+        key = _key(by, tenant, function, call_class, worker, bucket)
+        for place, amount in enumerate(amounts):
+            sums[key][place] += amount
+    for charge in account.provisional.values():
+        key = _key(
+            by, charge.call.tenant, charge.function, charge.call.call_class, charge.worker, int(charge.at)
+        )
+        sums[key][4] += account.outstanding(charge)
+    found = [
+        Row(key, *(amount / MB_S for amount in amounts)) for key, amounts in sums.items() if any(amounts)
+    ]
+    return sorted(found, key=lambda row: (-row.charged, row.by))
+
+
+def _key(
+    by: tuple[str, ...], tenant: str, function: str, call_class: str, worker: str, at: int
+) -> tuple[str, ...]:
+    when = datetime.fromtimestamp(at, UTC)
+    values = {
+        "tenant": tenant or "(nobody)",
+        "function": function,
+        "class": call_class or "(none)",
+        "worker": worker,
+        "day": f"{when:%Y-%m-%d}",
+        "hour": f"{when:%Y-%m-%dT%H}",
+    }
+    return tuple(values[name] for name in by)
+
+
+def _cells(row: Row) -> list[float]:
+    return [row.loading, row.running, row.estimated, row.provisional, row.charged, row.idle]
+
+
+HEADS = ("loading_mb_s", "running_mb_s", "estimated_mb_s", "provisional_mb_s", "charged_mb_s", "idle_mb_s")
+
+
+def table(found: Iterable[Row], by: tuple[str, ...]) -> str:
+    """Columns for the eye; the last but one also in GB h."""
+    found = list(found)
+    widths = [max([len(name), *(len(row.by[place]) for row in found)]) for place, name in enumerate(by)]
+    lines = [
+        "  ".join(
+            [
+                *(name.ljust(width) for name, width in zip(by, widths, strict=True)),
+                *(head.rjust(16) for head in HEADS),
+                "charged_gb_h".rjust(13),
+            ]
+        )
+    ]
+    for row in found:
+        names = (text.ljust(width) for text, width in zip(row.by, widths, strict=True))
+        lines.append(
+            "  ".join(
+                [*names, *(f"{cell:16.3f}" for cell in _cells(row)), f"{row.charged / 1024 / 3600:13.6f}"]
+            )
+        )
+    return "\n".join(lines)
+
+
+def json_lines(found: Iterable[Row], by: tuple[str, ...]) -> str:
+    """One object a line."""
+    return "\n".join(
+        msgspec.json.encode(
+            {**dict(zip(by, row.by, strict=True)), **dict(zip(HEADS, _cells(row), strict=True))}
+        ).decode()
+        for row in found
+    )
+
+
+def comma_separated(found: Iterable[Row], by: tuple[str, ...]) -> str:
+    """RFC 4180."""
+    out = io.StringIO()
+    writer = csv.writer(out)
+    writer.writerow([*by, *HEADS])
+    for row in found:
+        writer.writerow([*row.by, *(f"{cell:.6f}" for cell in _cells(row))])
+    return out.getvalue().rstrip("\r\n")
+
+
+FORMS = {"table": table, "jsonl": json_lines, "csv": comma_separated}
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -12,10 +12,12 @@
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from saffronstack import config as configs
+from saffronstack.cli.main import main
 from saffronstack.durable.journal import read_back
 from saffronstack.metering.account import Account, Ranges, merge
 from saffronstack.metering.checks import refusal
@@ -31,6 +33,7 @@
     Ref,
     Replaced,
     Start,
+    Total,
     Usage,
     decode,
     encode,
@@ -388,3 +391,40 @@
     account = Account()
     account.apply(Start("g"))
     assert account.gateway == "g"
+
+
+def test_usage_on_the_command_line(tmp_path: pathlib.Path) -> None:
+    directory = str(tmp_path / "log")
+    journal = open_usage_log(directory, 1 << 20)
+    mb_s: dict[str, Any] = {"memory_kib": 1024, "end_us": 1_000_000}
+    journal.append(Received(usage(1, **mb_s), 0.0))
+    journal.append(
+        Received(usage(2, running=(Ref("id-2", "b", "c"),), **mb_s), 90_000.0), Confirmed("w1", "i", 1)
+    )
+    ticket = journal.append(Provisional("w1", "i", Ref("id-3", "b", "c"), "f", 512 * 1_000_000, 90_000.0))
+    assert ticket.done.wait(5)
+    run = CliRunner().invoke
+    shown = run(main, ["usage", "show", directory, directory, "--by", "tenant,day", "--format", "jsonl"])
+    assert shown.exit_code == 0
+    lines = [json.loads(line) for line in shown.stdout.splitlines() if line.startswith("{")]
+    assert [(line["tenant"], line["day"], line["charged_mb_s"]) for line in lines] == [
+        ("b", "1970-01-02", 1.5),
+        ("a", "1970-01-01", 1.0),
+    ]
+    assert (
+        run(main, ["usage", "show", directory, "--format", "csv"])
+        .stdout.splitlines()[0]
+        .startswith("tenant,loading")
+    )
+    assert "charged_gb_h" in run(main, ["usage", "show", directory]).stdout
+    assert run(main, ["usage", "show", directory, "--by", "colour"]).exit_code == 2
+    assert run(main, ["usage", "show", str(tmp_path / "none")]).exit_code == 2
+    good = run(main, ["usage", "verify", directory])
+    assert good.exit_code == 0, good.output
+    assert "1 records confirmed, 1 not yet, 1 provisional charges, 1 workers: in balance" in good.output
+    assert journal.close()
+    forged = open_usage_log(directory, 1 << 20)
+    assert forged.append(Total("a", "f", "c", "w1", 0, 0, 5, 0, 0)).done.wait(5)
+    assert forged.close()
+    bad = run(main, ["usage", "verify", directory])
+    assert (bad.exit_code, "NOT in balance" in bad.output) == (1, True)
