--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -39,7 +39,7 @@
 
 
 def main() -> None:
-    """``{"addresses", "requests", "connections", "seconds"}`` on standard input; a connection keeps to one."""
+    """``{"addresses", "requests", "connections", "seconds"}`` on standard input."""
     order = json.loads(sys.stdin.readline())
     addresses, requests = order["addresses"], [request.encode() for request in order["requests"]]
     times: list[float] = []
--- a/saffronstack/invoke/server.py
+++ b/saffronstack/invoke/server.py
@@ -207,9 +207,8 @@
         if not reader.pending:
             self._idle.add(stream)
             try:
-                if self._draining and not stream.open():
-                    return None
-                reader.feed(stream.receive(self._limits.idle_s))
+                # Whoever comes here after `drain` looked at the idle ones saw its word, and stays briefly.
+                reader.feed(stream.receive(IDLE_GRACE_S if self._draining else self._limits.idle_s))
             except TimeoutError:
                 return None
             finally:
