--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -318,6 +318,20 @@
     fleet.stop()
 
 
+@pytest.mark.parametrize("function", ["record-sale", "identify-copy"])
+def test_a_deferred_call_that_no_worker_takes_expires(tmp_path: pathlib.Path, function: str) -> None:
+    fleet = StandInFleet(1)
+    functions = [{**f, "maximum_event_age_s": 1.0} for f in configuration(fleet)["functions"]]
+    with running(fleet=fleet, ledger=tmp_path, functions=functions) as stack:
+        fleet.workers[0].stop()
+        request_id = stack.call(function, kind="Event").headers.get("x-amzn-requestid")
+        assert stack.get(f"/deferred/{request_id}").status == 202
+        record = stack.final(request_id)
+        assert record["requestContext"]["condition"] == "EventAgeExceeded"
+        assert stack.runs() == 0
+    fleet.stop()
+
+
 class FullDisk(Files):
     full = False
 
