Budgets of memory-seconds: worth falls over the soft mark, loads are refused over the hard one

Need: one tenant's models must not take the fleet's memory from the others without end, and who is refused must be told honestly when to come back.

Change: metering/limits.py decides, free of I/O, by amount and by part of own usage; the front asks it, the meter feeds it. Over the soft mark a call counts as a tenant's without a quota, by the module's own rule.

Result: 9 tests, among them that whoever comes back as told is under the mark, for any history; end to end a tenant over its mark is refused a load with the right Retry-After, keeps its standing copy, and another tenant goes on.

--- a/saffronstack/config/build.py
+++ b/saffronstack/config/build.py
@@ -13,7 +13,9 @@
 from saffronstack.core.calls import FunctionSpec
 from saffronstack.core.names import function_number, worker_number
 from saffronstack.core.roster import WorkerSpec
+from saffronstack.metering.limits import Budget
 
+MB_S = 1024 * 1_000_000  # KiB microseconds
 SPECS_KEPT = 65536  # names that matched a pattern; the ones not used for longest are worked out again
 
 
@@ -36,9 +38,7 @@
         instances=config.instances,
         self_index=config.self_index,
         zone=_places(config, "zone")[config.zone],
-        tenants=tuple(api.TenantSettings(t.name, t.share, t.quota_rps) for t in config.tenants)
-        if any(t.quota_rps for t in config.tenants)
-        else (),
+        tenants=_tenants(config),
         over_share_worth=config.over_share_worth,
         memory_mb_by_kind=tuple(kind.memory_mb for kind in config.kinds),
         keep_alive_s=config.keep_alive_s,
@@ -68,6 +68,34 @@
     )
 
 
+UNBOUNDED_RPS = 1e9  # a quota for tenants that are given none
+OVER_BUDGET = "(over budget)"
+
+
+def _tenants(config: Config) -> tuple[api.TenantSettings, ...]:
+    """The module's tenants. Where there are budgets, one more, last, whose quota is nothing: a call of a
+    tenant over its soft mark counts as that one's, and so as worth what lies over a share."""
+    budgets = any(tenant.budget for tenant in config.tenants)
+    if not budgets and not any(tenant.quota_rps for tenant in config.tenants):
+        return ()
+    rest = UNBOUNDED_RPS if budgets else 0.0
+    tenants = [api.TenantSettings(t.name, t.share, t.quota_rps or rest) for t in config.tenants]
+    if budgets:
+        tenants.append(api.TenantSettings(OVER_BUDGET, 0.0, 0.0))
+    return tuple(tenants)
+
+
+def budgets_of(config: Config) -> dict[str, Budget]:
+    """Tenants' budgets in the account's unit."""
+    return {
+        tenant.name: Budget(
+            tenant.budget.window_s, int(tenant.budget.soft_mb_s * MB_S), int(tenant.budget.hard_mb_s * MB_S)
+        )
+        for tenant in config.tenants
+        if tenant.budget is not None
+    }
+
+
 def _places(config: Config, what: str) -> dict[str, int]:
     """Numbers for zone or cell names, in the order of the names, so that a reread list keeps them."""
     names = {getattr(worker, what) for worker in config.workers}
--- a/saffronstack/config/schema.py
+++ b/saffronstack/config/schema.py
@@ -26,12 +26,21 @@
     tenant: Name
 
 
+class Budget(Struct, frozen=True, kw_only=True):
+    """Memory-seconds that a tenant's functions may hold in a window, over all gateways."""
+
+    window_s: Positive
+    soft_mb_s: Positive
+    hard_mb_s: Positive
+
+
 class Tenant(Struct, frozen=True, kw_only=True):
     """Who shares the fleet; ``quota_rps`` is over all gateways, in requests a second."""
 
     name: Name
     share: Share = 1.0
     quota_rps: NotNegative = 0.0
+    budget: Budget | None = None
 
 
 class CallClass(Struct, frozen=True, kw_only=True):
--- a/saffronstack/config/sense.py
+++ b/saffronstack/config/sense.py
@@ -36,6 +36,14 @@
     for number, key in enumerate(config.keys):
         if key.tenant not in tenants:
             lines.append(f"keys[{number}].tenant: no tenant is named {key.tenant!r}")
+    for number, tenant in enumerate(config.tenants):
+        place = f"tenants[{number}] ({tenant.name}).budget"
+        if tenant.budget is not None and config.metering is None:
+            lines.append(f"{place}: needs the part 'metering', which measures it")
+        if tenant.budget is not None and tenant.budget.soft_mb_s > tenant.budget.hard_mb_s:
+            lines.append(
+                f"{place}: soft_mb_s {tenant.budget.soft_mb_s:g} over hard_mb_s {tenant.budget.hard_mb_s:g}"
+            )
     return lines
 
 
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from saffronstack.config.build import Functions, PlaceNumbers, settings_of, workers_of
+from saffronstack.config.build import Functions, PlaceNumbers, budgets_of, settings_of, workers_of
 from saffronstack.config.schema import Config
 from saffronstack.core.engine import Engine
 from saffronstack.core.record import Recorder
@@ -20,6 +20,7 @@
 from saffronstack.invoke.app import Access, App
 from saffronstack.invoke.pages import Pages
 from saffronstack.invoke.server import FrontLimits, Server
+from saffronstack.metering.limits import BudgetLimits
 from saffronstack.metering.meter import Meter, open_usage_log
 from saffronstack.workers.fleet import Fleet
 from saffronstack.workers.pool import PoolLimits, UsageJob
@@ -59,10 +60,14 @@
         )
         self._numbers = PlaceNumbers(config)
         self.meter: Meter | None = None
+        self.limits: BudgetLimits | None = None
         if config.metering is not None:
             journal = open_usage_log(config.metering.directory, config.metering.segment_bytes, files)
             every_s = config.metering.ask_every_s
-            self.meter = Meter(journal, self._ask_usage, clock, wall, self._memory_kib, every_s)
+            budgets = budgets_of(config)
+            if budgets:
+                self.limits = BudgetLimits(budgets, config.instances, config.keep_alive_s)
+            self.meter = Meter(journal, self._ask_usage, clock, wall, self._memory_kib, every_s, self.limits)
         self.fleet = Fleet(
             PoolLimits(
                 limits.worker_connections,
@@ -88,7 +93,15 @@
         self.members = members or Members(0, 1, "", clock)
         self.pages = Pages(self)
         self.app = App(
-            config, self.engine, self.functions, self.deferred, clock, wall, self.pages.table(), self.members
+            config,
+            self.engine,
+            self.functions,
+            self.deferred,
+            clock,
+            wall,
+            self.pages.table(),
+            self.members,
+            self.limits,
         )
         host, _, port = config.listen.rpartition(":")
         messages = Limits(
--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -22,6 +22,7 @@
 from saffronstack.http1.messages import HttpError, RequestHead
 from saffronstack.invoke import errors, names, sigv4
 from saffronstack.invoke.errors import InvokeError
+from saffronstack.metering.limits import BudgetLimits, Standing
 
 CONTEXT_MOST = 3583  # bytes of X-Amz-Client-Context, by the API's page
 KEY_MOST = 128
@@ -86,6 +87,7 @@
         wall: Callable[[], float],
         pages: Mapping[str, Page],
         members: Members,
+        limits: BudgetLimits | None = None,
     ) -> None:
         self.access = Access.of(config)
         self._config = config
@@ -96,6 +98,7 @@
         self._wall = wall
         self._pages = pages
         self._members = members
+        self._limits = limits
         self._tenants = {tenant.name: place for place, tenant in enumerate(config.tenants)}
         self._validate = msgspec.json.Decoder(msgspec.Raw).decode
 
@@ -198,6 +201,7 @@
         version = ("X-Amz-Executed-Version", target.qualifier)
         if kind == "DryRun":
             return Response(204, (("x-amzn-RequestId", request_id), version))
+        place = self._place(tenant, known)
         if kind == "Event":
             self._defer(request_id, known, payload, tenant, context, key)
             return Response(202, (("x-amzn-RequestId", request_id), version))
@@ -207,7 +211,7 @@
             known.spec,
             payload,
             self._clock() + known.deadline_s - self._config.answer_margin_s,
-            self._tenants.get(tenant, 0),
+            place,
             tenant,
             key,
             context,
@@ -234,6 +238,17 @@
                 if call.final is not None and call.final.ending is Ending.GONE:
                     raise ClientLeft
 
+    def _place(self, tenant: str, known: Known) -> int:
+        """The tenant's place among the module's; InvokeError where its budget allows no load it needs."""
+        place = self._tenants.get(tenant, 0)
+        if self._limits is None:
+            return place
+        now = self._clock()
+        verdict = self._limits.judge(tenant, now)
+        if not self._limits.may_start(known.spec.name, verdict, now):
+            raise errors.too_many(f"The memory budget of {tenant} is used up.", verdict.wait_s)
+        return place if verdict.standing is Standing.WITHIN else len(self._tenants)
+
     def _known(self, target: names.Target) -> Known:
         known = self._functions.get(target.name)
         if known is None or target.qualifier not in (LATEST, *known.config.qualifiers):
--- a/saffronstack/metering/meter.py
+++ b/saffronstack/metering/meter.py
@@ -23,6 +23,7 @@
 from saffronstack.interface import Result
 from saffronstack.metering.account import Account
 from saffronstack.metering.checks import refusal
+from saffronstack.metering.limits import BudgetLimits
 from saffronstack.metering.records import (
     AnyEntry,
     Asked,
@@ -35,9 +36,11 @@
     Ref,
     Replaced,
     Start,
+    Usage,
     decode,
     encode,
 )
+from saffronstack.metering.split import Phase, split
 
 ASK_EVERY_S = 1.0
 ACKS_MOST = 2000  # in one question
@@ -76,6 +79,7 @@
         wall: Callable[[], float],
         memory_kib: Callable[[WorkerSpec], int],
         ask_every_s: float = ASK_EVERY_S,
+        limits: BudgetLimits | None = None,
     ) -> None:
         """``memory_kib`` is what the configuration says of a worker's memory."""
         self.journal = journal
@@ -86,6 +90,7 @@
         self._wall = wall
         self._memory_kib = memory_kib
         self._every_s = ask_every_s
+        self._limits = limits
         self._queue: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self._workers: dict[str, WorkerSpec] = {}
         self._asked: dict[str, float] = {}  # workers with a question out, and since when
@@ -189,6 +194,7 @@
             if account.knows(*key) or key in self._under_way:
                 continue
             self._under_way.add(key)
+            self._limit(usage)
             at = now_wall - max(0.0, (offered.now_us - usage.end_us) / 1e6)
             self._acks[worker.name].append(
                 (self.journal.append(Received(usage, at)), (usage.incarnation, usage.seq))
@@ -199,6 +205,17 @@
         if entries:
             self.journal.append(*entries)
 
+    def _limit(self, usage: Usage) -> None:
+        """Usage counts against budgets from when it is told."""
+        if self._limits is None:
+            return
+        now = self._clock()
+        if usage.run or usage.idle:
+            self._limits.loaded(usage.function, now)
+        for share in split(usage):
+            if share.phase is not Phase.IDLE and share.call.tenant:
+                self._limits.charge(share.call.tenant, share.amount, now)
+
     def _refuse(self, worker: str, why: str) -> None:
         self.refused += 1
         log.warning("usage refused", worker=worker, why=why)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,143 @@
+"""Budgets: marks by window and by share of own usage, an honest time to come back, the whole path."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import time
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from saffronstack import config as configs
+from saffronstack.config.build import OVER_BUDGET, settings_of
+from saffronstack.metering.limits import STEPS, Budget, BudgetLimits, Standing
+from saffronstack.standin.model import Profile
+from tests.support.stack import eventually, running
+from tests.test_config import good
+
+WITHIN, SOFT, HARD = Standing.WITHIN, Standing.OVER_SOFT, Standing.OVER_HARD
+
+
+def limits(instances: int = 1, **budgets: Budget) -> BudgetLimits:
+    return BudgetLimits(budgets or {"a": Budget(60.0, 100, 200)}, instances, 10.0)
+
+
+def test_marks_and_the_window() -> None:
+    found = limits()
+    assert found.judge("a", 0.0).standing is WITHIN
+    assert found.judge("stranger", 0.0).standing is WITHIN
+    found.charge("a", 100, 0.0)
+    assert found.judge("a", 1.0).standing is WITHIN
+    found.charge("a", 50, 10.0)
+    assert found.judge("a", 11.0).standing is SOFT
+    found.charge("a", 60, 20.0)
+    verdict = found.judge("a", 21.0)
+    assert (verdict.standing, verdict.wait_s) == (HARD, 39.0)
+    assert found.judge("a", 21.0 + verdict.wait_s).standing is not HARD
+    assert found.judge("a", 100.0).standing is WITHIN
+
+
+@given(st.lists(st.tuples(st.floats(0, 30), st.integers(0, 120)), max_size=60), st.integers(1, 4))
+@settings(derandomize=True, max_examples=200)
+def test_who_comes_back_as_told_is_under_the_hard_mark(
+    steps: list[tuple[float, int]], instances: int
+) -> None:
+    found = limits(instances)
+    now = 0.0
+    for pause, amount in steps:
+        now += pause
+        found.charge("a", amount, now)
+    verdict = found.judge("a", now)
+    assert 0 <= verdict.wait_s <= 60.0 + 1e-6
+    if verdict.standing is HARD:
+        assert found.judge("a", now + verdict.wait_s + 1e-6).standing is not HARD
+
+
+def test_a_window_holds_a_bounded_number_of_parts() -> None:
+    found = limits()
+    for n in range(10_000):
+        found.charge("a", 1, n * 0.1)
+        found.judge("a", n * 0.1)
+    assert len(found._windows["a"].parts) <= STEPS + 2
+
+
+def test_over_only_where_amount_and_part_of_own_usage_say_so() -> None:
+    budgets = {"a": Budget(60.0, 100, 400), "b": Budget(60.0, 100, 400)}
+    busy = limits(4, **budgets)  # a front end with most of the fleet's traffic
+    busy.charge("a", 60, 0.0)
+    busy.charge("b", 70, 0.0)
+    assert busy.judge("a", 1.0).standing is WITHIN  # over a quarter of its mark, but not over its part here
+    assert busy.judge("b", 1.0).standing is SOFT
+    quiet = limits(4, **budgets)
+    quiet.charge("a", 20, 0.0)
+    assert quiet.judge("a", 1.0).standing is WITHIN
+
+
+def test_over_the_hard_mark_a_loaded_function_may_still_be_called() -> None:
+    found = limits()
+    found.charge("a", 500, 0.0)
+    verdict = found.judge("a", 1.0)
+    assert not found.may_start("f", verdict, 1.0)
+    found.loaded("f", 1.0)
+    assert found.may_start("f", verdict, 9.0)
+    assert not found.may_start("f", verdict, 12.0)
+    assert found.may_start("g", limits().judge("a", 0.0), 0.0)
+
+
+def test_over_the_soft_mark_a_call_is_worth_what_lies_over_a_share() -> None:
+    content = good()
+    content["metering"] = {"directory": "usage"}
+    content["tenants"][0]["budget"] = {"window_s": 60, "soft_mb_s": 1, "hard_mb_s": 2}
+    found = settings_of(configs.parse(json.dumps(content)))
+    assert [tenant.name for tenant in found.tenants] == ["corner-books", "campus-app", OVER_BUDGET]
+    assert found.tenants[2].quota_rps == 0 < found.tenants[0].quota_rps
+
+
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        ({"metering": None}, "tenants[0] (corner-books).budget: needs the part 'metering'"),
+        ({"soft_mb_s": 9}, "soft_mb_s 9 over hard_mb_s 2"),
+    ],
+)
+def test_budgets_are_checked(change: dict[str, Any], words: str) -> None:
+    content = good()
+    content["metering"] = {"directory": "usage"}
+    content["tenants"][0]["budget"] = {"window_s": 60, "soft_mb_s": 1, "hard_mb_s": 2}
+    if "metering" in change:
+        del content["metering"]
+    else:
+        content["tenants"][0]["budget"] |= change
+    with pytest.raises(configs.ConfigError) as caught:
+        configs.parse(json.dumps(content))
+    assert words in str(caught.value)
+
+
+def test_a_tenant_over_its_budget_is_told_when_to_come_back_and_others_go_on(tmp_path: pathlib.Path) -> None:
+    tenants = [
+        {"name": "corner-books", "share": 0.5, "budget": {"window_s": 3, "soft_mb_s": 5, "hard_mb_s": 20}},
+        {"name": "campus-app", "share": 0.5},
+    ]
+    metering = {"directory": str(tmp_path), "ask_every_s": 0.1}
+    with running(1, profile=Profile(work_s=0.1, load_s=0.02), tenants=tenants, metering=metering) as stack:
+        client = stack.client(tenant="corner-books")
+        gateway = stack.gateway
+        assert gateway.limits is not None
+        for _ in range(60):  # 512 MB for 0.1 s each
+            assert client.invoke("identify-copy", b"{}").status == 200
+            if gateway.limits.judge("corner-books", time.monotonic()).standing is HARD:
+                break
+        refused = client.invoke("suggest-price", b"{}")  # not loaded: it would need a load
+        assert refused.status == 429
+        assert 1 <= int(refused.headers.get("retry-after")) <= 4
+        assert b"memory budget of corner-books" in refused.body
+        assert client.invoke("identify-copy", b"{}").status == 200  # its copy stands
+        other = stack.client(tenant="campus-app")
+        assert other.invoke("adjust-setting", b"{}").status == 200
+        assert stack.runs("suggest-price") == 0
+        eventually(lambda: client.invoke("suggest-price", b"{}").status == 200, 15)
+        other.close()
+        client.close()
