--- /dev/null
+++ b/benchmarks/metering.py
@@ -0,0 +1,102 @@
+"""Throughput with metering and without, in turn; the usage log's size; reading a million records back.
+
+python benchmarks/metering.py [--rounds 4] [--seconds 3] [--records 1000000]
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+
+from gateway import CALLS, FUNCTIONS, gateway, load
+
+from saffronstack.day.processes import StandInHost
+from saffronstack.durable.journal import read_back
+from saffronstack.metering.account import Account
+from saffronstack.metering.meter import CODEC, open_usage_log
+from saffronstack.metering.records import Confirmed, Received, Ref, Usage
+from saffronstack.standin.fleet import sample
+
+PROFILE = {"work_s": 0.0, "load_s": 0.001, "cores": 64, "memory_mb": 65536, "queue": 1024}
+
+
+def throughput(directory: pathlib.Path, rounds: int, seconds: float) -> None:
+    """Two gateways before the same workers, loaded in turn: the ratio pair by pair."""
+    hosts = [StandInHost({"count": 1, "log": os.devnull, "seed": n, "profiles": [PROFILE]}) for n in range(4)]
+    workers = [{**host.workers[0], "id": host.workers[0]["id"]} for host in hosts]
+    for number, worker in enumerate(workers):
+        worker["id"] = f"w{number}"
+    content = sample(workers, "127.0.0.1:0", "", 65536)
+    lookup = {"class": "lookup", "memory_mb": 128, "lanes": 64}
+    content["functions"] += [{"name": name, **lookup} for name in FUNCTIONS]
+    (directory / "with").mkdir()
+    plain, plain_at = gateway(directory, content)
+    metered_content = {**content, "metering": {"directory": str(directory / "usage")}}
+    metered, metered_at = gateway(directory / "with", metered_content)
+    ratios = []
+    calls = 0.0
+    try:
+        for address in (plain_at, metered_at):
+            load([address], CALLS, 8, 1.0)
+        for turn in range(rounds):
+            without = load([plain_at], CALLS, 8, seconds)
+            with_it = load([metered_at], CALLS, 8, seconds)
+            calls += with_it[0] * seconds
+            ratios.append(with_it[0] / without[0])
+            print(
+                f"round {turn + 1}: {without[0]:.0f} calls/s without, {with_it[0]:.0f} with, {ratios[-1]:.3f}"
+            )
+    finally:
+        plain.kill()
+        metered.kill()
+        for host in hosts:
+            host.end()
+    size = sum(path.stat().st_size for path in (directory / "usage").glob("*.seg"))
+    print(
+        f"median {statistics.median(ratios):.3f} at 8 connections; {size / max(1, calls):.0f} log bytes a call"
+    )
+
+
+def recovery(directory: pathlib.Path, count: int) -> None:
+    """Write records as a busy gateway would, confirmed some later, and read them back."""
+    journal = open_usage_log(str(directory), 256 << 20)
+    start = time.perf_counter()
+    for n in range(1, count + 1):
+        ref = Ref(f"00000000-0000-0000-0000-{n:012d}", f"tenant-{n % 100}", "lookup")
+        usage = Usage("w1", "i", n, "identify-copy", 131072, n * 1000, n * 1000 + 700, 0, 1, 0, (), (ref,))
+        ticket = journal.append(Received(usage, 1e9))
+        if n % 500 == 0:
+            ticket = journal.append(*(Confirmed("w1", "i", seq) for seq in range(n - 499, n + 1)))
+            ticket.done.wait(60)
+    print(
+        f"wrote {count} records in {time.perf_counter() - start:.1f} s, "
+        f"{journal.written_bytes / count:.0f} bytes each with both copies"
+    )
+    journal.close()
+    start = time.perf_counter()
+    account = Account()
+    read_back(directory, account, CODEC)
+    took = time.perf_counter() - start
+    print(f"read {count} records back in {took:.1f} s; in balance: {account.unbalanced() == []}")
+
+
+def main() -> None:
+    """Run both."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rounds", type=int, default=4)
+    parser.add_argument("--seconds", type=float, default=3.0)
+    parser.add_argument("--records", type=int, default=1_000_000)
+    options = parser.parse_args()
+    print(f"{os.cpu_count()} cores, Python {sys.version.split()[0]}; 4 emulated workers")
+    with tempfile.TemporaryDirectory() as name:
+        throughput(pathlib.Path(name), options.rounds, options.seconds)
+        recovery(pathlib.Path(name) / "million", options.records)
+
+
+if __name__ == "__main__":
+    main()
--- a/saffronstack/day/run.py
+++ b/saffronstack/day/run.py
@@ -22,9 +22,14 @@
 from saffronstack.day.director import Director
 from saffronstack.day.plan import Plan
 from saffronstack.day.processes import DayFailed, GatewayProcess, StandInHost
+from saffronstack.durable.journal import read_back
 from saffronstack.http1.messages import HttpError
+from saffronstack.metering.account import Account, merge
+from saffronstack.metering.meter import CODEC
+from saffronstack.metering.report import MB_S
 from saffronstack.standin.fleet import sample
 
+ANSWER_MARGIN_S = 0.3  # the machine runs gateways, workers and clients at once
 FINALS_S = 40.0  # how long deferred calls may take to end after the last was sent
 WANTED_S = 0.5
 RULES = ("no call lost", "no effect twice", "drains kept", "cold workers not pushed over", "loads rationed")
@@ -56,6 +61,7 @@
         self.seed = seed
         self.log = directory / "workers.jsonl"
         self.log.unlink(missing_ok=True)
+        self.usage = 0.0
         self.gateways = [GatewayProcess(n, directory) for n in range(plan.gateways)]
 
     def content(self, gateway: GatewayProcess, workers: list[dict[str, Any]]) -> dict[str, Any]:
@@ -71,6 +77,8 @@
             "self_index": gateway.number,
             "seed": self.seed * 100 + gateway.number,
             "keep_alive_s": plan.workers.keep_alive_s,
+            "answer_margin_s": ANSWER_MARGIN_S,
+            "metering": {"directory": str(gateway.usage)},
             "rules": msgspec.to_builtins(plan.rules),
         }
 
@@ -119,6 +127,7 @@
                 if gateway.process is not None and gateway.process.poll() is None:
                     gateway.kill()
             host.end()
+        problems += self._unbalanced()
         traffic = self._traffic(host, director, clients.tries, finals)
         figures = Figures(
             drain_grace_s=plan.rules.drain_grace_s,
@@ -153,6 +162,21 @@
             client.close()
         return finals
 
+    def _unbalanced(self) -> list[str]:
+        """What is wrong with the usage that the gateways metered, over all their lives."""
+        accounts = []
+        problems = []
+        for gateway in self.gateways:
+            account = Account()
+            found = read_back(gateway.usage, account, CODEC)
+            problems += [
+                f"usage of gateway {gateway.number}: {line}" for line in found.lines if "cut" not in line
+            ]
+            accounts.append(account)
+        whole = merge(accounts).account
+        self.usage = sum(amount for amounts in whole.totals.values() for amount in amounts[:2]) / MB_S
+        return problems + [f"usage out of balance: {line}" for line in whole.unbalanced()]
+
     def _traffic(
         self, host: StandInHost, director: Director, tries: list[Try], finals: dict[str, list[str]]
     ) -> Traffic:
@@ -209,6 +233,7 @@
             f"deferred: {len(traffic.finals)} accepted, "
             + (", ".join(f"{count} {name}" for name, count in sorted(conditions.items())) or "none ended")
         )
+        click.echo(f"usage: {self.usage:.0f} MB s of loading and running metered")
         for number, name in enumerate(RULES, 1):
             click.echo(
                 f"rule {number}, {name}: {'kept' if not broken[number] else f'BROKEN {broken[number]} times'}"
