--- a/benchmarks/metering.py
+++ b/benchmarks/metering.py
@@ -28,9 +28,7 @@
 def throughput(directory: pathlib.Path, rounds: int, seconds: float) -> None:
     """Two gateways before the same workers, loaded in turn: the ratio pair by pair."""
     hosts = [StandInHost({"count": 1, "log": os.devnull, "seed": n, "profiles": [PROFILE]}) for n in range(4)]
-    workers = [{**host.workers[0], "id": host.workers[0]["id"]} for host in hosts]
-    for number, worker in enumerate(workers):
-        worker["id"] = f"w{number}"
+    workers = [{**host.workers[0], "id": f"w{number}"} for number, host in enumerate(hosts)]
     content = sample(workers, "127.0.0.1:0", "", 65536)
     lookup = {"class": "lookup", "memory_mb": 128, "lanes": 64}
     content["functions"] += [{"name": name, **lookup} for name in FUNCTIONS]
@@ -58,7 +56,7 @@
             host.end()
     size = sum(path.stat().st_size for path in (directory / "usage").glob("*.seg"))
     print(
-        f"median {statistics.median(ratios):.3f} at 8 connections; {size / max(1, calls):.0f} log bytes a call"
+        f"median {statistics.median(ratios):.3f}, 8 connections; {size / max(1, calls):.0f} log bytes a call"
     )
 
 
