--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 from saffronstack import config as configs
-from saffronstack.cli.client import Client
+from saffronstack.client import Client
 from saffronstack.config.build import Functions
 from saffronstack.day.processes import StandInHost
 from saffronstack.deferred.ledger import open_ledger
--- a/benchmarks/metering.py
+++ b/benchmarks/metering.py
@@ -16,9 +16,7 @@
 from gateway import CALLS, FUNCTIONS, gateway, load
 
 from saffronstack.day.processes import StandInHost
-from saffronstack.durable.journal import read_back
-from saffronstack.metering.account import Account
-from saffronstack.metering.meter import CODEC, open_usage_log
+from saffronstack.metering.meter import open_usage_log, read_usage_log
 from saffronstack.metering.records import Confirmed, Received, Ref, Usage
 from saffronstack.standin.fleet import sample
 
@@ -80,8 +78,7 @@
     )
     journal.close()
     start = time.perf_counter()
-    account = Account()
-    read_back(directory, account, CODEC)
+    account, _ = read_usage_log(directory)
     took = time.perf_counter() - start
     print(f"read {count} records back in {took:.1f} s; in balance: {account.unbalanced() == []}")
 
--- /dev/null
+++ b/saffronstack/cli/ask.py
@@ -0,0 +1,92 @@
+"""`saffronstack invoke` and `saffronstack status`: questions to running gateways."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+import time
+
+import click
+import msgspec
+
+from saffronstack.client import Client
+from saffronstack.http1.messages import HttpError
+
+SECRET = "SAFFRONSTACK_SECRET"
+
+
+def invoke(
+    function: str,
+    payload: str,
+    address: str,
+    deferred: bool,
+    wait: bool,
+    tenant: str,
+    key: str,
+    timeout_s: float,
+) -> int:
+    """Call a function and print its answer; 0 served or taken, 1 function error, 2 refused or unreachable."""
+    try:
+        body = pathlib.Path(payload[1:]).read_bytes() if payload.startswith("@") else payload.encode()
+    except OSError as error:
+        click.echo(f"--payload: {error}", err=True)
+        return 2
+    client = Client(address, timeout_s, key, os.environ.get(SECRET, ""), tenant=tenant)
+    try:
+        answer = client.invoke(function, body, "Event" if deferred else "RequestResponse")
+        if deferred and answer.status == 202:
+            request_id = answer.headers.get("x-amzn-requestid")
+            if not wait:
+                click.echo(request_id)
+                return 0
+            return _await_record(client, request_id, timeout_s)
+    except (OSError, HttpError) as error:
+        click.echo(f"{address}: {error}", err=True)
+        return 2
+    finally:
+        client.close()
+    sys.stdout.write(answer.body.decode("utf-8", "replace") + "\n")
+    if answer.status != 200:
+        return 2
+    return 1 if "x-amz-function-error" in answer.headers else 0
+
+
+def _await_record(client: Client, request_id: str, timeout_s: float) -> int:
+    end_s = time.monotonic() + timeout_s
+    while True:
+        answer = client.request("GET", f"/deferred/{request_id}")
+        if answer.status == 200:
+            click.echo(answer.body.decode())
+            condition = msgspec.json.decode(answer.body)["requestContext"]["condition"]
+            return 0 if condition == "Success" else 1
+        if answer.status != 202 or time.monotonic() >= end_s:
+            click.echo(f"{request_id}: {answer.status} {answer.body.decode('utf-8', 'replace')}", err=True)
+            return 2
+        time.sleep(0.05)
+
+
+def status(addresses: tuple[str, ...], timeout_s: float, as_json: bool) -> int:
+    """Print each gateway's state; 0 if all answer."""
+    worst = 0
+    for address in addresses:
+        client = Client(address, timeout_s)
+        try:
+            answer = client.request("GET", "/status")
+            state = msgspec.json.decode(answer.body)
+        except (OSError, HttpError, ValueError, msgspec.MsgspecError) as error:
+            worst = 1
+            state = {"error": str(error) or type(error).__name__}
+        finally:
+            client.close()
+        if as_json:
+            click.echo(msgspec.json.encode({"address": address, **state}).decode())
+        elif "error" in state:
+            click.echo(f"{address}: no answer: {state['error']}")
+        else:
+            click.echo(
+                f"{address}: pid {state['pid']}, {'draining, ' if state['draining'] else ''}"
+                f"{state['calls']} calls, {state['open_calls']} open, endings {state['endings']}"
+                + (f", deferred {state['deferred']['open']} open" if "deferred" in state else "")
+            )
+    return worst
--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -112,7 +112,7 @@
     timeout_s: float,
 ) -> None:
     """Call a function."""
-    from saffronstack.cli.client import invoke as call
+    from saffronstack.cli.ask import invoke as call
 
     sys.exit(call(function, payload, address, deferred, wait, tenant, key, timeout_s))
 
@@ -125,7 +125,7 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON line for each gateway.")
 def status(addresses: tuple[str, ...], timeout_s: float, as_json: bool) -> None:
     """Ask gateways how they are; 1 where one does not answer."""
-    from saffronstack.cli.client import status as ask
+    from saffronstack.cli.ask import status as ask
 
     sys.exit(ask(addresses or ("127.0.0.1:9000",), timeout_s, as_json))
 
@@ -142,11 +142,22 @@
 @click.argument("directories", nargs=-1, required=True, type=click.Path())
 @click.option("--by", default="tenant", show_default=True, help="tenant,function,class,worker,day,hour")
 @click.option("--format", "form", type=click.Choice(["table", "jsonl", "csv"]), default="table")
-def usage_show(directories: tuple[str, ...], by: str, form: str) -> None:
+@click.option("--tenant", default=None, help="This tenant's alone.")
+def usage_show(directories: tuple[str, ...], by: str, form: str, tenant: str | None) -> None:
     """Sums in MB s. The same log given twice counts once."""
     from saffronstack.cli.usage import show
 
-    sys.exit(show(directories, tuple(part.strip() for part in by.split(",")), form))
+    sys.exit(show(directories, tuple(part.strip() for part in by.split(",")), form, tenant))
+
+
+@usage.command("report")
+@click.argument("directories", nargs=-1, required=True, type=click.Path())
+@click.option("--output", default="usage.html", show_default=True, type=click.Path(dir_okay=False))
+def usage_report(directories: tuple[str, ...], output: str) -> None:
+    """Write a page with charts and tables."""
+    from saffronstack.cli.usage import report
+
+    sys.exit(report(directories, output))
 
 
 @usage.command("verify")
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -194,7 +194,8 @@
     if not member:
         return config, None
     index, count = (int(part) for part in member.split("/"))
-    directory = config.ledger.directory if config.ledger is not None else ""
+    state = config.ledger or config.metering
+    directory = state.directory if state is not None else ""  # where processes find each other
     ledger = config.ledger
     if ledger is not None:
         ledger = msgspec.structs.replace(ledger, directory=member_directory(directory, index))
--- a/saffronstack/cli/usage.py
+++ b/saffronstack/cli/usage.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 import pathlib
+from collections.abc import Callable
 
 import click
 
-from saffronstack.durable.journal import JournalError, read_back
-from saffronstack.metering.account import Account, Merged, merge
-from saffronstack.metering.meter import CODEC
+from saffronstack.durable.journal import JournalError
+from saffronstack.durable.runs import RunDamaged
+from saffronstack.metering.merging import Merged, merge
+from saffronstack.metering.meter import read_usage_log
 from saffronstack.metering.report import FORMS, rows
 
+TRIES = 5  # a gateway that writes the log meanwhile may replace files while they are read
+
+
+class _Changed(Exception):
+    """Files were replaced while they were read."""
+
 
 def _read(directories: tuple[str, ...]) -> tuple[Merged, list[str]]:
     """The logs merged, and what was wrong with them; JournalError where one can't be read."""
@@ -20,45 +28,91 @@
         path = pathlib.Path(directory)
         if not path.is_dir():
             raise JournalError(f"{directory}: no such directory")
-        account = Account()
-        found = read_back(path, account, CODEC)
+        try:
+            account, wrong = read_usage_log(path)
+        except JournalError as error:
+            if isinstance(error.__cause__, FileNotFoundError):
+                raise _Changed(str(error)) from error
+            raise
         if not account.gateway:
             raise JournalError(f"{directory}: holds no usage log")
-        lines += [f"{directory}/{line}" for line in found.lines]
+        lines += [f"{directory}/{line}" for line in wrong]
         accounts.append(account)
     merged = merge(accounts)
     return merged, [*lines, *merged.notes]
 
 
-def show(directories: tuple[str, ...], by: tuple[str, ...], form: str) -> int:
+def _steady(look: Callable[[], int]) -> int:
+    """Look, anew where files changed meanwhile; 2 where nothing can be read."""
+    for left in reversed(range(TRIES)):
+        try:
+            return look()
+        except (_Changed, FileNotFoundError) as error:
+            if not left:
+                click.echo(f"{error}: the files change faster than they are read", err=True)
+        except (JournalError, RunDamaged, ValueError, OSError) as error:
+            click.echo(str(error), err=True)
+            break
+    return 2
+
+
+def show(directories: tuple[str, ...], by: tuple[str, ...], form: str, tenant: str | None = None) -> int:
     """Print sums; 0, or 2 where a log can't be read or a column is unknown."""
-    try:
+
+    def look() -> int:
         merged, lines = _read(directories)
-        click.echo(FORMS[form](rows(merged.account, by), by))
-    except (JournalError, ValueError) as error:
-        click.echo(str(error), err=True)
+        text = FORMS[form](rows(merged, by, tenant), by)
+        click.echo(text)
+        for line in lines:
+            click.echo(line, err=True)
+        return 0
+
+    return _steady(look)
+
+
+def report(directories: tuple[str, ...], output: str) -> int:
+    """Write a page with charts; 0, or 2 where a log can't be read, the page not written or charts not
+    drawn."""
+    try:
+        from saffronstack.metering.charts import page
+    except ImportError as error:
+        click.echo(f"charts need matplotlib: {error}; pip install 'saffronstack[charts]'", err=True)
         return 2
-    for line in lines:
-        click.echo(line, err=True)
-    return 0
+
+    def look() -> int:
+        merged, lines = _read(directories)
+        content = page(merged, lines)
+        pathlib.Path(output).write_text(content)
+        click.echo(f"{output}: {len(content)} bytes")
+        return 0
+
+    return _steady(look)
 
 
 def verify(directories: tuple[str, ...]) -> int:
     """Check that shares sum up to what was held and that the logs are whole; 0, 1 with reasons, 2 unread."""
-    try:
+
+    def look() -> int:
+        damaged = []
+        for directory in directories:
+            if pathlib.Path(directory).is_dir():
+                damaged += read_usage_log(pathlib.Path(directory))[0].problems()
+        if damaged:
+            for line in damaged:
+                click.echo(line)
+            click.echo(f"{len(damaged)} parts of archives can't be read: NOT in balance")
+            return 1
         merged, lines = _read(directories)
-    except JournalError as error:
-        click.echo(str(error), err=True)
-        return 2
-    account = merged.account
-    problems = [f"unbalanced: {line}" for line in account.unbalanced()]
-    if account.in_doubt:
-        problems.append("records of a log are lost: sums may miss some")
-    for line in [*lines, *problems]:
-        click.echo(line)
-    confirmed = sum(high - low + 1 for ranges in account.confirmed.values() for low, high in ranges.spans)
-    click.echo(
-        f"{confirmed} records confirmed, {len(account.unconfirmed)} not yet, {len(account.provisional)} "
-        f"provisional charges, {len(account.occupied)} workers: {'NOT ' if problems else ''}in balance"
-    )
-    return 1 if problems else 0
+        problems = [f"unbalanced: {line}" for line in merged.unbalanced()]
+        if merged.in_doubt:
+            problems.append("records of a log are lost: sums may miss some")
+        for line in [*lines, *problems]:
+            click.echo(line)
+        workers = len({worker for worker, _ in merged.holdings()})
+        click.echo(
+            f"{merged.confirmed} records confirmed, {merged.unconfirmed} not yet, {len(merged.provisional)} "
+            f"provisional charges, {workers} workers: {'NOT ' if problems else ''}in balance"
+        )
+        return 1 if problems else 0
+
+    return _steady(look)
--- /dev/null
+++ b/saffronstack/client/connection.py
@@ -0,0 +1,118 @@
+"""A connection to a gateway: one request at a time, kept between requests, signed where there is a key."""
+
+from __future__ import annotations
+
+import hashlib
+import socket
+import time
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from urllib.parse import quote
+
+from saffronstack.http1 import writer
+from saffronstack.http1.messages import Headers, HttpError, Limits
+from saffronstack.http1.reader import MessageReader
+from saffronstack.http1.sockets import Stream, read_until
+from saffronstack.invoke import sigv4
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a gateway answered."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Client:
+    """A connection that is kept between requests and made anew when it was lost."""
+
+    def __init__(
+        self,
+        address: str,
+        timeout_s: float,
+        key: str = "",
+        secret: str = "",
+        region: str = "us-east-1",
+        tenant: str = "",
+    ) -> None:
+        self.address = address
+        self.timeout_s = timeout_s
+        self._key, self._secret, self._region, self._tenant = key, secret, region, tenant
+        self._stream: Stream | None = None
+        self._reader = MessageReader(Limits(body=64 * 1024 * 1024))
+
+    def request(
+        self, method: str, target: str, body: bytes = b"", extra: tuple[tuple[str, str], ...] = ()
+    ) -> Answer:
+        """One exchange; OSError (TimeoutError, ConnectionError) or HttpError where no whole answer came."""
+        deadline_s = time.monotonic() + self.timeout_s
+        if self._stream is not None and not self._stream.silent():
+            self.close()  # the gateway ended it while it was idle
+        if self._stream is None:
+            host, _, port = self.address.rpartition(":")
+            self._stream = Stream(socket.create_connection((host, int(port)), timeout=self.timeout_s))
+            self._reader = MessageReader(Limits(body=64 * 1024 * 1024))
+        stream = self._stream
+        try:
+            headers = [("Host", self.address), *extra, *self._signature(method, target, body)]
+            if not stream.send(writer.request(method, target, headers, body), deadline_s, time.monotonic):
+                raise ConnectionResetError("the gateway took no byte")
+            head = read_until(stream, self._reader, self._reader.response, deadline_s, time.monotonic)
+            content = read_until(stream, self._reader, self._reader.body, deadline_s, time.monotonic)
+        except (OSError, HttpError):
+            self.close()
+            raise
+        if not head.keep_alive:
+            self.close()
+        return Answer(head.status, head.headers, content)
+
+    def invoke(
+        self,
+        function: str,
+        payload: bytes,
+        kind: str = "RequestResponse",
+        extra: tuple[tuple[str, str], ...] = (),
+    ) -> Answer:
+        """Call a function."""
+        target = f"/2015-03-31/functions/{quote(function, safe='')}/invocations"
+        return self.request("POST", target, payload, (("X-Amz-Invocation-Type", kind), *extra))
+
+    def _signature(self, method: str, target: str, body: bytes) -> tuple[tuple[str, str], ...]:
+        if not self._key:
+            if not self._tenant:
+                return ()
+            claim = (
+                f"{sigv4.ALGORITHM} Credential={self._tenant}/20150331/{self._region}/lambda/aws4_request, "
+                f"SignedHeaders=host, Signature={'0' * 64}"
+            )
+            return (("Authorization", claim),)
+        stamp = datetime.now(UTC).strftime("%Y%m%dT%H%M%SZ")
+        cred = sigv4.Credential(self._key, stamp[:8], self._region, "lambda", ("host", "x-amz-date"), "")
+        signed = Headers([("host", self.address), ("x-amz-date", stamp)])
+        canonical = sigv4.canonical_request(
+            method, target, signed, cred.signed, hashlib.sha256(body).hexdigest()
+        )
+        signature = sigv4.sign(self._secret, cred, stamp, canonical)
+        return (
+            ("X-Amz-Date", stamp),
+            (
+                "Authorization",
+                (
+                    f"{sigv4.ALGORITHM} "
+                    f"Credential={self._key}/{stamp[:8]}/{self._region}/lambda/aws4_request, "
+                    f"SignedHeaders=host;x-amz-date, Signature={signature}"
+                ),
+            ),
+        )
+
+    def unasked(self) -> int:
+        """Bytes that came after the last answer without having been asked for."""
+        return self._reader.pending
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
--- a/saffronstack/day/clients.py
+++ b/saffronstack/day/clients.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from saffronstack.audit.traffic import Try
-from saffronstack.cli.client import Answer, Client
+from saffronstack.client import Answer, Client
 from saffronstack.core.threads import spawn
 from saffronstack.day.plan import Mix
 from saffronstack.http1.messages import HttpError
--- a/saffronstack/day/run.py
+++ b/saffronstack/day/run.py
@@ -15,17 +15,16 @@
 
 from saffronstack.audit.rules import Breach, judge
 from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic, Try
-from saffronstack.cli.client import Client
+from saffronstack.client import Client
 from saffronstack.config import ConfigError
 from saffronstack.day import plan as plans
 from saffronstack.day.clients import Clients
 from saffronstack.day.director import Director
 from saffronstack.day.plan import Plan
 from saffronstack.day.processes import DayFailed, GatewayProcess, StandInHost
-from saffronstack.durable.journal import read_back
 from saffronstack.http1.messages import HttpError
-from saffronstack.metering.account import Account, merge
-from saffronstack.metering.meter import CODEC
+from saffronstack.metering.merging import merge
+from saffronstack.metering.meter import read_usage_log
 from saffronstack.metering.report import MB_S
 from saffronstack.standin.fleet import sample
 
@@ -167,14 +166,11 @@
         accounts = []
         problems = []
         for gateway in self.gateways:
-            account = Account()
-            found = read_back(gateway.usage, account, CODEC)
-            problems += [
-                f"usage of gateway {gateway.number}: {line}" for line in found.lines if "cut" not in line
-            ]
+            account, lines = read_usage_log(gateway.usage)
+            problems += [f"usage of gateway {gateway.number}: {line}" for line in lines if "cut" not in line]
             accounts.append(account)
-        whole = merge(accounts).account
-        self.usage = sum(amount for amounts in whole.totals.values() for amount in amounts[:2]) / MB_S
+        whole = merge(accounts)
+        self.usage = sum(amount for _, amounts in whole.sums() for amount in amounts[:2]) / MB_S
         return problems + [f"usage out of balance: {line}" for line in whole.unbalanced()]
 
     def _traffic(
--- a/saffronstack/deferred/book.py
+++ b/saffronstack/deferred/book.py
@@ -70,6 +70,10 @@
         """About how large a snapshot is."""
         return self.open_bytes + sum(len(record.record) + 128 for record in self.finished.values())
 
+    def relieve(self) -> tuple[AnyRecord, ...]:
+        """Open calls are bounded at the door; nothing leaves memory."""
+        return ()
+
     def snapshot(self) -> Iterator[AnyRecord]:
         """Records that add up to this state."""
         yield Snapshot(len(self.open), len(self.finished))
--- a/saffronstack/deferred/calls.py
+++ b/saffronstack/deferred/calls.py
@@ -24,8 +24,10 @@
 from saffronstack.deferred.recovery import Condition, Finish, MayHaveRun, Policy, State, Try, Wait
 from saffronstack.durable.journal import Ticket
 from saffronstack.interface import Effect
+from saffronstack.metering.limits import BudgetLimits
 
 IDLE_S = 0.5
+BUDGET_WAIT_S = 0.1  # at least this long between looks at a budget that is used up
 COMMIT_AGAIN_S = 0.5  # pause before a final record that could not be written is written again
 log = structlog.get_logger("saffronstack.deferred")
 
@@ -101,8 +103,11 @@
         clock: Callable[[], float],
         wall: Callable[[], float],
         seed: int = 0,
+        limits: BudgetLimits | None = None,
     ) -> None:
-        """``wall`` is read once: from then on Unix time follows the monotonic clock, whatever is set."""
+        """``limits`` are asked before each try: a call over its tenant's hard mark waits, which is no try.
+
+        ``wall`` is read once: from then on Unix time follows the monotonic clock, whatever is set."""
         assert config.ledger is not None
         self._config = config
         self._limits = config.ledger
@@ -112,6 +117,7 @@
         self._clock = clock
         self._offset = wall() - clock()
         self._random = random.Random(seed)
+        self._budgets = limits
         self._tenants = {tenant.name: place for place, tenant in enumerate(config.tenants)}
         self._classes = {cls.name: cls for cls in config.classes}
         self._queue: queue.SimpleQueue[_Live | tuple[_Live, Final] | None] = queue.SimpleQueue()
@@ -271,13 +277,21 @@
             return
         assert isinstance(step, Try)
         accepted, ran = live.accepted, live.state.ran
+        place = self._tenants.get(accepted.tenant, 0)
+        if self._budgets is not None and ran is None:  # one that may have run is not held back from its end
+            admission = self._budgets.admit(accepted.tenant, accepted.function, self._clock())
+            if not admission.taken:
+                wait_s = max(BUDGET_WAIT_S, admission.wait_s) * (1.0 + 0.1 * self._random.random())
+                self._due.set(min(self.now() + wait_s, step.until), live)
+                return
+            place = len(self._tenants) if admission.over else place
         call = Call(
             self._engine.next_number(),
             accepted.id,
             known.spec,
             accepted.payload,
             step.until - self._offset,
-            self._tenants.get(accepted.tenant, 0),
+            place,
             accepted.tenant,
             accepted.key,
             accepted.context,
--- a/saffronstack/durable/journal.py
+++ b/saffronstack/durable/journal.py
@@ -9,7 +9,7 @@
 import queue
 import struct
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -53,6 +53,12 @@
         """Records are lost: whatever can't be sure any more says so from now on."""
         ...
 
+    def relieve(self) -> Sequence[R]:
+        """Between commits: what is too much for memory goes elsewhere, durably. The records that say so,
+        which are applied once they are on the disk too; none where there is room. OSError where it can't be
+        written."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class Codec(Generic[R]):
@@ -292,10 +298,20 @@
             for item in ticket.items:
                 self.state.apply(item)
             ticket.done.set()
+        self._relieve()
         if self._size >= self._segment_bytes:
             self._close_segment()
             self._maybe_compact()
 
+    def _relieve(self) -> None:
+        try:
+            while records := self.state.relieve():
+                self._write_block([self._codec.encode(record) for record in records])
+                for record in records:
+                    self.state.apply(record)
+        except OSError as error:  # it stays in memory; nothing more comes in while the disk takes nothing
+            log.error("journal's state not relieved", error=str(error))
+
     def _write_block(self, encoded: list[bytes]) -> None:
         fd = self._open_segment()
         block = segments.pack(self._block, encoded, self._codec.compress)
--- a/saffronstack/durable/segments.py
+++ b/saffronstack/durable/segments.py
@@ -93,7 +93,7 @@
     at = 0
     last = -1
     while at < len(data):
-        block = _block_at(data, at)
+        block = block_at(data, at)
         if block is None:
             following = _next_block(data, at + 1)
             if following is None:
@@ -130,7 +130,8 @@
     return len(part) < len(whole) and whole.startswith(part)
 
 
-def _block_at(data: bytes, at: int) -> Block | None:
+def block_at(data: bytes, at: int) -> Block | None:
+    """The whole block that begins at a byte; None where none does."""
     if len(data) - at < HEADER.size or data[at : at + 4] not in (MAGIC, PACKED):
         return None
     _, number, length, checksum = HEADER.unpack_from(data, at)
@@ -144,7 +145,7 @@
 
 def _next_block(data: bytes, at: int) -> Block | None:
     for found in _MAGICS.finditer(data, at):
-        block = _block_at(data, found.start())
+        block = block_at(data, found.start())
         if block is not None:
             return block
     return None
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -62,12 +62,22 @@
         self.meter: Meter | None = None
         self.limits: BudgetLimits | None = None
         if config.metering is not None:
-            journal = open_usage_log(config.metering.directory, config.metering.segment_bytes, files)
-            every_s = config.metering.ask_every_s
             budgets = budgets_of(config)
-            if budgets:
-                self.limits = BudgetLimits(budgets, config.instances, config.keep_alive_s)
-            self.meter = Meter(journal, self._ask_usage, clock, wall, self._memory_kib, every_s, self.limits)
+            lengths = {tenant: budget.window_s for tenant, budget in budgets.items()}
+            journal = open_usage_log(
+                config.metering.directory, config.metering.segment_bytes, files, lengths
+            )
+            offset_s = wall() - clock()
+            windows = journal.state.windows
+            if windows is not None:
+                windows.begin(clock() + offset_s)
+                self.limits = BudgetLimits(
+                    budgets, windows, config.instances, config.keep_alive_s, offset_s
+                )
+            every_s = config.metering.ask_every_s
+            self.meter = Meter(
+                journal, self._ask_usage, clock, wall, self._memory_kib, every_s, self.limits, offset_s
+            )
         self.fleet = Fleet(
             PoolLimits(
                 limits.worker_connections,
@@ -88,7 +98,7 @@
                 config.ledger.directory, config.ledger.history, config.ledger.segment_bytes, files
             )
             self.deferred = DeferredCalls(
-                config, self.ledger, self.engine, self.functions, clock, wall, config.seed
+                config, self.ledger, self.engine, self.functions, clock, wall, config.seed, self.limits
             )
         self.members = members or Members(0, 1, "", clock)
         self.pages = Pages(self)
@@ -102,6 +112,7 @@
             self.pages.table(),
             self.members,
             self.limits,
+            self.meter.journal.state if self.meter is not None else None,
         )
         host, _, port = config.listen.rpartition(":")
         messages = Limits(
@@ -120,7 +131,7 @@
         )
         self.server = Server(host, int(port), self.app, front, clock, shared=self.members.count > 1)
         self.peers: Server | None = None  # where the other processes ask this one
-        if self.members.count > 1 and self.ledger is not None:
+        if self.members.count > 1 and self.members.directory:
             self.peers = Server("127.0.0.1", 0, self.app, front, clock)
         self.draining = False
 
--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
+from urllib.parse import unquote
 
 import msgspec
 
@@ -18,11 +19,13 @@
 from saffronstack.core.names import LATEST
 from saffronstack.daemon.members import FORWARDED, Members
 from saffronstack.deferred.calls import CommitFailed, DeferredCalls, LedgerFull, Submission
+from saffronstack.durable.runs import RunDamaged
 from saffronstack.http1 import writer
 from saffronstack.http1.messages import HttpError, RequestHead
-from saffronstack.invoke import errors, names, sigv4
+from saffronstack.invoke import errors, names, sigv4, usage
 from saffronstack.invoke.errors import InvokeError
-from saffronstack.metering.limits import BudgetLimits, Standing
+from saffronstack.metering.account import Account
+from saffronstack.metering.limits import BudgetLimits
 
 CONTEXT_MOST = 3583  # bytes of X-Amz-Client-Context, by the API's page
 KEY_MOST = 128
@@ -88,6 +91,7 @@
         pages: Mapping[str, Page],
         members: Members,
         limits: BudgetLimits | None = None,
+        account: Account | None = None,
     ) -> None:
         self.access = Access.of(config)
         self._config = config
@@ -99,6 +103,7 @@
         self._pages = pages
         self._members = members
         self._limits = limits
+        self._account = account
         self._tenants = {tenant.name: place for place, tenant in enumerate(config.tenants)}
         self._validate = msgspec.json.Decoder(msgspec.Raw).decode
 
@@ -121,6 +126,8 @@
                 return self._invoke(request_id, head, body, target, client_there)
             if match := names.DEFERRED.fullmatch(path):
                 return self._record(request_id, head, body, match[1])
+            if match := names.USAGE.fullmatch(path):
+                return self._usage(request_id, head, body, unquote(match[1]))
             raise InvokeError(404, "ResourceNotFoundException", f"No such path: {path[:200]}")
         except InvokeError as error:
             return self.error(request_id, error)
@@ -201,10 +208,10 @@
         version = ("X-Amz-Executed-Version", target.qualifier)
         if kind == "DryRun":
             return Response(204, (("x-amzn-RequestId", request_id), version))
-        place = self._place(tenant, known)
-        if kind == "Event":
+        if kind == "Event":  # it may wait for its budget's room; ``deferred`` judges each of its tries
             self._defer(request_id, known, payload, tenant, context, key)
             return Response(202, (("x-amzn-RequestId", request_id), version))
+        place = self._place(tenant, known)
         call = Call(
             self._engine.next_number(),
             request_id,
@@ -243,11 +250,10 @@
         place = self._tenants.get(tenant, 0)
         if self._limits is None:
             return place
-        now = self._clock()
-        verdict = self._limits.judge(tenant, now)
-        if not self._limits.may_start(known.spec.name, verdict, now):
-            raise errors.too_many(f"The memory budget of {tenant} is used up.", verdict.wait_s)
-        return place if verdict.standing is Standing.WITHIN else len(self._tenants)
+        admission = self._limits.admit(tenant, known.spec.name, self._clock())
+        if not admission.taken:
+            raise errors.too_many(f"The memory budget of {tenant} is used up.", admission.wait_s)
+        return len(self._tenants) if admission.over else place
 
     def _known(self, target: names.Target) -> Known:
         known = self._functions.get(target.name)
@@ -323,6 +329,31 @@
         state = {"requestId": wanted, "state": found.state, "attempts": found.attempts}
         return Response(202, headers, msgspec.json.encode(state))
 
+    def _usage(self, request_id: str, head: RequestHead, body: bytes, wanted: str) -> Response:
+        """Our extension: what a tenant is charged, for its own key only, over all processes on this
+        address."""
+        if head.method != "GET":
+            return self._method(request_id, "GET")
+        tenant = self._tenant(head, body)
+        if self._account is None:
+            raise InvokeError(404, "ResourceNotFoundException", "This gateway does not meter.")
+        if tenant != wanted:
+            raise InvokeError(403, "AccessDeniedException", f"The key is not {wanted[:140]}'s.")
+        try:
+            found = usage.statement(self._account, self._limits, tenant, self._clock())
+        except (RunDamaged, OSError) as error:
+            raise errors.service(f"Usage can't be read now: {error}") from error
+        if FORWARDED not in head.headers:
+            fields = _passed_on(head.headers.items, ("host", "authorization"))
+
+            def ask(index: int) -> bytes | None:
+                answer = self._members.ask(index, head.target, fields)
+                return answer[1] if answer is not None and answer[0].status == 200 else None
+
+            found = usage.gather(found, self._members.count, self._members.index, ask)
+        headers = (("Content-Type", "application/json"), ("x-amzn-RequestId", request_id))
+        return Response(200, headers, msgspec.json.encode(found))
+
 
 def _passed_on(fields: list[tuple[str, str]], names: tuple[str, ...]) -> list[tuple[str, str]]:
     return [(name, value) for name, value in fields if name in names or name.startswith("x-amz")]
--- a/saffronstack/invoke/pages.py
+++ b/saffronstack/invoke/pages.py
@@ -4,25 +4,56 @@
 
 import os
 from collections.abc import Iterable, Mapping
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from saffronstack.core.engine import Engine
+from saffronstack.daemon.members import Members
+from saffronstack.deferred.calls import DeferredCalls
+from saffronstack.deferred.ledger import Ledger
 from saffronstack.invoke.app import Page, Response
-
-if TYPE_CHECKING:
-    from saffronstack.gateway import Gateway
+from saffronstack.invoke.server import Server
+from saffronstack.metering.limits import BudgetLimits
+from saffronstack.metering.meter import Meter
 
 TEXT = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
 
 
+class Connections(Protocol):
+    """Who holds connections to workers."""
+
+    @property
+    def connections(self) -> int:
+        """How many."""
+        ...
+
+
+class Parts(Protocol):
+    """What the pages tell of: the parts of a gateway, which it makes before anyone asks."""
+
+    engine: Engine
+    server: Server
+    members: Members
+    ledger: Ledger | None
+    deferred: DeferredCalls | None
+    meter: Meter | None
+    limits: BudgetLimits | None
+    draining: bool
+
+    @property
+    def fleet(self) -> Connections:
+        """The workers' side."""
+        ...
+
+
 class _Figures(Collector):
     """Reads the gateway's own counts when asked; nothing is counted twice."""
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Parts) -> None:
         self._gateway = gateway
 
     def collect(self) -> Iterable[Metric]:
@@ -71,14 +102,46 @@
             for name, value in gateway.deferred.finished.items():
                 finished.add_metric([name], value)
             yield finished
+        if gateway.meter is not None:
+            gauges += _usage_gauges(gateway.meter)
+            yield from _usage_counters(gateway.meter, gateway.limits)
         for name, text, gauge in gauges:
             yield GaugeMetricFamily(f"saffronstack_{name}", text, value=gauge)
 
 
+def _usage_gauges(meter: Meter) -> list[tuple[str, str, float]]:
+    account, journal = meter.journal.state, meter.journal
+    return [
+        ("usage_sums", "Sums of usage held in memory", len(account.totals)),
+        ("usage_runs", "Runs of sums that left memory", account.runs),
+        ("usage_unconfirmed", "Usage records that no worker has confirmed", len(account.unconfirmed)),
+        ("usage_provisional", "Charges of lost calls that are not settled", len(account.provisional)),
+        ("usage_log_failing", "1 while the usage log can't write", float(bool(journal.failing))),
+        ("usage_in_doubt", "1 where records of the usage log are lost", float(account.in_doubt)),
+    ]
+
+
+def _usage_counters(meter: Meter, limits: BudgetLimits | None) -> Iterable[Metric]:
+    counts = [
+        ("usage_records", "Usage records taken", meter.taken),
+        ("usage_refused", "Usage records that can't be believed", meter.refused),
+        ("usage_postponed", "Answers whose usage was left with the worker for later", meter.dropped),
+        ("usage_lost_at_workers", "Usage records that workers' own bounds cost", meter.lost_at_workers()),
+        ("usage_log_bytes", "Bytes written to the usage log", meter.journal.written_bytes),
+    ]
+    if limits is not None:
+        counts += [
+            ("budget_refused", "Calls refused or held back for their tenant's budget", limits.refused),
+            ("budget_marked", "Calls taken at the worth of what lies over a share", limits.marked),
+        ]
+    for name, text, count in counts:
+        yield CounterMetricFamily(f"saffronstack_{name}", text, value=count)
+
+
 class Pages:
     """The pages of one gateway."""
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Parts) -> None:
         self._gateway = gateway
         self._registry = CollectorRegistry(auto_describe=False)
         self._registry.register(_Figures(gateway))
@@ -123,4 +186,13 @@
                 "finished": gateway.deferred.finished,
                 "ledger_failing": gateway.ledger.failing,
             }
+        if gateway.meter is not None:
+            account = gateway.meter.journal.state
+            content["usage"] = {
+                "records": gateway.meter.taken,
+                "refused": gateway.meter.refused,
+                "unconfirmed": len(account.unconfirmed),
+                "provisional": len(account.provisional),
+                "log_failing": gateway.meter.journal.failing,
+            }
         return Response(200, (("Content-Type", "application/json"),), msgspec.json.encode(content))
--- /dev/null
+++ b/saffronstack/metering/charts.py
@@ -0,0 +1,107 @@
+"""Usage as one page with charts, for people who are sent a bill. Needs matplotlib; nothing else imports
+this."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import Iterable
+from html import escape
+
+from matplotlib import rc_context
+from matplotlib.figure import Figure
+
+from saffronstack.metering.merging import Merged
+from saffronstack.metering.report import HEADS, Row, cells, rows
+
+BARS_MOST = 20  # in a chart; the rest is one bar more
+ROWS_MOST = 500  # in a table; `usage show` has all
+PHASES = ("loading", "running", "estimated", "provisional")
+COLOURS = ("#c9822b", "#3d6f8e", "#a8453e", "#9a9a9a")
+STYLE = (
+    "body{font:15px/1.45 sans-serif;max-width:64em;margin:2em auto;padding:0 1em;color:#222}"
+    "table{border-collapse:collapse}td,th{padding:.2em .7em;border-bottom:1px solid #ddd;text-align:right}"
+    "td.n,th.n{text-align:left;overflow-wrap:anywhere}svg{max-width:100%;height:auto}.bad{color:#a8453e}"
+)
+
+
+def page(merged: Merged, notes: Iterable[str]) -> str:
+    """The page, as HTML in one file; everything that workers or clients named is escaped."""
+    by_tenant = rows(merged, ("tenant",))
+    by_day = sorted(rows(merged, ("day",)), key=lambda row: row.by)
+    by_function = rows(merged, ("function",))
+    wrong = merged.unbalanced()
+    if merged.in_doubt:
+        wrong.append("records of a log are lost: sums may miss some")
+    whole = sum(row.charged for row in by_tenant)
+    days = f"{by_day[0].by[0]} to {by_day[-1].by[0]}" if by_day else "no usage"
+    state = "in balance" if not wrong else "NOT in balance"
+    parts = [
+        "<!doctype html><html lang='en'><head><meta charset='utf-8'><title>Usage</title>",
+        f"<style>{STYLE}</style></head><body><h1>Memory-seconds, {days}</h1>",
+        f"<p>{whole:,.1f} MB s charged ({whole / 1024 / 3600:,.4f} GB h) to {len(by_tenant)} tenants; "
+        f"{merged.confirmed} records confirmed, {merged.unconfirmed} not yet; {state}. "
+        "Idle time is shown in the tables and not charged.</p>",
+        *(f"<p class='bad'>{escape(line)}</p>" for line in [*wrong, *notes]),
+        "<h2>By day</h2>",
+        _chart(by_day, upright=True),
+        "<h2>By tenant</h2>",
+        _chart(_most(by_tenant)),
+        _table(by_tenant, "tenant"),
+        "<h2>By function</h2>",
+        _chart(_most(by_function)),
+        _table(by_function, "function"),
+        "</body></html>",
+    ]
+    return "\n".join(parts)
+
+
+def _most(found: list[Row]) -> list[Row]:
+    """The largest, and the rest as one."""
+    rest = found[BARS_MOST:]
+    if not rest:
+        return found
+    sums = [sum(getattr(row, name) for row in rest) for name in (*PHASES[:2], "idle", *PHASES[2:])]
+    return [*found[:BARS_MOST], Row((f"{len(rest)} others",), *sums)]
+
+
+def _chart(found: list[Row], upright: bool = False) -> str:
+    """Stacked bars as SVG; no bars, no chart."""
+    if not found:
+        return "<p>Nothing was metered.</p>"
+    size = (9.0, 3.2) if upright else (9.0, 0.6 + 0.28 * len(found))
+    with rc_context({"svg.hashsalt": "usage", "text.parse_math": False}):
+        figure = Figure(figsize=size, layout="constrained")
+        axes = figure.subplots()
+        names = [row.by[0][:40] for row in found]
+        places = list(range(len(found)))
+        bottom = [0.0] * len(found)
+        for phase, colour in zip(PHASES, COLOURS, strict=True):
+            amounts = [getattr(row, phase) for row in found]
+            if upright:
+                axes.bar(places, amounts, bottom=bottom, color=colour, label=phase)
+            else:
+                axes.barh(places, amounts, left=bottom, color=colour, label=phase)
+            bottom = [a + b for a, b in zip(bottom, amounts, strict=True)]
+        if upright:
+            axes.set_xticks(places, names, rotation=45, ha="right")
+            axes.set_ylabel("MB s")
+        else:
+            axes.set_yticks(places, names)
+            axes.invert_yaxis()
+            axes.set_xlabel("MB s")
+        axes.legend(loc="best", frameon=False)
+        out = io.StringIO()
+        figure.savefig(out, format="svg", metadata={"Date": None})
+    text = out.getvalue()
+    return text[text.index("<svg") :]
+
+
+def _table(found: list[Row], name: str) -> str:
+    heads = "".join(f"<th>{head.replace('_mb_s', '')} MB s</th>" for head in HEADS)
+    lines = [f"<table><tr><th class='n'>{name}</th>{heads}</tr>"]
+    for row in found[:ROWS_MOST]:
+        numbers = "".join(f"<td>{cell:,.3f}</td>" for cell in cells(row))
+        lines.append(f"<tr><td class='n'>{escape(row.by[0])}</td>{numbers}</tr>")
+    if len(found) > ROWS_MOST:
+        lines.append(f"<tr><td class='n'>{len(found) - ROWS_MOST} more: saffronstack usage show</td></tr>")
+    return "\n".join([*lines, "</table>"])
--- a/saffronstack/metering/limits.py
+++ b/saffronstack/metering/limits.py
@@ -1,4 +1,4 @@
-"""Budgets of memory-seconds: whether a tenant is over its marks, and when its window frees room. No I/O.
+"""Budgets of memory-seconds: whether a call may be taken, and when its tenant's window frees room. No I/O.
 
 A gateway sees its own part of the usage. As the module does with rates, a tenant counts as over only where
 both its amount (against its budget's part for one front end) and its part of this front end's usage (against
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import threading
-from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
-STEPS = 60  # parts of a window that leave it one after another
+from saffronstack.metering.windows import STEPS, Windows
+
 WARM_KEPT = 10_000  # functions remembered as loaded
 
 
@@ -42,40 +42,50 @@
     wait_s: float = 0.0
 
 
-@dataclass(slots=True)
-class _Window:
-    parts: deque[list[float]] = field(default_factory=deque)  # start, amount
-    total: int = 0
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Whether a call may go to the module now, and whether as one of a tenant over its soft mark."""
 
-    def leave(self, before: float) -> None:
-        while self.parts and self.parts[0][0] <= before:
-            self.total -= int(self.parts.popleft()[1])
+    taken: bool
+    over: bool = False
+    wait_s: float = 0.0  # where it is not taken: seconds until it would be
 
 
-class BudgetLimits:
-    """Amounts come from the meter's thread, questions from the fronts'; times are one clock's, in seconds."""
+@dataclass(frozen=True, slots=True)
+class BudgetUse:
+    """What a tenant can be told of its budget; amounts in KiB microseconds at this front end."""
+
+    budget: Budget
+    used: int
+    verdict: Verdict
 
-    def __init__(self, budgets: Mapping[str, Budget], instances: int, keep_alive_s: float) -> None:
+
+class BudgetLimits:
+    """Asked from the fronts' threads; times are the gateway's clock, in seconds."""
+
+    def __init__(
+        self,
+        budgets: Mapping[str, Budget],
+        windows: Windows,
+        instances: int,
+        keep_alive_s: float,
+        offset_s: float = 0.0,
+    ) -> None:
+        """``windows`` hold what was used; ``offset_s`` is what makes its steady time of the gateway's
+        clock."""
         self._budgets = dict(budgets)
+        self._windows = windows
         self._instances = instances
         self._keep_alive_s = keep_alive_s
-        self._windows = {tenant: _Window() for tenant in self._budgets}
+        self._offset_s = offset_s
+        self._marks = {
+            "soft": sum(budget.soft for budget in budgets.values()) or 1,
+            "hard": sum(budget.hard for budget in budgets.values()) or 1,
+        }
         self._loaded: dict[str, float] = {}
         self._lock = threading.Lock()
-
-    def charge(self, tenant: str, amount: int, now: float) -> None:
-        """An amount that counts from now; a negative one takes back."""
-        budget = self._budgets.get(tenant)
-        if budget is None:
-            return
-        step_s = budget.window_s / STEPS
-        with self._lock:
-            window = self._windows[tenant]
-            if window.parts and window.parts[-1][0] > now - step_s:
-                window.parts[-1][1] += amount
-            else:
-                window.parts.append([now, amount])
-            window.total += amount
+        self.refused = 0  # for their budgets
+        self.marked = 0  # taken as worth what lies over a share
 
     def loaded(self, function: str, now: float) -> None:
         """A copy of a function stood at some worker just now."""
@@ -85,39 +95,58 @@
             if len(self._loaded) > WARM_KEPT:
                 del self._loaded[next(iter(self._loaded))]
 
+    def admit(self, tenant: str, function: str, now: float) -> Admission:
+        """Whether a call may be taken: over the hard mark only where a copy stands already."""
+        if tenant not in self._budgets:
+            return Admission(True)
+        verdict = self.judge(tenant, now)
+        with self._lock:
+            if verdict.standing is Standing.OVER_HARD:
+                if now - self._loaded.get(function, -1e18) > self._keep_alive_s:
+                    self.refused += 1
+                    return Admission(False, wait_s=verdict.wait_s)
+            elif verdict.standing is Standing.WITHIN:
+                return Admission(True)
+            self.marked += 1
+        return Admission(True, over=True)
+
     def judge(self, tenant: str, now: float) -> Verdict:
         """Where a tenant stands."""
         budget = self._budgets.get(tenant)
         if budget is None:
             return Verdict(Standing.WITHIN)
-        with self._lock:
-            for name, window in self._windows.items():
-                window.leave(now - self._budgets[name].window_s)
-            window = self._windows[tenant]
-            if window.total > self._fair(budget.hard, "hard"):
-                return Verdict(Standing.OVER_HARD, self._wait_s(window, budget, now))
-            over = window.total > self._fair(budget.soft, "soft")
-            return Verdict(Standing.OVER_SOFT if over else Standing.WITHIN)
-
-    def may_start(self, function: str, verdict: Verdict, now: float) -> bool:
-        """Whether a call of the tenant may be taken: over the hard mark only where a copy stands already."""
-        if verdict.standing is not Standing.OVER_HARD:
-            return True
-        with self._lock:
-            return now - self._loaded.get(function, -1e18) <= self._keep_alive_s
+        at = now + self._offset_s
+        total = self._windows.total(tenant, at)
+        if total <= budget.soft / self._instances:  # under both marks, whatever others use
+            return Verdict(Standing.WITHIN)
+        own = self._windows.whole(at)
+        if total > self._fair(budget.hard, "hard", own):
+            return Verdict(Standing.OVER_HARD, self._wait_s(tenant, budget, total, at))
+        over = total > self._fair(budget.soft, "soft", own)
+        return Verdict(Standing.OVER_SOFT if over else Standing.WITHIN)
+
+    def account(self, tenant: str, now: float) -> BudgetUse | None:
+        """A tenant's budget and use; None where it has no budget."""
+        budget = self._budgets.get(tenant)
+        if budget is None:
+            return None
+        used = self._windows.total(tenant, now + self._offset_s)
+        return BudgetUse(budget, used, self.judge(tenant, now))
 
-    def _fair(self, mark: int, which: str) -> float:
+    def _fair(self, mark: int, which: str, own: int) -> float:
         """This front end's part of a mark: the larger of an equal part and its part by own usage."""
-        marks = sum(getattr(budget, which) for budget in self._budgets.values()) or 1
-        own = sum(window.total for window in self._windows.values())
-        return max(mark / self._instances, mark / marks * own if len(self._budgets) > 1 else 0.0)
+        by_usage = mark / self._marks[which] * own if len(self._budgets) > 1 else 0.0
+        return max(mark / self._instances, by_usage)
 
-    def _wait_s(self, window: _Window, budget: Budget, now: float) -> float:
+    def _wait_s(self, tenant: str, budget: Budget, total: int, at: float) -> float:
         """When so many of the oldest parts have left the window that the rest is under the mark. The mark's
         part by own usage falls with it, so the equal part, which does not, is what is waited for."""
-        left: float = window.total
-        for start, amount in window.parts:
+        left = total
+        for start, amount in self._windows.used(tenant, at):
             left -= amount
             if left <= budget.hard / self._instances:
-                return max(0.0, start + budget.window_s - now)
+                return max(0.0, start + budget.window_s - at)
         return budget.window_s
+
+
+__all__ = ["STEPS", "Admission", "Budget", "BudgetLimits", "Standing", "Verdict"]
--- a/saffronstack/metering/meter.py
+++ b/saffronstack/metering/meter.py
@@ -4,11 +4,12 @@
 
 import base64
 import binascii
+import pathlib
 import queue
 import threading
 import uuid
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -18,15 +19,19 @@
 from saffronstack.core.names import worker_number
 from saffronstack.core.roster import WorkerSpec
 from saffronstack.core.threads import spawn
-from saffronstack.durable.journal import Codec, Journal, Ticket
+from saffronstack.durable.journal import Codec, Journal, Ticket, read_back
+from saffronstack.durable.runs import RunDamaged
 from saffronstack.durable.segments import Files
 from saffronstack.interface import Result
-from saffronstack.metering.account import Account
+from saffronstack.metering.account import Account, Bounds
+from saffronstack.metering.archive import Archive
 from saffronstack.metering.checks import refusal
 from saffronstack.metering.limits import BudgetLimits
+from saffronstack.metering.ranges import spans_of
 from saffronstack.metering.records import (
     AnyEntry,
     Asked,
+    Compacted,
     Confirmed,
     Estimated,
     Given,
@@ -36,16 +41,17 @@
     Ref,
     Replaced,
     Start,
-    Usage,
     decode,
     encode,
+    wire,
 )
-from saffronstack.metering.split import Phase, split
 
 ASK_EVERY_S = 1.0
 INVITE_EVERY_S = 0.1  # records come with an answer this often; reading them on each costs a fifth of the rate
 ACKS_MOST = 2000  # in one question
 MISSING_MOST = 500
+MERGE_S = 600.0  # for the word that runs were merged to be on the disk
+NAMED_S = 10.0  # for the name of a new log to be on the disk
 QUEUE_MOST = 100_000
 LOST = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 CODEC: Codec[AnyEntry] = Codec(encode, decode, lambda entry: isinstance(entry, Start), "usage", compress=True)
@@ -53,14 +59,35 @@
 log = structlog.get_logger("saffronstack.metering")
 
 
-def open_usage_log(directory: str, segment_bytes: int, files: Files | None = None) -> UsageLog:
+def open_usage_log(
+    directory: str,
+    segment_bytes: int,
+    files: Files | None = None,
+    budget_windows: Mapping[str, float] | None = None,
+    bounds: Bounds | None = None,
+) -> UsageLog:
     """Lock and read a usage log; a new one gets a name of its own. JournalError where it can't be had."""
-    journal = Journal(directory, Account(), CODEC, segment_bytes, files)
-    if not journal.state.gateway:
-        journal.append(Start(uuid.uuid4().hex))
+    archive = Archive(pathlib.Path(directory), files)
+    account = Account(archive=archive, budget_windows=budget_windows, bounds=bounds)
+    journal = Journal(directory, account, CODEC, segment_bytes, files)
+    archive.clean()
+    for line in archive.unopened():
+        log.error("usage archive damaged", what=line)
+        account.doubt()
+    if not account.gateway:
+        journal.append(Start(uuid.uuid4().hex)).done.wait(NAMED_S)
     return journal
 
 
+def read_usage_log(directory: pathlib.Path) -> tuple[Account, list[str]]:
+    """A log as it stands, without its lock, and what is wrong with it. JournalError where it can't be
+    read."""
+    archive = Archive(directory)
+    account = Account(archive=archive)
+    found = read_back(directory, account, CODEC)
+    return account, found.lines
+
+
 class Ask(Protocol):
     """Sends a question to a worker; ``done`` hears the answer's body, None where none came."""
 
@@ -81,10 +108,13 @@
         memory_kib: Callable[[WorkerSpec], int],
         ask_every_s: float = ASK_EVERY_S,
         limits: BudgetLimits | None = None,
+        offset_s: float = 0.0,
     ) -> None:
-        """``memory_kib`` is what the configuration says of a worker's memory."""
+        """``memory_kib`` is what the configuration says of a worker's memory; ``offset_s`` makes Unix seconds
+        that no clock step moves of the gateway's clock."""
         self.journal = journal
         self.refused = 0
+        self.taken = 0  # records
         self.dropped = 0  # records that the queue's bound cost; their workers offer them again
         self._ask = ask
         self._clock = clock
@@ -92,6 +122,10 @@
         self._memory_kib = memory_kib
         self._every_s = ask_every_s
         self._limits = limits
+        self._offset_s = offset_s
+        self._lost_at: dict[str, tuple[str, int]] = {}  # worker: incarnation, records its bound cost
+        self._lost_before = 0  # in lives that ended
+        self._merging = threading.Event()
         self._queue: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self._workers: dict[str, WorkerSpec] = {}
         self._asked: dict[str, float] = {}  # workers with a question out, and since when
@@ -115,6 +149,14 @@
         """The workers to ask. One that left is dead here: its provisional charges become estimates."""
         self._queue.put(lambda: self._told(specs))
 
+    def lost_at_workers(self) -> int:
+        """Records that workers' own bounds cost, in the lives that were heard of."""
+        return self._lost_before + sum(count for _, count in list(self._lost_at.values()))
+
+    def steady(self, now: float) -> float:
+        """Unix seconds that no clock step moves."""
+        return now + self._offset_s
+
     # ---- from the workers' threads
 
     def invite(self, worker: int) -> str:
@@ -187,8 +229,10 @@
         if self._incarnations.get(worker.name, offered.incarnation) != offered.incarnation:
             self._dead(worker.name, offered.incarnation)
         self._incarnations[worker.name] = offered.incarnation
-        now_wall, memory_kib = self._wall(), self._memory_kib(worker)
-        account = self.journal.state
+        now, now_wall, memory_kib = self._clock(), self._wall(), self._memory_kib(worker)
+        before, lost = self._lost_at.get(worker.name, (offered.incarnation, 0))
+        self._lost_before += lost if before != offered.incarnation else 0
+        self._lost_at[worker.name] = offered.incarnation, max(0, offered.dropped)
         fresh: list[Received] = []
         for usage in offered.records:
             reason = refusal(usage, worker.name, offered.incarnation, offered.now_us, memory_kib)
@@ -197,14 +241,16 @@
                 self._lies[worker.name].append((usage.incarnation, usage.seq))  # it need not come again
                 continue
             key = usage.worker, usage.incarnation, usage.seq
-            if account.knows(*key) or key in self._under_way:
+            if self._known(key):
                 continue
             self._under_way.add(key)
-            self._limit(usage)
-            at = now_wall - max(0.0, (offered.now_us - usage.end_us) / 1e6)
-            fresh.append(Received(usage, at))
+            if self._limits is not None and (usage.run or usage.idle):
+                self._limits.loaded(usage.function, now)
+            age_s = max(0.0, (offered.now_us - usage.end_us) / 1e6)
+            fresh.append(Received(usage, now_wall - age_s, self.steady(now) - age_s))
+        self.taken += len(fresh)
         entries: list[AnyEntry] = [*fresh]
-        entries += [Confirmed(worker.name, *span) for span in _spans(offered.mine)]
+        entries += [Confirmed(worker.name, *span) for span in spans_of(offered.mine)]
         entries += [Given(worker.name, *number) for number in offered.gone]
         entries += [Replaced(worker.name, id_) for id_ in offered.known]
         if entries:
@@ -212,16 +258,13 @@
             numbers = [(entry.usage.incarnation, entry.usage.seq) for entry in fresh]
             self._acks[worker.name].append((ticket, numbers))
 
-    def _limit(self, usage: Usage) -> None:
-        """Usage counts against budgets from when it is told."""
-        if self._limits is None:
-            return
-        now = self._clock()
-        if usage.run or usage.idle:
-            self._limits.loaded(usage.function, now)
-        for share in split(usage):
-            if share.phase is not Phase.IDLE and share.call.tenant:
-                self._limits.charge(share.call.tenant, share.amount, now)
+    def _known(self, key: tuple[str, str, int]) -> bool:
+        """Whether a record need not be taken. One of which the archive can't tell is left with its worker."""
+        try:
+            return key in self._under_way or self.journal.state.knows(*key)
+        except (RunDamaged, OSError) as error:
+            log.error("usage archive not read; the record stays with its worker", what=str(error))
+            return True
 
     def _refuse(self, worker: str, why: str) -> None:
         self.refused += 1
@@ -233,8 +276,9 @@
         if not name:
             return
         ref = Ref(call.request_id, call.tenant_name, call.class_name)
-        amount = int(call.function.memory_mb * 1024) * int(outcome.elapsed_s * 1e6)
-        self.journal.append(Provisional(name, end.incarnation, ref, call.function.name, amount, self._wall()))
+        amount = wire(int(call.function.memory_mb * 1024) * int(outcome.elapsed_s * 1e6))
+        at, steady = self._wall(), self.steady(self._clock())
+        self.journal.append(Provisional(name, end.incarnation, ref, call.function.name, amount, at, steady))
 
     def _dead(self, worker: str, incarnation: str) -> None:
         """The incarnation known so far is no more: nothing it did not give will come."""
@@ -245,7 +289,29 @@
         }:
             self.journal.append(Estimated(worker, dead))
 
+    def _merge_runs(self) -> None:
+        """Where there are many runs, one in place of some, beside everything else."""
+        account = self.journal.state
+        numbers = account.mergeable()
+        if not numbers or self._merging.is_set():
+            return
+        self._merging.set()
+
+        def merge() -> None:
+            try:
+                into = account.merge_runs(numbers)
+                ticket = self.journal.append(Compacted(numbers, into))
+                if ticket.done.wait(MERGE_S) and ticket.durable:
+                    account.drop_runs(numbers)
+            except (RunDamaged, OSError) as error:
+                log.error("usage archive not merged", what=str(error))
+            finally:
+                self._merging.clear()
+
+        spawn("merge", merge)
+
     def _ask_all(self) -> None:
+        self._merge_runs()
         account = self.journal.state
         now = self._clock()
         waiting: dict[str, list[tuple[str, int]]] = defaultdict(list)
@@ -280,14 +346,3 @@
         self._asked.pop(spec.name, None)
         if body is not None:
             self._offered(spec, body)
-
-
-def _spans(numbers: Iterable[tuple[str, int]]) -> list[tuple[str, int, int]]:
-    """Numbers of incarnations as spans without gaps."""
-    spans: list[tuple[str, int, int]] = []
-    for incarnation, seq in sorted(numbers):
-        if spans and spans[-1][0] == incarnation and spans[-1][2] == seq - 1:
-            spans[-1] = incarnation, spans[-1][1], seq
-        else:
-            spans.append((incarnation, seq, seq))
-    return spans
--- a/saffronstack/metering/records.py
+++ b/saffronstack/metering/records.py
@@ -5,6 +5,13 @@
 
 import msgspec
 
+Whole = int | str  # MessagePack ends at 64 bits; sums over a worker's life do not
+
+
+def wire(amount: int) -> Whole:
+    """A whole number of any size as a record can hold it; ``int`` turns it back."""
+    return amount if -(1 << 63) <= amount < 1 << 63 else str(amount)
+
 
 class Ref(msgspec.Struct, array_like=True, frozen=True):
     """A call, as a worker knows it."""
@@ -61,10 +68,12 @@
 
 
 class Received(Entry, frozen=True, tag="r"):
-    """A worker's record; ``at`` labels its end."""
+    """A worker's record; ``at`` labels its end. ``steady`` is the same in Unix seconds that no clock step
+    moves, for budgets; 0 in logs that had none."""
 
     usage: Usage
     at: float
+    steady: float = 0.0
 
 
 class Confirmed(Entry, frozen=True, tag="c"):
@@ -93,8 +102,9 @@
     incarnation: str
     call: Ref
     function: str
-    amount: int
+    amount: Whole
     at: float
+    steady: float = 0.0
 
 
 class Replaced(Entry, frozen=True, tag="x"):
@@ -104,19 +114,29 @@
     call_id: str
 
 
+class Gone(Entry, frozen=True, tag="y"):
+    """A record that a run holds was another gateway's after all, in a snapshot."""
+
+    worker: str
+    incarnation: str
+    seq: int
+
+
 class Charged(Entry, frozen=True, tag="k"):
     """What the counted records of a worker charge one call, in a snapshot."""
 
     worker: str
     call_id: str
-    amount: int
+    amount: Whole
 
 
 class Estimated(Entry, frozen=True, tag="e"):
-    """The worker's incarnation is dead: its provisional charges are final, as estimates."""
+    """The worker's incarnation is dead: its provisional charges are final, as estimates. With ``call_id``
+    only that call's, because there are too many."""
 
     worker: str
     incarnation: str
+    call_id: str = ""
 
 
 class Total(Entry, frozen=True, tag="t"):
@@ -127,10 +147,10 @@
     call_class: str
     worker: str
     bucket: int
-    load: int
-    run: int
-    idle: int
-    estimated: int
+    load: Whole
+    run: Whole
+    idle: Whole
+    estimated: Whole
 
 
 class Held(Entry, frozen=True, tag="h"):
@@ -146,9 +166,41 @@
     """What a worker's copies held, summed without splitting it, in a snapshot."""
 
     worker: str
-    load: int
+    load: Whole
+    run: Whole
+    idle: Whole
+
+
+class Spent(Entry, frozen=True, tag="w"):
+    """A part of a tenant's budget window, in a snapshot; of all tenants' with that window where none is
+    named."""
+
+    tenant: str
+    window_s: float
+    start: float
+    amount: Whole
+
+
+class Archived(Entry, frozen=True, tag="a"):
+    """The runs that belong to the account, oldest first, in a snapshot."""
+
+    runs: tuple[int, ...]
+
+
+class Spilled(Entry, frozen=True, tag="m"):
+    """Sums, windows and what is named here left memory for a run: ``held`` are incarnations (worker,
+    incarnation) with their confirmed numbers, ``unconfirmed`` records as (worker, incarnation, low, high)."""
+
     run: int
-    idle: int
+    held: tuple[tuple[str, str], ...] = ()
+    unconfirmed: tuple[tuple[str, str, int, int], ...] = ()
+
+
+class Compacted(Entry, frozen=True, tag="n"):
+    """One run in place of some that followed one another."""
+
+    runs: tuple[int, ...]
+    into: int
 
 
 class Start(Entry, frozen=True, tag="s"):
@@ -161,6 +213,7 @@
     Received
     | Confirmed
     | Given
+    | Gone
     | Provisional
     | Replaced
     | Estimated
@@ -168,6 +221,10 @@
     | Total
     | Held
     | Occupied
+    | Spent
+    | Archived
+    | Spilled
+    | Compacted
     | Start
 )
 _encode = msgspec.msgpack.Encoder().encode
--- a/saffronstack/metering/report.py
+++ b/saffronstack/metering/report.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from saffronstack.metering.account import Account
+from saffronstack.metering.merging import Merged
 
 MB_S = 1024 * 1_000_000  # KiB microseconds in a megabyte second
 COLUMNS = ("tenant", "function", "class", "worker", "day", "hour")
@@ -34,21 +34,24 @@
         return self.loading + self.running + self.estimated + self.provisional
 
 
-def rows(account: Account, by: tuple[str, ...]) -> list[Row]:
-    """Sums by some of the columns, largest charge first; ValueError names a column that there is none of."""
+def rows(merged: Merged, by: tuple[str, ...], tenant: str | None = None) -> list[Row]:
+    """Sums by some of the columns, of one tenant or all, largest charge first; ValueError names a column that
+    there is none of."""
     unknown = [name for name in by if name not in COLUMNS]
     if unknown:
         raise ValueError(f"no column {unknown[0]!r}; there are {', '.join(COLUMNS)}")
     sums: dict[tuple[str, ...], list[int]] = defaultdict(lambda: [0, 0, 0, 0, 0])
-    for (tenant, function, call_class, worker, bucket), amounts in account.totals.items():
-        key = _key(by, tenant, function, call_class, worker, bucket)
+    for (name, function, call_class, worker, bucket), amounts in merged.sums(tenant):
+        key = _key(by, name, function, call_class, worker, bucket)
         for place, amount in enumerate(amounts):
             sums[key][place] += amount
-    for charge in account.provisional.values():
+    for charge in merged.provisional.values():
+        if tenant is not None and charge.call.tenant != tenant:
+            continue
         key = _key(
             by, charge.call.tenant, charge.function, charge.call.call_class, charge.worker, int(charge.at)
         )
-        sums[key][4] += account.outstanding(charge)
+        sums[key][4] += merged.outstanding(charge)
     found = [
         Row(key, *(amount / MB_S for amount in amounts)) for key, amounts in sums.items() if any(amounts)
     ]
@@ -70,7 +73,8 @@
     return tuple(values[name] for name in by)
 
 
-def _cells(row: Row) -> list[float]:
+def cells(row: Row) -> list[float]:
+    """Its amounts in the order of the heads, in MB s."""
     return [row.loading, row.running, row.estimated, row.provisional, row.charged, row.idle]
 
 
@@ -94,7 +98,7 @@
         names = (text.ljust(width) for text, width in zip(row.by, widths, strict=True))
         lines.append(
             "  ".join(
-                [*names, *(f"{cell:16.3f}" for cell in _cells(row)), f"{row.charged / 1024 / 3600:13.6f}"]
+                [*names, *(f"{cell:16.3f}" for cell in cells(row)), f"{row.charged / 1024 / 3600:13.6f}"]
             )
         )
     return "\n".join(lines)
@@ -104,7 +108,7 @@
     """One object a line."""
     return "\n".join(
         msgspec.json.encode(
-            {**dict(zip(by, row.by, strict=True)), **dict(zip(HEADS, _cells(row), strict=True))}
+            {**dict(zip(by, row.by, strict=True)), **dict(zip(HEADS, cells(row), strict=True))}
         ).decode()
         for row in found
     )
@@ -116,7 +120,7 @@
     writer = csv.writer(out)
     writer.writerow([*by, *HEADS])
     for row in found:
-        writer.writerow([*row.by, *(f"{cell:.6f}" for cell in _cells(row))])
+        writer.writerow([*row.by, *(f"{cell:.6f}" for cell in cells(row))])
     return out.getvalue().rstrip("\r\n")
 
 
--- a/saffronstack/standin/model.py
+++ b/saffronstack/standin/model.py
@@ -101,6 +101,20 @@
         return self.standing + self.loading
 
 
+@dataclass(frozen=True, slots=True)
+class Observed:
+    """A function's copies after a change."""
+
+    at_us: int
+    function: str
+    memory_mb: float
+    lanes: int
+    loading: int
+    standing: int
+    waiting: tuple[Ref, ...]
+    running: tuple[Ref, ...]
+
+
 class Model:
     """One incarnation of a worker; every wait ends at its caller's deadline or the worker's death."""
 
@@ -111,13 +125,16 @@
         store: Store,
         clock: Callable[[], float],
         outbox: Outbox | None = None,
+        observe: Callable[[Observed], None] | None = None,
     ) -> None:
+        """``observe`` hears of each change, for tests that reckon on their own what was held."""
         self.profile = profile
         self.started_s = clock()
         self._faults = faults
         self._store = store
         self._clock = clock
         self._outbox = outbox
+        self._observe = observe
         self._state = threading.Condition()
         self._dead = threading.Event()
         self._copies: dict[str, _Copies] = {}
@@ -174,6 +191,7 @@
             ticket = next(self._tickets)
             copies.waiting[ticket] = ref
             self._waiting += 1
+            self._changed(copies)
         try:
             found = self._lane(copies, ticket, deadline_s)
         except BaseException:
@@ -183,6 +201,7 @@
                 self._left(ref)
                 copies.held -= 1
                 self._waiting -= 1
+                self._changed(copies)
             raise
         try:
             self._core(deadline_s)
@@ -203,6 +222,7 @@
                 copies.busy -= 1
                 copies.held -= 1
                 copies.used_s = self._clock()
+                self._changed(copies)
                 self._state.notify_all()
         return found, crowd
 
@@ -223,6 +243,7 @@
                 self._close(copies)
                 copies.loading += 1
                 self._loads += 1
+                self._changed(copies)
             self._load(copies)
 
     def standing(self, function: str) -> int:
@@ -238,6 +259,7 @@
                 if function in (None, name):
                     self._close(copies)
                     copies.standing = min(copies.standing, -(-copies.busy // copies.lanes))
+                    self._changed(copies)
             self._state.notify_all()
 
     def settle(self) -> None:
@@ -274,6 +296,22 @@
             )
         copies.since_us = now_us
 
+    def _changed(self, copies: _Copies) -> None:
+        if self._observe is not None:
+            waiting, running = tuple(copies.waiting.values()), tuple(copies.running.values())
+            self._observe(
+                Observed(
+                    self._now_us(),
+                    copies.name,
+                    copies.memory_mb,
+                    copies.lanes,
+                    copies.loading,
+                    copies.standing,
+                    waiting,
+                    running,
+                )
+            )
+
     def _wait(self, ready: Callable[[], bool], deadline_s: float) -> bool:
         """Wait, holding the state, for something or the deadline; Died where the worker did."""
         while not ready():
@@ -309,10 +347,12 @@
                     copies.busy += 1
                     copies.running[ticket] = copies.waiting.pop(ticket)
                     self._waiting -= 1
+                    self._changed(copies)
                     return found
                 found = "began-load"
                 copies.loading += 1
                 self._loads += 1
+                self._changed(copies)
             self._load(copies)
 
     def _load(self, copies: _Copies) -> None:
@@ -330,6 +370,7 @@
                 copies.standing += stands
                 copies.used_s = self._clock()
                 self._loads -= 1
+                self._changed(copies)
                 self._state.notify_all()
 
     def _used_mb(self) -> float:
@@ -348,6 +389,7 @@
             oldest = min(idle, key=lambda c: c.used_s)
             self._close(oldest)
             oldest.standing -= 1
+            self._changed(oldest)
         return True
 
     def _expire(self) -> None:
@@ -356,6 +398,7 @@
             if copies.standing and not copies.busy and copies.used_s + self.profile.keep_alive_s < now:
                 self._close(copies)
                 copies.standing = 0
+                self._changed(copies)
 
     def _core(self, deadline_s: float) -> None:
         with self._state:
--- a/saffronstack/standin/worker.py
+++ b/saffronstack/standin/worker.py
@@ -21,7 +21,7 @@
 from saffronstack.http1.reader import MessageReader
 from saffronstack.http1.sockets import PeerClosed, Stream, read_until
 from saffronstack.metering.records import Asked, Ref
-from saffronstack.standin.model import Died, Faults, Full, Model, Profile, Store
+from saffronstack.standin.model import Died, Faults, Full, Model, Observed, Profile, Store
 from saffronstack.standin.usage import Outbox
 
 USAGE_IN_ANSWER = 8  # records in an answer's header
@@ -72,6 +72,7 @@
         self.incarnation = ""
         self.model: Model
         self.outbox: Outbox
+        self.observed: list[Observed] | None = None  # a list here is given all changes from the next start on
         self._store = store
         self._clock = clock
         self._write = log or self.log.append
@@ -96,7 +97,8 @@
             return
         self.incarnation = uuid.uuid4().hex[:12]
         self.outbox = Outbox(self.name, self.incarnation)
-        self.model = Model(self.profile, lambda: self.faults, self._store, self._clock, self.outbox)
+        observe = self.observed.append if self.observed is not None else None
+        self.model = Model(self.profile, lambda: self.faults, self._store, self._clock, self.outbox, observe)
         self._listener = socket.create_server((self._host, self._port), backlog=512)
         self._listener.settimeout(0.2)
         self._note("start")
--- a/tests/support/stack.py
+++ b/tests/support/stack.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from saffronstack import config as configs
-from saffronstack.cli.client import Answer, Client
+from saffronstack.client import Answer, Client
 from saffronstack.gateway import Gateway
 from saffronstack.standin.fleet import StandInFleet, sample
 from saffronstack.standin.model import Profile
--- a/tests/test_invoke_api.py
+++ b/tests/test_invoke_api.py
@@ -14,7 +14,7 @@
 from botocore.config import Config as BotoConfig
 from botocore.exceptions import ClientError
 
-from saffronstack.cli.client import Client
+from saffronstack.client import Client
 from saffronstack.http1.messages import Headers
 from saffronstack.invoke import names, sigv4
 from saffronstack.invoke.errors import InvokeError
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -14,6 +14,7 @@
 from saffronstack import config as configs
 from saffronstack.config.build import OVER_BUDGET, settings_of
 from saffronstack.metering.limits import STEPS, Budget, BudgetLimits, Standing
+from saffronstack.metering.windows import Windows
 from saffronstack.standin.model import Profile
 from tests.support.stack import eventually, running
 from tests.test_config import good
@@ -21,8 +22,19 @@
 WITHIN, SOFT, HARD = Standing.WITHIN, Standing.OVER_SOFT, Standing.OVER_HARD
 
 
-def limits(instances: int = 1, **budgets: Budget) -> BudgetLimits:
-    return BudgetLimits(budgets or {"a": Budget(60.0, 100, 200)}, instances, 10.0)
+class Charged(BudgetLimits):
+    """Limits over windows that a test charges."""
+
+    def __init__(self, budgets: dict[str, Budget], instances: int) -> None:
+        self.windows = Windows({tenant: budget.window_s for tenant, budget in budgets.items()})
+        super().__init__(budgets, self.windows, instances, 10.0)
+
+    def charge(self, tenant: str, amount: int, now: float) -> None:
+        self.windows.add(tenant, now, amount)
+
+
+def limits(instances: int = 1, **budgets: Budget) -> Charged:
+    return Charged(budgets or {"a": Budget(60.0, 100, 200)}, instances)
 
 
 def test_marks_and_the_window() -> None:
@@ -61,7 +73,7 @@
     for n in range(10_000):
         found.charge("a", 1, n * 0.1)
         found.judge("a", n * 0.1)
-    assert len(found._windows["a"].parts) <= STEPS + 2
+    assert len(found.windows.used("a", 999.9)) <= STEPS + 2
 
 
 def test_over_only_where_amount_and_part_of_own_usage_say_so() -> None:
@@ -79,12 +91,14 @@
 def test_over_the_hard_mark_a_loaded_function_may_still_be_called() -> None:
     found = limits()
     found.charge("a", 500, 0.0)
-    verdict = found.judge("a", 1.0)
-    assert not found.may_start("f", verdict, 1.0)
+    refused = found.admit("a", "f", 1.0)
+    assert (refused.taken, refused.wait_s) == (False, 59.0)
     found.loaded("f", 1.0)
-    assert found.may_start("f", verdict, 9.0)
-    assert not found.may_start("f", verdict, 12.0)
-    assert found.may_start("g", limits().judge("a", 0.0), 0.0)
+    assert found.admit("a", "f", 9.0).taken
+    assert found.admit("a", "f", 9.0).over
+    assert not found.admit("a", "f", 12.0).taken
+    assert found.admit("stranger", "g", 0.0).taken
+    assert (found.refused, found.marked) == (2, 2)
 
 
 def test_over_the_soft_mark_a_call_is_worth_what_lies_over_a_share() -> None:
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -18,10 +18,11 @@
 
 from saffronstack import config as configs
 from saffronstack.cli.main import main
-from saffronstack.durable.journal import read_back
-from saffronstack.metering.account import Account, Ranges, merge
+from saffronstack.metering.account import Account
 from saffronstack.metering.checks import refusal
-from saffronstack.metering.meter import CODEC, open_usage_log
+from saffronstack.metering.merging import merge
+from saffronstack.metering.meter import open_usage_log, read_usage_log
+from saffronstack.metering.ranges import Ranges
 from saffronstack.metering.records import (
     AnyEntry,
     Asked,
@@ -189,8 +190,8 @@
         two.apply(entry)
     for accounts in ([one, two], [two, one], [one, two, one]):
         merged = merge(accounts)
-        assert {t: v for t, v in merged.account.by_tenant().items() if v} == {"a": 2_000_000, "b": 1_000_000}
-        assert merged.account.unbalanced() == []
+        assert {t: v for t, v in merged.by_tenant().items() if v} == {"a": 2_000_000, "b": 1_000_000}
+        assert merged.unbalanced() == []
     assert "given twice" in merge([one, one]).notes[0]
     assert one.by_tenant() == {"a": 2_000_000, "b": 9}  # merging changes nothing
 
@@ -334,10 +335,7 @@
         time.sleep(1.2)
 
         def whole() -> bool:
-            accounts = [Account(), Account()]
-            for account, directory in zip(accounts, (kept, tmp_path / "two" / "usage"), strict=True):
-                read_back(directory, account, CODEC)
-            found = merge(accounts).account
+            found = merge(read_usage_log(path)[0] for path in (kept, tmp_path / "two" / "usage"))
             return found.unbalanced() == [] and near(found.by_tenant(), truth(fleet))
 
         eventually(whole, 15)
