--- a/benchmarks/metering.py
+++ b/benchmarks/metering.py
@@ -1,6 +1,6 @@
 """Throughput with metering and without, in turn; the usage log's size; reading a million records back.
 
-python benchmarks/metering.py [--rounds 4] [--seconds 3] [--records 1000000]
+python benchmarks/metering.py [--rounds 4] [--seconds 3] [--records 1000000] [--tenants 100000] [--only PART]
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 import tempfile
 import time
 
+import psutil
 from gateway import CALLS, FUNCTIONS, gateway, load
 
 from saffronstack.day.processes import StandInHost
@@ -83,17 +84,62 @@
     print(f"read {count} records back in {took:.1f} s; in balance: {account.unbalanced() == []}")
 
 
+def resident_mb() -> float:
+    """What this process holds."""
+    return psutil.Process().memory_info().rss / 1e6
+
+
+def tenants(directory: pathlib.Path, count: int, records: int) -> None:
+    """Memory with many tenants, each with a budget, and what it costs to find one that left memory."""
+    lengths = {f"tenant-{n}": 3600.0 for n in range(count)}
+    before = resident_mb()
+    journal = open_usage_log(str(directory), 64 << 20, budget_windows=lengths)
+    start = time.perf_counter()
+    most = 0.0
+    for n in range(1, records + 1):
+        name = f"tenant-{n * 7919 % count}"
+        ref = Ref(f"00000000-0000-0000-0000-{n:012d}", name, "lookup")
+        usage = Usage(f"w{n % 50}", "i", n, f"f{n % 10}", 1024, n, n + 700, 0, 1, 0, (), (ref,))
+        at = 1e9 + n * 3600 / records
+        ticket = journal.append(Received(usage, at, at), Confirmed(f"w{n % 50}", "i", n))
+        if n % 2000 == 0:
+            ticket.done.wait(60)
+            most = max(most, resident_mb())
+    took = time.perf_counter() - start
+    journal.close()
+    account = journal.state
+    assert account.windows is not None
+    print(
+        f"{count} tenants, {records} records in {took:.0f} s: {most - before:.0f} MB more resident at most, "
+        f"{len(account.totals)} sums and {account.windows.parts} parts in memory, {account.runs} runs"
+    )
+    start = time.perf_counter()
+    for n in range(200):
+        account.windows.total(f"tenant-{n * 499 % count}", 1e9 + 3600)
+    print(f"a window that left memory: {(time.perf_counter() - start) / 200 * 1e3:.2f} ms to look up, once")
+    start = time.perf_counter()
+    whole = sum(load + run for _, (load, run, _, _) in account.sums())
+    right = whole == records * 700 * 1024
+    print(f"all sums read in {time.perf_counter() - start:.1f} s; exact: {right}")
+
+
 def main() -> None:
-    """Run both."""
+    """Run all."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--rounds", type=int, default=4)
     parser.add_argument("--seconds", type=float, default=3.0)
     parser.add_argument("--records", type=int, default=1_000_000)
+    parser.add_argument("--tenants", type=int, default=100_000)
+    parser.add_argument("--only", choices=["throughput", "recovery", "tenants"])
     options = parser.parse_args()
     print(f"{os.cpu_count()} cores, Python {sys.version.split()[0]}; 4 emulated workers")
     with tempfile.TemporaryDirectory() as name:
-        throughput(pathlib.Path(name), options.rounds, options.seconds)
-        recovery(pathlib.Path(name) / "million", options.records)
+        if options.only in (None, "throughput"):
+            throughput(pathlib.Path(name), options.rounds, options.seconds)
+        if options.only in (None, "recovery"):
+            recovery(pathlib.Path(name) / "million", options.records)
+        if options.only in (None, "tenants"):
+            tenants(pathlib.Path(name) / "tenants", options.tenants, options.records)
 
 
 if __name__ == "__main__":
--- a/saffronstack/cli/usage.py
+++ b/saffronstack/cli/usage.py
@@ -20,14 +20,25 @@
     """Files were replaced while they were read."""
 
 
+def _with_processes(directories: tuple[str, ...]) -> list[str]:
+    """A gateway's directory stands for those of its other processes too. JournalError where there is none."""
+    found = []
+    for directory in directories:
+        path = pathlib.Path(directory)
+        if not path.is_dir():
+            raise JournalError(f"{directory}: no such directory")
+        found.append(directory)
+        others = (other for other in sorted(path.glob("process-*")) if any(other.glob("usage-*.seg")))
+        found += map(str, others)
+    return found
+
+
 def _read(directories: tuple[str, ...]) -> tuple[Merged, list[str]]:
     """The logs merged, and what was wrong with them; JournalError where one can't be read."""
     accounts = []
     lines = []
-    for directory in directories:
+    for directory in _with_processes(directories):
         path = pathlib.Path(directory)
-        if not path.is_dir():
-            raise JournalError(f"{directory}: no such directory")
         try:
             account, wrong = read_usage_log(path)
         except JournalError as error:
@@ -94,9 +105,8 @@
 
     def look() -> int:
         damaged = []
-        for directory in directories:
-            if pathlib.Path(directory).is_dir():
-                damaged += read_usage_log(pathlib.Path(directory))[0].problems()
+        for directory in _with_processes(directories):
+            damaged += read_usage_log(pathlib.Path(directory))[0].problems()
         if damaged:
             for line in damaged:
                 click.echo(line)
--- a/saffronstack/durable/runs.py
+++ b/saffronstack/durable/runs.py
@@ -19,7 +19,7 @@
 from saffronstack.durable import segments
 from saffronstack.durable.segments import Block, Files
 
-BLOCK_BYTES = 64 * 1024  # of keys and values, before compression
+BLOCK_BYTES = 16 * 1024  # of keys and values, before compression
 TRAILER = struct.Struct("<4sQI")
 TRAILER_MAGIC = b"SfRn"
 PLACE = struct.Struct("<Q")
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -11,14 +11,19 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Any
 
 import pytest
+from click.testing import CliRunner
 
+from saffronstack.cli.main import main
 from saffronstack.daemon.members import Members, member_directory, stranded
 from saffronstack.daemon.restarts import CALM_S, MOST_S, Restarts
 from saffronstack.daemon.supervisor import StartFailed, Supervisor
+from saffronstack.metering.report import MB_S
 from saffronstack.standin.fleet import StandInFleet
 from saffronstack.standin.model import Profile
+from tests.support.reckoning import truth
 from tests.support.stack import Stack, configuration, eventually
 
 COUNT = 3
@@ -26,10 +31,10 @@
 
 @contextmanager
 def supervised(
-    tmp_path: pathlib.Path, fleet: StandInFleet
+    tmp_path: pathlib.Path, fleet: StandInFleet, **changes: Any
 ) -> Iterator[tuple[Stack, subprocess.Popen[bytes]]]:
     path = tmp_path / "gateway.json5"
-    path.write_text(json.dumps(configuration(fleet, tmp_path / "ledger")))
+    path.write_text(json.dumps(configuration(fleet, tmp_path / "ledger", **changes)))
     process = subprocess.Popen(
         [
             sys.executable,
@@ -95,6 +100,29 @@
     fleet.stop()
 
 
+def test_usage_is_summed_over_the_processes(tmp_path: pathlib.Path) -> None:
+    fleet = StandInFleet(1, lambda n: Profile(load_s=0.01, work_s=0.05))
+    metering = {"directory": str(tmp_path / "usage"), "ask_every_s": 0.1}
+    with supervised(tmp_path, fleet, metering=metering) as (stack, _):
+        client = stack.client(tenant="campus-app")
+        for _ in range(30):
+            client.invoke("identify-copy", b"{}")
+            client.close()  # another connection, another process
+        wanted = sum(truth(fleet).values()) / MB_S
+
+        def summed() -> bool:
+            found = json.loads(client.request("GET", "/usage/campus-app").body)
+            return bool(found["processes"] == COUNT and abs(found["charged_mb_s"] - wanted) < 0.01)
+
+        eventually(summed, 15)
+        assert client.request("GET", "/usage/corner-books").status == 403
+        client.close()
+    shown = CliRunner().invoke(main, ["usage", "show", str(tmp_path / "usage"), "--format", "jsonl"])
+    rows = [json.loads(line) for line in shown.stdout.splitlines()]
+    assert sum(row["charged_mb_s"] for row in rows) == pytest.approx(wanted, abs=0.01)
+    fleet.stop()
+
+
 def test_processes_end_with_a_killed_parent(tmp_path: pathlib.Path) -> None:
     fleet = StandInFleet(1)
     path = tmp_path / "gateway.json5"
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -386,6 +386,20 @@
     assert account.gateway == "g"
 
 
+def test_a_page_escapes_what_workers_and_clients_named() -> None:
+    from saffronstack.metering.charts import page
+
+    account = Account("g")
+    name = "<script>$x^$</script>"
+    for n in range(30):
+        ref = Ref(f"id-{n}", name if n == 7 else f"t{n}", "c")
+        account.apply(Received(usage(n + 1, running=(ref,), end_us=10**6 * (n + 1)), 86400.0 * n))
+    text = page(merge([account]), ["<i>a note</i>"])
+    assert "<script>" not in text and "<i>" not in text
+    assert "&lt;script&gt;" in text and "10 others" in text and "in balance" in text
+    assert "Nothing was metered" in page(merge([Account("g")]), [])
+
+
 def test_usage_on_the_command_line(tmp_path: pathlib.Path) -> None:
     directory = str(tmp_path / "log")
     journal = open_usage_log(directory, 1 << 20)
@@ -412,6 +426,13 @@
     assert "charged_gb_h" in run(main, ["usage", "show", directory]).stdout
     assert run(main, ["usage", "show", directory, "--by", "colour"]).exit_code == 2
     assert run(main, ["usage", "show", str(tmp_path / "none")]).exit_code == 2
+    one = run(main, ["usage", "show", directory, "--tenant", "b", "--format", "csv"]).stdout
+    assert [line.split(",")[0] for line in one.splitlines()] == ["tenant", "b"]
+    page = tmp_path / "usage.html"
+    assert run(main, ["usage", "report", directory, "--output", str(page)]).exit_code == 0
+    assert page.read_text().count("<svg") == 3
+    assert "2.5 MB s charged" in page.read_text()
+    assert run(main, ["usage", "report", directory, "--output", str(tmp_path / "no" / "dir")]).exit_code == 2
     good = run(main, ["usage", "verify", directory])
     assert good.exit_code == 0, good.output
     assert "1 records confirmed, 1 not yet, 1 provisional charges, 1 workers: in balance" in good.output
