One operation, one effect: repeats of clients and SDKs are joined, or answered as before

Need: a 202 or an answer that is lost makes the SDK send again, and the sale was recorded twice; a keyed call that its client did not name was refused as harmless after it may have run.

Change: package `operations/`: names by `Idempotency-Key` or `amz-sdk-invocation-id`, a table free of I/O (open, ended, unknown, to go again) within a memory ceiling, notes on the disk before the first byte where a class asks for it, large answers in files, `saffronstack operation show`, metrics. A deferred acceptance and its name are one commit. The call's way moves out of the front's parser (`invoke/calling.py`).

--- a/saffronstack/cli/ask.py
+++ b/saffronstack/cli/ask.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 import time
+from urllib.parse import quote, urlencode
 
 import click
 import msgspec
@@ -14,6 +15,7 @@
 from saffronstack.http1.messages import HttpError
 
 SECRET = "SAFFRONSTACK_SECRET"
+TIMEOUT_S = 5.0
 
 
 def invoke(
@@ -90,3 +92,34 @@
                 + (f", deferred {state['deferred']['open']} open" if "deferred" in state else "")
             )
     return worst
+
+
+def operation(
+    token: str, address: str, function: str, qualifier: str, tenant: str, key: str, as_json: bool
+) -> int:
+    """Print what a gateway knows of an operation; 0 found, 1 not known, 2 no answer."""
+    asked = {name: value for name, value in (("function", function), ("qualifier", qualifier)) if value}
+    target = f"/operations/{quote(token, safe='')}" + (f"?{urlencode(asked)}" if asked else "")
+    client = Client(address, TIMEOUT_S, key, os.environ.get(SECRET, ""), tenant=tenant)
+    try:
+        answer = client.request("GET", target)
+        found = msgspec.json.decode(answer.body)
+    except (OSError, HttpError, msgspec.MsgspecError) as error:
+        click.echo(f"{address}: {error}", err=True)
+        return 2
+    finally:
+        client.close()
+    if answer.status != 200:
+        click.echo(f"{address}: {found.get('message', answer.status)}", err=True)
+        return 1
+    for line in found:
+        if as_json:
+            click.echo(msgspec.json.encode(line).decode())
+            continue
+        click.echo(
+            f"{line['function']} {line['invocationType']}, request {line['requestId']}: {line['state']}"
+        )
+        for name, value in line.items():
+            if name not in ("function", "invocationType", "requestId", "state"):
+                click.echo(f"  {name}: {value}")
+    return 0
--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -130,6 +130,28 @@
     sys.exit(ask(addresses or ("127.0.0.1:9000",), timeout_s, as_json))
 
 
+@main.group()
+def operation() -> None:
+    """What a gateway knows of operations that clients name."""
+
+
+@operation.command("show")
+@click.argument("token")
+@click.option("--to", "address", default="127.0.0.1:9000", show_default=True, help="HOST:PORT of a gateway.")
+@click.option("--function", default="", help="Needed for a function that only matches a pattern.")
+@click.option("--qualifier", default="", help="In place of $LATEST.")
+@click.option("--tenant", default="", help="Tenant to claim where the gateway has no keys.")
+@click.option("--key", default="", help="Access key id; the secret comes from SAFFRONSTACK_SECRET.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON line for each.")
+def operation_show(
+    token: str, address: str, function: str, qualifier: str, tenant: str, key: str, as_json: bool
+) -> None:
+    """How the operation that a client named TOKEN stands; 1 where none is known."""
+    from saffronstack.cli.ask import operation as ask
+
+    sys.exit(ask(token, address, function, qualifier, tenant, key, as_json))
+
+
 @main.group(invoke_without_command=True)
 @click.pass_context
 def usage(context: click.Context) -> None:
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -202,8 +202,13 @@
     metering = config.metering
     if metering is not None:
         metering = msgspec.structs.replace(metering, directory=member_directory(metering.directory, index))
+    operations = config.operations
+    if operations is not None and operations.directory is not None:
+        place = member_directory(operations.directory, index)
+        operations = msgspec.structs.replace(operations, directory=place)
     own = msgspec.structs.replace(
         config,
+        operations=operations,
         ledger=ledger,
         metering=metering,
         instances=config.instances * count,
--- a/saffronstack/config/build.py
+++ b/saffronstack/config/build.py
@@ -168,6 +168,10 @@
         self._known: OrderedDict[str, Known] = OrderedDict()
         self._lock = Lock()
 
+    def exact(self) -> list[str]:
+        """Functions that the configuration names, without those that only match a pattern."""
+        return list(self._exact)
+
     def get(self, name: str) -> Known | None:
         """The function of that name, None where the configuration has none."""
         known = self._known.get(name)
--- a/saffronstack/config/schema.py
+++ b/saffronstack/config/schema.py
@@ -54,6 +54,8 @@
     late_share: Share = 0.0
     group: Literal["all", "zone", "cell"] = "all"
     window_s: NotNegative = 0.0
+    note_operations: bool = False  # durably, before an operation's first byte leaves for a worker
+    operation_window_s: Positive | None = None  # in place of operations.window_s
 
 
 class Function(Struct, frozen=True, kw_only=True):
@@ -152,6 +154,18 @@
     ask_every_s: Positive = 1.0
 
 
+class Operations(Struct, frozen=True, kw_only=True):
+    """How sends of one operation are recognised, and for how long after its answer."""
+
+    directory: Annotated[str, msgspec.Meta(min_length=1)] | None = None
+    window_s: Positive = 900.0
+    memory_bytes: Annotated[int, msgspec.Meta(ge=65536)] = 256 * 1024 * 1024
+    answer_bytes: Annotated[int, msgspec.Meta(ge=0)] = 64 * 1024
+    spool_bytes: Count = 1024 * 1024 * 1024
+    segment_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 64 * 1024 * 1024
+    commit_timeout_s: Positive = 2.0
+
+
 class Config(Struct, frozen=True, kw_only=True):
     """The whole file."""
 
@@ -179,3 +193,4 @@
     limits: Limits = Limits()
     ledger: Ledger | None = None
     metering: Metering | None = None
+    operations: Operations | None = Operations()
--- a/saffronstack/config/sense.py
+++ b/saffronstack/config/sense.py
@@ -57,6 +57,10 @@
             lines.append(f"{place}: a keyed class needs a window_s above 0")
         if cls.effect != "keyed" and cls.window_s > 0:
             lines.append(f"{place}: window_s belongs to keyed classes; {cls.effect} ones have none")
+        if cls.note_operations and (config.operations is None or config.operations.directory is None):
+            lines.append(f"{place}: note_operations needs operations.directory, where notes are kept")
+        if cls.note_operations and cls.effect == "safe":
+            lines.append(f"{place}: note_operations is for what must not run twice; safe classes may")
         if config.answer_margin_s >= cls.deadline_s / 2:
             lines.append(
                 f"{place}: answer_margin_s {config.answer_margin_s:g} leaves less than half of "
--- a/saffronstack/deferred/book.py
+++ b/saffronstack/deferred/book.py
@@ -6,7 +6,18 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from saffronstack.deferred.records import Accepted, AnyRecord, Attempted, Dropped, Finished, Snapshot, Voided
+from saffronstack.deferred.records import (
+    Accepted,
+    AnyRecord,
+    Attempted,
+    Dropped,
+    Finished,
+    Named,
+    Snapshot,
+    Voided,
+)
+
+NAMES_MOST = 1_000_000  # of operations; the oldest beyond are forgotten
 
 
 @dataclass(slots=True)
@@ -29,6 +40,7 @@
         self.history = history
         self.open: dict[str, OpenCall] = {}
         self.finished: OrderedDict[str, Finished] = OrderedDict()
+        self.names: OrderedDict[bytes, Named] = OrderedDict()  # by the operation's digest
         self.open_bytes = 0
 
     def apply(self, record: AnyRecord) -> None:
@@ -37,6 +49,12 @@
             if record.id not in self.open and record.id not in self.finished:
                 call = self.open[record.id] = OpenCall(record)
                 self.open_bytes += call.size
+                if record.operation:
+                    self._name(
+                        Named(record.operation, record.packed, record.named_until, record.id), record.at
+                    )
+        elif isinstance(record, Named):
+            self._name(record, 0.0)
         elif isinstance(record, Attempted):
             if record.id in self.open:
                 self.open[record.id].attempts.append(record)
@@ -50,12 +68,25 @@
             if len(self.finished) > self.history:
                 self.finished.popitem(last=False)
         elif isinstance(record, Dropped):
+            dropped = self.open.get(record.id)
+            named = self.names.get(dropped.accepted.operation) if dropped is not None else None
+            if named is not None and named.id == record.id:
+                del self.names[named.operation]
             self._close(record.id)
         elif isinstance(record, Snapshot):
             self.open.clear()
             self.finished.clear()
+            self.names.clear()
             self.open_bytes = 0
 
+    def _name(self, named: Named, now: float) -> None:
+        self.names[named.operation] = named
+        while self.names:
+            oldest = next(iter(self.names.values()))
+            if oldest.until > now and len(self.names) <= NAMES_MOST:
+                return
+            del self.names[oldest.operation]
+
     def doubt(self) -> None:
         """Records are lost: every open call counts as tried, at an unknown place long ago."""
         for call in self.open.values():
@@ -68,7 +99,8 @@
 
     def needed_bytes(self) -> int:
         """About how large a snapshot is."""
-        return self.open_bytes + sum(len(record.record) + 128 for record in self.finished.values())
+        finished = sum(len(record.record) + 128 for record in self.finished.values())
+        return self.open_bytes + finished + 200 * len(self.names)
 
     def relieve(self) -> tuple[AnyRecord, ...]:
         """Open calls are bounded at the door; nothing leaves memory."""
@@ -77,6 +109,7 @@
     def snapshot(self) -> Iterator[AnyRecord]:
         """Records that add up to this state."""
         yield Snapshot(len(self.open), len(self.finished))
+        yield from self.names.values()
         yield from self.finished.values()
         for call in self.open.values():
             yield call.accepted
--- a/saffronstack/deferred/calls.py
+++ b/saffronstack/deferred/calls.py
@@ -54,6 +54,9 @@
     payload: bytes
     context: str = ""
     key: str = ""
+    operation: bytes = b""  # the digest of its name; the acceptance and the name are one commit
+    packed: bytes = b""
+    named_until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +183,9 @@
             submission.context,
             submission.key,
             self.now(),
+            submission.operation,
+            submission.packed,
+            submission.named_until,
         )
         ticket = self._ledger.append(accepted)
         if not ticket.done.wait(limits.commit_timeout_s) and not ticket.revoke():
--- a/saffronstack/deferred/records.py
+++ b/saffronstack/deferred/records.py
@@ -19,6 +19,18 @@
     context: str
     key: str
     at: float
+    operation: bytes = b""  # the digest of its name, where its client named it
+    packed: bytes = b""  # what a later send of that name is answered (`operations.table.Packed`)
+    named_until: float = 0.0
+
+
+class Named(Record, frozen=True, tag="n"):
+    """The name of a call, in a snapshot: it may outlive the call's place in the history."""
+
+    operation: bytes
+    packed: bytes
+    until: float
+    id: str
 
 
 class Attempted(Record, frozen=True, tag="t"):
@@ -58,7 +70,7 @@
     history: int
 
 
-AnyRecord = Accepted | Attempted | Voided | Finished | Dropped | Snapshot
+AnyRecord = Accepted | Named | Attempted | Voided | Finished | Dropped | Snapshot
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(AnyRecord).decode
 
--- a/saffronstack/durable/segments.py
+++ b/saffronstack/durable/segments.py
@@ -168,6 +168,10 @@
         """What was written is on the disk when this returns."""
         os.fdatasync(descriptor)
 
+    def close(self, descriptor: int) -> None:
+        """Done with a file."""
+        os.close(descriptor)
+
     def cut(self, descriptor: int, size: int) -> None:
         """Cut a file back to a size in bytes."""
         os.ftruncate(descriptor, size)
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -22,6 +22,10 @@
 from saffronstack.invoke.server import FrontLimits, Server
 from saffronstack.metering.limits import BudgetLimits
 from saffronstack.metering.meter import Meter, open_usage_log
+from saffronstack.operations.notes import open_notes
+from saffronstack.operations.service import Operations
+from saffronstack.operations.spool import Spool
+from saffronstack.operations.table import Table
 from saffronstack.workers.fleet import Fleet
 from saffronstack.workers.pool import PoolLimits, UsageJob
 
@@ -64,16 +68,12 @@
         if config.metering is not None:
             budgets = budgets_of(config)
             lengths = {tenant: budget.window_s for tenant, budget in budgets.items()}
-            journal = open_usage_log(
-                config.metering.directory, config.metering.segment_bytes, files, lengths
-            )
+            journal = open_usage_log(config.metering.directory, config.metering.segment_bytes, files, lengths)
             offset_s = wall() - clock()
             windows = journal.state.windows
             if windows is not None:
                 windows.begin(clock() + offset_s)
-                self.limits = BudgetLimits(
-                    budgets, windows, config.instances, config.keep_alive_s, offset_s
-                )
+                self.limits = BudgetLimits(budgets, windows, config.instances, config.keep_alive_s, offset_s)
             every_s = config.metering.ask_every_s
             self.meter = Meter(
                 journal, self._ask_usage, clock, wall, self._memory_kib, every_s, self.limits, offset_s
@@ -100,6 +100,7 @@
             self.deferred = DeferredCalls(
                 config, self.ledger, self.engine, self.functions, clock, wall, config.seed, self.limits
             )
+        self.operations = self._open_operations(files)
         self.members = members or Members(0, 1, "", clock)
         self.pages = Pages(self)
         self.app = App(
@@ -113,6 +114,7 @@
             self.members,
             self.limits,
             self.meter.journal.state if self.meter is not None else None,
+            self.operations,
         )
         host, _, port = config.listen.rpartition(":")
         messages = Limits(
@@ -135,6 +137,24 @@
             self.peers = Server("127.0.0.1", 0, self.app, front, clock)
         self.draining = False
 
+    def _open_operations(self, files: Files | None) -> Operations | None:
+        config = self.config.operations
+        if config is None:
+            return None
+        notes = spool = None
+        if config.directory is not None:
+            notes = open_notes(config.directory, config.segment_bytes, files)
+            spool = Spool(config.directory, config.spool_bytes, files)
+        return Operations(
+            Table(config.memory_bytes),
+            self._clock,
+            self._wall,
+            notes,
+            spool,
+            config.answer_bytes,
+            config.commit_timeout_s,
+        )
+
     def _ask_usage(self, worker: int, body: bytes, done: Callable[[bytes | None], None]) -> None:
         self.fleet.ask_usage(worker, UsageJob(body, done))
 
@@ -150,6 +170,9 @@
             self.meter.start()
         self.engine.update_workers(specs, self._wall())
         self.engine.start(self.fleet)
+        if self.operations is not None:
+            names = list(self.ledger.state.names.values()) if self.ledger is not None else []
+            self.operations.start((named.operation, named.packed) for named in names)
         if self.deferred is not None:
             self.deferred.start()
         if self.peers is not None:
@@ -190,6 +213,8 @@
         if self.deferred is not None:
             clean = self.deferred.stop(longest_s + 1.0) and clean
         clean = self.engine.stop() and clean
+        if self.operations is not None:
+            clean = self.operations.stop() and clean
         if self.meter is not None:
             clean = self.meter.stop() and clean
         self.fleet.end()
--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -14,39 +14,23 @@
 
 from saffronstack.config.build import Functions, Known
 from saffronstack.config.schema import Config
-from saffronstack.core.calls import Call, Ending, Final
 from saffronstack.core.engine import Engine
 from saffronstack.core.names import LATEST
 from saffronstack.daemon.members import FORWARDED, Members
-from saffronstack.deferred.calls import CommitFailed, DeferredCalls, LedgerFull, Submission
+from saffronstack.deferred.calls import DeferredCalls
 from saffronstack.durable.runs import RunDamaged
-from saffronstack.http1 import writer
 from saffronstack.http1.messages import HttpError, RequestHead
 from saffronstack.invoke import errors, names, sigv4, usage
+from saffronstack.invoke.calling import Asked, Caller
 from saffronstack.invoke.errors import InvokeError
+from saffronstack.invoke.response import Response
 from saffronstack.metering.account import Account
 from saffronstack.metering.limits import BudgetLimits
+from saffronstack.operations import lookup
+from saffronstack.operations.names import token_of
+from saffronstack.operations.service import ClientLeft, Operations
 
 CONTEXT_MOST = 3583  # bytes of X-Amz-Client-Context, by the API's page
-KEY_MOST = 128
-CHECK_CLIENT_S = 0.2  # how often a waiting thread looks whether its client is still there
-
-
-@dataclass(frozen=True, slots=True)
-class Response:
-    """An answer to write."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b""
-
-    def encode(self, close: bool) -> bytes:
-        """Its bytes."""
-        return writer.response(self.status, self.headers, self.body, close)
-
-
-class ClientLeft(Exception):
-    """The client ended its side while its call was open."""
 
 
 class Page(Protocol):
@@ -92,10 +76,12 @@
         members: Members,
         limits: BudgetLimits | None = None,
         account: Account | None = None,
+        operations: Operations | None = None,
     ) -> None:
         self.access = Access.of(config)
         self._config = config
-        self._engine = engine
+        self._operations = operations
+        self._caller = Caller(config, engine, deferred, clock, limits, operations)
         self._functions = functions
         self._deferred = deferred
         self._clock = clock
@@ -126,6 +112,8 @@
                 return self._invoke(request_id, head, body, target, client_there)
             if match := names.DEFERRED.fullmatch(path):
                 return self._record(request_id, head, body, match[1])
+            if match := names.OPERATION.fullmatch(path):
+                return self._operation(request_id, head, body, unquote(match[1]), query)
             if match := names.USAGE.fullmatch(path):
                 return self._usage(request_id, head, body, unquote(match[1]))
             raise InvokeError(404, "ResourceNotFoundException", f"No such path: {path[:200]}")
@@ -201,59 +189,18 @@
             raise errors.bad_parameter(f"Value '{log_type[:64]}' at 'logType' is none of None, Tail.")
         payload = self._payload(body)
         context = self._context(head.headers.get("x-amz-client-context"))
-        key = head.headers.get("idempotency-key")
-        if len(key) > KEY_MOST:
-            raise errors.bad_parameter(f"Idempotency-Key: {len(key)} characters, {KEY_MOST} at most.")
-        key = f"{tenant}:{key}" if key else request_id
-        version = ("X-Amz-Executed-Version", target.qualifier)
+        try:
+            token = token_of(head.headers)
+        except ValueError as error:
+            raise errors.bad_parameter(str(error)) from error
         if kind == "DryRun":
+            version = ("X-Amz-Executed-Version", target.qualifier)
             return Response(204, (("x-amzn-RequestId", request_id), version))
-        if kind == "Event":  # it may wait for its budget's room; ``deferred`` judges each of its tries
-            self._defer(request_id, known, payload, tenant, context, key)
-            return Response(202, (("x-amzn-RequestId", request_id), version))
-        place = self._place(tenant, known)
-        call = Call(
-            self._engine.next_number(),
-            request_id,
-            known.spec,
-            payload,
-            self._clock() + known.deadline_s - self._config.answer_margin_s,
-            place,
-            tenant,
-            key,
-            context,
-            log_type == "Tail",
-            class_name=known.config.call_class,
-        )
-        final = self._run(call, client_there)
-        headers = (("Content-Type", "application/json"), ("x-amzn-RequestId", request_id), version)
-        return _final_response(final, headers, call.wants_log)
-
-    def _run(self, call: Call, client_there: Callable[[], bool]) -> Final:
-        """Hand a call to the engine and wait for its final answer, watching the client meanwhile."""
-        if not self._engine.submit(call):
-            raise errors.too_many("Too many calls are open.", 1.0)
-        latest_s = call.deadline_s + self._config.answer_margin_s * 0.8
-        while True:
-            final = call.wait(min(CHECK_CLIENT_S, max(0.0, latest_s - self._clock())))
-            if final is not None:
-                return final
-            if self._clock() >= latest_s:  # the engine itself is stuck: an answer all the same
-                call.settle(Final(Ending.FAILED, reason="the gateway did not decide in time"))
-            elif not client_there():
-                self._engine.leave(call)
-                if call.final is not None and call.final.ending is Ending.GONE:
-                    raise ClientLeft
-
-    def _place(self, tenant: str, known: Known) -> int:
-        """The tenant's place among the module's; InvokeError where its budget allows no load it needs."""
-        place = self._tenants.get(tenant, 0)
-        if self._limits is None:
-            return place
-        admission = self._limits.admit(tenant, known.spec.name, self._clock())
-        if not admission.taken:
-            raise errors.too_many(f"The memory budget of {tenant} is used up.", admission.wait_s)
-        return len(self._tenants) if admission.over else place
+        wants_log = log_type == "Tail"
+        asked = Asked(request_id, tenant, known, target.qualifier, payload, context, token, wants_log)
+        if kind == "Event":
+            return self._caller.defer(asked, client_there)
+        return self._caller.call(asked, client_there)
 
     def _known(self, target: names.Target) -> Known:
         known = self._functions.get(target.name)
@@ -287,19 +234,7 @@
             raise errors.bad_content("Client context must be a valid Base64-encoded JSON object.") from error
         return text
 
-    # ---- deferred calls
-
-    def _defer(
-        self, request_id: str, known: Known, payload: bytes, tenant: str, context: str, key: str
-    ) -> None:
-        if self._deferred is None:
-            raise errors.service("This gateway takes no deferred calls: its configuration names no ledger.")
-        try:
-            self._deferred.accept(Submission(request_id, known.spec.name, tenant, payload, context, key))
-        except LedgerFull as error:
-            raise errors.too_many(str(error), error.retry_after_s) from error
-        except CommitFailed as error:
-            raise errors.too_many(f"Deferred calls can't be written down now: {error}", 5.0) from error
+    # ---- other pages
 
     def _elsewhere(self, index: int, head: RequestHead) -> Response:
         """A GET that another process of this gateway has to answer; its signature is checked there."""
@@ -329,6 +264,23 @@
         state = {"requestId": wanted, "state": found.state, "attempts": found.attempts}
         return Response(202, headers, msgspec.json.encode(state))
 
+    def _operation(
+        self, request_id: str, head: RequestHead, body: bytes, token: str, query: Mapping[str, str]
+    ) -> Response:
+        """Our extension: what is known of an operation of the asking tenant's."""
+        if head.method != "GET":
+            return self._method(request_id, "GET")
+        tenant = self._tenant(head, body)
+        if self._operations is None:
+            raise InvokeError(404, "ResourceNotFoundException", "This gateway remembers no operations.")
+        function, qualifier = query.get("function", ""), query.get("qualifier", LATEST)
+        functions = [function] if function else self._functions.exact()
+        found = lookup.find(self._operations, tenant, token, functions, qualifier)
+        if not found:
+            raise InvokeError(404, "ResourceNotFoundException", f"No operation is named {token[:128]}")
+        headers = (("Content-Type", "application/json"), ("x-amzn-RequestId", request_id))
+        return Response(200, headers, msgspec.json.encode(found))
+
     def _usage(self, request_id: str, head: RequestHead, body: bytes, wanted: str) -> Response:
         """Our extension: what a tenant is charged, for its own key only, over all processes on this
         address."""
@@ -359,13 +311,4 @@
     return [(name, value) for name, value in fields if name in names or name.startswith("x-amz")]
 
 
-def _final_response(final: Final, headers: tuple[tuple[str, str], ...], wants_log: bool) -> Response:
-    if final.ending is Ending.SERVED:
-        extra = (("X-Amz-Function-Error", final.function_error),) if final.function_error else ()
-        tail = (("X-Amz-Log-Result", final.log_tail),) if wants_log and final.log_tail else ()
-        return Response(200, (*headers, *extra, *tail), final.payload)
-    if final.ending is Ending.REFUSED:
-        raise errors.too_many(f"Rate exceeded: {final.reason or 'refused'}.", final.stay_away_s)
-    return Response(
-        200, (*headers, ("X-Amz-Function-Error", "Unhandled")), errors.outcome_unknown(final.reason)
-    )
+__all__ = ["Access", "App", "ClientLeft", "Page", "Response", "response_id"]
--- /dev/null
+++ b/saffronstack/invoke/calling.py
@@ -0,0 +1,292 @@
+"""From a checked request to its answer: the call's own way, and what sends of one operation share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from saffronstack.config.build import Known
+from saffronstack.config.schema import Config
+from saffronstack.core.calls import Call, Ending, Final, Prior
+from saffronstack.core.engine import Engine
+from saffronstack.deferred.calls import CommitFailed, DeferredCalls, LedgerFull, Submission
+from saffronstack.interface import Effect
+from saffronstack.invoke import errors
+from saffronstack.invoke.errors import InvokeError
+from saffronstack.invoke.response import Response
+from saffronstack.metering.limits import BudgetLimits
+from saffronstack.operations.names import Name, fingerprint, worker_key
+from saffronstack.operations.service import (
+    CHECK_CLIENT_S,
+    AnswerNotKept,
+    ClientLeft,
+    Done,
+    Live,
+    MismatchedName,
+    NoRoom,
+    NotDone,
+    Operations,
+    OutcomeUnknown,
+    Rule,
+)
+from saffronstack.operations.table import Answer, Fate, Packed, pack
+
+REPEATED = ("X-Saffron-Repeated", "true")  # on an answer that another send of the operation got before
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """An invocation that was checked."""
+
+    request_id: str
+    tenant: str
+    known: Known
+    qualifier: str
+    payload: bytes
+    context: str
+    token: str  # the operation's name as its client gave it; empty where it gave none
+    wants_log: bool = False
+
+    def headers(self, request_id: str) -> tuple[tuple[str, str], ...]:
+        """Of its answer."""
+        return (
+            ("Content-Type", "application/json"),
+            ("x-amzn-RequestId", request_id),
+            ("X-Amz-Executed-Version", self.qualifier),
+        )
+
+    def name(self, kind: str) -> Name:
+        """Its operation."""
+        return Name(self.tenant, self.known.spec.name, self.qualifier, kind, self.token)
+
+
+class Caller:
+    """Used by every connection's thread."""
+
+    def __init__(
+        self,
+        config: Config,
+        engine: Engine,
+        deferred: DeferredCalls | None,
+        clock: Callable[[], float],
+        limits: BudgetLimits | None,
+        operations: Operations | None,
+    ) -> None:
+        self._config = config
+        self._engine = engine
+        self._deferred = deferred
+        self._clock = clock
+        self._limits = limits
+        self._operations = operations
+        self._tenants = {tenant.name: place for place, tenant in enumerate(config.tenants)}
+        window_s = config.operations.window_s if config.operations is not None else 0.0
+        self._rules = {
+            cls.name: Rule(Effect(cls.effect), cls.operation_window_s or window_s, cls.note_operations)
+            for cls in config.classes
+        }
+
+    # ---- synchronous
+
+    def call(self, asked: Asked, client_there: Callable[[], bool]) -> Response:
+        """Run it, or give the answer that its operation has. InvokeError, ClientLeft."""
+        if self._operations is None or not asked.token:
+            call = self._make(asked, asked.request_id, self._place(asked), None, None)
+            final = self._run(call, client_there, None)
+            if final.ending is Ending.GONE:
+                raise ClientLeft
+            if _ran_unnamed(asked, final):
+                final = Final(Ending.FAILED, reason="it may have run, and its client named no operation")
+            if final.ending is Ending.REFUSED:
+                raise _refusal(final)
+            return _response(final, asked.headers(asked.request_id), asked.wants_log)
+
+        def run(live: Live, prior: Prior | None) -> Done | NotDone:
+            return self._perform(asked, client_there, live, prior)
+
+        rule = self._rules[asked.known.config.call_class]
+        latest_s = self._clock() + asked.known.deadline_s - self._config.answer_margin_s * 0.2
+        return self._once(self._operations, asked, "RequestResponse", rule, run, latest_s, client_there)
+
+    def _perform(
+        self, asked: Asked, client_there: Callable[[], bool], live: Live, prior: Prior | None
+    ) -> Done | NotDone:
+        request_id = live.opened.request_id
+        try:
+            call = self._make(asked, request_id, self._place(asked), prior, live)
+            final = self._run(call, client_there, live)
+        except InvokeError as error:
+            return NotDone(error, prior)
+        if final.ending is Ending.GONE:
+            return NotDone(ClientLeft(), prior)
+        if final.ending is Ending.REFUSED:
+            return NotDone(_refusal(final), final.prior)
+        answer = _response(final, asked.headers(request_id), asked.wants_log)
+        return Done(Answer(answer.status, answer.headers, answer.body), unknown=final.ending is Ending.FAILED)
+
+    def _make(
+        self, asked: Asked, request_id: str, place: int, prior: Prior | None, live: Live | None
+    ) -> Call:
+        known = asked.known
+        guard = None
+        if live is not None and live.rule.effect is not Effect.SAFE and self._operations is not None:
+            guard = self._operations.guard(live)
+        return Call(
+            self._engine.next_number(),
+            request_id,
+            known.spec,
+            asked.payload,
+            self._clock() + known.deadline_s - self._config.answer_margin_s,
+            place,
+            asked.tenant,
+            worker_key(asked.tenant, asked.token, request_id),
+            asked.context,
+            asked.wants_log,
+            prior,
+            guard,
+            class_name=known.config.call_class,
+        )
+
+    def _run(self, call: Call, client_there: Callable[[], bool], live: Live | None) -> Final:
+        """Hand a call to the engine and wait for its final answer, watching the client meanwhile."""
+        if not self._engine.submit(call):
+            raise errors.too_many("Too many calls are open.", 1.0)
+        latest_s = call.deadline_s + self._config.answer_margin_s * 0.8
+        while True:
+            final = call.wait(min(CHECK_CLIENT_S, max(0.0, latest_s - self._clock())))
+            if final is not None:
+                return final
+            if self._clock() >= latest_s:  # the engine itself is stuck: an answer all the same
+                call.settle(Final(Ending.FAILED, reason="the gateway did not decide in time"))
+            elif not client_there() and (live is None or live.may_leave()):
+                self._engine.leave(call)
+
+    def _place(self, asked: Asked) -> int:
+        """The tenant's place among the module's; InvokeError where its budget allows no load it needs."""
+        place = self._tenants.get(asked.tenant, 0)
+        if self._limits is None:
+            return place
+        admission = self._limits.admit(asked.tenant, asked.known.spec.name, self._clock())
+        if not admission.taken:
+            raise errors.too_many(f"The memory budget of {asked.tenant} is used up.", admission.wait_s)
+        return len(self._tenants) if admission.over else place
+
+    # ---- deferred
+
+    def defer(self, asked: Asked, client_there: Callable[[], bool]) -> Response:
+        """Take it for later, or say again that it was taken. It may wait for its budget's room; each of its
+        tries is judged when it comes."""
+        if self._operations is None or not asked.token:
+            headers = asked.headers(asked.request_id)[1:]
+            self._accept(asked, asked.request_id)
+            return Response(202, headers)
+        operations = self._operations
+        rule = self._rules[asked.known.config.call_class]
+        digest = asked.name("Event").digest()
+
+        def run(live: Live, prior: Prior | None) -> Done | NotDone:
+            opened = live.opened
+            answer = Answer(202, asked.headers(opened.request_id)[1:])
+            until = operations.now() + rule.window_s
+            packed = Packed(Fate.ENDED, until, opened.fingerprint, opened.request_id, opened.effect, answer)
+            try:
+                self._accept(asked, opened.request_id, digest, pack(packed), until)
+            except InvokeError as error:
+                return NotDone(error)
+            return Done(answer)
+
+        patience_s = self._config.ledger.commit_timeout_s + 1.0 if self._config.ledger is not None else 1.0
+        latest_s = self._clock() + patience_s
+        rule = Rule(rule.effect, rule.window_s, False)  # the ledger's commit is its note
+        return self._once(operations, asked, "Event", rule, run, latest_s, client_there)
+
+    def _accept(
+        self, asked: Asked, request_id: str, operation: bytes = b"", packed: bytes = b"", until: float = 0.0
+    ) -> None:
+        if self._deferred is None:
+            raise errors.service("This gateway takes no deferred calls: its configuration names no ledger.")
+        submission = Submission(
+            request_id,
+            asked.known.spec.name,
+            asked.tenant,
+            asked.payload,
+            asked.context,
+            worker_key(asked.tenant, asked.token, request_id),
+            operation,
+            packed,
+            until,
+        )
+        try:
+            self._deferred.accept(submission)
+        except LedgerFull as error:
+            raise errors.too_many(str(error), error.retry_after_s) from error
+        except CommitFailed as error:
+            raise errors.too_many(f"Deferred calls can't be written down now: {error}", 5.0) from error
+
+    # ---- operations
+
+    def _once(
+        self,
+        operations: Operations,
+        asked: Asked,
+        kind: str,
+        rule: Rule,
+        run: Callable[[Live, Prior | None], Done | NotDone],
+        latest_s: float,
+        client_there: Callable[[], bool],
+    ) -> Response:
+        """One operation's answer, whichever of its sends this is."""
+        try:
+            answer, repeated = operations.perform(
+                asked.name(kind).digest(),
+                fingerprint(asked.payload, asked.context),
+                rule,
+                asked.request_id,
+                run,
+                latest_s,
+                client_there,
+            )
+        except MismatchedName as error:
+            raise errors.mismatched(str(error)) from error
+        except NoRoom as error:
+            raise errors.too_many("Too many operations are remembered.", error.retry_after_s) from error
+        except OutcomeUnknown as error:
+            return _unknown(asked.headers(str(error)), "the gateway was killed before it had an answer")
+        except AnswerNotKept as error:
+            kept = error.answer
+            body = errors.answer_not_kept(kept.status, kept.length, kept.digest)
+            headers = (*asked.headers(str(error)), ("X-Amz-Function-Error", "Unhandled"), REPEATED)
+            return Response(200, headers, body)
+        except TimeoutError as error:
+            if rule.effect is Effect.SAFE or kind == "Event":
+                raise errors.too_many("The operation is still under way.", 1.0) from error
+            return _unknown(asked.headers(asked.request_id), "another send of it is still under way")
+        return Response(
+            answer.status, (*answer.headers, REPEATED) if repeated else answer.headers, answer.body
+        )
+
+
+def _ran_unnamed(asked: Asked, final: Final) -> bool:
+    """Whether a refusal is no harmless one: the keyed call may have run, and its repeat, which its client
+    does not name alike, would come with another key."""
+    keyed = asked.known.effect is Effect.KEYED
+    return final.ending is Ending.REFUSED and keyed and not asked.token and final.prior is not None
+
+
+def _refusal(final: Final) -> InvokeError:
+    return errors.too_many(f"Rate exceeded: {final.reason or 'refused'}.", final.stay_away_s)
+
+
+def _unknown(headers: tuple[tuple[str, str], ...], reason: str) -> Response:
+    failed = ("X-Amz-Function-Error", "Unhandled")
+    return Response(200, (*headers, failed, REPEATED), errors.outcome_unknown(reason))
+
+
+def _response(final: Final, headers: tuple[tuple[str, str], ...], wants_log: bool) -> Response:
+    """The answer of a call that was served or failed."""
+    if final.ending is Ending.SERVED:
+        extra = (("X-Amz-Function-Error", final.function_error),) if final.function_error else ()
+        tail = (("X-Amz-Log-Result", final.log_tail),) if wants_log and final.log_tail else ()
+        return Response(200, (*headers, *extra, *tail), final.payload)
+    return Response(
+        200, (*headers, ("X-Amz-Function-Error", "Unhandled")), errors.outcome_unknown(final.reason)
+    )
--- a/saffronstack/invoke/errors.py
+++ b/saffronstack/invoke/errors.py
@@ -72,3 +72,25 @@
             "errorMessage": f"The function may or may not have run: {reason}. The call was not repeated.",
         }
     )
+
+
+def mismatched(request_id: str) -> InvokeError:
+    """An operation's name was given to another payload; nothing was touched."""
+    return InvokeError(
+        400,
+        "IdempotentParameterMismatchException",
+        f"The operation's name belongs to request {request_id}, which had another payload.",
+    )
+
+
+def answer_not_kept(status: int, length: int, digest: str) -> bytes:
+    """The payload of a repeat whose answer was too large to keep: it ended, and is not run again."""
+    return msgspec.json.encode(
+        {
+            "errorType": "Saffronstack.AnswerNotKept",
+            "errorMessage": f"The function ran and was answered with status {status}; "
+            f"the answer of {length} bytes was not kept.",
+            "answerBytes": length,
+            "answerXxh3": digest,
+        }
+    )
--- a/saffronstack/invoke/names.py
+++ b/saffronstack/invoke/names.py
@@ -11,6 +11,7 @@
 
 PATH = re.compile(r"/2015-03-31/functions/([^/]+)/invocations/?")
 DEFERRED = re.compile(r"/deferred/([^/]+)")
+OPERATION = re.compile(r"/operations/([^/]+)")
 USAGE = re.compile(r"/usage/([^/]+)")
 _NAME = re.compile(
     r"(?:arn:(?P<partition>aws[a-zA-Z-]*):lambda:(?P<region>[a-z]{2}(?:-[a-z]+)+-\d):)?"
--- a/saffronstack/invoke/pages.py
+++ b/saffronstack/invoke/pages.py
@@ -19,6 +19,7 @@
 from saffronstack.invoke.server import Server
 from saffronstack.metering.limits import BudgetLimits
 from saffronstack.metering.meter import Meter
+from saffronstack.operations.service import Operations
 
 TEXT = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
 
@@ -42,6 +43,7 @@
     deferred: DeferredCalls | None
     meter: Meter | None
     limits: BudgetLimits | None
+    operations: Operations | None
     draining: bool
 
     @property
@@ -105,6 +107,21 @@
         if gateway.meter is not None:
             gauges += _usage_gauges(gateway.meter)
             yield from _usage_counters(gateway.meter, gateway.limits)
+        if gateway.operations is not None:
+            gauges += _operation_gauges(gateway.operations)
+            sends = CounterMetricFamily(
+                "saffronstack_operation_sends",
+                "Sends that name an operation, by what they met",
+                labels=["met"],
+            )
+            for name, value in gateway.operations.counts.items():
+                sends.add_metric([name], value)
+            yield sends
+            yield CounterMetricFamily(
+                "saffronstack_operations_dropped_early",
+                "Ended operations that memory had no room for until their window ended",
+                value=gateway.operations.table.dropped_early,
+            )
         for name, text, gauge in gauges:
             yield GaugeMetricFamily(f"saffronstack_{name}", text, value=gauge)
 
@@ -121,6 +138,20 @@
     ]
 
 
+def _operation_gauges(operations: Operations) -> list[tuple[str, str, float]]:
+    found: list[tuple[str, str, float]] = [
+        (f"operations_{name}", f"Operations remembered as {name.replace('_', ' ')}", count)
+        for name, count in operations.table.counts()
+    ]
+    found.append(("operations_bytes", "Memory reckoned for operations", operations.table.bytes))
+    if operations.spool is not None:
+        found.append(("operations_spooled_bytes", "Answers on disk", operations.spool.bytes))
+    if operations.notes is not None:
+        failing = float(bool(operations.notes.failing))
+        found.append(("operations_notes_failing", "1 while notes can't be written", failing))
+    return found
+
+
 def _usage_counters(meter: Meter, limits: BudgetLimits | None) -> Iterable[Metric]:
     counts = [
         ("usage_records", "Usage records taken", meter.taken),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -98,8 +98,9 @@
                 self.where[action.request] = action.worker
         return actions
 
-    def end(self, now: float, request: int, result: Result = Result.OK, found: Found = Found.WARM,
-            **more: Any) -> list[Action]:
+    def end(
+        self, now: float, request: int, result: Result = Result.OK, found: Found = Found.WARM, **more: Any
+    ) -> list[Action]:
         """The outcome of the request's newest attempt."""
         more.setdefault("finished", result is Result.OK)
         more.setdefault("elapsed_s", 0.1)
--- /dev/null
+++ b/tests/support/relay.py
@@ -0,0 +1,96 @@
+"""A relay between clients and a gateway that loses answers: it reads them to the end, and tells nobody."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+import threading
+from collections.abc import Callable
+
+from saffronstack.core.threads import spawn
+
+
+class Relay:
+    """Passes whole requests on, each over a connection of its own; loses answers as it is told."""
+
+    def __init__(self, target: Callable[[], str], lose: Callable[[], bool]) -> None:
+        """``target`` is asked for HOST:PORT at each connection; ``lose`` for each answer."""
+        self._target = target
+        self._lose = lose
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self._listener.settimeout(0.2)
+        host, port = self._listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self.lost = 0
+        self._ended = threading.Event()
+        spawn("relay", self._accept)
+
+    def close(self) -> None:
+        """Take no more connections."""
+        self._ended.set()
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while not self._ended.is_set():
+            try:
+                sock, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            spawn("relayed", lambda sock=sock: self._serve(sock))  # type: ignore[misc]
+
+    def _serve(self, client: socket.socket) -> None:
+        client.settimeout(20)
+        with contextlib.suppress(OSError), client:
+            while True:
+                request = self._message(client)
+                if not request:
+                    return
+                host, _, port = self._target().rpartition(":")
+                with socket.create_connection((host, int(port)), timeout=20) as gateway:
+                    gateway.settimeout(20)
+                    gateway.sendall(request)
+                    answer = self._message(gateway)
+                if not answer:
+                    return
+                if self._lose():
+                    self.lost += 1
+                    return
+                client.sendall(answer)
+
+    @staticmethod
+    def _message(sock: socket.socket) -> bytes:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = sock.recv(65536)
+            if not more:
+                return b""
+            data += more
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = 0
+        for line in head.split(b"\r\n")[1:]:
+            name, _, value = line.partition(b":")
+            if name.strip().lower() == b"content-length":
+                length = int(value)
+            if name.strip().lower() == b"expect":
+                sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        while len(body) < length:
+            more = sock.recv(65536)
+            if not more:
+                return b""
+            body += more
+        return head + b"\r\n\r\n" + body
+
+
+def seldom(share: float, seed: int) -> Callable[[], bool]:
+    """Loses so large a part, by a seed."""
+    chance = random.Random(seed)
+    lock = threading.Lock()
+
+    def lose() -> bool:
+        with lock:
+            return chance.random() < share
+
+    return lose
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -17,7 +17,9 @@
     "durable": {"durable", "core"},
     "deferred": {"deferred", "metering", "durable", "config", "core"} | POLICY,
     "daemon": {"daemon", "core", "http1"},
-    "invoke": {"invoke", "metering", "daemon", "deferred", "durable", "config", "core", "http1"} | POLICY,
+    "operations": {"operations", "durable", "core", "http1"} | POLICY,
+    "invoke": {"invoke", "operations", "metering", "daemon", "deferred", "durable", "config", "core", "http1"}
+    | POLICY,
     "metering": {"metering", "durable", "core"} | POLICY,
     "client": {"client", "invoke", "http1"},
     "standin": {"standin", "metering", "core", "http1"},
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -131,8 +131,16 @@
 
 
 def _missing(**changes: object) -> Gateway:
-    return Gateway(router(1, 2, miss_mode=MissMode.MISS, order_timeout_s=10.0,
-                          allow=AllowSettings(max_attempts=6, orders=True), **changes))
+    return Gateway(
+        router(
+            1,
+            2,
+            miss_mode=MissMode.MISS,
+            order_timeout_s=10.0,
+            allow=AllowSettings(max_attempts=6, orders=True),
+            **changes,
+        )
+    )
 
 
 def test_where_a_miss_loads_nothing_an_order_does() -> None:
@@ -140,8 +148,7 @@
     number, actions = gateway.ask(100.0, lanes=2.0)
     ordered = loads(actions)[0]
     assert not sends(actions) and ordered.copies == 1
-    actions = gateway.saw(gateway.decider.handle(
-        101.0, Loaded(ordered.worker, 1, 1, Result.OK, 1.0)))
+    actions = gateway.saw(gateway.decider.handle(101.0, Loaded(ordered.worker, 1, 1, Result.OK, 1.0)))
     assert [(a.request, a.worker) for a in sends(actions)] == [(number, ordered.worker)]
 
 
--- a/tests/test_random_events.py
+++ b/tests/test_random_events.py
@@ -133,21 +133,28 @@
 
 
 STEPS = st.lists(st.tuples(st.sampled_from("aaaaoooowtlL"), st.integers(0, 9999)), max_size=60)
-SHAPES = st.fixed_dictionaries({
-    "instances": st.sampled_from([1, 3, 300]),
-    "tells_crowd": st.booleans(),
-    "miss_mode": st.sampled_from([MissMode.LOAD, MissMode.MISS]),
-    "tenants": st.sampled_from([(), (TenantSettings("a", 0.7, 50.0), TenantSettings("b", 0.3, 1.0))]),
-    "memory_mb_by_kind": st.sampled_from([(), (600.0,), (8000.0,)]),
-    "rules": st.sampled_from([
-        RuleSettings(answer_slack_s=0.01, drain_grace_s=1.0),
-        RuleSettings(cold_share=0.15, cold_s=10.0, tip_multiple=2.0, tip_after_s=1.0),
-        RuleSettings(load_free=2.0, load_part=0.1, load_span_s=5.0),
-    ]),
-    "allow": st.sampled_from([
-        AllowSettings(max_attempts=4, orders=True), AllowSettings(max_attempts=2),
-    ]),
-})
+SHAPES = st.fixed_dictionaries(
+    {
+        "instances": st.sampled_from([1, 3, 300]),
+        "tells_crowd": st.booleans(),
+        "miss_mode": st.sampled_from([MissMode.LOAD, MissMode.MISS]),
+        "tenants": st.sampled_from([(), (TenantSettings("a", 0.7, 50.0), TenantSettings("b", 0.3, 1.0))]),
+        "memory_mb_by_kind": st.sampled_from([(), (600.0,), (8000.0,)]),
+        "rules": st.sampled_from(
+            [
+                RuleSettings(answer_slack_s=0.01, drain_grace_s=1.0),
+                RuleSettings(cold_share=0.15, cold_s=10.0, tip_multiple=2.0, tip_after_s=1.0),
+                RuleSettings(load_free=2.0, load_part=0.1, load_span_s=5.0),
+            ]
+        ),
+        "allow": st.sampled_from(
+            [
+                AllowSettings(max_attempts=4, orders=True),
+                AllowSettings(max_attempts=2),
+            ]
+        ),
+    }
+)
 
 
 def play(shape: dict[str, Any], steps: list[tuple[str, int]]) -> list[str]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -107,8 +107,12 @@
 
 @pytest.mark.parametrize(("cls", "allowed"), [(KEYED_ZONE, {2, 3}), (KEYED_CELL, {2})])
 def test_keyed_that_may_have_run_stays_in_its_group(cls: int, allowed: set[int]) -> None:
-    lines = [entry(1, zone=0, cell=0), entry(2, zone=0, cell=0), entry(3, zone=0, cell=1),
-             entry(4, zone=1, cell=2)]
+    lines = [
+        entry(1, zone=0, cell=0),
+        entry(2, zone=0, cell=0),
+        entry(3, zone=0, cell=1),
+        entry(4, zone=1, cell=2),
+    ]
     for function in range(40):
         gateway = Gateway(Router(settings(), 5))
         gateway.decider.handle(100.0, full(*lines))
@@ -150,8 +154,11 @@
         two, _ = gateway.ask(100.0, function=step + 4)
         gateway.end(100.5, one)
         gateway.end(100.5, two)
-    update = {"change": change(entry(1, DRAINING)), "gone": change(entry(1, GONE)),
-              "omitted": full(entry(2))}[told]
+    update = {
+        "change": change(entry(1, DRAINING)),
+        "gone": change(entry(1, GONE)),
+        "omitted": full(entry(2)),
+    }[told]
     gateway.decider.handle(101.0, update)
     for step in range(20):
         number, actions = gateway.ask(101.0, function=step)
@@ -179,8 +186,9 @@
     decider.handle(100.0, ListUpdate(ListKind.CACHED, tuple(entry(w) for w in range(2, 6))))
     if restart:
         decider = Router(settings(rules=rules, instances=instances), 4)
-        decider.handle(120.0, ListUpdate(
-            ListKind.CACHED, (entry(1, since_s=119.5), *(entry(w) for w in range(2, 6)))))
+        decider.handle(
+            120.0, ListUpdate(ListKind.CACHED, (entry(1, since_s=119.5), *(entry(w) for w in range(2, 6))))
+        )
     return Gateway(decider)
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -14,11 +14,15 @@
 from saffronstack.bench import simhost, wire
 from saffronstack.choice import Router
 
-REQUEST = ("13 0300 c4913a5d4fdb0100 0000 00000000 010ad2557c000000 cba145b6f34d2140 fa7e6abc7493883f "
-           "0000c043 00000040 00000000 01")
+REQUEST = (
+    "13 0300 c4913a5d4fdb0100 0000 00000000 010ad2557c000000 cba145b6f34d2140 fa7e6abc7493883f "
+    "0000c043 00000040 00000000 01"
+)
 OUTCOME = "11 0300 c4913a5d4fdb0100 00000000 0a 01 8b6ce7fba9f1923f 00 074a1203 02 0000404052b81e3f"
-LIST = ("18 0300 29000000 02 02000000 0000803f 0000 074a1203 00 0000000000000000 00 01 "
-        "0000c03f 0000 f211902c 00 6666666666661840 01 01")
+LIST = (
+    "18 0300 29000000 02 02000000 0000803f 0000 074a1203 00 0000000000000000 00 01 "
+    "0000c03f 0000 f211902c 00 6666666666661840 01 01"
+)
 REQUEST_ID = int.from_bytes(bytes.fromhex("c4913a5d4fdb0100"), "little")
 FUNCTION = int.from_bytes(bytes.fromhex("010ad2557c000000"), "little")
 WORKER = int.from_bytes(bytes.fromhex("074a1203"), "little")
@@ -45,7 +49,11 @@
     _, event = read(OUTCOME)
     assert isinstance(event, api.Outcome)
     assert (event.request, event.worker, event.result, event.finished) == (
-        REQUEST_ID, WORKER, api.Result.OK, True)
+        REQUEST_ID,
+        WORKER,
+        api.Result.OK,
+        True,
+    )
     assert event.report is not None and event.report.waiting == 3.0
     assert event.report.busy == pytest.approx(0.62) and event.crowd == 0
 
@@ -72,19 +80,22 @@
     assert (event.worker, event.function, event.copies) == (0x2C9011F2, FUNCTION, 1)
 
 
-@pytest.mark.parametrize(("action", "text"), [
-    (api.Send(REQUEST_ID, WORKER, 0.078), "50 0300 c4913a5d4fdb0100 2b8716d9cef7b33f 074a1203"),
-    (api.WakeMe(0.5, 77), "54 0300 000000000000e03f 4d00000000000000"),
-    (api.Load(0x2C9011F2, FUNCTION, 1), "5c 0300 f211902c 01 010ad2557c000000"),
-    (api.Log("two servers known"), "58 0300 1100 74776f2073657276657273206b6e6f776e"),
-    (api.Fail(5), "52 0300 0500000000000000"),
-    (api.Refuse(5, 0.5), "51 0300 0500000000000000 000000000000e03f"),
-    (api.Cancel(5, 1), "53 0300 0500000000000000 01"),
-    (api.Probe(WORKER), "55 0300 074a1203"),
-    (api.Unload(WORKER, FUNCTION), "5d 0300 074a1203 010ad2557c000000"),
-    (api.Watch(True), "5a 0300 01"),
-    (api.FetchList(), "5b 0300"),
-])
+@pytest.mark.parametrize(
+    ("action", "text"),
+    [
+        (api.Send(REQUEST_ID, WORKER, 0.078), "50 0300 c4913a5d4fdb0100 2b8716d9cef7b33f 074a1203"),
+        (api.WakeMe(0.5, 77), "54 0300 000000000000e03f 4d00000000000000"),
+        (api.Load(0x2C9011F2, FUNCTION, 1), "5c 0300 f211902c 01 010ad2557c000000"),
+        (api.Log("two servers known"), "58 0300 1100 74776f2073657276657273206b6e6f776e"),
+        (api.Fail(5), "52 0300 0500000000000000"),
+        (api.Refuse(5, 0.5), "51 0300 0500000000000000 000000000000e03f"),
+        (api.Cancel(5, 1), "53 0300 0500000000000000 01"),
+        (api.Probe(WORKER), "55 0300 074a1203"),
+        (api.Unload(WORKER, FUNCTION), "5d 0300 074a1203 010ad2557c000000"),
+        (api.Watch(True), "5a 0300 01"),
+        (api.FetchList(), "5b 0300"),
+    ],
+)
 def test_actions(action: api.Action, text: str) -> None:
     assert wire.encode(3, action).hex() == text.replace(" ", "")
 
@@ -95,8 +106,9 @@
     assert settings.classes[0].effect is api.Effect.SAFE and settings.keep_alive_s == 0.0
 
 
-@pytest.mark.parametrize("text", ["{", "[]", '{"RequestClasses": [{"Idempotency": "odd"}]}',
-                                  '{"RequestClasses": 5}'])
+@pytest.mark.parametrize(
+    "text", ["{", "[]", '{"RequestClasses": [{"Idempotency": "odd"}]}', '{"RequestClasses": 5}']
+)
 def test_malformed_settings(text: str) -> None:
     with pytest.raises(wire.WireError, match="settings"):
         wire.parse_settings(text)
@@ -134,16 +146,22 @@
     assert run(batch(start, 3), batch(again, 4, number=2))[-8:] == wire.REPLY_HEADER.pack(0, 2)
 
 
-@pytest.mark.parametrize(("body", "records", "length"), [
-    (b"\xff\x00\x00", 1, None),
-    (bytes.fromhex(REQUEST.replace(" ", ""))[:-1], 1, None),
-    (bytes.fromhex("17 0300 4d00000000000000".replace(" ", "")) + b"x", 1, None),
-    (b"", 1, None),
-    (b"abc", 0, 10),
-    (bytes.fromhex(OUTCOME.replace(" 0a ", " 0b ").replace(" ", "")), 1, None),
-])
+@pytest.mark.parametrize(
+    ("body", "records", "length"),
+    [
+        (b"\xff\x00\x00", 1, None),
+        (bytes.fromhex(REQUEST.replace(" ", ""))[:-1], 1, None),
+        (bytes.fromhex("17 0300 4d00000000000000".replace(" ", "")) + b"x", 1, None),
+        (b"", 1, None),
+        (b"abc", 0, 10),
+        (bytes.fromhex(OUTCOME.replace(" 0a ", " 0b ").replace(" ", "")), 1, None),
+    ],
+)
 def test_malformed_batches_end_the_process(
-    body: bytes, records: int, length: int | None, monkeypatch: pytest.MonkeyPatch,
+    body: bytes,
+    records: int,
+    length: int | None,
+    monkeypatch: pytest.MonkeyPatch,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
     class Stream:
