--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -3,19 +3,28 @@
 from __future__ import annotations
 
 import json
+import random
 import socket
 import sys
 import threading
 import time
 
+MARK = b"@" * 16  # stands for what must be another one in each request
+
 
 def loop(address: str, request: bytes, until: float, times: list[float], errors: list[str]) -> None:
     """One connection's requests, one after another."""
     host, _, port = address.rpartition(":")
+    own, marked = random.randbytes(4).hex().encode(), MARK in request
+    before, _, after = request.partition(MARK)
+    number = 0
     try:
         sock = socket.create_connection((host, int(port)), timeout=20)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         while (start := time.perf_counter()) < until:
+            if marked:
+                number += 1
+                request = before + own + b"%08x" % number + after
             sock.sendall(request)
             data = b""
             while True:
--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -16,30 +16,9 @@
 from saffronstack.checks import check_settings
 
 from saffronstack.interface import (
-    Action,
-    ClassSettings,
-    ClientGone,
-    Effect,
-    Event,
-    Fail,
-    Found,
-    Group,
-    ListKind,
-    ListUpdate,
-    Load,
-    Loaded,
-    MissMode,
-    Outcome,
-    Refuse,
-    Request,
-    Result,
-    Send,
-    Settings,
-    WakeMe,
-    Watch,
-    Woken,
-    WorkerEntry,
-    WorkerState,
+    Action, ClassSettings, ClientGone, Effect, Event, Fail, Found, Group, ListKind, ListUpdate, Load,
+    Loaded, MissMode, Outcome, Refuse, Request, Result, Send, Settings, WakeMe, Watch, Woken,
+    WorkerEntry, WorkerState,
 )
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
@@ -325,13 +304,9 @@
         self._expire(now)
         tried = {attempt.worker.entry.worker for attempt in pending.attempts}
         eligible = [
-            worker
-            for number, worker in self.workers.items()
-            if worker.ready
-            and number not in tried
-            and self._group_fits(pending, worker)
-            and self._cold_fits(now, worker)
-            and (not worker.ejected or now >= worker.trial_s)
+            worker for number, worker in self.workers.items()
+            if worker.ready and number not in tried and self._group_fits(pending, worker)
+            and self._cold_fits(now, worker) and (not worker.ejected or now >= worker.trial_s)
         ]
         part = PART_LEAST + (1 - PART_LEAST) * pending.value / self.value if self.value > 0 else 1.0
         open_ = {worker for worker in eligible if worker.warm_out < worker.limit * min(1.0, part)}
@@ -481,10 +456,8 @@
         if not room:
             return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
         first = heapq.nsmallest(
-            self._spread(now, ask.function),
-            room,
-            key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker),
-        )
+            self._spread(now, ask.function), room,
+            key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
         return min(first, key=lambda worker: (worker.in_flight, self.random.random()))
 
     def _spread(self, now: float, function: int) -> int:
@@ -539,7 +512,7 @@
         for place in range(len(stack) - 1, -1, -1):
             worker, freed_s = stack[place]
             if now - freed_s > self.keep_s:
-                del stack[: place + 1]
+                del stack[:place + 1]
                 return None
             if worker in eligible:
                 del stack[place]
@@ -677,7 +650,7 @@
             score = max(slow, fails, worker.misses / EJECT_MISSES)
             if score >= 1:
                 worst.append((-score, worker.entry.worker, worker))
-        out = [worker for _, _, worker in sorted(worst)[: int(EJECT_MOST * len(ready))]]
+        out = [worker for _, _, worker in sorted(worst)[:int(EJECT_MOST * len(ready))]]
         for worker in ready:
             if worker in out and not worker.ejected:
                 worker.trial_s = now + TRIAL_S
@@ -700,7 +673,7 @@
         if part * span <= 0:
             return pace
         spare = COLD_SPARE / 2 * math.sqrt(max(0.0, 1 - pace * rules.tip_after_s))
-        mean = (math.sqrt(spare**2 + rules.tip_multiple * part * span) - spare) ** 2
+        mean = (math.sqrt(spare ** 2 + rules.tip_multiple * part * span) - spare) ** 2
         return min(pace, mean / span)
 
     def _cold_fits(self, now: float, worker: Worker) -> bool:
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -94,6 +94,13 @@
     return signals
 
 
+def _deaf() -> None:
+    """All is done: a signal that comes while the interpreter ends must not make a failure of the exit
+    status."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _end_with_parent(signals: queue.SimpleQueue[int]) -> None:
     """Standard input is a pipe of the supervisor's: its end is the supervisor's, however that came."""
 
@@ -146,6 +153,7 @@
     if standins is not None:
         standins.stop()
     log.info("stopped", clean=clean)
+    _deaf()
     return 0 if clean else 1
 
 
@@ -186,7 +194,9 @@
     number = supervisor.watch(signals)
     log.info("stopping", signal=signal.Signals(number).name)
     longest_s = max(cls.deadline_s for cls in config.classes) + config.limits.write_timeout_s + 15.0
-    return 0 if supervisor.stop(longest_s) == 0 else 1
+    status = supervisor.stop(longest_s)
+    _deaf()
+    return 0 if status == 0 else 1
 
 
 def _member(config: Config, member: str) -> tuple[Config, Members | None]:
--- a/saffronstack/interface.py
+++ b/saffronstack/interface.py
@@ -387,4 +387,6 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Load | Unload | WakeMe | Watch | FetchList | Log
+Action = (
+    Send | Refuse | Fail | Cancel | Probe | Load | Unload | WakeMe | Watch | FetchList | Log
+)
--- a/saffronstack/operations/table.py
+++ b/saffronstack/operations/table.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import uuid
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -20,7 +21,7 @@
 
 from saffronstack.interface import Effect
 
-ENTRY_BYTES = 280  # an entry's own, beside its packed answer: table, key, queue (measured, rounded up)
+ENTRY_BYTES = 330  # an entry's own, beside its packed answer: table, key, queue (measured, rounded up)
 OPEN_BYTES = 1200
 
 
@@ -58,18 +59,96 @@
     sent_at: float = 0.0
 
 
+# What nearly every answer's headers are made of stands as numbers: a million answers are kept.
+_WORDS = (
+    "Content-Type",
+    "x-amzn-RequestId",
+    "X-Amz-Executed-Version",
+    "X-Amz-Function-Error",
+    "X-Amz-Log-Result",
+    "application/json",
+    "$LATEST",
+    "Unhandled",
+    "Handled",
+)
+_NUMBERS = {word: number for number, word in enumerate(_WORDS)}
+_REQUEST_ID = len(_WORDS)  # the operation's own
+_Word = int | str
+
+
+class _Wire(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
+    fate: Fate
+    until: float
+    fingerprint: bytes
+    request_id: bytes  # "u" and a UUID's bytes, or "t" and a text
+    effect: Effect
+    status: int = 0  # no answer
+    words: tuple[_Word, ...] = ()
+    body: bytes = b""
+    spool: str = ""
+    digest: str = ""
+    length: int = 0
+    worker: int = 0
+    sent_at: float = 0.0
+
+
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Packed).decode
+_decode = msgspec.msgpack.Decoder(_Wire).decode
+
+
+def _short_id(request_id: str) -> bytes:
+    try:
+        short = uuid.UUID(request_id)
+    except ValueError:
+        return b"t" + request_id.encode()
+    return b"u" + short.bytes if str(short) == request_id else b"t" + request_id.encode()
+
+
+def _long_id(short: bytes) -> str:
+    return str(uuid.UUID(bytes=short[1:])) if short[:1] == b"u" else short[1:].decode()
 
 
 def pack(what: Packed) -> bytes:
     """As bytes."""
-    return _encode(what)
+    answer = what.answer or Answer(0, ())
+    words = tuple(
+        _REQUEST_ID if word == what.request_id else _NUMBERS.get(word, word)
+        for header in answer.headers
+        for word in header
+    )
+    return _encode(
+        _Wire(
+            what.fate,
+            what.until,
+            what.fingerprint,
+            _short_id(what.request_id),
+            what.effect,
+            answer.status,
+            words,
+            answer.body,
+            answer.spool,
+            answer.digest,
+            answer.length,
+            what.worker,
+            what.sent_at,
+        )
+    )
 
 
 def unpack(data: bytes) -> Packed:
     """From bytes; ValueError where they are none."""
-    return _decode(data)
+    wire = _decode(data)
+    request_id = _long_id(wire.request_id)
+    answer = None
+    if wire.status:
+        words = [
+            request_id if w == _REQUEST_ID else _WORDS[w] if isinstance(w, int) else w for w in wire.words
+        ]
+        headers = tuple(zip(words[0::2], words[1::2], strict=True))
+        answer = Answer(wire.status, headers, wire.body, wire.spool, wire.digest, wire.length)
+    return Packed(
+        wire.fate, wire.until, wire.fingerprint, request_id, wire.effect, answer, wire.worker, wire.sent_at
+    )
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/test_operation_table.py
+++ b/tests/test_operation_table.py
@@ -127,8 +127,11 @@
 )
 @settings(derandomize=True, max_examples=100)
 def test_what_is_packed_comes_back(body: bytes, text: str, fate: Fate, effect: Effect) -> None:
-    packed = Packed(fate, 12.5, PRINT, text, effect, Answer(200, (("a", text),), body), 5, 1.25)
-    assert unpack(pack(packed)) == packed
+    for request_id in (text, "01234567-89ab-cdef-0123-456789abcdef", "01234567-89AB-cdef-0123-456789abcdef"):
+        headers = (("a", text), ("x-amzn-RequestId", request_id), ("Content-Type", "$LATEST"))
+        packed = Packed(fate, 12.5, PRINT, request_id, effect, Answer(200, headers, body), 5, 1.25)
+        assert unpack(pack(packed)) == packed
+    assert unpack(pack(Packed(fate, 1.0, PRINT, text, effect))) == Packed(fate, 1.0, PRINT, text, effect)
     with pytest.raises(ValueError, match=r"."):
         unpack(pack(packed)[:-1])
 
