--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 
 import click
 
@@ -130,6 +131,89 @@
     sys.exit(ask(addresses or ("127.0.0.1:9000",), timeout_s, as_json))
 
 
+@main.group()
+def roster() -> None:
+    """Lists of workers in watched files: check, compare, and say what operators say."""
+
+
+def _roster(command: Callable[[], int]) -> None:
+    from saffronstack.cli.roster import Unusable
+
+    try:
+        sys.exit(command())
+    except (Unusable, OSError) as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+
+
+def _of_gateway(command: Callable[..., None]) -> Callable[..., None]:
+    text = "The gateway's configuration, which names the roster."
+    return click.option("--config", "path", required=True, type=click.Path(dir_okay=False), help=text)(
+        command
+    )
+
+
+@roster.command("check")
+@click.argument("file", type=click.Path())
+@click.option("--config", "path", type=click.Path(dir_okay=False), help="Check kinds and guards against it.")
+def roster_check(file: str, path: str | None) -> None:
+    """Check a list, file or directory: 0, or 1 with file, line and reason."""
+    from saffronstack.cli.roster import check
+
+    _roster(lambda: check(file, path))
+
+
+@roster.command("diff")
+@click.argument("before", type=click.Path())
+@click.argument("after", type=click.Path())
+def roster_diff(before: str, after: str) -> None:
+    """What changes in meaning, not in spacing; 1 where something does."""
+    from saffronstack.cli.roster import diff
+
+    _roster(lambda: diff(before, after))
+
+
+@roster.command("show")
+@_of_gateway
+def roster_show(path: str) -> None:
+    """The list applied last."""
+    from saffronstack.cli.roster import show
+
+    _roster(lambda: show(path))
+
+
+@roster.command("drain")
+@click.argument("workers", nargs=-1, required=True)
+@click.option("--undo", is_flag=True, help="Drain them no longer.")
+@_of_gateway
+def roster_drain(workers: tuple[str, ...], undo: bool, path: str) -> None:
+    """Drain workers, whatever the lists say."""
+    from saffronstack.cli.roster import drain
+
+    _roster(lambda: drain(path, workers, undo))
+
+
+@roster.command("accept")
+@click.argument("digest")
+@_of_gateway
+def roster_accept(digest: str, path: str) -> None:
+    """Let a held version be applied; /status and the log name its digest."""
+    from saffronstack.cli.roster import accept
+
+    _roster(lambda: accept(path, digest))
+
+
+@roster.command("history")
+@click.option("--back", type=int, default=None, help="Go back to the version of this number.")
+@click.option("--follow", is_flag=True, help="Follow the file again.")
+@_of_gateway
+def roster_history(back: int | None, follow: bool, path: str) -> None:
+    """The versions that are kept."""
+    from saffronstack.cli.roster import history
+
+    _roster(lambda: history(path, back, follow))
+
+
 @main.group()
 def operation() -> None:
     """What a gateway knows of operations that clients name."""
--- /dev/null
+++ b/saffronstack/cli/roster.py
@@ -0,0 +1,168 @@
+"""`saffronstack roster`: checking lists, and saying to gateways what operators say."""
+
+from __future__ import annotations
+
+import pathlib
+from datetime import UTC, datetime
+
+import click
+from msgspec import structs
+
+from saffronstack import config as configs
+from saffronstack.config.schema import Config, Worker
+from saffronstack.roster.guards import GuardSettings, judge
+from saffronstack.roster.keeping import Kept
+from saffronstack.roster.membership import change
+from saffronstack.roster.parsing import RosterError, Version, version
+from saffronstack.roster.reading import Unready, read
+
+FIELDS = tuple(field.name for field in structs.fields(Worker))
+
+
+class Unusable(Exception):
+    """What stands in the way, for the person who called."""
+
+
+def _version(path: str, kinds: tuple[str, ...] | None) -> Version:
+    """The version at a path; without ``kinds`` any kind will do."""
+    try:
+        text = read(pathlib.Path(path))
+        known = kinds if kinds is not None else _Any()
+        return version(text.parts, text.digest, known, text.generation)
+    except (Unready, RosterError) as error:
+        raise Unusable(str(error)) from error
+
+
+class _Any(tuple[str, ...]):
+    def __contains__(self, kind: object) -> bool:
+        return True
+
+
+def _config(path: str) -> Config:
+    try:
+        config = configs.load(path)
+    except configs.ConfigError as error:
+        raise Unusable(str(error)) from error
+    if config.roster is None:
+        raise Unusable(f"{path}: names no roster")
+    return config
+
+
+def _kept(config_path: str) -> tuple[Config, Kept]:
+    config = _config(config_path)
+    assert config.roster is not None
+    directory = pathlib.Path(config.roster.state_directory)
+    try:
+        return config, Kept(directory)
+    except OSError as error:
+        raise Unusable(f"{directory}: {error.strerror}") from error
+
+
+def check(path: str, config_path: str | None) -> int:
+    """Check a file or directory; with a configuration also what its guards would say. 0, or 1 with
+    reasons."""
+    config = _config(config_path) if config_path else None
+    kinds = tuple(kind.name for kind in config.kinds) if config else None
+    found = _version(path, kinds)
+    click.echo(
+        f"{path}: good: generation {found.generation}, {len(found.workers)} workers, "
+        f"{sum(worker.state == 'draining' for worker in found.workers)} draining, digest {found.digest}"
+    )
+    if config is None or config.roster is None:
+        return 0
+    guards = GuardSettings(
+        config.roster.allow_empty,
+        config.roster.removed_share,
+        config.roster.removed_free,
+        config.roster.allow_older,
+    )
+    held = judge(guards, Kept(pathlib.Path(config.roster.state_directory)).last(), found, False)
+    if held is not None:
+        click.echo(f"{path}: would be held: {held.reason}")
+        return 1
+    return 0
+
+
+def diff(before: str, after: str) -> int:
+    """What changes from one list to another, in meaning; 0 where nothing does, else 1."""
+    first, second = _version(before, None).by_name(), _version(after, None).by_name()
+    found = change(first, second)
+    for name in found.gone:
+        click.echo(f"- {name} at {first[name].address}")
+    for worker in sorted(found.entries, key=lambda one: one.id):
+        known = first.get(worker.id)
+        if known is None:
+            click.echo(f"+ {worker.id} at {worker.address}, size {worker.size:g}, {worker.state}")
+            continue
+        changed = [
+            f"{name} {getattr(known, name)} -> {getattr(worker, name)}"
+            for name in FIELDS
+            if getattr(known, name) != getattr(worker, name)
+        ]
+        click.echo(f"~ {worker.id}: {', '.join(changed)}")
+    return 1 if found else 0
+
+
+def show(config_path: str) -> int:
+    """The list applied last, and what operators said."""
+    _, kept = _kept(config_path)
+    last = kept.last()
+    if last is None:
+        click.echo("no list was applied yet")
+        return 1
+    click.echo(f"generation {last.generation}, digest {last.digest}, {len(last.workers)} workers")
+    drains = kept.drains()
+    for worker in last.workers:
+        state = "draining (operator)" if worker.id in drains else worker.state
+        click.echo(f"  {worker.id:<24} {worker.address:<24} {worker.kind:<12} size {worker.size:<6g} {state}")
+    for name in sorted(drains - {worker.id for worker in last.workers}):
+        click.echo(f"  {name:<24} not listed, drained by an operator")
+    if kept.pinned():
+        click.echo(f"pinned to {kept.pinned()}: the file is not followed")
+    return 0
+
+
+def drain(config_path: str, workers: tuple[str, ...], undo: bool) -> int:
+    """Drain workers, whatever any source says, or no longer."""
+    _, kept = _kept(config_path)
+    names = kept.drains() - set(workers) if undo else kept.drains() | set(workers)
+    known = kept.last()
+    listed = {worker.id for worker in known.workers} if known is not None else set()
+    for name in workers:
+        if name not in listed and not undo:
+            click.echo(f"{name}: in no list that was applied; it is drained should it come", err=True)
+    kept.tell("drains", "\n".join(sorted(names)))
+    click.echo(f"drained by operators: {', '.join(sorted(names)) or 'none'}")
+    return 0
+
+
+def accept(config_path: str, digest: str) -> int:
+    """Let a held version be applied: this one and no other."""
+    _, kept = _kept(config_path)
+    kept.tell("accept", digest)
+    click.echo(f"{digest}: accepted; a gateway that holds it applies it within a second")
+    return 0
+
+
+def history(config_path: str, back: int | None, follow: bool) -> int:
+    """The versions that are kept; go back to one, or follow the file again."""
+    _, kept = _kept(config_path)
+    found = kept.history()
+    if follow:
+        kept.tell("pinned", "")
+        click.echo("the file is followed")
+        return 0
+    if back is not None:
+        chosen = next((one for number, _, one in found if number == back), None)
+        if chosen is None:
+            raise Unusable(f"no version {back} is kept; there are {', '.join(str(n) for n, _, _ in found)}")
+        kept.tell("pinned", chosen.digest)
+        click.echo(f"back to version {back}, generation {chosen.generation}; --follow ends it")
+        return 0
+    for number, at, one in found:
+        when = datetime.fromtimestamp(at, UTC)
+        click.echo(
+            f"{number:>6}  {when:%Y-%m-%d %H:%M:%S}Z  generation {one.generation:<6} "
+            f"{len(one.workers):>6} workers  {one.digest}"
+        )
+    return 0
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -16,10 +16,12 @@
 
 import pytest
 import xxhash
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from saffronstack import config as configs
+from saffronstack.cli.main import main
 from saffronstack.config.schema import Worker
 from saffronstack.core.roster import Roster, WorkerSpec
 from saffronstack.gateway import Gateway
@@ -635,3 +637,48 @@
     assert set(statuses) <= {200, 429}
     assert statuses.count(429) <= len(statuses) // 20
     fleet.stop()
+
+
+def test_the_roster_on_the_command_line(tmp_path: pathlib.Path) -> None:
+    def run(*arguments: str) -> tuple[int, str]:
+        done = CliRunner().invoke(main, ["roster", *arguments])
+        return done.exit_code, done.output
+
+    fleet = StandInFleet(1)
+    entries = [{**fleet.entries()[0], "id": f"w{n}", "address": f"127.0.0.1:{2000 + n}"} for n in range(6)]
+    path, other, config = tmp_path / "roster.json5", tmp_path / "other.json5", tmp_path / "gateway.json5"
+    state = tmp_path / "state"
+    content = configuration(fleet, workers=[], roster={"path": str(path), "state_directory": str(state)})
+    config.write_text(json.dumps(content))
+    fleet.stop()
+    path.write_text(listing(*entries, generation=2))
+    code, said = run("check", str(path))
+    assert (code, "6 workers" in said) == (0, True)
+    assert run("show", "--config", str(config)) == (1, "no list was applied yet\n")
+    Kept(state).keep(checked(path.read_text()), 0.0)
+    other.write_text(listing({**entries[0], "size": 2}, {**entries[1], "state": "draining"}, generation=3))
+    code, said = run("diff", str(path), str(other))
+    assert code == 1
+    assert "~ w0: size 1.0 -> 2.0" in said and "~ w1: state ready -> draining" in said and "- w5 at" in said
+    assert run("diff", str(path), str(path)) == (0, "")
+    code, said = run("check", str(other), "--config", str(config))
+    assert (code, "would be held: 4 of 6 ready workers" in said) == (1, True)
+    other.write_text('{"workers": [\n{"id": 5}]}')
+    code, said = run("check", str(other))
+    assert (code, "other.json5:2: workers[0]" in said) == (1, True)
+    code, said = run("drain", "w3", "w99", "--config", str(config))
+    assert code == 0 and "w99: in no list" in said
+    assert "draining (operator)" in run("show", "--config", str(config))[1]
+    assert "drained by operators: w99" in run("drain", "w3", "--undo", "--config", str(config))[1]
+    assert run("accept", "abc", "--config", str(config))[0] == 0
+    assert Kept(state).accepted() == "abc"
+    code, said = run("history", "--config", str(config))
+    assert "generation 2" in said
+    assert run("history", "--back", "7", "--config", str(config))[0] == 1
+    assert run("history", "--back", "1", "--config", str(config))[0] == 0
+    assert Kept(state).pinned() == checked(path.read_text()).digest
+    assert run("history", "--follow", "--config", str(config))[0] == 0
+    assert Kept(state).pinned() == ""
+    content.pop("roster")
+    config.write_text(json.dumps(content))
+    assert "names no roster" in run("show", "--config", str(config))[1]
