--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -285,11 +285,14 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--seconds", type=float, default=None, help="Length in place of the file's.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep configurations and traffic logs here.")
-def day_run(path: str, seed: int, seconds: float | None, keep: str | None) -> None:
+@click.option(
+    "--membership", type=click.Choice(["signal", "file"]), default=None, help="In place of the file's."
+)
+def day_run(path: str, seed: int, seconds: float | None, keep: str | None, membership: str | None) -> None:
     """Play a day with real gateways and judge the five rules from the traffic; 1 if one is broken."""
     from saffronstack.day.run import run
 
-    sys.exit(run(path, seed, seconds, keep))
+    sys.exit(run(path, seed, seconds, keep, membership))
 
 
 if __name__ == "__main__":
--- a/saffronstack/core/calls.py
+++ b/saffronstack/core/calls.py
@@ -41,6 +41,9 @@
     prior: Prior | None = None
     attempts: int = 0
     worker: str = ""
+    out_until_s: float = (
+        0.0  # an attempt is still out, until then at the latest (monotonic): no other may be yet
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronstack/core/engine.py
+++ b/saffronstack/core/engine.py
@@ -342,6 +342,7 @@
                 reason=reason,
                 prior=opened.may_have_run(),
                 attempts=opened.made,
+                out_until_s=call.deadline_s if opened.sent else 0.0,
             )
         ):
             self._count(call)
--- a/saffronstack/day/director.py
+++ b/saffronstack/day/director.py
@@ -113,13 +113,16 @@
                 self.told.append(Told(now, name, state, now - (wall - started) if started else 0.0))
             self._write()
             for gateway in self._gateways:
-                if gateway.number not in self._down:
+                if gateway.number not in self._down and self._plan.membership == "signal":
                     gateway.hangup()
 
     def _write(self) -> None:
         roster = [self._roster[n] for n in sorted(self._roster)]
         for gateway in self._gateways:
-            gateway.write(self._content(gateway, roster))
+            if self._plan.membership == "file":
+                gateway.write_roster(roster)
+            else:
+                gateway.write(self._content(gateway, roster))
 
     def _set_faults(self, workers: list[int], **changes: Any) -> None:
         with self._lock:
--- a/saffronstack/day/plan.py
+++ b/saffronstack/day/plan.py
@@ -87,6 +87,7 @@
     workers: Workers = Workers()
     traffic: Mix = Mix()
     rules: DayRules = DayRules()
+    membership: Literal["signal", "file"] = "signal"  # how gateways are told of workers
     troubles: tuple[Trouble, ...] = ()
 
 
--- a/saffronstack/day/processes.py
+++ b/saffronstack/day/processes.py
@@ -45,6 +45,9 @@
         self.ledger = directory / f"ledger-{number}"
         self.usage = directory / f"usage-{number}"
         self.operations = directory / f"operations-{number}"
+        self.roster = directory / f"roster-{number}.json5"
+        self.roster_state = directory / f"roster-{number}"
+        self._generation = 0
         self.errors = directory / f"gateway-{number}.log"
         self._placeholder = hold_port("127.0.0.1")
         self.address = f"127.0.0.1:{self._placeholder.getsockname()[1]}"
@@ -56,6 +59,13 @@
         partial.write_text(json.dumps(content, indent=1))
         os.replace(partial, self.path)
 
+    def write_roster(self, workers: list[dict[str, Any]]) -> None:
+        """A new generation of its list of workers, as a whole."""
+        self._generation += 1
+        partial = self.roster.with_suffix(".tmp")
+        partial.write_text(json.dumps({"generation": self._generation, "workers": workers}, indent=1))
+        os.replace(partial, self.roster)
+
     def start(self) -> None:
         """Start it and wait until it takes calls; DayFailed where it does not."""
         with open(self.errors, "ab") as errors:
--- a/saffronstack/day/run.py
+++ b/saffronstack/day/run.py
@@ -39,12 +39,14 @@
 RULES = ("no call lost", "no effect twice", "drains kept", "cold workers not pushed over", "loads rationed")
 
 
-def run(path: str, seed: int, seconds: float | None, keep: str | None) -> int:
+def run(path: str, seed: int, seconds: float | None, keep: str | None, membership: str | None = None) -> int:
     """Play the day in a file; 0 with all rules kept, 1 with one broken, 2 where it can't be played."""
     try:
         plan = plans.load(path)
         if seconds is not None:
             plan = msgspec.structs.replace(plan, seconds=seconds)
+        if membership is not None:
+            plan = msgspec.structs.replace(plan, membership=membership)
         with contextlib.ExitStack() as stack:
             if keep is None:
                 directory = pathlib.Path(
@@ -75,6 +77,15 @@
         content["functions"].append(
             {"name": "scan-*", "class": "lookup", "memory_mb": 256, "lanes": 1, "load_s": plan.workers.load_s}
         )
+        if plan.membership == "file":
+            content["workers"] = []
+            content["roster"] = {
+                "path": str(gateway.roster),
+                "state_directory": str(gateway.roster_state),
+                "poll_s": 0.2,
+                "removed_share": 1.0,  # the day restarts as many as it likes
+                "flaps": 100,
+            }
         for cls in content["classes"]:
             cls["note_operations"] = cls["effect"] != "safe"
         return {
@@ -108,6 +119,7 @@
         try:
             for gateway in self.gateways:
                 gateway.write(self.content(gateway, host.workers))
+                gateway.write_roster(host.workers)
                 gateway.start()
             director = Director(plan, self.gateways, host, self.content, self.seed)
             lost: set[tuple[str, int]] = set()
@@ -233,7 +245,8 @@
     def _report(self, traffic: Traffic, breaches: list[Breach], problems: list[str], dropped: int) -> int:
         broken = Counter(breach.rule for breach in breaches)
         click.echo(
-            f"{self.plan.name}, seed {self.seed}: {len(traffic.tries)} tries, {self.plan.gateways} gateways "
+            f"{self.plan.name}, seed {self.seed}, membership by {self.plan.membership}: "
+            f"{len(traffic.tries)} tries, {self.plan.gateways} gateways "
             f"before {self.plan.workers.count} emulated workers, {len(traffic.stopped)} gateway stops, "
             f"{dropped} calls not sent for want of clients, {len(traffic.lost)} answers lost behind gateways"
         )
--- a/saffronstack/deferred/calls.py
+++ b/saffronstack/deferred/calls.py
@@ -348,8 +348,8 @@
                 final.function_error,
                 "" if served else _REASONS[step.condition],
             )
-        elif isinstance(step, Wait):
-            self._due.set(step.until, live)
+        elif isinstance(step, Wait):  # not beside an attempt of this try that is still out
+            self._due.set(max(step.until, final.out_until_s + self._offset), live)
 
     def _finish(
         self, live: _Live, condition: Condition, response: bytes | None, error: str, reason: str
--- a/saffronstack/invoke/calling.py
+++ b/saffronstack/invoke/calling.py
@@ -184,7 +184,7 @@
         if final.ending is Ending.GONE:
             return NotDone(ClientLeft(), prior)
         if final.ending is Ending.REFUSED:
-            return NotDone(_refusal(final), final.prior)
+            return NotDone(_refusal(final), final.prior, final.out_until_s)
         answer = _response(final, asked.headers(request_id), asked.wants_log)
         return Done(Answer(answer.status, answer.headers, answer.body), unknown=final.ending is Ending.FAILED)
 
--- a/saffronstack/operations/service.py
+++ b/saffronstack/operations/service.py
@@ -34,6 +34,7 @@
 
 CHECK_CLIENT_S = 0.2  # how often a waiting thread looks whether its client is still there
 EXPIRE_EVERY_S = 30.0
+BUSY_MOST_S = 1.0  # an attempt ends with its call's deadline, a margin after the refusal
 log = structlog.get_logger("saffronstack.operations")
 
 
@@ -62,6 +63,7 @@
 
     error: Exception
     prior: Prior | None = None
+    out_until_s: float = 0.0  # of the clock: one of its attempts may be out until then
 
 
 class MismatchedName(Exception):
@@ -282,6 +284,8 @@
         prior = None if again is None else Prior(again.worker, again.sent_at - self._offset)
         result: Done | NotDone | None = None
         try:
+            if again is not None and (pause_s := again.busy_until - self.now()) > 0:
+                self._stopping.wait(min(pause_s, BUSY_MOST_S))  # one attempt out at a time
             result = run(live, prior)
         finally:
             # A run that fell over may have had its effect: nothing more can be known than that.
@@ -351,7 +355,8 @@
             return
         with self._lock:
             now = self.now()
-            packed = self.table.leave(live.opened, prior.worker, prior.sent_s + self._offset, now)
+            busy = refused.out_until_s + self._offset if refused.out_until_s else 0.0
+            packed = self.table.leave(live.opened, prior.worker, prior.sent_s + self._offset, now, busy)
         self._note_end(live, packed, now)
 
     def _close(self, live: Live, fate: Fate, answer: Answer | None) -> None:
--- a/saffronstack/operations/table.py
+++ b/saffronstack/operations/table.py
@@ -58,6 +58,7 @@
     answer: Answer | None = None
     worker: int = 0
     sent_at: float = 0.0
+    busy_until: float = 0.0  # an attempt of the refused try may be out until then
 
 
 # What nearly every answer's headers are made of stands as numbers: a million answers are kept.
@@ -91,6 +92,7 @@
     length: int = 0
     worker: int = 0
     sent_at: float = 0.0
+    busy_until: float = 0.0
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -132,6 +134,7 @@
             answer.length,
             what.worker,
             what.sent_at,
+            what.busy_until,
         )
     )
 
@@ -148,7 +151,15 @@
         headers = tuple(zip(words[0::2], words[1::2], strict=True))
         answer = Answer(wire.status, headers, wire.body, wire.spool, wire.digest, wire.length)
     return Packed(
-        wire.fate, wire.until, wire.fingerprint, request_id, wire.effect, answer, wire.worker, wire.sent_at
+        wire.fate,
+        wire.until,
+        wire.fingerprint,
+        request_id,
+        wire.effect,
+        answer,
+        wire.worker,
+        wire.sent_at,
+        wire.busy_until,
     )
 
 
@@ -263,7 +274,7 @@
             now,
         )
 
-    def leave(self, opened: Open, worker: int, sent_at: float, now: float) -> bytes:
+    def leave(self, opened: Open, worker: int, sent_at: float, now: float, busy_until: float = 0.0) -> bytes:
         """It may have run and was refused: it goes again, where it went first, until its window ends."""
         first = opened.again
         if first is not None:
@@ -277,6 +288,7 @@
             None,
             worker,
             sent_at,
+            busy_until,
         )
         return self._close(opened, packed, now)
 
--- a/saffronstack/standin/model.py
+++ b/saffronstack/standin/model.py
@@ -297,11 +297,12 @@
         copies.since_us = now_us
 
     def _changed(self, copies: _Copies) -> None:
+        """They have changed; the span before was closed at the same moment, in the same hold of the lock."""
         if self._observe is not None:
             waiting, running = tuple(copies.waiting.values()), tuple(copies.running.values())
             self._observe(
                 Observed(
-                    self._now_us(),
+                    copies.since_us,
                     copies.name,
                     copies.memory_mb,
                     copies.lanes,
--- a/tests/support/reckoning.py
+++ b/tests/support/reckoning.py
@@ -29,6 +29,7 @@
         model = worker.model
         with model._state:
             for copies in model._copies.values():
+                copies.since_us = model._now_us()  # no record of this span leaves any more
                 model._changed(copies)
             worker.stop()
             self._ended.append(list(worker.observed or ()))
--- a/tests/test_operation_table.py
+++ b/tests/test_operation_table.py
@@ -71,10 +71,11 @@
 def test_what_was_refused_after_it_may_have_run_goes_again_where_it_went() -> None:
     table = Table(1 << 20)
     first = opened(table, effect=Effect.KEYED)
-    table.leave(first, 7, 3.0, 4.0)
+    table.leave(first, 7, 3.0, 4.0, 4.5)
     second = opened(table, now=5.0, effect=Effect.KEYED)
     assert second.again is not None
     assert (second.again.worker, second.again.sent_at, second.request_id) == (7, 3.0, first.request_id)
+    assert second.again.busy_until == 4.5
     table.release(second, 6.0)  # this try never ran; the first one still may have
     third = opened(table, now=7.0, effect=Effect.KEYED)
     table.leave(third, 9, 6.5, 8.0)  # and another may have, elsewhere: the first one still tells
