Safe operations keep the answer they gave, and no copy of it

Need: a safe call with operations still made objects that nobody needed.

Change: the remembered operation holds the response itself, its key and its size; the queue holds the operation.

--- a/saffronstack/invoke/calling.py
+++ b/saffronstack/invoke/calling.py
@@ -156,7 +156,7 @@
                 operations.counts["repeated"] += 1
             return Response(answer.status, (*answer.headers, REPEATED), answer.body)
         operations.counts["begun"] += 1
-        kept: Answer | None = None
+        kept: Response | None = None
         try:
             call = self._make(asked, asked.request_id, self._place(asked), None, None)
             final = self._run(call, client_there, None, lambda: not entry.waiters)
@@ -166,11 +166,11 @@
                 raise _refusal(final)
             response = _response(final, asked.headers(asked.request_id), asked.wants_log)
             if final.ending is Ending.SERVED and len(response.body) <= operations.answer_bytes:
-                kept = Answer(response.status, response.headers, response.body)
+                kept = response
             return response
         finally:
             size = len(kept.body) if kept is not None else 0
-            recent.end(key, entry, kept, size, now + rule.window_s, now)
+            recent.end(entry, kept, size, now + rule.window_s, now)
 
     def _perform(
         self, asked: Asked, client_there: Callable[[], bool], live: Live, prior: Prior | None
--- a/saffronstack/operations/recent.py
+++ b/saffronstack/operations/recent.py
@@ -8,19 +8,40 @@
 
 import threading
 from collections import deque
-from typing import Generic, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 ENTRY_BYTES = 1600  # an entry with its answer's headers, beside the body (measured, rounded up)
 T = TypeVar("T")
 Key = tuple[str, str, str, str]  # tenant, function, qualifier, token
 
 
+class Reply(Protocol):
+    """An answer of any front."""
+
+    @property
+    def status(self) -> int:
+        """Its status."""
+        ...
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """Its headers."""
+        ...
+
+    @property
+    def body(self) -> bytes:
+        """Its body."""
+        ...
+
+
 class Shared(Generic[T]):
     """A safe operation: open until it has an answer."""
 
-    __slots__ = ("_waiters", "answer", "done", "mark", "request_id", "since", "until")
+    __slots__ = ("_waiters", "answer", "done", "key", "mark", "request_id", "since", "size", "until")
 
-    def __init__(self, mark: int, request_id: str, since: float) -> None:
+    def __init__(self, key: Key, mark: int, request_id: str, since: float) -> None:
+        self.key = key
+        self.size = 0
         self.mark = mark
         self.request_id = request_id
         self.since = since
@@ -41,7 +62,7 @@
     def __init__(self, most_bytes: int) -> None:
         self._most = most_bytes
         self._entries: dict[Key, Shared[T]] = {}
-        self._order: deque[tuple[Key, int, Shared[T]]] = deque()
+        self._order: deque[Shared[T]] = deque()
         self._lock = threading.Lock()
         self.bytes = 0
         self.dropped_early = 0
@@ -60,7 +81,7 @@
                         entry.done = threading.Event()
                     entry._waiters += 1
                 return entry, False
-            entry = self._entries[key] = Shared(mark, request_id, now)
+            entry = self._entries[key] = Shared(key, mark, request_id, now)
             return entry, True
 
     def part(self, entry: Shared[T]) -> None:
@@ -68,24 +89,25 @@
         with self._lock:
             entry._waiters -= 1
 
-    def end(self, key: Key, entry: Shared[T], answer: T | None, size: int, until: float, now: float) -> None:
+    def end(self, entry: Shared[T], answer: T | None, size: int, until: float, now: float) -> None:
         """It has its answer, or none that is worth keeping: then the next send runs it."""
         with self._lock:
             if answer is None:
-                if self._entries.get(key) is entry:
-                    del self._entries[key]
+                if self._entries.get(entry.key) is entry:
+                    del self._entries[entry.key]
             else:
                 entry.answer = answer
                 entry.until = until
-                size += ENTRY_BYTES
+                entry.size = size = size + ENTRY_BYTES
                 self.bytes += size
-                self._order.append((key, size, entry))
-                while self._order and (self.bytes > self._most or self._order[0][2].until <= now):
-                    oldest, held, known = self._order.popleft()
-                    self.bytes -= held
+                order = self._order
+                order.append(entry)
+                while order and (self.bytes > self._most or order[0].until <= now):
+                    known = order.popleft()
+                    self.bytes -= known.size
                     self.dropped_early += known.until > now
-                    if self._entries.get(oldest) is known:
-                        del self._entries[oldest]
+                    if self._entries.get(known.key) is known:
+                        del self._entries[known.key]
         if entry.done is not None:
             entry.done.set()
 
--- a/saffronstack/operations/service.py
+++ b/saffronstack/operations/service.py
@@ -16,7 +16,7 @@
 from saffronstack.operations import notes as records
 from saffronstack.operations.notes import NotesLog
 from saffronstack.operations.owners import slot_of
-from saffronstack.operations.recent import Recent
+from saffronstack.operations.recent import Recent, Reply
 from saffronstack.operations.spool import Spool, digest_of
 from saffronstack.operations.table import (
     Answer,
@@ -157,7 +157,7 @@
     ) -> None:
         """``answer_bytes``: larger answers go to the spool, or are kept by digest alone. ``recent_bytes``:
         for safe operations, which have a memory of their own."""
-        self.recent: Recent[Answer] = Recent(recent_bytes)
+        self.recent: Recent[Reply] = Recent(recent_bytes)
         self.answer_bytes = answer_bytes
         self.table = table
         self.notes = notes
--- a/tests/test_operation_table.py
+++ b/tests/test_operation_table.py
@@ -173,17 +173,17 @@
     other, mine = recent.send(key, 6, "id-3", 0.1)  # another payload joins nothing
     assert (other is first, mine, first.waiters) == (True, False, 1)
     recent.part(first)
-    recent.end(key, first, None, 0, 0.0, 0.2)  # nothing worth keeping: the next one runs it
+    recent.end(first, None, 0, 0.0, 0.2)  # nothing worth keeping: the next one runs it
     assert first.done is not None and first.done.is_set()
     second, mine = recent.send(key, 5, "id-4", 0.3)
     assert mine
-    recent.end(key, second, "answer", 10, 10.0, 0.4)
+    recent.end(second, "answer", 10, 10.0, 0.4)
     assert recent.send(key, 5, "x", 9.9)[0].answer == "answer"
     assert recent.send(key, 5, "x", 10.0)[1]  # past the window
     for n in range(100):
         one, mine = recent.send(("t", "f", "1", str(n)), 1, "id", 11.0)
         assert mine
-        recent.end(("t", "f", "1", str(n)), one, "a", 100, 50.0, 11.0)
+        recent.end(one, "a", 100, 50.0, 11.0)
         assert recent.bytes <= 20 * ENTRY
     assert recent.dropped_early > 70
     assert recent.find(("t", "f", "1", "99")) is not None
