--- a/saffronstack/core/engine.py
+++ b/saffronstack/core/engine.py
@@ -13,8 +13,6 @@
 from itertools import count
 from typing import Protocol
 
-import structlog
-
 from saffronstack import interface as api
 from saffronstack.choice import Router
 from saffronstack.core.calls import (
@@ -28,14 +26,15 @@
     OrderEnd,
     Prior,
 )
+from saffronstack.core.logs import Log, PlainLog
 from saffronstack.core.roster import Roster, WorkerSpec
 from saffronstack.core.threads import spawn
 from saffronstack.core.timers import Timers
 
 NEVER_RAN = (api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT, api.Result.MISS)
 LIST_PART = 200  # workers of a change that are decided on at once
+FUNCTIONS_MOST = 4096  # functions that orders can name; those called last
 IDLE_S = 1.0  # the decision thread looks up at least this often
-log = structlog.get_logger("saffronstack.engine")
 
 
 class Recorder(Protocol):
@@ -102,6 +101,7 @@
         recorder: Recorder | None = None,
         backstop_s: float = 0.05,
         open_most: int = 20000,
+        log: Log | None = None,
     ) -> None:
         """``clock`` is monotonic, in seconds. ``backstop_s``: how long past a call's deadline the engine
         answers by itself, should the module have given no answer."""
@@ -109,12 +109,13 @@
         self.counts = Counts()
         self.backstop_s = backstop_s
         self.open_most = open_most
+        self._log: Log = log or PlainLog("engine")
         self._router = Router(settings, seed)
         self._clock = clock
         self._recorder = recorder
         self._dispatcher: Dispatcher | None = None
         self._queue: queue.SimpleQueue[object] = queue.SimpleQueue()
-        self._timers: Timers[api.Woken | _Open] = Timers()
+        self._timers: Timers[api.Woken | int] = Timers()  # numbers of calls: they hold no payload
         self._open: dict[int, _Open] = {}
         self._functions: dict[int, FunctionSpec] = {}
         self._roster = Roster()
@@ -149,8 +150,14 @@
 
     def leave(self, call: Call) -> None:
         """The client of a call has left."""
-        if call.settle(Final(Ending.GONE)):
-            self._queue.put(api.ClientGone(call.number))
+        self.end(call, Final(Ending.GONE))
+
+    def end(self, call: Call, final: Final) -> bool:
+        """Answer a call in the module's place; whether this was its final answer."""
+        if not call.settle(final):
+            return False
+        self._queue.put(api.ClientGone(call.number))
+        return True
 
     def tell(self, what: AttemptEnd | OrderEnd | Heard) -> None:
         """What a worker's thread saw."""
@@ -213,12 +220,14 @@
 
     def _fault(self) -> None:
         self.counts.faults += 1
-        log.exception("step of the decision thread failed")
+        self._log.exception("step of the decision thread failed")
 
     def _fire(self) -> None:
         while (due := self._timers.due(self._now)) is not None:
-            if isinstance(due, _Open):
-                self._backstop(due)
+            if isinstance(due, int):
+                opened = self._open.get(due)
+                if opened is not None:
+                    self._backstop(opened)
             else:
                 self._decide(due)
 
@@ -242,7 +251,7 @@
         elif isinstance(item, Heard):
             update = self._roster.heard(self._now, item)
             if update is not None:
-                log.info("worker started anew", worker=item.worker, incarnation=item.incarnation)
+                self._log.info("worker started anew", worker=item.worker, incarnation=item.incarnation)
                 self._decide(update)
         elif isinstance(item, _Changed):
             self._decide(self._roster.changed(self._now, item.wall_s, item.specs, item.gone))
@@ -251,10 +260,16 @@
 
     def _arrived(self, call: Call) -> None:
         self.counts.calls += 1
+        if call.settled:  # withdrawn before it was looked at: it costs no decision
+            self._count(call)
+            return
         spec = call.function
+        self._functions.pop(spec.number, None)
         self._functions[spec.number] = spec
-        opened = self._open[call.number] = _Open(call, prior=call.prior)
-        self._timers.set(call.deadline_s + self.backstop_s, opened)
+        if len(self._functions) > FUNCTIONS_MOST:  # the one that was called longest ago
+            del self._functions[next(iter(self._functions))]
+        self._open[call.number] = _Open(call, prior=call.prior)
+        self._timers.set(call.deadline_s + self.backstop_s, call.number)
         self._decide(
             api.Request(
                 call.number,
@@ -289,7 +304,7 @@
         except Exception:
             # The calls it concerns are answered by their backstops; the others go on.
             self.counts.faults += 1
-            log.exception("decision failed", kind=type(event).__name__)
+            self._log.exception("decision failed", kind=type(event).__name__)
             return
         if self._recorder is not None:
             self._recorder.record(self._now, event, actions)
@@ -315,10 +330,16 @@
             self._answer(action.request, Ending.FAILED, 0.0)
         elif isinstance(action, api.Load):
             self.counts.orders += 1
-            dispatcher.load(action.worker, self._functions[action.function], action.copies)
+            spec = self._functions.get(action.function)
+            if spec is not None:
+                dispatcher.load(action.worker, spec, action.copies)
+            else:
+                self.tell(OrderEnd(action.worker, api.Result.ERROR, 0.0, action.function))
         elif isinstance(action, api.Unload):
             self.counts.orders += 1
-            dispatcher.unload(action.worker, self._functions[action.function])
+            spec = self._functions.get(action.function)
+            if spec is not None:
+                dispatcher.unload(action.worker, spec)
         elif isinstance(action, api.Probe):
             dispatcher.probe(action.worker)
         elif isinstance(action, api.Cancel):
@@ -326,7 +347,7 @@
             if opened_ is not None:
                 dispatcher.cancel(opened_.call, action.attempt)
         elif isinstance(action, api.Log):
-            log.info("module", text=action.text)
+            self._log.info("module", text=action.text)
         # Watch and FetchList: this list is told without asking.
 
     def _answer(self, request: int, ending: Ending, stay_away_s: float) -> None:
@@ -351,10 +372,10 @@
     def _backstop(self, opened: _Open) -> None:
         """Past the deadline and unanswered: the engine's own answer, by the same rule as the module's."""
         call = opened.call
-        if call.settled or self._open.get(call.number) is not opened:
+        if call.settled:
             return
         self.counts.backstops += 1
-        log.warning("answered by the backstop", request_id=call.request_id)
+        self._log.warning("answered by the backstop", request_id=call.request_id)
         ran = opened.may_have_run() is not None
         safe = self.settings.classes[call.function.class_index].effect is api.Effect.SAFE
         ending = Ending.FAILED if ran and not safe else Ending.REFUSED
--- a/saffronstack/core/roster.py
+++ b/saffronstack/core/roster.py
@@ -39,10 +39,9 @@
     def told(self, now: float, wall: float, specs: Iterable[WorkerSpec]) -> ListUpdate:
         """The whole list was told anew at ``now`` (monotonic) and ``wall`` (Unix seconds)."""
         self.version += 1
-        self.specs = {spec.number: spec for spec in specs}
-        entries = {}
-        for spec in self.specs.values():
-            entries[spec.number] = self._entry(now, wall, spec)
+        listed = {spec.number: spec for spec in specs}
+        entries = {number: self._entry(now, wall, spec) for number, spec in listed.items()}
+        self.specs = listed
         gone = [
             replace(entry, state=WorkerState.GONE)
             for number, entry in self.entries.items()
@@ -66,8 +65,8 @@
             if entry is not None:
                 changes.append(replace(entry, state=WorkerState.GONE))
         for spec in specs:
-            self.specs[spec.number] = spec
             entry = self.entries[spec.number] = self._entry(now, wall, spec)
+            self.specs[spec.number] = spec
             changes.append(entry)
         return ListUpdate(ListKind.CHANGE, tuple(changes), self.version)
 
@@ -76,6 +75,9 @@
         known = self.entries.get(spec.number)
         if known is not None:  # what the worker itself said of its start may be later than the list's
             since_s = max(since_s, known.since_s)
+            told = self.specs.get(spec.number)
+            if told is not None and told.started_at == spec.started_at:
+                since_s = known.since_s  # the same start: clocks that drift make no new one
         state = WorkerState.DRAINING if spec.draining else WorkerState.READY
         return WorkerEntry(spec.number, state, spec.size, spec.kind, spec.zone, spec.cell, since_s)
 
--- /dev/null
+++ b/saffronstack/directory/__init__.py
@@ -0,0 +1,1 @@
+"""The directory of hosts: DNS messages without I/O, membership, and the asker over UDP."""
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -71,6 +71,7 @@
             self._recorder,
             backstop_s=config.answer_margin_s / 2,
             open_most=limits.open_calls,
+            log=structlog.get_logger("saffronstack.engine"),
         )
         self._numbers = PlaceNumbers(config)
         self.meter: Meter | None = None
--- /dev/null
+++ b/saffronstack/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""The hosts' side: JSON lines, links that carry many requests, and the dispatcher over them."""
--- /dev/null
+++ b/saffronstack/hosts/dispatcher.py
@@ -0,0 +1,179 @@
+"""Carries out the engine's actions on the hosts' links."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable
+from itertools import count
+
+from saffronstack.core.calls import AttemptEnd, Call, FunctionSpec, Heard, OrderEnd
+from saffronstack.core.roster import WorkerSpec
+from saffronstack.hosts import codec
+from saffronstack.hosts.deadlines import Deadlines
+from saffronstack.hosts.items import Attempt, Item, Order, Tell
+from saffronstack.hosts.link import LinkLimits
+from saffronstack.hosts.pool import HostPool, LinkBudget
+from saffronstack.interface import Outcome, Result
+from saffronstack.net.outlet import Writer
+
+ORDER = 0  # the call number that orders have among what is out; calls count from 1
+
+
+class HostDispatcher:
+    """Pools by host number. `changed` is called before the engine hears of the same change, so that nothing
+    new leaves for a host that drains or is gone."""
+
+    def __init__(
+        self,
+        limits: LinkLimits,
+        budget: LinkBudget,
+        writer: Writer,
+        tell: Tell,
+        clock: Callable[[], float],
+        order_timeout_s: float,
+    ) -> None:
+        self._limits = limits
+        self._budget = budget
+        self._writer = writer
+        self._tell = tell
+        self._clock = clock
+        self._order_timeout_s = order_timeout_s
+        self._lock = threading.Lock()
+        self._pools: dict[int, HostPool] = {}
+        self._out: dict[tuple[int, int], Item] = {}
+        self._orders = count(1)
+        self.deadlines = Deadlines(clock, self)
+
+    def start(self) -> None:
+        """Start its threads."""
+        self.deadlines.start()
+
+    def stop(self) -> None:
+        """End every pool and its threads."""
+        self.deadlines.stop()
+        with self._lock:
+            pools, self._pools = list(self._pools.values()), {}
+        for pool in pools:
+            pool.end()
+            for link in pool.links:
+                link.abort()
+
+    def changed(self, specs: Iterable[WorkerSpec], gone: Iterable[int]) -> None:
+        """Hosts that are new or changed, and numbers of those that are gone. A number that returns at
+        another address is another host: nothing of the old one serves it."""
+        ended = []
+        with self._lock:
+            for number in gone:
+                pool = self._pools.pop(number, None)
+                if pool is not None:
+                    ended.append(pool)
+            for spec in specs:
+                known = self._pools.get(spec.number)
+                if known is not None and (known.spec.host, known.spec.port) != (spec.host, spec.port):
+                    ended.append(known)
+                    known = None
+                if known is None:
+                    known = HostPool(
+                        spec, self._limits, self._budget, self._writer, self._clock, self._spare
+                    )
+                    self._pools[spec.number] = known
+                known.spec = spec
+                known.closed = spec.draining
+            most = max(1, min(self._limits.streams, self._budget.most // max(1, len(self._pools))))
+            for pool in self._pools.values():
+                pool.most = most
+        for pool in ended:
+            pool.end()
+
+    @property
+    def out(self) -> int:
+        """Attempts and orders without an end."""
+        return len(self._out)
+
+    @property
+    def links(self) -> int:
+        """Links that are open or closing."""
+        return self._budget.taken
+
+    def _spare(self) -> None:
+        """Close one link that nothing uses, at the host with most links."""
+        with self._lock:
+            pools = sorted(self._pools.values(), key=lambda pool: -len(pool.links))
+        for pool in pools:
+            for link in pool.links:
+                if not link.open:
+                    link.retire()
+                    return
+
+    # ---- the engine's dispatcher
+
+    def send(self, call: Call, attempt: int, worker: int, timeout_s: float) -> None:
+        """Start an attempt."""
+        deadline_s = call.deadline_s
+        if timeout_s > 0:
+            deadline_s = min(deadline_s, self._clock() + timeout_s)
+        pool = self._pools.get(worker)
+        if pool is None:
+            outcome = Outcome(call.number, attempt, worker, Result.MOOT, 0.0, call.settled)
+            self._tell(AttemptEnd(call, outcome, reason="the host has left the list"))
+            return
+        item = Attempt(call, attempt, pool, deadline_s, self._ended, self._clock)
+        self._submit((call.number, attempt), item, pool)
+
+    def _submit(self, key: tuple[int, int], item: Item, pool: HostPool) -> None:
+        self._out[key] = item
+        self.deadlines.set(item.deadline_s, key)
+        if not pool.submit(item):
+            item.broke(Result.MOOT, "no link to the host can be had")
+
+    def _ended(self, what: AttemptEnd | OrderEnd | Heard) -> None:
+        if isinstance(what, AttemptEnd):
+            self._out.pop((what.call.number, what.outcome.attempt), None)
+        self._tell(what)
+
+    def cancel(self, call: Call, attempt: int) -> None:
+        """Stop waiting for an attempt; the host is told."""
+        self._give_up((call.number, attempt), Result.CANCELLED, "cancelled")
+
+    def expire(self, key: tuple[int, int]) -> None:
+        """It is overdue, unless it has ended already."""
+        self._give_up(key, Result.TIMEOUT, "no answer in time")
+
+    def _give_up(self, key: tuple[int, int], result: Result, reason: str) -> None:
+        item = self._out.get(key)
+        if item is not None and item.link is not None:
+            item.link.give_up(item, result, reason)
+
+    def probe(self, worker: int) -> None:
+        """Ask whether the connection works; ends in one `OrderEnd`."""
+        self._order(worker, None, 0)
+
+    def load(self, worker: int, function: FunctionSpec, copies: int) -> None:
+        """Order copies; ends in one `OrderEnd`."""
+        self._order(worker, function, copies)
+
+    def _order(self, worker: int, function: FunctionSpec | None, copies: int) -> None:
+        pool = self._pools.get(worker)
+        if pool is None:
+            number = None if function is None else function.number
+            self._tell(OrderEnd(worker, Result.CONNECT_FAILED, 0.0, number))
+            return
+        ticket = next(self._orders)
+        key = ORDER, ticket
+        deadline_s = self._clock() + self._order_timeout_s
+
+        def ended(what: AttemptEnd | OrderEnd | Heard) -> None:
+            self._out.pop(key, None)
+            self._tell(what)
+
+        order = Order(f"order-{ticket}", function, copies, pool, deadline_s, ended, self._clock)
+        self._submit(key, order, pool)
+
+    def unload(self, worker: int, function: FunctionSpec) -> None:
+        """Order idle copies out; no end is told."""
+        pool = self._pools.get(worker)
+        if pool is None or pool.closed:
+            return
+        for link in pool.links:
+            if link.post(codec.unload_line(function.name)):
+                return
--- /dev/null
+++ b/saffronstack/hosts/items.py
@@ -0,0 +1,189 @@
+"""What goes out to hosts and is answered: attempts and orders, each with exactly one end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from saffronstack.core.calls import Answer, AttemptEnd, Call, Ending, Final, FunctionSpec, Heard, OrderEnd
+from saffronstack.hosts import codec
+from saffronstack.interface import Found, Outcome, Report, Result
+from saffronstack.net.outlet import Left, Piece
+
+Tell = Callable[[AttemptEnd | OrderEnd | Heard], None]
+
+
+class Host(Protocol):
+    """What an item needs of the host that it goes to."""
+
+    number: int
+    name: str
+
+    @property
+    def closed(self) -> bool:
+        """Told as draining or gone: nothing new leaves for it."""
+        ...
+
+
+class Carrier(Protocol):
+    """The link that an item goes out on."""
+
+    def claim(self, item: Item) -> bool:
+        """Whether its first byte may leave."""
+        ...
+
+    def passed_over(self, item: Item) -> None:
+        """It no longer stood when its first byte was to leave."""
+        ...
+
+    def give_up(self, item: Item, result: Result, reason: str) -> None:
+        """Stop waiting for it."""
+        ...
+
+
+class Item(Piece):
+    """Something that goes out on a link under a tag. `Link` calls `ended` exactly once."""
+
+    __slots__ = ("clock", "deadline_s", "host", "leaving", "link", "over", "sent_s", "tag", "tell")
+
+    def __init__(
+        self, data: bytes, tag: str, host: Host, deadline_s: float, tell: Tell, clock: Callable[[], float]
+    ) -> None:
+        super().__init__(data)
+        self.tag = tag
+        self.host = host
+        self.deadline_s = deadline_s
+        self.tell = tell
+        self.clock = clock
+        self.sent_s = clock()
+        self.link: Carrier | None = None
+        self.over = False  # its end is told, or it is given up: no byte may leave any more
+        self.leaving = False  # its first byte may have left
+
+    def stands(self) -> bool:
+        """Whether its first byte may leave now."""
+        return not self.host.closed and self.clock() < self.deadline_s and self.claimed()
+
+    def claimed(self) -> bool:
+        """Whether nobody gave it up before its first byte; from then on nobody takes it for unsent."""
+        return self.link is None or self.link.claim(self)
+
+    def passed_over(self) -> None:
+        """It did not stand: no byte of it leaves."""
+        if self.link is not None:
+            self.link.passed_over(self)
+
+    def answered(self, answer: codec.HostAnswer) -> None:
+        """The host's answer came."""
+        raise NotImplementedError
+
+    def broke(self, result: Result, reason: str) -> None:
+        """It ended without an answer."""
+        raise NotImplementedError
+
+    def lost(self) -> Result:
+        """How it ends where its link ends under it: a line that never left whole was never read."""
+        return Result.RESET if self.left is Left.WHOLE else Result.CONNECT_FAILED
+
+
+class Attempt(Item):
+    """One attempt of a call."""
+
+    __slots__ = ("call", "number")
+
+    def __init__(
+        self,
+        call: Call,
+        number: int,
+        host: Host,
+        deadline_s: float,
+        tell: Tell,
+        clock: Callable[[], float],
+    ) -> None:
+        wait_ms = max(1, int((deadline_s - clock()) * 1000))
+        line = codec.call_line(call.request_id, call.class_name, call.function.name, wait_ms, call.payload)
+        super().__init__(line, call.request_id, host, deadline_s, tell, clock)
+        self.call = call
+        self.number = number
+
+    def stands(self) -> bool:
+        """Nothing is sent for a call that has its final answer."""
+        return not self.call.settled and super().stands()
+
+    def answered(self, answer: codec.HostAnswer) -> None:
+        """Served calls are answered here, on the link's thread: the decision thread need not come first."""
+        result = codec.RESULTS.get(answer.word)
+        if result is None:  # UP, to something that was no PING
+            self.broke(self.lost(), "an answer that belongs to no call")
+            return
+        kept = None
+        if result is Result.OK:
+            kept = Answer(answer.body)
+            final = Final(Ending.SERVED, answer.body, attempts=self.number + 1, worker=self.host.name)
+            self.call.settle(final)
+        crowd = (answer.crowd or 0) if result in (Result.OK, Result.FULL) else None
+        self._end(result, answer.found, crowd, answer.report, kept)
+
+    def broke(self, result: Result, reason: str) -> None:
+        """It ended without an answer."""
+        self._end(result, reason=reason)
+
+    def _end(
+        self,
+        result: Result,
+        found: Found = Found.UNTOLD,
+        crowd: int | None = None,
+        report: Report | None = None,
+        answer: Answer | None = None,
+        reason: str = "",
+    ) -> None:
+        outcome = Outcome(
+            self.call.number,
+            self.number,
+            self.host.number,
+            result,
+            self.clock() - self.sent_s,
+            self.call.settled,
+            found,
+            crowd,
+            report,
+        )
+        self.tell(AttemptEnd(self.call, outcome, answer, reason))
+
+
+class Order(Item):
+    """An order to load, or a question whether a connection works (no function)."""
+
+    __slots__ = ("copies", "function")
+
+    def __init__(
+        self,
+        tag: str,
+        function: FunctionSpec | None,
+        copies: int,
+        host: Host,
+        deadline_s: float,
+        tell: Tell,
+        clock: Callable[[], float],
+    ) -> None:
+        line = codec.ping_line(tag) if function is None else codec.load_line(tag, function.name, copies)
+        super().__init__(line, tag, host, deadline_s, tell, clock)
+        self.function = function
+        self.copies = copies
+
+    def stands(self) -> bool:
+        """Asking alone is no load: it may go to a host that drains."""
+        return super().stands() if self.copies else self.claimed()
+
+    def answered(self, answer: codec.HostAnswer) -> None:
+        """Whether the copies stand."""
+        result = codec.RESULTS.get(answer.word, Result.OK if answer.word == codec.UP else Result.ERROR)
+        self._end(result, answer.copies, answer.report)
+
+    def broke(self, result: Result, reason: str) -> None:
+        """It ended without an answer."""
+        self._end(result, 0, None)
+
+    def _end(self, result: Result, copies: int, report: Report | None) -> None:
+        number = None if self.function is None else self.function.number
+        self.tell(OrderEnd(self.host.number, result, self.clock() - self.sent_s, number, copies, report))
--- /dev/null
+++ b/saffronstack/hosts/link.py
@@ -0,0 +1,234 @@
+"""One connection to a host, carrying many requests; its thread connects, reads and ends what is open."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from saffronstack.core.threads import spawn
+from saffronstack.hosts import codec
+from saffronstack.hosts.items import Item
+from saffronstack.interface import Result
+from saffronstack.net.outlet import Outlet, Piece, Writer
+from saffronstack.net.stream import Stream
+
+ABANDONED_MOST = 32  # tags given up on a link that may still be answered; then it takes nothing new
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLimits:
+    """Bounds of one link; times in seconds, sizes in bytes."""
+
+    streams: int = 32
+    connect_timeout_s: float = 0.25
+    idle_s: float = 24.0
+    line_bytes: int = 128 * 1024
+    outbox_bytes: int = 256 * 1024
+    stall_s: float = 3.0
+    read_bytes: int = 16 * 1024
+
+
+class Link:
+    """Whoever takes an item out of ``_open`` under the lock ends it: so it ends once."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        limits: LinkLimits,
+        writer: Writer,
+        clock: Callable[[], float],
+        on_end: Callable[[Link], None],
+    ) -> None:
+        """``on_end`` hears on the link's thread that it is closed and everything on it ended."""
+        self._address = address
+        self._limits = limits
+        self._writer = writer
+        self._clock = clock
+        self._on_end = on_end
+        self._lock = threading.Lock()
+        self._open: dict[str, Item] = {}
+        self._early: list[Item] = []  # until it is connected
+        self._abandoned: set[str] = set()
+        self._stream: Stream | None = None
+        self._outlet: Outlet | None = None
+        self._closed = False  # takes nothing more
+        self._retired = False  # takes nothing more, and closes once nothing is open
+        self.reason = ""  # why it ended, where it broke
+        self.heard_s = clock()
+
+    def start(self) -> None:
+        """Connect and read on a thread of its own; RuntimeError where there is none."""
+        spawn("link", self._run)
+
+    @property
+    def open(self) -> int:
+        """Items without an end."""
+        return len(self._open)
+
+    def takes(self, tag: str) -> bool:
+        """Whether an item under this tag can go out on it."""
+        return not (
+            self._closed
+            or self._retired
+            or len(self._open) >= self._limits.streams
+            or tag in self._open
+            or tag in self._abandoned
+            or len(self._abandoned) >= ABANDONED_MOST
+        )
+
+    # ---- from any thread
+
+    def submit(self, item: Item) -> bool:
+        """Send it; it ends exactly once. False: nothing was taken, the link is closed."""
+        with self._lock:
+            if not self.takes(item.tag):
+                return False
+            self._open[item.tag] = item
+            item.link = self
+            outlet = self._outlet
+            if outlet is None:
+                self._early.append(item)
+                return True
+        self._write(outlet, item)
+        return True
+
+    def _write(self, outlet: Outlet, item: Item) -> None:
+        if not outlet.send(item) and self._take(item):
+            item.broke(item.lost(), "the link takes nothing more")
+
+    def post(self, data: bytes) -> bool:
+        """Send bytes that are not answered; False where it takes nothing."""
+        outlet = self._outlet
+        return outlet is not None and outlet.send(Piece(data))
+
+    def give_up(self, item: Item, result: Result, reason: str) -> None:
+        """Stop waiting for it. One that never left never ran; the host is told of one that did."""
+        if not self._take(item, abandon=True):
+            return
+        if not item.leaving:
+            result = Result.MOOT if result is Result.CANCELLED else Result.CONNECT_FAILED
+        else:
+            self.post(codec.cancel_line(item.tag))
+        item.broke(result, reason)
+        self._maybe_close()
+
+    def claim(self, item: Item) -> bool:
+        """Whether its first byte may leave. From here on it counts as one that may have run: giving up and
+        leaving are decided under one lock, or a call could be taken for one that never left."""
+        with self._lock:
+            item.leaving = not item.over
+            return item.leaving
+
+    def passed_over(self, item: Item) -> None:
+        """It no longer stood when its first byte was to leave."""
+        if self._take(item):
+            item.broke(Result.MOOT, "no longer wanted when it was to be sent")
+            self._maybe_close()
+
+    def retire(self) -> None:
+        """Take nothing more; close once nothing is open."""
+        self._retired = True
+        self._maybe_close()
+
+    def abort(self) -> None:
+        """Close it now; what is open ends as lost."""
+        self._closed = True
+        stream = self._stream
+        if stream is not None:
+            stream.abort()
+
+    def _take(self, item: Item, abandon: bool = False) -> bool:
+        """Whether the caller is the one who ends the item."""
+        with self._lock:
+            if self._open.get(item.tag) is not item:
+                return False
+            del self._open[item.tag]
+            item.over = True
+            if abandon and item.leaving:
+                self._abandoned.add(item.tag)
+        return True
+
+    def _maybe_close(self) -> None:
+        if (self._retired or len(self._abandoned) >= ABANDONED_MOST) and not self._open:
+            self.abort()
+
+    # ---- its thread
+
+    def _run(self) -> None:
+        try:
+            if self._connect():
+                self._read()
+        except codec.HostError as error:
+            self.reason = f"unreadable: {error}"
+        except OSError as error:
+            self.reason = str(error)
+        finally:
+            self._end()
+
+    def _connect(self) -> bool:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(self._limits.connect_timeout_s)
+            sock.connect(self._address)
+        except OSError:
+            sock.close()
+            raise
+        stream = Stream(sock)
+        outlet = Outlet(sock, self._writer, self._limits.outbox_bytes, self._limits.stall_s, self._clock)
+        self.heard_s = self._clock()
+        with self._lock:
+            self._stream, self._outlet = stream, outlet
+            early, self._early = self._early, []
+        for item in early:
+            self._write(outlet, item)
+        return not self._closed
+
+    def _read(self) -> None:
+        stream = self._stream
+        assert stream is not None
+        lines = codec.LineReader(self._limits.line_bytes)
+        while True:
+            try:
+                data = stream.receive(self._limits.idle_s, self._limits.read_bytes)
+            except TimeoutError:
+                with self._lock:
+                    if self._open:
+                        continue
+                    self._closed = True
+                return
+            if not data:
+                self.reason = "closed by the host"
+                return
+            self.heard_s = self._clock()
+            for line in lines.feed(data):
+                self._heard(codec.answer_of(line))
+
+    def _heard(self, answer: codec.HostAnswer) -> None:
+        with self._lock:
+            item = self._open.pop(answer.tag, None)
+            if item is None:  # late, or no one's: dropped
+                self._abandoned.discard(answer.tag)
+                return
+            item.over = True
+        item.answered(answer)
+        if self._retired:
+            self._maybe_close()
+
+    def _end(self) -> None:
+        with self._lock:
+            self._closed = True
+            lost, self._open = list(self._open.values()), {}
+            self._early = []
+            self._abandoned = set()
+        if self._outlet is not None:
+            self._outlet.end()
+        if self._stream is not None:
+            self._stream.close()
+        for item in lost:
+            item.over = True
+            with contextlib.suppress(Exception):  # the others must end all the same
+                item.broke(item.lost(), self.reason or "the link ended")
+        self._on_end(self)
--- /dev/null
+++ b/saffronstack/hosts/pool.py
@@ -0,0 +1,125 @@
+"""One host's links, and the budget of descriptors that all hosts' links share."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from saffronstack.core.roster import WorkerSpec
+from saffronstack.hosts.items import Item
+from saffronstack.hosts.link import Link, LinkLimits
+from saffronstack.net.outlet import Writer
+
+
+class LinkBudget:
+    """How many links may be open at all hosts together."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self._lock = threading.Lock()
+        self._taken = 0
+
+    @property
+    def taken(self) -> int:
+        """Links that are open or closing."""
+        return self._taken
+
+    def take(self, at_all_costs: bool = False) -> bool:
+        """One more, unless there is no room; a host's first link is had at all costs."""
+        with self._lock:
+            if self._taken >= self.most and not at_all_costs:
+                return False
+            self._taken += 1
+            return True
+
+    def give(self) -> None:
+        """One fewer."""
+        with self._lock:
+            self._taken -= 1
+
+
+class HostPool:
+    """Submitted to by the decision thread alone; links leave it on their own threads."""
+
+    def __init__(
+        self,
+        spec: WorkerSpec,
+        limits: LinkLimits,
+        budget: LinkBudget,
+        writer: Writer,
+        clock: Callable[[], float],
+        spare: Callable[[], None],
+    ) -> None:
+        """``spare`` closes a link somewhere that nothing uses, where the budget is spent."""
+        self.spec = spec
+        self.number = spec.number
+        self.name = spec.name
+        self.closed = spec.draining  # nothing new leaves, whatever was queued
+        self.most = 1
+        self._limits = limits
+        self._budget = budget
+        self._writer = writer
+        self._clock = clock
+        self._spare = spare
+        self._lock = threading.Lock()
+        self._links: list[Link] = []
+
+    @property
+    def links(self) -> list[Link]:
+        """Those that stand now, least recently opened first."""
+        with self._lock:
+            return list(self._links)
+
+    def submit(self, item: Item) -> bool:
+        """Send it on a link that nothing else is open on, a new one, or the one with least on it.
+
+        What breaks a link breaks all that is open on it, so calls share one only where the budget is spent.
+        False: no link can be had, nothing was sent."""
+        for _ in range(8):  # a link may close between its choice and the sending
+            link = self._choose(item.tag)
+            if link is None:
+                return False
+            if link.submit(item):
+                return True
+        return False
+
+    def _choose(self, tag: str) -> Link | None:
+        best: Link | None = None
+        for link in reversed(self.links):
+            if link.takes(tag):
+                if not link.open:
+                    return link
+                if best is None or link.open < best.open:
+                    best = link
+        if best is None or len(self._links) < self.most:
+            best = self._open(at_all_costs=best is None) or best
+        return best
+
+    def _open(self, at_all_costs: bool) -> Link | None:
+        if not self._budget.take():
+            self._spare()
+            if not at_all_costs:
+                return None
+            self._budget.take(at_all_costs=True)
+        address = self.spec.host, self.spec.port
+        link = Link(address, self._limits, self._writer, self._clock, self._link_ended)
+        with self._lock:
+            self._links.append(link)
+        try:
+            link.start()
+        except RuntimeError:  # no thread to be had
+            self._link_ended(link)
+            return None
+        return link
+
+    def _link_ended(self, link: Link) -> None:
+        with self._lock:
+            if link in self._links:
+                self._links.remove(link)
+        self._budget.give()
+
+    def end(self) -> None:
+        """The host is gone: links close once nothing is open on them."""
+        self.closed = True
+        for link in self.links:
+            link.retire()
--- /dev/null
+++ b/saffronstack/platform/__main__.py
@@ -0,0 +1,47 @@
+"""`python -m saffronstack.platform`: one gateway of the platform, in the foreground."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+
+from saffronstack.core.logs import PlainLog
+from saffronstack.platform.config import ConfigError, read
+from saffronstack.platform.service import Service
+
+SIGNALS = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
+
+
+def main() -> int:
+    """Run until SIGTERM or SIGINT; SIGHUP rereads the configuration. 0 at the end, 2 where it can't run."""
+    # Blocked here and so in every thread: the main thread takes them one by one, and none is an interruption.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    log = PlainLog(os.environ.get("LB_NAME", "gateway"))
+    path = os.environ.get("LB_CONFIG", "")
+    if not path:
+        log.warning("LB_CONFIG names no configuration")
+        return 2
+    try:
+        service = Service(read(path), log=log)
+    except (ConfigError, OSError) as error:
+        log.warning("can't start", why=str(error))
+        return 2
+    service.start()
+    gc.collect()
+    gc.freeze()
+    log.info("takes calls", address=service.front.address, budget=service.budget)
+    while signal.sigwait(SIGNALS) == signal.SIGHUP:
+        try:
+            service.reread(path)
+        except Exception:
+            log.exception("the configuration could not be read again")
+    log.info("stops once nothing is open")
+    clean = service.stop()
+    log.info("stopped", clean=clean, **service.summary())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/saffronstack/platform/budget.py
@@ -0,0 +1,27 @@
+"""How a gateway's descriptors and memory are divided, so that no side can starve another. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+OWN = 24  # standard streams, listener, directory, writer, configuration file, and some in reserve
+CLIENT_PART = 0.42  # usual clients use at most a third; the rest is room for those that are being closed
+MEMORY_PART = 0.15  # of the memory that open calls' bodies may take
+CALL_BYTES = 2 * 16384  # a call's body and its line to a host
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """Connections and calls that may be open at once."""
+
+    clients: int
+    links: int
+    calls: int
+
+
+def divide(sockets: int, memory_mb: float, open_most: int) -> Budget:
+    """Shares of the descriptors and of the memory, each at least one."""
+    free = max(2, sockets - OWN)
+    clients = max(1, int(free * CLIENT_PART))
+    calls = int(memory_mb * 1024 * 1024 * MEMORY_PART / CALL_BYTES)
+    return Budget(clients, max(1, free - clients), max(32, min(open_most, calls)))
--- /dev/null
+++ b/saffronstack/platform/calls.py
@@ -0,0 +1,67 @@
+"""From a client's frame to a call of the engine: names become numbers, figures are checked. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from saffronstack import interface as api
+from saffronstack.core.calls import Call, FunctionSpec
+from saffronstack.resp import frames
+
+TIMEOUT_MOST_MS = 600_000
+MEMORY_MOST_MB = 1e7
+LANES_MOST = 4096
+MARGIN_S = 0.03  # the answer leaves this long before the client's time is up: it has a way to go
+
+
+class CallMaker:
+    """What a call frame asks, by the settings."""
+
+    def __init__(
+        self, settings: api.Settings, next_number: Callable[[], int], clock: Callable[[], float]
+    ) -> None:
+        self._classes = {cls.name: place for place, cls in enumerate(settings.classes)}
+        self._deadlines = [cls.deadline_s for cls in settings.classes]
+        self._tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
+        self._next_number = next_number
+        self._clock = clock
+
+    def call(self, frame: frames.CallFrame) -> Call:
+        """The call; `frames.FieldError` where it names what there is not, or a figure is out of range."""
+        fields = frame.fields
+        request_id = frames.request_id(fields)
+        subject = frames.subject(fields)
+        class_index = self._classes.get(frame.class_name)
+        if class_index is None:
+            raise frames.FieldError("an unknown class")
+        tenant = 0
+        if self._tenants:
+            place = self._tenants.get(fields.get("owner", ""))
+            if place is None:
+                raise frames.FieldError("an unknown owner")
+            tenant = place
+        wait_s = frames.number(fields, "timeout", 1, TIMEOUT_MOST_MS, None) / 1000
+        wait_s = min(wait_s, self._deadlines[class_index])
+        facts = frames.fields_of(fields.get("facts", "").encode(), ";", ":")
+        memory_mb = frames.number(facts, "memory_mb", 0, MEMORY_MOST_MB, 0.0)
+        lanes = frames.number(facts, "lanes", 1, LANES_MOST, 1.0)
+        load_ms = frames.number(facts, "load_ms", 0, TIMEOUT_MOST_MS, 0.0)
+        spec = FunctionSpec(
+            subject,
+            int(subject, 16),
+            class_index,
+            memory_mb,
+            int(lanes),
+            load_ms / 1000 if load_ms > 0 else None,
+        )
+        return Call(
+            self._next_number(),
+            request_id,
+            spec,
+            frame.body,
+            self._clock() + wait_s - min(MARGIN_S, wait_s / 4),
+            tenant,
+            class_name=frame.class_name,
+        )
+
+
--- /dev/null
+++ b/saffronstack/platform/config.py
@@ -0,0 +1,120 @@
+"""The configuration that the platform hands a gateway."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from saffronstack import interface as api
+from saffronstack.checks import check_settings
+from saffronstack.directory.membership import Change, Membership, take_known
+from saffronstack.settings import SettingsError, parse_settings
+
+CONFIG_BYTES = 8 * 1024 * 1024
+DIRECTORY_PORT = 5353
+
+
+class ConfigError(ValueError):
+    """The configuration can't be used; the text names the part."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the gateway may use."""
+
+    cores: float
+    memory_mb: float
+    sockets: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformConfig:
+    """One reading of the configuration file; times in seconds."""
+
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    limits: Limits
+    nameserver: tuple[str, int]
+    known: Mapping[str, Any]
+    settings: api.Settings
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    streams: int  # requests that one connection to a host may carry
+    idle_s: float  # idle connections to hosts are closed after this long
+    open_most: int
+
+    def membership(self) -> tuple[Membership, Change]:
+        """The list of the start; ConfigError."""
+        membership = Membership(self.zones, self.kinds)
+        try:
+            return membership, take_known(membership, self.known)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise ConfigError(f"known: {error!r}") from error
+
+
+def read(path: str) -> PlatformConfig:
+    """The file's configuration; ConfigError, also where it can't be read."""
+    try:
+        with open(path, "rb") as file:
+            content = file.read(CONFIG_BYTES + 1)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from error
+    if len(content) > CONFIG_BYTES:
+        raise ConfigError(f"{path}: over {CONFIG_BYTES} bytes")
+    return parse(content)
+
+
+def parse(content: bytes) -> PlatformConfig:
+    """The configuration in these bytes; ConfigError."""
+    try:
+        raw = msgspec.json.decode(content)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ConfigError(f"not JSON: {error}") from error
+    if not isinstance(raw, dict):
+        raise ConfigError("not a JSON object")
+    try:
+        return _config(raw)
+    except SettingsError as error:
+        raise ConfigError(str(error)) from error
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"malformed: {error!r}") from error
+
+
+def _config(raw: Mapping[str, Any]) -> PlatformConfig:
+    told = raw["settings"]
+    settings, _ = parse_settings(msgspec.json.encode(told).decode())
+    check_settings(settings)
+    permit = told.get("Permissions") or {}
+    limits = raw.get("limits") or {}
+    return PlatformConfig(
+        str(raw.get("name", "")),
+        address(raw["listen"]),
+        int(str(raw["seed"]), 16),
+        Limits(
+            float(limits.get("cores", 1.0)),
+            float(limits.get("memory_mb", 192)),
+            int(limits.get("sockets", 1024)),
+        ),
+        address(raw["nameserver"]),
+        raw.get("known") or {},
+        settings,
+        tuple(str(name) for name in told.get("Areas") or ()),
+        tuple(str(name) for name in told.get("Kinds") or ()),
+        max(1, int(permit.get("StreamsPerConn", 1))),
+        float(permit.get("IdleCloseS", 30)),
+        max(1, int(permit.get("MaxOpen", 20000))),
+    )
+
+
+def address(text: object) -> tuple[str, int]:
+    """HOST:PORT; ValueError."""
+    host, found, port = str(text).rpartition(":")
+    if not found:
+        host, port = str(text), str(DIRECTORY_PORT)
+    if not host or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
--- /dev/null
+++ b/saffronstack/resp/__init__.py
@@ -0,0 +1,1 @@
+"""The clients' frames: RESP arrays of bulk strings, read and written without I/O."""
--- /dev/null
+++ b/saffronstack/resp/reader.py
@@ -0,0 +1,107 @@
+"""RESP arrays of bulk strings out of bytes that come in any pieces; bounded, without I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+NUMBER_MOST = 16  # characters of a length line
+
+
+class RespError(ValueError):
+    """The bytes are no request that can be taken; nothing after them can be read."""
+
+    def __init__(self, text: str, words: tuple[bytes, ...] = ()) -> None:
+        """``words``: those of the broken request that came whole before it broke."""
+        super().__init__(text)
+        self.words = words
+
+
+@dataclass(frozen=True, slots=True)
+class RespLimits:
+    """Bounds of one request."""
+
+    words: int = 8
+    word_bytes: int = 2048  # every word but the last
+    body_bytes: int = 16384  # the last
+
+
+class RespReader:
+    """Feed it what came, take requests until None; memory is bounded by one request and one feed."""
+
+    def __init__(self, limits: RespLimits | None = None) -> None:
+        self._limits = limits or RespLimits()
+        self._buffer = bytearray()
+        self._at = 0
+        self._count = 0  # words of the request that is being read; 0 between requests
+        self._words: list[bytes] = []
+        self._length = -1  # of the word that is being read
+
+    @property
+    def pending(self) -> bool:
+        """Whether part of a request has come."""
+        return bool(self._count) or self._at < len(self._buffer)
+
+    def feed(self, data: bytes) -> None:
+        """Bytes that came."""
+        if self._at:
+            del self._buffer[: self._at]
+            self._at = 0
+        self._buffer += data
+
+    def next(self) -> tuple[bytes, ...] | None:
+        """The next whole request, None where more bytes are needed; RespError."""
+        if not self._count:
+            count = self._number(b"*", self._limits.words)
+            if count is None:
+                return None
+            if count < 1:
+                raise RespError("an empty request")
+            self._count = count
+        while len(self._words) < self._count:
+            if self._length < 0:
+                last = len(self._words) == self._count - 1
+                limits = self._limits
+                length = self._number(b"$", limits.body_bytes if last else limits.word_bytes)
+                if length is None:
+                    return None
+                self._length = length
+            end = self._at + self._length
+            if len(self._buffer) < end + 2:
+                return None
+            if self._buffer[end : end + 2] != b"\r\n":
+                raise RespError("a word longer than its length", tuple(self._words))
+            self._words.append(bytes(self._buffer[self._at : end]))
+            self._at = end + 2
+            self._length = -1
+        words = tuple(self._words)
+        self._words = []
+        self._count = 0
+        return words
+
+    def _number(self, sign: bytes, most: int) -> int | None:
+        buffer, at = self._buffer, self._at
+        end = buffer.find(b"\r\n", at, at + NUMBER_MOST + 3)
+        if end < 0:
+            if len(buffer) > at and buffer[at : at + 1] != sign:
+                raise RespError(f"{sign.decode()} expected", tuple(self._words))
+            if len(buffer) - at > NUMBER_MOST:
+                raise RespError("a length without an end", tuple(self._words))
+            return None
+        if buffer[at : at + 1] != sign:
+            raise RespError(f"{sign.decode()} expected", tuple(self._words))
+        digits = bytes(buffer[at + 1 : end])
+        if not digits.isdigit():
+            raise RespError("a length that is no number", tuple(self._words))
+        number = int(digits)
+        if number > most:
+            raise RespError(f"a length of {number}, {most} at most", tuple(self._words))
+        self._at = end + 2
+        return number
+
+
+def encode(words: tuple[bytes, ...]) -> bytes:
+    """Words as an array of bulk strings."""
+    parts = [b"*%d\r\n" % len(words)]
+    for word in words:
+        parts.append(b"$%d\r\n%b\r\n" % (len(word), word))
+    return b"".join(parts)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -10,7 +10,12 @@
 ROOT = pathlib.Path(__file__).parent.parent / "saffronstack"
 POLICY = {"choice", "interface", "checks"}
 MAY = {
-    "http1": {"http1"},
+    "net": {"net", "core"},
+    "resp": {"resp"},
+    "hosts": {"hosts", "net", "core", "settings"} | POLICY,
+    "directory": {"directory", "core"},
+    "platform": {"platform", "resp", "hosts", "directory", "net", "core", "settings"} | POLICY,
+    "http1": {"http1", "net"},
     "core": {"core"} | POLICY,
     "workers": {"workers", "core", "http1"} | POLICY,
     "config": {"config", "metering", "core"} | POLICY,
@@ -36,7 +41,7 @@
     "client": {"client", "invoke", "http1"},
     "standin": {"standin", "metering", "core", "http1"},
     "audit": {"audit"},
-    "bench": {"bench"} | POLICY,
+    "bench": {"bench", "settings"} | POLICY,
 }
 
 
@@ -80,7 +85,7 @@
 def test_the_bench_adapter_runs_on_the_standard_library() -> None:
     import sys
 
-    for path in [*(ROOT / "bench").glob("*.py"), *(ROOT / f"{name}.py" for name in POLICY)]:
+    for path in [*(ROOT / "bench").glob("*.py"), *(ROOT / f"{name}.py" for name in POLICY | {"settings"})]:
         for node in ast.walk(ast.parse(path.read_text())):
             module = node.module if isinstance(node, ast.ImportFrom) else None
             names = (
@@ -89,3 +94,15 @@
             for name in names:
                 top = str(name).split(".")[0]
                 assert top == "saffronstack" or top in sys.stdlib_module_names, (path, name)
+
+
+def test_the_platform_imports_no_other_front_and_no_heavy_library() -> None:
+    import subprocess
+    import sys
+
+    code = "import saffronstack.platform.__main__, sys; print(*sys.modules)"
+    listed = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    modules = set(listed.split())
+    parts = {name.split(".")[1] for name in modules if name.startswith("saffronstack.")}
+    assert parts <= MAY["platform"] - {"http1"} | POLICY, parts
+    assert not modules & {"structlog", "asyncio", "ssl", "json5", "click", "dns", "prometheus_client"}
