--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 import random
+from bisect import insort
 from collections import deque
 from dataclasses import dataclass, field
 from itertools import count
@@ -136,6 +137,8 @@
     sent_s: float
     warm: bool  # a loaded copy is expected
     strange: bool  # neither an entry nor the own account had a copy there
+    freed_s: float = 0.0  # of the entry that it took
+    broken: bool = False  # its connection ended, which says nothing of the copy
 
 
 @dataclass(eq=False, slots=True)
@@ -310,9 +313,11 @@
         ]
         part = PART_LEAST + (1 - PART_LEAST) * pending.value / self.value if self.value > 0 else 1.0
         open_ = {worker for worker in eligible if worker.warm_out < worker.limit * min(1.0, part)}
-        warm = self._pop(now, function, open_)
+        again = {a.worker for a in pending.attempts if a.broken and a.worker.ready and not a.worker.ejected}
+        warm = self._pop(now, function, open_) or self._pop(now, function, again)
         if warm is not None:
-            self._send(now, pending, warm, function, ask.function not in warm.loading)
+            worker, freed_s = warm
+            self._send(now, pending, worker, function, ask.function not in worker.loading, freed_s)
             return
         loads = sum(not attempt.warm for attempt in pending.attempts)
         if not eligible or loads >= LOAD_TRIES:
@@ -422,10 +427,13 @@
         else:
             self.actions.append(Fail(pending.ask.request))
 
-    def _send(self, now: float, pending: Pending, worker: Worker, function: Function, warm: bool) -> None:
+    def _send(
+        self, now: float, pending: Pending, worker: Worker, function: Function, warm: bool,
+        freed_s: float = 0.0,
+    ) -> None:
         ask = pending.ask
         strange = not warm and (worker.entry.worker, ask.function) not in self.holdings
-        attempt = Attempt(ask, len(pending.attempts), worker, now, warm, strange)
+        attempt = Attempt(ask, len(pending.attempts), worker, now, warm, strange, freed_s)
         function.busy += warm
         worker.warm_out += warm
         function.loads += not warm
@@ -505,7 +513,9 @@
             return worker.entry.zone == first.worker.entry.zone
         return worker.entry.cell == first.worker.entry.cell
 
-    def _pop(self, now: float, function: Function, eligible: set[Worker]) -> Worker | None:
+    def _pop(
+        self, now: float, function: Function, eligible: set[Worker]
+    ) -> tuple[Worker, float] | None:
         """The freshest entry at an eligible worker; dead and expired ones go."""
         stack = function.stack
         del stack[:-STACK_MOST]
@@ -515,8 +525,7 @@
                 del stack[:place + 1]
                 return None
             if worker in eligible:
-                del stack[place]
-                return worker
+                return stack.pop(place)
         return None
 
     def _holding(self, worker: Worker, ask: Request) -> Holding:
@@ -716,7 +725,12 @@
             self._load_ended(worker, function, ask.function)
             self._judge_load(now, event.result, event.elapsed_s if event.found is Found.BEGAN_LOAD else 0.0)
         loaded = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
-        if event.result is not Result.OK or loaded:
+        # A connection that ends tells nothing of the copy: its entry returns. Guards against resets that
+        # make standing copies unknown, whose calls then wait for loads; a dead worker is ejected meanwhile.
+        attempt.broken = event.result in (Result.RESET, Result.CONNECT_FAILED)
+        if attempt.broken and attempt.warm:
+            insort(stack, (worker, attempt.freed_s), key=lambda entry: entry[1])
+        elif event.result is not Result.OK or loaded:
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
             holding.used_s = now
--- a/tests/test_stack.py
+++ b/tests/test_stack.py
@@ -56,3 +56,30 @@
     gateway.end(100.1, number)
     gateway.ask(111.0, function=2, memory_mb=300.0)
     assert worker.placed_mb == 300.0
+
+
+def test_an_entry_whose_connection_ends_returns() -> None:
+    """A reset tells nothing of the copy: what was thrown away with it waited for loads of standing copies."""
+    gateway = Gateway(router(1, 2))
+    first, _ = gateway.ask(100.0)
+    home = gateway.where[first]
+    gateway.end(100.1, first)
+    second, _ = gateway.ask(101.0)
+    retried = sends(gateway.end(101.0, second, Result.RESET, Found.UNTOLD))
+    assert [send.worker for send in retried] == [home]  # no other copy is known, and a load takes longer
+    gateway.end(101.1, second)
+    third, actions = gateway.ask(101.2)
+    assert sends(actions)[0].worker == home
+    gateway.end(101.3, third, Result.CONNECT_FAILED, Found.UNTOLD)
+    assert [(worker.entry.worker, freed) for worker, freed in gateway.decider.functions[1].stack][:1] != []
+
+
+def test_a_worker_that_only_breaks_connections_is_passed_over() -> None:
+    gateway = Gateway(router(1, 2, 3))
+    first, _ = gateway.ask(100.0)
+    home = gateway.where[first]
+    gateway.end(100.1, first)
+    second, _ = gateway.ask(101.0)
+    gateway.end(101.0, second, Result.CONNECT_FAILED, Found.UNTOLD)
+    third = sends(gateway.end(101.1, second, Result.CONNECT_FAILED, Found.UNTOLD))
+    assert [send.worker for send in third] != [home] and third
