--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -26,6 +26,7 @@
 ALL = "all", 0  # the key that counts all requests
 KEEP_UNTOLD_S = 8.0  # how long an entry lives where no keep-alive is told
 RATE_SPAN_S = 15.0  # memory of own requests: all, a function's, a tenant's; it also sizes slow start
+FORGET_UNDER = 0.05  # recent requests under which a function that holds nothing is forgotten
 COLD_PART = 1.2  # of the own rate, for its share of capacity; workers can do more than the rate shows
 COLD_SPARE = 2.5  # deviations that are kept free for chance: other front ends send when they please
 WINDOW_MARGIN_S = 0.05  # a keyed repeat must arrive this long before its window ends
@@ -89,6 +90,7 @@
 
     entry: WorkerEntry
     ready: bool = False
+    listed: bool = False
     in_flight: int = 0
     placed_mb: float = 0.0
     warm_out: int = 0  # own sends to loaded copies in flight
@@ -171,6 +173,7 @@
         self.value = 0.0  # recent mean worth of a request
         self.norms: dict[int, float] = {}  # usual time of a warm answer, for each class
         self.eject_s = 0.0
+        self.sweep_s = 0.0
         self.orders: dict[tuple[int, int], list[Request]] = {}
         self.order_times: deque[float] = deque()  # both kept only where orders are rationed
         self.request_times: deque[float] = deque()
@@ -214,15 +217,19 @@
         if event.kind is not ListKind.CHANGE:
             named = {entry.worker for entry in event.workers}
             for number, worker in self.workers.items():
-                worker.ready = worker.ready and number in named
+                worker.listed = worker.listed and number in named
+                worker.ready = worker.ready and worker.listed
         for entry in event.workers:
-            known = entry.worker in self.workers
             worker = self.workers.setdefault(entry.worker, Worker(entry))
-            started = not known or entry.since_s > worker.entry.since_s
+            # One that was gone and returns holds nothing of what it held, whatever its start is told to be.
+            started = not worker.listed or entry.since_s > worker.entry.since_s
             worker.entry = entry
             if started:
                 self._started(now, worker)
             worker.ready = entry.state is WorkerState.READY
+            worker.listed = entry.state is not WorkerState.GONE
+        for number in [n for n, worker in self.workers.items() if not worker.listed]:
+            self._forget(number)
         ready = [worker.entry.size for worker in self.workers.values() if worker.ready]
         self.ready = len(ready)
         self.size = sum(ready)
@@ -234,6 +241,9 @@
             worker.warm_s = worker.entry.since_s + rules.cold_s
             worker.credit = self.random.random()
             worker.credit_s = now
+        self._void(worker)
+
+    def _void(self, worker: Worker) -> None:
         for (number, _), holding in self.holdings.items():
             if number == worker.entry.worker:
                 worker.placed_mb -= holding.copies * holding.memory_mb
@@ -241,9 +251,33 @@
         for function in self.functions.values():
             function.stack = [entry for entry in function.stack if entry[0] is not worker]
 
+    def _forget(self, number: int) -> None:
+        """A worker that is gone leaves no trace once nothing is out there: fleets change for ever."""
+        worker = self.workers[number]
+        self._void(worker)
+        if not worker.in_flight and not worker.loading:
+            for key in [key for key in self.holdings if key[0] == number]:
+                del self.holdings[key]
+            del self.workers[number]
+
+    def _sweep(self, now: float) -> None:
+        """Functions that nothing is known of any more are forgotten: clients name new ones for ever."""
+        self.sweep_s = now + self.keep_s
+        for number in [n for n, worker in self.workers.items() if not worker.listed]:
+            self._forget(number)
+        for number, function in list(self.functions.items()):
+            function.stack = [entry for entry in function.stack if now - entry[1] <= self.keep_s]
+            function.avoid = {worker: end for worker, end in function.avoid.items() if end > now}
+            idle = not (function.stack or function.waiting or function.busy or function.loads)
+            if idle and not function.avoid and self._recent(now, ("function", number)) < FORGET_UNDER:
+                del self.functions[number]
+                self.counts.pop(("function", number), None)
+
     def _request(self, now: float, ask: Request) -> None:
         if not 0 <= ask.class_index < len(self.settings.classes):
             raise ValueError(f"class_index {ask.class_index} names no class")
+        if now >= self.sweep_s:
+            self._sweep(now)
         if self.settings.rules.load_span_s:
             self.request_times.append(now)
         for key in (ALL, ("function", ask.function), ("tenant", ask.tenant)):
@@ -379,6 +413,8 @@
         function = pending and self.functions.get(pending.ask.function)
         if pending and function and pending in function.waiting:
             function.waiting.remove(pending)
+            if not function.waiting:
+                self.held.pop(pending.ask.function, None)
             self._try(now, pending, patient=False)
 
     def _serve_waiting(self, now: float) -> None:
@@ -545,7 +581,8 @@
             _, _, number, function = heapq.heappop(self.expiries)
             holding = self.holdings.get((number, function))
             if holding and not holding.in_flight and holding.used_s + self.keep_s < now:
-                self.workers[number].placed_mb -= holding.copies * holding.memory_mb
+                if number in self.workers:
+                    self.workers[number].placed_mb -= holding.copies * holding.memory_mb
                 del self.holdings[number, function]
 
     def _may_order(self, now: float) -> bool:
@@ -581,6 +618,8 @@
         if not asks:
             return
         ask = asks.pop()
+        if not asks:
+            del self.orders[event.worker, event.function]
         worker = self.workers[event.worker]
         function = self.functions[event.function]
         self._load_ended(worker, function, event.function)
--- a/tests/test_stack.py
+++ b/tests/test_stack.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Sized
+
 from saffronstack.choice import Function
 from saffronstack.interface import Found, Result
 
-from .helpers import Gateway, router, sends
+from .helpers import GONE, Gateway, change, entry, router, sends
 
 
 def test_the_freshest_entry_goes_first() -> None:
@@ -81,3 +83,42 @@
     gateway.end(101.0, second, Result.CONNECT_FAILED, Found.UNTOLD)
     third = sends(gateway.end(101.1, second, Result.CONNECT_FAILED, Found.UNTOLD))
     assert [send.worker for send in third] != [home] and third
+
+
+def test_workers_and_functions_that_are_gone_leave_no_trace() -> None:
+    decider = router(0)
+    gateway = Gateway(decider)
+
+    def known() -> int:
+        tables: list[Sized] = [decider.workers, decider.functions, decider.counts, decider.holdings]
+        tables += [decider.held, decider.pending, decider.flying, decider.expiries]
+        return sum(len(table) for table in tables)
+
+    now, most = 100.0, 0
+    for worker in range(1, 3000):
+        now += 1.0
+        decider.handle(now, change(entry(worker), entry(worker - 1, GONE)))
+        number, actions = gateway.ask(now, function=worker)
+        assert [send.worker for send in sends(actions)] == [worker]
+        if worker % 3:
+            gateway.end(now + 0.1, number)
+        else:  # out while the worker leaves: its end comes later, and finds its worker gone
+            decider.handle(now + 0.2, change(entry(worker, GONE)))
+            gateway.end(now + 0.3, number, Result.RESET, Found.UNTOLD)
+        most = max(most, known())
+        if worker == 200:
+            early = most
+    assert most <= early + 10
+
+
+def test_a_worker_that_returns_holds_nothing_of_what_it_held() -> None:
+    gateway = Gateway(router(1, 2))
+    first, _ = gateway.ask(100.0)
+    home = gateway.where[first]
+    second, _ = gateway.ask(100.0, function=2)  # out there while it leaves and returns
+    gateway.end(100.1, first)
+    gateway.decider.handle(100.2, change(entry(home, GONE)))
+    gateway.decider.handle(100.3, change(entry(home)))
+    assert not gateway.decider.functions[1].stack
+    assert gateway.decider.workers[home].placed_mb <= 500.0
+    gateway.end(100.4, second)
