Calls that nothing was sent for are refused by half of their time; left calls end at hosts

A test of a cancelled call showed that the host never heard of it: the module forgot the call and left its attempt out. Ruled out: tables of module, engine, front and links (all level), tracemalloc level. Change: HOLD_PART in choice.py; Cancel for attempts out where cancelling is allowed; reads go into a buffer that stays, nothing is held while idle; idle clients are closed after 4.5 s, not 6.

--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -17,7 +17,7 @@
 from saffronstack.checks import check_settings
 
 from saffronstack.interface import (
-    Action, ClassSettings, ClientGone, Effect, Event, Fail, Found, Group, ListKind, ListUpdate, Load,
+    Action, Cancel, ClassSettings, ClientGone, Effect, Event, Fail, Found, Group, ListKind, ListUpdate, Load,
     Loaded, MissMode, Outcome, Refuse, Request, Result, Send, Settings, WakeMe, Watch, Woken,
     WorkerEntry, WorkerState,
 )
@@ -53,6 +53,7 @@
 WAIT_PER_LANE = 1  # requests that wait for each busy lane before another copy is loaded
 PATIENCE = 0.3  # part of the wanted time after which a held request may load all the same
 STACK_MOST = 64  # entries of one function that are kept, the freshest ones; each choice walks them
+HOLD_PART = 0.48  # of its time that a request is held before anything was sent for it
 HOLD_END_S = 0.05  # a held request is answered this long before its deadline
 IN_TIME = 1.0  # a load is begun only where this part of its usual time is left
 EJECT_SLOW = 3.0  # ejected from this multiple of the median worker's slowness
@@ -150,6 +151,7 @@
     ask: Request
     cls: ClassSettings
     value: float
+    held_until_s: float
     attempts: list[Attempt] = field(default_factory=list)
     maybe: Attempt | None = None  # the first attempt that may have run
     out: int = 0
@@ -206,9 +208,17 @@
         elif isinstance(event, Woken):
             self._woken(now, event.ref)
         elif isinstance(event, ClientGone):
-            self.pending.pop(event.request, None)
+            self._left(event.request)
         return self.actions
 
+    def _left(self, request: int) -> None:
+        """Work that nobody waits for any more is given up where the site allows it: it crowds out others."""
+        pending = self.pending.pop(request, None)
+        if pending is not None and self.settings.allow.cancel:
+            for attempt in pending.attempts:
+                if (request, attempt.number) in self.flying:
+                    self.actions.append(Cancel(request, attempt.number))
+
     def _list(self, now: float, event: ListUpdate) -> None:
         if self.settings.must_subscribe and event.kind in (ListKind.CACHED, ListKind.FAILED):
             self.actions.append(Watch())
@@ -283,7 +293,9 @@
         for key in (ALL, ("function", ask.function), ("tenant", ask.tenant)):
             self.counts[key] = self._recent(now, key) + 1, now
         cls = self.settings.classes[ask.class_index]
-        pending = Pending(ask, cls, cls.worth * self._in_share(now, ask.tenant))
+        # Refused by then if nothing was sent: a client that is told early may yet be served elsewhere.
+        until_s = min(ask.deadline_s - HOLD_END_S, now + HOLD_PART * (ask.deadline_s - now))
+        pending = Pending(ask, cls, cls.worth * self._in_share(now, ask.tenant), until_s)
         if ask.prior is not None:  # where the worker is unknown, so is its group: none fits
             place = self.workers.get(ask.prior.worker)
             place = place or Worker(WorkerEntry(ask.prior.worker, WorkerState.GONE, zone=-1, cell=-1))
@@ -363,7 +375,7 @@
                 self._hold(now, pending, function)
             else:
                 self._send(now, pending, worker, function, False)
-        elif now < ask.deadline_s - HOLD_END_S:
+        elif now < self._held_until(pending):
             self._hold(now, pending, function)
         else:
             self._give_up(pending)
@@ -402,12 +414,15 @@
     def _hold(self, now: float, pending: Pending, function: Function) -> None:
         function.waiting.append(pending)
         self.held[pending.ask.function] = function
-        wait_s = pending.ask.deadline_s - HOLD_END_S - now
+        wait_s = self._held_until(pending) - now
         if not pending.woken:
             wait_s = min(wait_s, PATIENCE * pending.cls.aim_s)
         pending.woken = True
         self.actions.append(WakeMe(max(0.0, wait_s), pending.ask.request))
 
+    def _held_until(self, pending: Pending) -> float:
+        return pending.ask.deadline_s - HOLD_END_S if pending.attempts else pending.held_until_s
+
     def _woken(self, now: float, ref: int) -> None:
         pending = self.pending.get(ref)
         function = pending and self.functions.get(pending.ask.function)
--- a/saffronstack/hosts/link.py
+++ b/saffronstack/hosts/link.py
@@ -28,7 +28,7 @@
     line_bytes: int = 128 * 1024
     outbox_bytes: int = 256 * 1024
     stall_s: float = 3.0
-    read_bytes: int = 16 * 1024
+    read_bytes: int = 8 * 1024
 
 
 class Link:
@@ -190,21 +190,24 @@
         stream = self._stream
         assert stream is not None
         lines = codec.LineReader(self._limits.line_bytes)
+        buffer = bytearray(self._limits.read_bytes)
+        view = memoryview(buffer)
         while True:
             try:
-                data = stream.receive(self._limits.idle_s, self._limits.read_bytes)
+                came = stream.receive_into(buffer, self._limits.idle_s)
             except TimeoutError:
                 with self._lock:
                     if self._open:
                         continue
                     self._closed = True
                 return
-            if not data:
+            if not came:
                 self.reason = "closed by the host"
                 return
             self.heard_s = self._clock()
-            for line in lines.feed(data):
+            for line in lines.feed(bytes(view[:came])):
                 self._heard(codec.answer_of(line))
+            line = b""  # not held while the next one is waited for
 
     def _heard(self, answer: codec.HostAnswer) -> None:
         with self._lock:
--- a/saffronstack/net/stream.py
+++ b/saffronstack/net/stream.py
@@ -41,6 +41,15 @@
             )
             self._set[option] = timeout_s
 
+    def receive_into(self, buffer: bytearray, timeout_s: float) -> int:
+        """As `receive`, into a buffer that stays: one taken anew for each read, and held while it waits,
+        leaves holes in the memory of a program with hundreds of connections."""
+        self._bound(socket.SO_RCVTIMEO, timeout_s)
+        try:
+            return self.sock.recv_into(buffer)
+        except BlockingIOError as error:
+            raise TimeoutError("nothing came in time") from error
+
     def receive(self, timeout_s: float, most: int = READ_SIZE) -> bytes:
         """What has come, empty at the peer's end; TimeoutError where nothing comes in time."""
         self._bound(socket.SO_RCVTIMEO, timeout_s)
--- a/saffronstack/platform/clients.py
+++ b/saffronstack/platform/clients.py
@@ -31,12 +31,12 @@
     open_calls: int = 32  # on one connection
     silent_s: float = 2.0  # until its first byte
     message_s: float = 2.0  # for the whole of a message
-    idle_s: float = 6.0
+    idle_s: float = 4.5  # clients close theirs after 4
     outbox_bytes: int = 640 * 1024  # a full set of the largest answers
     stall_s: float = 2.0
     linger_s: float = 1.0  # what comes after an error is read and dropped this long, so that it can be read
     linger_bytes: int = 1024 * 1024
-    read_bytes: int = 8 * 1024
+    read_bytes: int = 4 * 1024
     busy_holdoff_s: float = 0.1  # asked of a client that has too much open
 
 
@@ -122,19 +122,21 @@
 
     def _read(self) -> None:
         limits, clock, reader = self._front.limits, self._front.clock, self._reader
+        buffer = bytearray(limits.read_bytes)
+        view = memoryview(buffer)
         begun_s = clock()  # when the message that is being read began
         while True:
             partial = reader.pending
             wait_s = limits.message_s if partial else limits.idle_s if self.spoken else limits.silent_s
             try:
-                data = self._stream.receive(wait_s, limits.read_bytes)
+                came = self._stream.receive_into(buffer, wait_s)
             except TimeoutError:
                 if partial:
                     raise RespError("half a request") from None
                 if self._open or self._outlet.waiting:
                     continue
                 return
-            if not data:
+            if not came:
                 return
             now = clock()
             self.spoken = True
@@ -142,7 +144,7 @@
                 begun_s = now
             elif now - begun_s > limits.message_s:
                 raise RespError("a request that does not end")
-            reader.feed(data)
+            reader.feed(view[:came])
             while (words := reader.next()) is not None:
                 self._take(frames.frame_of(words))
                 begun_s = now
--- a/saffronstack/resp/reader.py
+++ b/saffronstack/resp/reader.py
@@ -41,7 +41,7 @@
         """Whether part of a request has come."""
         return bool(self._count) or self._at < len(self._buffer)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Bytes that came."""
         if self._at:
             del self._buffer[: self._at]
@@ -76,6 +76,9 @@
         words = tuple(self._words)
         self._words = []
         self._count = 0
+        if self._at == len(self._buffer):  # idle connections are many: none keeps the room of its last body
+            self._buffer = bytearray()
+            self._at = 0
         return words
 
     def _number(self, sign: bytes, most: int) -> int | None:
