--- a/benchmarks/platform_load.py
+++ b/benchmarks/platform_load.py
@@ -2,7 +2,7 @@
 
     python benchmarks/platform_load.py --calls 20000 --open 16
     python benchmarks/platform_load.py --calls 20000 --per-connection 1     # each connection asks once
-    python benchmarks/platform_load.py --calls 20000 --trace 12             # where memory that stays came from
+    python benchmarks/platform_load.py --calls 20000 --trace 12             # where kept memory came from
 
 The hosts answer at once and share the machine with the gateway: figures are for comparing, on one machine.
 """
@@ -71,6 +71,7 @@
     parser.add_argument("--functions", type=int, default=40)
     parser.add_argument("--trace", type=int, default=0)
     parser.add_argument("--python", default=sys.executable)
+    parser.add_argument("--before", default="", help="Python that the gateway runs before anything else")
     asked = parser.parse_args()
     hosts = [ScriptedHost() for _ in range(6)]
     for host in hosts:
@@ -81,7 +82,8 @@
         path = pathlib.Path(folder) / "config.json"
         path.write_bytes(config_text(directory.address, entries, listen="127.0.0.1:18080"))
         environment = {**os.environ, "LB_CONFIG": str(path), "MALLOC_ARENA_MAX": "1"}
-        command = [asked.python, "-m", "saffronstack.platform"]
+        code = f"{asked.before}\nimport sys\nfrom saffronstack.platform.__main__ import main\nsys.exit(main())"
+        command = [asked.python, "-c", code]
         if asked.trace:
             environment |= {"TRACE": str(asked.trace), "TRACE_AFTER": "4"}
             code = TRACED.replace("__main__ main", "__main__ import main\nsys.exit(main())")
--- /dev/null
+++ b/deploy/compile.py
@@ -0,0 +1,74 @@
+"""Leaves in .built/ the package that `run` starts, its decisions compiled by mypyc: a fifth less CPU a call.
+
+The copy is whole before it takes the old one's place, and is made anew when a source has changed. Where it
+can't be compiled, for want of a compiler say, it runs as it is: slower, with the same decisions.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import importlib.util
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILT = ROOT / ".built"
+MODULES = ["saffronstack/choice.py", "saffronstack/interface.py", "saffronstack/checks.py"]
+MYPY = "mypy>=1.8,<3"
+TIMEOUT_S = 600
+
+
+def stamp() -> str:
+    """What the copy was made of."""
+    told = hashlib.sha256(sys.version.encode() + pathlib.Path(__file__).read_bytes())
+    for path in sorted((ROOT / "saffronstack").rglob("*.py")):
+        told.update(str(path.relative_to(ROOT)).encode() + b"\0" + path.read_bytes())
+    return told.hexdigest()
+
+
+def run(*command: str, cwd: pathlib.Path = ROOT) -> None:
+    """OSError or SubprocessError where it fails."""
+    environment = {**os.environ, "MYPY_CACHE_DIR": str(cwd / ".mypy_cache")}
+    quiet = subprocess.DEVNULL
+    subprocess.run(command, cwd=cwd, env=environment, check=True, timeout=TIMEOUT_S, stdout=quiet)
+
+
+def compiled(folder: pathlib.Path) -> bool:
+    """Whether the decisions in this copy are compiled now, and can be imported."""
+    try:
+        if importlib.util.find_spec("mypyc") is None:
+            run(sys.executable, "-m", "pip", "-q", "install", MYPY)
+        run(sys.executable, "-m", "mypyc", "--strict", *MODULES, cwd=folder)
+        run(sys.executable, "-B", "-c", "import saffronstack.platform.__main__", cwd=folder)
+    except (OSError, subprocess.SubprocessError) as error:
+        print(f"the decisions are not compiled: {error}", file=sys.stderr)
+        return False
+    return True
+
+
+def main() -> int:
+    """0, also where the copy had to stay as it is."""
+    mark = BUILT / "stamp"
+    wanted = stamp()
+    if mark.is_file() and mark.read_text() == wanted:
+        return 0
+    fresh = ROOT / ".built.new"
+    shutil.rmtree(fresh, ignore_errors=True)
+    source = ROOT / "saffronstack"
+    shutil.copytree(source, fresh / "saffronstack", ignore=shutil.ignore_patterns("__pycache__"))
+    if not compiled(fresh):
+        for path in [*fresh.glob("*.so"), *(fresh / "saffronstack").glob("*.so")]:
+            path.unlink()
+    for name in ("build", ".mypy_cache"):
+        shutil.rmtree(fresh / name, ignore_errors=True)
+    (fresh / "stamp").write_text(wanted)
+    shutil.rmtree(BUILT, ignore_errors=True)
+    fresh.rename(BUILT)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -681,12 +681,14 @@
         hurt where a class's work differs much between workers; at most a part of the fleet is out."""
         worker = attempt.worker
         step = TRIAL_STEP if worker.ejected else EJECT_STEP
-        worker.misses = worker.misses + 1 if event.result in (Result.CONNECT_FAILED, Result.RESET) else 0
+        if event.result is not Result.CANCELLED:
+            reached = event.result not in (Result.CONNECT_FAILED, Result.RESET)
+            worker.misses = 0 if reached else worker.misses + 1
         failed = event.result is Result.ERROR and event.found is not Found.LOAD_FAILED
         if failed or event.result is Result.OK:
             worker.errors += step * (failed - worker.errors)
         plain = event.found in (Found.WARM, Found.UNTOLD) and attempt.warm
-        if plain and event.result in (Result.OK, Result.TIMEOUT):
+        if plain and event.result in (Result.OK, Result.TIMEOUT, Result.CANCELLED):
             norm = self.norms.get(attempt.ask.class_index) or event.elapsed_s or 1e-3
             ratio = min(10.0, event.elapsed_s / norm)
             if event.result is Result.OK or ratio > worker.slow:
@@ -782,8 +784,9 @@
         # A connection that ends tells nothing of the copy: its entry returns. Guards against resets that
         # make standing copies unknown, whose calls then wait for loads; a dead worker is ejected meanwhile.
         attempt.broken = event.result in (Result.RESET, Result.CONNECT_FAILED)
-        if attempt.broken and attempt.warm:
-            insort(stack, (worker, attempt.freed_s), key=lambda entry: entry[1])
+        cancelled = event.result is Result.CANCELLED  # nor does a client that leaves
+        if (attempt.broken or cancelled) and attempt.warm:
+            insort(stack, (worker, now if cancelled else attempt.freed_s), key=lambda entry: entry[1])
         elif event.result is not Result.OK or loaded:
             stack[:] = [entry for entry in stack if entry[0] is not worker or entry[1] > attempt.sent_s]
         if event.result is Result.OK:
--- a/tests/test_stack.py
+++ b/tests/test_stack.py
@@ -5,9 +5,9 @@
 from collections.abc import Sized
 
 from saffronstack.choice import Function
-from saffronstack.interface import Found, Result
+from saffronstack.interface import AllowSettings, Cancel, ClientGone, Found, Refuse, Result, WakeMe, Woken
 
-from .helpers import GONE, Gateway, change, entry, router, sends
+from .helpers import GONE, Gateway, change, entry, finals, router, sends
 
 
 def test_the_freshest_entry_goes_first() -> None:
@@ -122,3 +122,38 @@
     assert not gateway.decider.functions[1].stack
     assert gateway.decider.workers[home].placed_mb <= 500.0
     gateway.end(100.4, second)
+
+
+def test_a_client_that_leaves_ends_its_attempt_and_keeps_its_entry() -> None:
+    """Where many leave, entries that went with them made standing copies unknown."""
+    gateway = Gateway(router(1, 2, allow=AllowSettings(max_attempts=6, cancel=True)))
+    first, _ = gateway.ask(100.0)
+    home = gateway.where[first]
+    gateway.end(100.1, first)
+    second, _ = gateway.ask(101.0)
+    assert gateway.decider.handle(101.5, ClientGone(second)) == [Cancel(second, 0)]
+    gateway.end(101.5, second, Result.CANCELLED, Found.UNTOLD, finished=True)
+    assert [worker.entry.worker for worker, _ in gateway.decider.functions[1].stack] == [home]
+    assert not gateway.decider.flying and not gateway.decider.pending
+
+
+def test_a_client_that_leaves_costs_nothing_where_cancelling_is_not_allowed() -> None:
+    gateway = Gateway(router(1))
+    first, _ = gateway.ask(100.0)
+    assert gateway.decider.handle(100.1, ClientGone(first)) == []
+
+
+def test_a_request_that_nothing_was_sent_for_is_refused_by_half_of_its_time() -> None:
+    gateway = Gateway(router())
+    number, actions = gateway.ask(100.0, deadline_s=104.0)
+    assert finals(actions) == [Refuse(number, 0.0)]  # there is nobody to wait for
+    gateway = Gateway(router(1))
+    for function in range(2, 9):
+        gateway.ask(100.0, function=function)  # loads enough under way
+    number, actions = gateway.ask(100.0, deadline_s=104.0)
+    wakes = [action for action in actions if isinstance(action, WakeMe)]
+    while wakes and not finals(actions):
+        now = 100.0 + wakes[-1].after_s
+        actions = gateway.decider.handle(now, Woken(number))
+        wakes = [WakeMe(a.after_s + now - 100.0, a.ref) for a in actions if isinstance(a, WakeMe)]
+    assert finals(actions) == [Refuse(number, 0.0)] and 101.5 < now < 102.0
