--- a/benchmarks/platform_load.py
+++ b/benchmarks/platform_load.py
@@ -82,7 +82,8 @@
         path = pathlib.Path(folder) / "config.json"
         path.write_bytes(config_text(directory.address, entries, listen="127.0.0.1:18080"))
         environment = {**os.environ, "LB_CONFIG": str(path), "MALLOC_ARENA_MAX": "1"}
-        code = f"{asked.before}\nimport sys\nfrom saffronstack.platform.__main__ import main\nsys.exit(main())"
+        start = "import sys\nfrom saffronstack.platform.__main__ import main\nsys.exit(main())"
+        code = f"{asked.before}\n{start}"
         command = [asked.python, "-c", code]
         if asked.trace:
             environment |= {"TRACE": str(asked.trace), "TRACE_AFTER": "4"}
@@ -111,7 +112,8 @@
                 made = tenth // 4 * 4
                 cpu_us = (after_s - cpu_s) / made * 1e6
                 rate = made / took_s
-                print(f"{place + 1:3d}0%  {rate:7.0f} calls/s  {cpu_us:6.0f} us CPU a call  {memory_mb:6.1f} MB")
+                figures = f"{rate:7.0f} calls/s  {cpu_us:6.0f} us CPU a call  {memory_mb:6.1f} MB"
+                print(f"{place + 1:3d}0%  {figures}")
             if asked.trace:
                 program.send_signal(signal.SIGUSR1)
                 time.sleep(3)
--- a/tests/test_usage_faults.py
+++ b/tests/test_usage_faults.py
@@ -362,7 +362,6 @@
     budget = {"window_s": 4, "soft_mb_s": 5, "hard_mb_s": 20}
     tenants = [{"name": "corner-books", "budget": budget}, {"name": "campus-app"}]
     with site(tmp_path, 1, work_s=0.1) as found:
-        ledger = configuration(found.fleet, tmp_path / "ledger")["ledger"]
         stack = found.start("one", tenants=tenants)
         client = stack.client(tenant="corner-books")
         for _ in range(6):
@@ -372,7 +371,7 @@
         eventually(lambda: limits.judge("corner-books", time.monotonic()).wait_s)
         client.close()
         found.stop(stack)
-        again = found.start("one", tenants=tenants, ledger=ledger)
+        again = found.start("one", tenants=tenants, ledger=tmp_path / "ledger")
         client = again.client(tenant="corner-books")
         refused = client.invoke("suggest-price", b"{}")
         assert (refused.status, 1 <= int(refused.headers.get("retry-after")) <= 5) == (429, True)
