Test of cut-off loads: more use beside the one that dies with its worker

Cause: with entries that return after resets, three tenants wait for the load that is cut off where fewer did; its unrecorded share (9.2 MB s of a tenant's 868, 1.06%) passed the hundredth that the test allows, in two runs of five. The account is as it was. Ruled out: metering itself (each tenant is short by the same share of the one cut-off load; all else agrees). Change: 300 calls in place of 60 beside the load, as the test's comment means.

--- a/tests/test_usage_faults.py
+++ b/tests/test_usage_faults.py
@@ -143,7 +143,7 @@
 def test_a_load_that_fails_is_cut_off_or_dies(tmp_path: pathlib.Path) -> None:
     with site(tmp_path, 2, work_s=0.08, load_s=0.4) as found:
         stack = found.start("one")
-        calls(stack, 60, 9)  # an hour's worth beside which one cut-off load is small, in little
+        calls(stack, 300, 9)  # an hour's worth beside which one cut-off load is small, in little
         for one in found.fleet.workers:
             one.model.drop()
         found.fleet.store.most = 0  # the store turns every fetch away
