Module's beliefs held against links; a send that no byte left of is unsent; 10,000 hosts

Need: nothing showed whether what the module believes of hosts is what passes on the sockets; several hard cases had no test. Cause found by a test: an item was claimed as leaving at its first try, and stayed so when the socket took no byte; giving it up then said that it may have run, which fails an unsafe call that never left (`claim` in hosts/link.py). Also: a stopped writer could write into a descriptor whose number was given out again; a link that owes 32 answers for nothing stayed open while idle. Change: platform/beliefs.py and its log line; `held_back` takes the claim back; the writer's descriptor is gone once closed.

--- a/saffronstack/core/engine.py
+++ b/saffronstack/core/engine.py
@@ -75,6 +75,11 @@
     wall_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Look:
+    look: Callable[[float, Router], None]
+
+
 @dataclass(slots=True)
 class Counts:
     """What the engine counted since it started; read by anyone, written by the decision thread."""
@@ -163,6 +168,11 @@
         """What a worker's thread saw."""
         self._queue.put(what)
 
+    def inspect(self, look: Callable[[float, Router], None]) -> None:
+        """Have ``look`` see the module between two events, on the decision thread; it must not wait or change
+        anything."""
+        self._queue.put(_Look(look))
+
     def update_workers(self, specs: Iterable[WorkerSpec], wall_s: float) -> None:
         """The whole list of workers, told at ``wall_s`` (Unix seconds)."""
         self._queue.put(_Told(tuple(specs), wall_s))
@@ -257,6 +267,8 @@
             if update is not None:
                 self._log.info("worker started anew", worker=item.worker, incarnation=item.incarnation)
                 self._decide(update)
+        elif isinstance(item, _Look):
+            item.look(self._now, self._router)
         elif isinstance(item, _Changed):
             self._decide(self._roster.changed(self._now, item.wall_s, item.specs, item.gone))
         elif isinstance(item, _Told):
--- a/saffronstack/hosts/dispatcher.py
+++ b/saffronstack/hosts/dispatcher.py
@@ -95,6 +95,11 @@
         """Links that are open or closing."""
         return self._budget.taken
 
+    def passed(self) -> dict[int, HostPool]:
+        """The hosts that are held, with what passed on their links."""
+        with self._lock:
+            return dict(self._pools)
+
     def _spare(self) -> None:
         """Close one link that nothing uses, at the host with most links."""
         with self._lock:
--- a/saffronstack/hosts/items.py
+++ b/saffronstack/hosts/items.py
@@ -18,6 +18,8 @@
 
     number: int
     name: str
+    answers: int
+    broken: int
 
     @property
     def closed(self) -> bool:
@@ -32,6 +34,10 @@
         """Whether its first byte may leave."""
         ...
 
+    def unclaim(self, item: Item) -> None:
+        """Not one byte of it was taken after all."""
+        ...
+
     def passed_over(self, item: Item) -> None:
         """It no longer stood when its first byte was to leave."""
         ...
@@ -68,6 +74,11 @@
         """Whether nobody gave it up before its first byte; from then on nobody takes it for unsent."""
         return self.link is None or self.link.claim(self)
 
+    def held_back(self) -> None:
+        """It is unsent still: whoever gives it up now may say so."""
+        if self.link is not None:
+            self.link.unclaim(self)
+
     def passed_over(self) -> None:
         """It did not stand: no byte of it leaves."""
         if self.link is not None:
@@ -117,7 +128,10 @@
             self.broke(self.lost(), "an answer that belongs to no call")
             return
         kept = None
-        if result is Result.OK:
+        if result is Result.ERROR:
+            self.host.broken += 1
+        elif result is Result.OK:
+            self.host.answers += 1
             kept = Answer(answer.body)
             final = Final(Ending.SERVED, answer.body, attempts=self.number + 1, worker=self.host.name)
             self.call.settle(final)
@@ -126,6 +140,7 @@
 
     def broke(self, result: Result, reason: str) -> None:
         """It ended without an answer."""
+        self.host.broken += 1
         self._end(result, reason=reason)
 
     def _end(
--- a/saffronstack/hosts/link.py
+++ b/saffronstack/hosts/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 import threading
 from collections.abc import Callable
@@ -68,6 +69,13 @@
         """Items without an end."""
         return len(self._open)
 
+    @property
+    def waits_since_s(self) -> float:
+        """When its oldest open item was sent (clock time); infinite without one."""
+        with self._lock:
+            oldest = next(iter(self._open.values()), None)
+        return math.inf if oldest is None else oldest.sent_s
+
     def takes(self, tag: str) -> bool:
         """Whether an item under this tag can go out on it."""
         return not (
@@ -122,6 +130,11 @@
             item.leaving = not item.over
             return item.leaving
 
+    def unclaim(self, item: Item) -> None:
+        """Not one byte of it was taken after all: it never left."""
+        with self._lock:
+            item.leaving = False
+
     def passed_over(self, item: Item) -> None:
         """It no longer stood when its first byte was to leave."""
         if self._take(item):
@@ -221,8 +234,7 @@
                 return
             item.over = True
         item.answered(answer)
-        if self._retired:
-            self._maybe_close()
+        self._maybe_close()
 
     def _end(self) -> None:
         with self._lock:
--- a/saffronstack/hosts/pool.py
+++ b/saffronstack/hosts/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable
 
@@ -63,6 +64,22 @@
         self._spare = spare
         self._lock = threading.Lock()
         self._links: list[Link] = []
+        self.answers = 0  # attempts that were served; written by links' threads, a count may be missed
+        self.broken = 0  # attempts that ended in an error, or without an answer
+
+    @property
+    def open(self) -> int:
+        """Items without an end, on all its links."""
+        return sum(link.open for link in self.links)
+
+    @property
+    def silent_s(self) -> float:
+        """How long the host has said nothing on any link, a connection included, though an item waits; 0
+        without one."""
+        links = self.links
+        waits_s = min((link.waits_since_s for link in links), default=math.inf)
+        heard_s = max((link.heard_s for link in links), default=0.0)
+        return max(0.0, self._clock() - max(waits_s, heard_s))
 
     @property
     def links(self) -> list[Link]:
--- a/saffronstack/net/outlet.py
+++ b/saffronstack/net/outlet.py
@@ -38,6 +38,9 @@
         """Asked right before the first byte: whether it may still leave. It must not wait."""
         return True
 
+    def held_back(self) -> None:
+        """It stood, but not one byte was taken: it is asked again later."""
+
     def passed_over(self) -> None:
         """It did not stand: no byte of it leaves."""
 
@@ -112,6 +115,8 @@
         try:
             sent = self._sock.send(memoryview(data)[self._at :] if self._at else data, socket.MSG_DONTWAIT)
         except BlockingIOError:
+            if piece.left is Left.NOTHING:
+                piece.held_back()
             return False
         except OSError:
             self._break()
@@ -186,8 +191,9 @@
         self._rouse()
 
     def _rouse(self) -> None:
-        with contextlib.suppress(OSError):
-            os.eventfd_write(self._wake, 1)
+        with self._lock, contextlib.suppress(OSError):
+            if self._wake >= 0:  # once closed, its number may be another file's
+                os.eventfd_write(self._wake, 1)
 
     def _run(self) -> None:
         poll = select.poll()
@@ -213,4 +219,6 @@
                     del watched[fd]
                     with contextlib.suppress(KeyError, OSError):
                         poll.unregister(fd)
-        os.close(self._wake)
+        with self._lock:
+            os.close(self._wake)
+            self._wake = -1
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -6,14 +6,17 @@
 import time
 from collections.abc import Callable
 
+from saffronstack.choice import Router
 from saffronstack.core.engine import Engine
 from saffronstack.core.logs import Log, PlainLog
+from saffronstack.core.threads import spawn
 from saffronstack.directory.asker import Asker
 from saffronstack.directory.membership import Change
 from saffronstack.hosts.dispatcher import HostDispatcher
 from saffronstack.hosts.link import LinkLimits
 from saffronstack.hosts.pool import LinkBudget
 from saffronstack.net.outlet import Writer
+from saffronstack.platform.beliefs import Beliefs
 from saffronstack.platform.budget import divide
 from saffronstack.platform.calls import MARGIN_S, CallMaker
 from saffronstack.platform.clients import Front, FrontLimits
@@ -23,6 +26,8 @@
 IDLE_PART = 0.8  # of the told idle time a link stays open: a host that closes it first may cross a send
 CONNECT_S = 0.25  # where the settings tell no time-out for connecting
 ORDER_S = 10.0  # where the settings tell no time-out for orders
+LOOK_S = 0.25  # how often beliefs are held against links
+TELL_S = 10.0  # and how often the log may hear of what was found
 STILL_COMING_S = 1.0  # calls may still come for so long after a stop was asked for
 
 
@@ -65,6 +70,8 @@
             settings.order_timeout_s or ORDER_S,
         )
         self.directory = Asker(self.membership, NAME, config.nameserver, self._changed, self._log, clock)
+        self.beliefs = Beliefs(max(cls.aim_s for cls in settings.classes))
+        self._stopping = threading.Event()
         self._ready = False
         advice_s = settings.allow.max_retry_advice_s if settings.allow.retry_advice else 0.0
         self.front = Front(
@@ -88,6 +95,21 @@
         self.directory.start()
         self._ready = True
         self.front.start()
+        spawn("beliefs", self._compare)
+
+    def _compare(self) -> None:
+        """Hold the module's beliefs against the links; the log hears of what was found, and not often."""
+        told: dict[str, str] = {}
+        told_s = self._clock()
+        while not self._stopping.wait(LOOK_S):
+            self.engine.inspect(self._look)
+            summary = self.beliefs.summary()
+            if summary != told and self._clock() - told_s >= TELL_S:
+                told, told_s = summary, self._clock()
+                self._log.info("beliefs against links", looks=self.beliefs.looks, **summary)
+
+    def _look(self, now: float, router: Router) -> None:
+        self.beliefs.look(now, router.workers, self.hosts.passed())
 
     def _changed(self, change: Change) -> None:
         """Links first, so that nothing leaves for a host that drains or is gone."""
@@ -120,6 +142,7 @@
             pause.wait(0.01)
         pause.wait(0.05)  # the last answers leave
         clean = not self.front.open_calls
+        self._stopping.set()
         self.front.close()
         self.directory.stop()
         clean = self.engine.stop() and clean
@@ -137,4 +160,5 @@
             "faults": counts.faults,
             "connections_most": self.front.most,
             "turned_away": self.front.turned_away,
+            "beliefs": self.beliefs.summary(),
         }
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -298,6 +298,48 @@
         program.communicate()
 
 
+def test_a_directory_that_falls_silent_and_returns_with_an_older_list_changes_nothing() -> None:
+    host = ScriptedHost()
+    entries = Entry("s-1", host.address), Entry("s-2", host.address)
+    directory = Directory(*entries)
+    with gateway(directory) as service:
+        client = Client(service.front.address)
+        directory.tell(*entries)
+        held = service.membership.specs
+        directory.spoil = lambda answer: None
+        directory.wait()
+        refused = service.directory.counts.unanswered
+        assert client.ask()[0] == "OK" and service.membership.specs == held and refused > 0
+        directory.spoil = lambda answer: answer
+        directory.serial, directory.entries = 1, [entries[0]]
+        directory.wait()
+        assert service.membership.specs == held and service.membership.serial == 2
+        assert service.directory.counts.refused["an older list than the one that is held"] > 0
+        directory.serial = 2
+        directory.tell(entries[0])
+        assert [spec.name for spec in service.membership.specs] == ["s-1"]
+        assert client.ask(subject=2)[0] == "OK"
+
+
+def test_beliefs_agree_with_links_while_calls_pass_and_after() -> None:
+    host = ScriptedHost()
+    with gateway(Directory(Entry("s-1", host.address), Entry("s-2", host.address))) as service:
+        client = Client(service.front.address)
+        looked: list[int] = []
+        for place in range(50):
+            assert client.ask(subject=place % 5)[0] == "OK"
+            done = threading.Event()
+
+            def look(now: float, router: Any, done: threading.Event = done) -> None:
+                looked.extend(worker.in_flight for worker in router.workers.values())
+                done.set()
+
+            service.engine.inspect(look)
+            assert done.wait(WAIT_S)
+        assert looked and not any(looked) and not service.hosts.out
+        assert not service.beliefs.tallies
+
+
 def test_hosts_functions_and_connections_without_end_leave_no_trace() -> None:
     host = ScriptedHost()
     directory = Directory(Entry("s-0", host.address))
@@ -311,7 +353,7 @@
             tables += [service.hosts._pools, service.hosts._out, service.membership._held]
             return sum(map(len, tables))
 
-        for place in range(1, 2001):
+        for place in range(1, 10_001):
             client = Client(service.front.address)
             assert client.ask(subject=place)[0] == "OK"
             client.sock.close()
@@ -320,11 +362,12 @@
             service._changed(service.membership.part(place + 1, [_listed(directory.entries[0])], []))
             if place == 300:
                 early = known()
-        assert known() <= early + 100 + 2 * 1700  # functions of the last keep-alive alone
+        assert known() <= early + 3 * 10_000  # functions of the last keep-alives, and their counts
         router.sweep_s = 0.0
         clock = engine._now + 1000.0
         router._sweep(clock)
         assert len(router.functions) == 0 and len(router.workers) <= 2 and not engine.open_calls
+        assert known() <= 20 and len(engine._functions) <= 4096
 
 
 def _listed(entry: Entry) -> Any:
