--- a/saffronstack/metering/account.py
+++ b/saffronstack/metering/account.py
@@ -38,6 +38,7 @@
     Total,
     decode,
     encode,
+    life_of,
     wire,
 )
 from saffronstack.metering.split import Phase, occupied, split
@@ -108,9 +109,9 @@
             if given is not None:
                 self.count(given, -1)
         elif isinstance(entry, Provisional):
-            self.provisional[entry.worker, entry.call.id] = entry
+            self.charges.expect(entry)
         elif isinstance(entry, Replaced):
-            self.provisional.pop((entry.worker, entry.call_id), None)
+            self.charges.replace(entry.worker, entry.call_id)
         elif isinstance(entry, Estimated):
             self._estimate(entry)
         elif isinstance(entry, Spilled):
@@ -168,8 +169,8 @@
         beyond = max(0, len(self.provisional) - bounds.provisional)
         if beyond:  # alone: a run that is written now would lack what these add to sums
             return [
-                Estimated(worker, charge.incarnation, id_)
-                for (worker, id_), charge in islice(self.provisional.items(), beyond)
+                Estimated(charge.worker, charge.incarnation, charge.call.id)
+                for charge in islice(self.provisional.values(), beyond)
             ]
         over = (
             len(self.totals) > bounds.totals
@@ -214,7 +215,7 @@
 
     @property
     def provisional(self) -> dict[tuple[str, str], Provisional]:
-        """Charges of lost calls that are not settled, by worker and request id."""
+        """Charges of lost calls that are not settled, by a worker's life and request id."""
         return self.charges.provisional
 
     @property
@@ -388,12 +389,13 @@
         """Add a record's shares, or with a negative sign take them back."""
         usage = entry.usage
         bucket = int(entry.at // BUCKET_S) * BUCKET_S
+        life = life_of(usage.worker, usage.incarnation)
         for share in split(usage):
             call = share.call
             key = call.tenant, usage.function, call.call_class, usage.worker, bucket
             self.totals[key][_PLACE[share.phase]] += sign * share.amount
             if call.id:
-                self.charges.add((usage.worker, call.id), sign * share.amount)
+                self.charges.add((life, call.id), sign * share.amount)
                 if self.windows is not None:
                     self.windows.add(call.tenant, entry.steady or entry.at, sign * share.amount)
         for place, amount in enumerate(occupied(usage)):
--- a/saffronstack/metering/charges.py
+++ b/saffronstack/metering/charges.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import AbstractContextManager
 
 from saffronstack.durable.runs import Item
@@ -19,12 +19,25 @@
     Provisional,
     decode,
     encode,
+    life_of,
     wire,
+    worker_of,
 )
 
 CHARGED_KEPT = 10_000  # of these, in a snapshot: a loss is noticed within a deadline of its record
 CALLS_KEPT = 50_000  # calls charged lately, so that a loss noticed after its records is not charged again
-CallKey = tuple[str, str]  # worker, request id
+CallKey = tuple[str, str]  # a life of a worker, request id
+
+
+def key_for(charge: Provisional) -> CallKey:
+    """Under which a charge stands."""
+    return life_of(charge.worker, charge.incarnation), charge.call.id
+
+
+def recorded(charged: Mapping[CallKey, int], charge: Provisional) -> int:
+    """What records charge a lost call, in the life that it was lost in."""
+    keys = {key_for(charge), (charge.worker, charge.call.id)}
+    return sum(charged.get(key, 0) for key in keys)
 
 
 class CallCharges:
@@ -42,6 +55,19 @@
 
     # ---- changes
 
+    def expect(self, charge: Provisional) -> None:
+        """A call's answer was lost."""
+        self.provisional[key_for(charge)] = charge
+
+    def replace(self, life: str, call_id: str) -> None:
+        """Its records tell all of a call."""
+        self.provisional.pop((life, call_id), None)
+        if worker_of(life) == life:  # an older log did not say in which life
+            for key in [key for key in self.provisional if key[1] == call_id and worker_of(key[0]) == life]:
+                del self.provisional[key]
+        else:
+            self.provisional.pop((worker_of(life), call_id), None)
+
     def add(self, call: CallKey, amount: int) -> None:
         """A record charges a call; a negative amount takes back."""
         if call in self._pinned:
@@ -53,15 +79,16 @@
 
     def estimate(self, entry: Estimated) -> list[tuple[Provisional, int]]:
         """Provisional charges become final; each with what is charged by it now."""
+        life = life_of(entry.worker, entry.incarnation)
         if entry.call_id:
-            found = [call for call in [(entry.worker, entry.call_id)] if call in self.provisional]
+            found = [call for call in [(life, entry.call_id)] if call in self.provisional]
         else:
             found = [
                 call
                 for call, charge in self.provisional.items()
                 if (charge.worker, charge.incarnation) == (entry.worker, entry.incarnation)
             ]
-            for call in [call for call in self._charged if call[0] == entry.worker]:
+            for call in [call for call in self._charged if call[0] in (life, entry.worker)]:
                 self._pinned[call] = self._charged.pop(call)
         charges = [self.provisional.pop(call) for call in found]
         if not entry.call_id:
@@ -74,7 +101,7 @@
         if isinstance(entry, Charged):
             self.add((entry.worker, entry.call_id), int(entry.amount))
         elif isinstance(entry, Estimate):
-            self.estimates[entry.charge.worker, entry.charge.call.id] = entry.charge
+            self.estimates[key_for(entry.charge)] = entry.charge
         else:
             self._pinned[entry.worker, entry.call_id] = int(entry.amount)
 
@@ -109,14 +136,14 @@
 
     # ---- questions
 
-    def charged(self, worker: str, call_id: str) -> int:
-        """What records charge a call, as far as memory tells."""
-        call = worker, call_id
-        return self._charged.get(call, 0) + self._pinned.get(call, 0)
+    def charged(self, life: str, call_id: str) -> int:
+        """What records of a worker's life charge a call, as far as memory tells."""
+        calls = {(life, call_id), (worker_of(life), call_id)}  # older logs knew no lives
+        return sum(self._charged.get(call, 0) + self._pinned.get(call, 0) for call in calls)
 
     def outstanding(self, charge: Provisional) -> int:
         """What a lost call is charged beyond the records that came, as far as memory tells."""
-        return max(0, int(charge.amount) - self.charged(charge.worker, charge.call.id))
+        return max(0, int(charge.amount) - self.charged(*key_for(charge)))
 
     def final(self) -> Iterator[Provisional]:
         """Charges for calls of dead workers, before what records charge them is taken off."""
@@ -138,8 +165,8 @@
         yield from kept
         if self._archive is not None and runs:
             for raw, value in self._archive.under(prefix_of(3, "k"), runs):
-                _, worker, call_id = parts_of(raw)
-                yield (str(worker), str(call_id)), amounts_of(value)[0]
+                _, life, call_id = parts_of(raw)
+                yield (str(life), str(call_id)), amounts_of(value)[0]
 
     def estimated(self) -> list[tuple[Provisional, int]]:
         """Final estimates, each with what is charged by it."""
@@ -148,4 +175,4 @@
         if charges:
             for call, amount in self.by_call():
                 charged[call] += amount
-        return [(c, max(0, int(c.amount) - charged[c.worker, c.call.id])) for c in charges]
+        return [(charge, max(0, int(charge.amount) - recorded(charged, charge))) for charge in charges]
--- a/saffronstack/metering/merging.py
+++ b/saffronstack/metering/merging.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Iterator
 
 from saffronstack.metering.account import Account, Key, RecordKey, unbalanced
+from saffronstack.metering.charges import key_for, recorded
 from saffronstack.metering.ranges import Ranges
 from saffronstack.metering.records import Provisional
 
@@ -39,9 +40,9 @@
         self.estimates: dict[tuple[str, str], Provisional] = {}  # the largest of a call's
         for account in self._accounts:
             for charge in account.charges.final():
-                known = self.estimates.get((charge.worker, charge.call.id))
+                known = self.estimates.get(key_for(charge))
                 if known is None or int(known.amount) < int(charge.amount):
-                    self.estimates[charge.worker, charge.call.id] = charge
+                    self.estimates[key_for(charge)] = charge
         for account in self._accounts:
             for call, charge in account.provisional.items():
                 if call not in self.estimates:
@@ -86,7 +87,7 @@
 
     def outstanding(self, charge: Provisional) -> int:
         """What a lost call is charged beyond the records that came, at any gateway."""
-        return max(0, int(charge.amount) - self._charged.get((charge.worker, charge.call.id), 0))
+        return max(0, int(charge.amount) - recorded(self._charged, charge))
 
     def by_tenant(self) -> dict[str, int]:
         """Loading and running, estimates and provisional charges included, in KiB microseconds."""
--- a/saffronstack/metering/meter.py
+++ b/saffronstack/metering/meter.py
@@ -44,6 +44,7 @@
     Start,
     decode,
     encode,
+    life_of,
     wire,
 )
 
@@ -280,7 +281,8 @@
         entries: list[AnyEntry] = [*fresh]
         entries += [Confirmed(worker.name, *span) for span in spans_of(offered.mine)]
         entries += [Given(worker.name, *number) for number in offered.gone]
-        entries += [Replaced(worker.name, id_) for id_ in offered.known]
+        life = life_of(worker.name, offered.incarnation)
+        entries += [Replaced(life, id_) for id_ in offered.known]
         if entries:
             ticket = self.journal.append(*entries)
             numbers = [(entry.usage.incarnation, entry.usage.seq) for entry in fresh]
@@ -310,7 +312,7 @@
         self.journal.append(
             Provisional(
                 name,
-                end.incarnation,
+                end.incarnation or self._incarnations.get(name, ""),
                 ref,
                 spec.name,
                 wire(memory_kib * int(outcome.elapsed_s * 1e6)),
@@ -336,7 +338,7 @@
             dead.add(last)
             now, wall = self._clock(), self._wall()
             for call in self._answered_calls.died(worker_number(worker)):
-                if call.amount > account.charges.charged(worker, call.call_id):
+                if call.amount > account.charges.charged(life_of(worker, last), call.call_id):
                     age_s = now - call.ended_s
                     ref = Ref(call.call_id, call.tenant, call.call_class)
                     entries.append(
@@ -384,8 +386,9 @@
             if self._incarnations.get(worker) == incarnation:  # a dead one can't say whose they are
                 waiting[worker].append((incarnation, seq))
         missing: dict[str, list[str]] = defaultdict(list)
-        for worker, id_ in list(account.provisional):
-            missing[worker].append(id_)
+        for charge in list(account.provisional.values()):
+            if charge.incarnation in ("", self._incarnations.get(charge.worker)):  # others know none
+                missing[charge.worker].append(charge.call.id)
         for name, acks in self._acks.items():
             for ticket, numbers in acks:
                 if ticket.done.is_set():  # in the account, or failed: then the worker offers them again
@@ -411,9 +414,10 @@
         self._asked.pop(spec.name, None)
         offered = self._offered(spec, body) if body is not None else None
         if offered is not None:
+            life = life_of(spec.name, offered.incarnation)
             self._answered_calls.told(
                 spec.number,
                 asked_s,
                 not offered.left,
-                lambda call_id: self.journal.state.charges.charged(spec.name, call_id),
+                lambda call_id: self.journal.state.charges.charged(life, call_id),
             )
--- a/saffronstack/metering/records.py
+++ b/saffronstack/metering/records.py
@@ -68,6 +68,17 @@
     """What all records of the log share."""
 
 
+def life_of(worker: str, incarnation: str) -> str:
+    """What names one life of a worker among charges: a call that comes again to a worker that died and
+    returned is charged anew there. Without an incarnation it is the name alone, as in older logs."""
+    return f"{worker}\0{incarnation}" if incarnation else worker
+
+
+def worker_of(life: str) -> str:
+    """The worker whose life it is."""
+    return life.partition("\0")[0]
+
+
 class Received(Entry, frozen=True, tag="r"):
     """A worker's record; ``at`` labels its end. ``steady`` is the same in Unix seconds that no clock step
     moves, for budgets; 0 in logs that had none."""
@@ -111,7 +122,8 @@
 
 
 class Replaced(Entry, frozen=True, tag="x"):
-    """A provisional charge is void: the worker said that the call has ended, so its records tell all."""
+    """A provisional charge is void: the worker said that the call has ended, so its records tell all.
+    ``worker`` is a life (``life_of``); a bare name in older logs."""
 
     worker: str
     call_id: str
@@ -125,7 +137,7 @@
 
 class Pinned(Entry, frozen=True, tag="q"):
     """What records charge a call of a dead worker, which another gateway may have estimated, in a
-    snapshot."""
+    snapshot. ``worker`` is a life; a bare name in older logs."""
 
     worker: str
     call_id: str
@@ -141,7 +153,8 @@
 
 
 class Charged(Entry, frozen=True, tag="k"):
-    """What the counted records of a worker charge one call, in a snapshot."""
+    """What the counted records of a worker charge one call, in a snapshot. ``worker`` is a life; a bare
+    name in older logs."""
 
     worker: str
     call_id: str
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -15,6 +15,7 @@
 from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec import structs
 
 from saffronstack import config as configs
 from saffronstack.cli.main import main
@@ -26,6 +27,7 @@
 from saffronstack.metering.records import (
     AnyEntry,
     Asked,
+    Charged,
     Confirmed,
     Estimated,
     Given,
@@ -38,6 +40,7 @@
     Usage,
     decode,
     encode,
+    life_of,
 )
 from saffronstack.metering.split import Phase, occupied, split
 from saffronstack.standin.fleet import StandInFleet
@@ -179,6 +182,35 @@
         assert each.by_tenant() == {"a": 2_000_000, "b": 50}
 
 
+def test_a_call_that_comes_again_to_a_workers_next_life_is_charged_in_both() -> None:
+    """Seen as 13.9 MB s short a tenant: what the next life recorded was taken off the last one's estimate."""
+    account = Account("g")
+    account.apply(Provisional("w1", "i", Ref("id-1", "a", "c"), "f", 1_500_000, 0.0))
+    account.apply(Received(usage(), 0.0))  # 1,000,000 in the life that ended
+    account.apply(Estimated("w1", "i"))
+    account.apply(Received(structs.replace(usage(1), incarnation="j"), 0.0))  # it goes again
+    account.apply(Provisional("w1", "j", Ref("id-1", "a", "c"), "f", 1_200_000, 0.0))  # and is lost again
+    copy = Account()
+    for entry in account.snapshot():
+        copy.apply(decode(encode(entry)))
+    for each in (account, copy):
+        assert each.by_tenant() == {"a": 2_700_000}
+        assert merge([each]).by_tenant() == {"a": 2_700_000}
+        each.apply(Replaced(life_of("w1", "j"), "id-1"))  # the second life told all
+        assert each.by_tenant() == {"a": 2_500_000}
+        each.apply(Estimated("w1", "j"))
+        assert each.by_tenant() == {"a": 2_500_000}
+
+
+def test_charges_of_older_logs_that_knew_no_lives_still_count() -> None:
+    account = Account("g")
+    account.apply(Charged("w1", "id-1", 1_000_000))
+    account.apply(Provisional("w1", "i", Ref("id-1", "a", "c"), "f", 1_500_000, 0.0))
+    assert account.by_tenant() == {"a": 500_000}
+    account.apply(Estimated("w1", "i"))
+    assert account.by_tenant() == merge([account]).by_tenant() == {"a": 500_000}
+
+
 def test_merging_counts_a_record_of_two_gateways_and_a_file_given_twice_once() -> None:
     one, two = Account("g1"), Account("g2")
     for entry in (
--- /dev/null
+++ b/tests/test_platform_run.py
@@ -0,0 +1,110 @@
+"""`run` as the platform starts it, held to what it asks: one process, threads, plain sockets."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import tomllib
+
+from tests.support.platform import WAIT_S, Client, Directory, Entry, ScriptedHost, config_text
+
+ROOT = pathlib.Path(__file__).parent.parent
+# Where a program would come by another process, a Unix socket or a call that the platform refuses.
+UNWANTED = {
+    "subprocess", "multiprocessing", "concurrent.futures.process", "pty", "asyncio", "ssl", "ctypes", "mmap",
+    "shutil", "tempfile", "structlog", "click", "watchfiles", "zstandard",
+}  # fmt: skip
+OTHERS = {
+    "invoke", "deferred", "operations", "metering", "durable", "roster", "daemon", "day", "standin", "cli",
+}  # fmt: skip
+
+
+def run_line() -> str:
+    line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert isinstance(line, str)
+    return line
+
+
+def free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def test_run_ends_by_exec_in_one_process() -> None:
+    steps = [step.strip() for step in run_line().split("&&")]
+    assert steps[-1].startswith("exec ") and "exec" not in " ".join(steps[:-1])
+    assert not re.search(r"[;|&`]|\$\(", "".join(steps)), "nothing beside it, and nothing after it"
+
+
+def test_a_gateway_under_load_is_one_process_with_threads_and_plain_sockets(tmp_path: pathlib.Path) -> None:
+    """Started by the line itself, on the package as it is in place of its compiled copy."""
+    (tmp_path / ".built").mkdir()
+    (tmp_path / ".built" / "saffronstack").symlink_to(ROOT / "saffronstack")
+    (tmp_path / ".venv").symlink_to(sys.prefix)
+    host, listen = ScriptedHost(), free_address()
+    directory = Directory(Entry("s-1", host.address))
+    path = tmp_path / "config.json"
+    path.write_bytes(config_text(directory.address, directory.entries, listen=listen))
+    told = (tmp_path / "told").open("w+")
+    environment = {**os.environ, "LB_CONFIG": str(path), "LB_NAME": "n1", "PYTHONPROFILEIMPORTTIME": "1"}
+    program = subprocess.Popen(["/bin/sh", "-c", run_line()], cwd=tmp_path, env=environment, stderr=told)
+    looked = threading.Event()
+    try:
+        where, port = listen.rsplit(":", 1)
+        client = _connected(program, told.name, (where, int(port)))
+
+        def load() -> None:
+            while not looked.is_set():
+                assert client.ask(subject=len(seen) % 7)[0] == "OK"
+                seen.append(1)
+
+        seen: list[int] = []
+        loading = threading.Thread(target=load)
+        loading.start()
+        directory.wait()
+        process = pathlib.Path(f"/proc/{program.pid}")
+        children = [text.read_text() for text in process.glob("task/*/children")]
+        command = (process / "cmdline").read_bytes().split(b"\0")
+        descriptors = [os.readlink(entry) for entry in (process / "fd").iterdir() if entry.is_symlink()]
+        unix = {line.split()[6] for line in (process / "net" / "unix").read_text().splitlines()[1:]}
+        mapped = {line.split()[-1] for line in (process / "maps").read_text().splitlines()}
+        looked.set()
+        loading.join(WAIT_S)
+        assert seen
+        assert len(children) > 5 and not any(text.strip() for text in children)  # threads, and no process
+        assert command[0].endswith(b"python") and command[-2] == b"saffronstack.platform"
+        assert any(re.search(r"/libc[.-]", name) for name in mapped)  # the C library is linked dynamically
+        sockets = {match[1] for name in descriptors if (match := re.fullmatch(r"socket:\[(\d+)\]", name))}
+        assert len(sockets) >= 4 and not sockets & unix
+        plain = ("socket:", "/", "pipe:", "anon_inode:[event")
+        assert not [name for name in descriptors if not name.startswith(plain)]
+        program.send_signal(signal.SIGTERM)
+        assert program.wait(WAIT_S) == 0
+        told.seek(0)
+        modules = {line.rsplit("|", 1)[1].strip() for line in told if line.startswith("import time:")}
+        parts = {name.split(".")[1] for name in modules if name.startswith("saffronstack.")}
+        assert "platform" in parts and not parts & OTHERS  # to the end: nothing is imported late either
+        assert not modules & UNWANTED, modules & UNWANTED
+    finally:
+        looked.set()
+        program.kill()
+        program.wait()
+        told.close()
+        directory.close()
+
+
+def _connected(program: subprocess.Popen[bytes], told: str, address: tuple[str, int]) -> Client:
+    """A client, once the gateway has said that it takes calls."""
+    pause = threading.Event()
+    for _ in range(int(WAIT_S / 0.02)):
+        if "takes calls" in pathlib.Path(told).read_text():
+            return Client(address)
+        assert program.poll() is None, pathlib.Path(told).read_text()
+        pause.wait(0.02)
+    raise AssertionError("it did not start in time")
