Trial: rank by told use of cores, spread by crowds met; verdict runner

Change: Router._rest weighs the rank by what answers told; the spread grows only on copies that were crowded. benchmarks/verdicts.py plays the suite several times from a fresh clone.

--- /dev/null
+++ b/benchmarks/verdicts.py
@@ -0,0 +1,113 @@
+"""The test suite several times in a row from a fresh clone: whether its verdict is the same each time.
+
+    python benchmarks/verdicts.py                        # ten runs, the last five beside a load on all cores
+    python benchmarks/verdicts.py --runs 4 --loaded 2 --tests tests/test_platform.py
+
+Prints a line a run, then the slowest tests and those that failed in some runs. Ends with 1 where one failed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import multiprocessing
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+import xml.etree.ElementTree as ElementTree
+from collections import defaultdict
+from multiprocessing.process import BaseProcess
+from statistics import median
+
+ROOT = pathlib.Path(__file__).parent.parent
+RUN_MOST_S = 1200.0
+
+
+def burn(until_s: float) -> None:
+    """Use a core until then (monotonic seconds)."""
+    while time.monotonic() < until_s:
+        sum(range(10_000))
+
+
+def clone(folder: pathlib.Path) -> pathlib.Path:
+    """A fresh clone with an environment of its own; the interpreter in it."""
+    quiet = subprocess.DEVNULL
+    subprocess.run(["git", "clone", "-q", str(ROOT), str(folder)], check=True)
+    subprocess.run([sys.executable, "-m", "venv", str(folder / ".venv")], check=True)
+    python = folder / ".venv" / "bin" / "python"
+    install = [str(python), "-m", "pip", "-q", "install", "-e", ".[dev]"]
+    subprocess.run(install, cwd=folder, check=True, stdout=quiet, stderr=quiet)
+    return python
+
+
+def play(
+    python: pathlib.Path, folder: pathlib.Path, tests: list[str]
+) -> tuple[float, dict[str, tuple[float, bool]]]:
+    """One run of the suite: its seconds, and each test's seconds and whether it passed."""
+    report = folder / "report.xml"
+    report.unlink(missing_ok=True)
+    began_s = time.monotonic()
+    command = [str(python), "-m", "pytest", "-q", f"--junitxml={report}", *tests]
+    quiet = subprocess.DEVNULL
+    subprocess.run(command, cwd=folder, timeout=RUN_MOST_S, stdout=quiet, stderr=quiet)
+    took_s = time.monotonic() - began_s
+    found: dict[str, tuple[float, bool]] = {}
+    for case in ElementTree.parse(report).iter("testcase"):
+        bad = any(child.tag in ("failure", "error") for child in case)
+        found[f"{case.get('classname')}::{case.get('name')}"] = float(case.get("time") or 0.0), not bad
+    return took_s, found
+
+
+def main() -> int:
+    """0 where every run was green, 1 where one was not, or ran nothing."""
+    plain = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=plain)
+    parser.add_argument("--runs", type=int, default=10)
+    parser.add_argument("--loaded", type=int, default=5, help="of the runs, the last ones, beside a load")
+    parser.add_argument("--tests", nargs="*", default=[])
+    asked = parser.parse_args()
+    times: dict[str, list[float]] = defaultdict(list)
+    failed: dict[str, int] = defaultdict(int)
+    green = 0
+    with tempfile.TemporaryDirectory(prefix="saffronstack-verdicts-") as name:
+        folder = pathlib.Path(name) / "clone"
+        python = clone(folder)
+        for run in range(asked.runs):
+            loaded = run >= asked.runs - asked.loaded
+            burners: list[BaseProcess] = []
+            if loaded:
+                until_s = time.monotonic() + RUN_MOST_S
+                burners = [
+                    multiprocessing.Process(target=burn, args=(until_s,), daemon=True)
+                    for _ in range(os.cpu_count() or 1)
+                ]
+                for burner in burners:
+                    burner.start()
+            try:
+                took_s, found = play(python, folder, asked.tests)
+            finally:
+                for burner in burners:
+                    burner.terminate()
+                    burner.join()
+            bad = [test for test, (_, passed) in found.items() if not passed]
+            green += bool(found) and not bad
+            for test, (seconds, _) in found.items():
+                times[test].append(seconds)
+            for test in bad:
+                failed[test] += 1
+            beside = " beside a load on all cores" if loaded else ""
+            print(f"run {run + 1}: {len(found)} tests, {len(bad)} failed, {took_s:.0f} s{beside}", flush=True)
+    print("\nslowest (median seconds, most):")
+    for test, took in sorted(times.items(), key=lambda item: -median(item[1]))[:15]:
+        print(f"  {median(took):6.1f} {max(took):6.1f}  {test}")
+    print("\nfailed in some runs:" if failed else "\nno test failed in any run")
+    for test, count in sorted(failed.items(), key=lambda item: -item[1]):
+        print(f"  {count} of {asked.runs}  {test}")
+    print(f"\n{green} of {asked.runs} runs green")
+    return 0 if green == asked.runs else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -34,8 +34,12 @@
 PART_PRIOR = 10.0  # requests that count as seen of other functions: few own requests prove little
 SPREAD = 1.5  # workers that a function's loads go to, for each that its part of the requests would fill
 SPREAD_MOST = 10.0
-SPREAD_GROW = 1.05  # by a send without an entry that finds a copy
+SPREAD_GROW = 1.05  # by a send without an entry that finds a copy with all its lanes taken
+SPREAD_EASE = 0.99  # by one that finds a lane free
 SPREAD_SHRINK = 0.8  # by one that needs a load
+BUSY_STEP = 0.3  # weight of one told use of a worker's cores
+BUSY_SPAN_S = 20.0  # memory of it: what differs between workers lasts, what one of them does next does not
+REST_LEAST = 0.05  # of its cores that a worker is taken to have free
 MET_SPAN = 30.0  # answers that the part which met another front end's copy rests on
 MET_MOSTLY = 0.2  # over this part, copies are taken to be shared by all front ends
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
@@ -101,6 +105,8 @@
     answers: int = 0  # that `slow` rests on, up to what it needs
     errors: float = 0.0  # recent part of its answers that were errors
     misses: int = 0  # attempts in a row that reached nothing
+    busy: float = 0.0  # recent use of its cores by its own answers, and when it was told last
+    busy_s: float = -math.inf
     ejected: bool = False
     trial_s: float = 0.0  # when the next trial may go to it while it is ejected
     loading: dict[int, int] = field(default_factory=dict)  # functions with own sends out that need a load
@@ -174,6 +180,7 @@
         self.loads_out = 0
         self.value = 0.0  # recent mean worth of a request
         self.norms: dict[int, float] = {}  # usual time of a warm answer, for each class
+        self.busy = 0.0  # recent use of cores over the answering workers
         self.eject_s = 0.0
         self.sweep_s = 0.0
         self.orders: dict[tuple[int, int], list[Request]] = {}
@@ -312,13 +319,16 @@
         """Learn whether copies are shared by all front ends, and how much to refuse at once.
 
         Shared: many answers met a copy where the own account had none. Refusing guards against queues that
-        many front ends fill, each with little at any one worker; hurts where a few workers alone are slow."""
+        many front ends fill, each with little at any one worker; hurts where a few workers alone are slow.
+        The spread grows only where a copy was crowded, if the site tells that: with hundreds of front ends
+        nearly all sends find a copy, and a spread that grows on that alone ends where loads crowd it."""
         warm = event.found is Found.WARM
         if event.result is Result.OK:
             self.met += ((attempt.strange and warm) - self.met) / MET_SPAN
         if event.result is Result.OK and attempt.strange:
-            spread = self.spread * (SPREAD_GROW if warm else SPREAD_SHRINK)
-            self.spread = min(SPREAD_MOST, max(1.0, spread))
+            crowded = event.crowd is None or event.crowd >= max(1.0, attempt.ask.lanes)
+            found = SPREAD_GROW if crowded else SPREAD_EASE
+            self.spread = min(SPREAD_MOST, max(1.0, self.spread * (found if warm else SPREAD_SHRINK)))
         aim_s = self.settings.classes[attempt.ask.class_index].aim_s
         if event.result is Result.FULL or (warm and event.elapsed_s > aim_s):
             self.shed = min(SHED_MOST, self.shed + SHED_MORE)
@@ -515,8 +525,8 @@
         if not room:
             return min(calm, key=lambda worker: (worker.in_flight, self._rank(worker, ask.function)))
         first = heapq.nsmallest(
-            self._spread(now, ask.function), room,
-            key=lambda worker: self._rank(worker, ask.function) / self._room_share(worker))
+            self._spread(now, ask.function), room, key=lambda worker: (
+                self._rank(worker, ask.function) / (self._room_share(worker) * self._rest(now, worker))))
         return min(first, key=lambda worker: (worker.in_flight, self.random.random()))
 
     def _spread(self, now: float, function: int) -> int:
@@ -535,6 +545,22 @@
             return 1.0
         return math.pow(max(1e-3, 1 - worker.placed_mb / self._memory_mb(worker)), ROOM_WEIGHT)
 
+    def _hear(self, now: float, worker: Worker, busy: float) -> None:
+        worker.busy += (BUSY_STEP if worker.busy_s > now - BUSY_SPAN_S else 1.0) * (busy - worker.busy)
+        worker.busy_s = now
+        self.busy += NORM_STEP * (busy - self.busy)
+
+    def _rest(self, now: float, worker: Worker) -> float:
+        """The part of its cores that is free by what its answers told, as a multiple of the fleet's.
+
+        Guards against workers that stay busier than others though no front end sees it: ranks, sizes and
+        chance load them unevenly for as long as the functions live. Old words decay to the fleet's mean, so
+        that a worker nobody sends to comes back. Hurts where the use of cores is told wrongly."""
+        if worker.busy_s == -math.inf:
+            return 1.0
+        apart = (worker.busy - self.busy) * math.exp((worker.busy_s - now) / BUSY_SPAN_S)
+        return max(REST_LEAST, 1 - self.busy - apart) / max(REST_LEAST, 1 - self.busy)
+
     def _memory_mb(self, worker: Worker) -> float:
         return max(1.0, dict(enumerate(self.settings.memory_mb_by_kind)).get(worker.entry.kind, math.inf))
 
@@ -770,6 +796,8 @@
         worker.warm_out -= attempt.warm
         if attempt.warm and event.found in (Found.WARM, Found.UNTOLD):
             self._move_limit(now, attempt, event)
+        if event.report is not None and event.report.busy is not None:
+            self._hear(now, worker, min(1.0, event.report.busy))
         self._judge_answer(attempt, event)
         self._rate_worker(now, attempt, event)
         holding = self._holding(worker, ask)
