--- a/benchmarks/platform_load.py
+++ b/benchmarks/platform_load.py
@@ -20,7 +20,8 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent))
-from tests.support.platform import Client, Directory, Entry, ScriptedHost, config_text
+from saffronstack.standin.platform import Directory, Entry
+from tests.support.platform import Client, ScriptedHost, config_text
 
 TRACED = """
 import gc, os, signal, sys, threading, time, tracemalloc
--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -527,7 +527,7 @@
         first = heapq.nsmallest(
             self._spread(now, ask.function), room, key=lambda worker: (
                 self._rank(worker, ask.function) / (self._room_share(worker) * self._rest(now, worker))))
-        return min(first, key=lambda worker: (worker.in_flight, self.random.random()))
+        return min(first, key=lambda w: (w.in_flight, -self._rest(now, w), self.random.random()))
 
     def _spread(self, now: float, function: int) -> int:
         """Over how many workers a function goes: those that its part of the own requests would fill.
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -11,13 +11,13 @@
 import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from typing import Any
 
 from saffronstack.core.logs import PlainLog
 from saffronstack.platform.config import parse
 from saffronstack.platform.service import Service
 from saffronstack.resp.reader import RespLimits, RespReader, encode
+from saffronstack.standin.platform import Directory, Entry
 
 WAIT_S = 10.0  # a bound, never waited out where things go right
 SETTINGS: dict[str, Any] = {
@@ -114,84 +114,6 @@
         self._listener.close()
 
 
-@dataclass(frozen=True)
-class Entry:
-    """A host as the directory lists it."""
-
-    name: str
-    address: str
-    draining: bool = False
-    started: int = 0
-
-
-def dns_answer(query: bytes, serial: int, entries: list[Entry]) -> bytes:
-    """A whole answer, with compressed names."""
-    question = query[12:]
-    services, more = b"", b""
-    at = 12 + len(question)
-    targets: list[bytes] = []
-    for entry in entries:
-        host, _, port = entry.address.rpartition(":")
-        labels = [entry.name.encode(), b"east", b"hosts"]
-        target = b"".join(bytes([len(label)]) + label for label in labels) + b"\0"
-        data = struct.pack(">HHH", 1 if entry.draining else 0, 10, int(port)) + target
-        services += b"\xc0\x0c" + struct.pack(">HHIH", 33, 1, 0, len(data)) + data
-        pointer = struct.pack(">H", 0xC000 | at + 12 + 6)
-        targets.append(pointer)
-        at += 12 + len(data)
-        more += pointer + struct.pack(">HHIH", 1, 1, 0, 4) + socket.inet_aton(host)
-        texts = b"".join(
-            bytes([len(text)]) + text for text in (b"kind=std", b"cell=0", b"started=%d" % entry.started)
-        )
-        more += pointer + struct.pack(">HHIH", 16, 1, 0, len(texts)) + texts
-    soa = b"\0\0" + struct.pack(">IIIII", serial, 1, 1, 1, 1)
-    authority = b"\xc0\x0c" + struct.pack(">HHIH", 6, 1, 0, len(soa)) + soa
-    header = query[:2] + struct.pack(">HHHHH", 0x8400, 1, len(entries), 1, 2 * len(entries))
-    return header + question + services + authority + more
-
-
-class Directory:
-    """Answers with ``entries`` under ``serial``, or with what ``spoil`` makes of that."""
-
-    def __init__(self, *entries: Entry, serial: int = 1) -> None:
-        self.entries = list(entries)
-        self.serial = serial
-        self.spoil: Callable[[bytes], bytes | None] = lambda answer: answer
-        self.asked = threading.Semaphore(0)
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._sock.bind(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._sock.getsockname()[1]}"
-        threading.Thread(target=self._run, daemon=True).start()
-
-    def _run(self) -> None:
-        while True:
-            try:
-                query, peer = self._sock.recvfrom(4096)
-                answer = self.spoil(dns_answer(query, self.serial, self.entries))
-                if answer is not None:
-                    self._sock.sendto(answer, peer)
-            except OSError:
-                return
-            self.asked.release()
-
-    def tell(self, *entries: Entry) -> None:
-        """A new list under the next number; returns once a question after it has been answered."""
-        self.entries = list(entries)
-        self.serial += 1
-        self.wait()
-
-    def wait(self) -> None:
-        """Until two more questions have been answered: the first of them may be an old one."""
-        while self.asked.acquire(blocking=False):
-            pass
-        for _ in range(2):
-            assert self.asked.acquire(timeout=WAIT_S)
-
-    def close(self) -> None:
-        """Answer no more."""
-        self._sock.close()
-
-
 class Client:
     """A client of the gateway; answers are read one by one."""
 
--- a/tests/test_many_front_ends.py
+++ b/tests/test_many_front_ends.py
@@ -9,6 +9,7 @@
     Found,
     ListKind,
     ListUpdate,
+    Report,
     Request,
     Result,
     RuleSettings,
@@ -203,3 +204,43 @@
     decider = Router(settings(rules=COLD, instances=200), 1)
     decider.handle(100.0, ListUpdate(ListKind.CACHED, (entry(1, since_s=99.0),)))
     assert not sends(decider.handle(100.0, Request(1, SAFE, 1, 103.0, memory_mb=500.0)))
+
+
+def test_a_worker_told_as_busy_gets_fewer_loads_and_comes_back() -> None:
+    """Hundreds of front ends that see little load some workers at 0.9 and others at 0.1, for as long as the
+    functions live: own counts show nothing, the answers' reports do."""
+
+    def loads(busy: dict[int, float], later_s: float = 0.0) -> list[int]:
+        got = [0] * 9
+        for gateway in many(20, 8):
+            for step in range(120):  # each worker is heard of some times
+                now = 99.0 + step * 0.01
+                number, _ = gateway.ask(now, function=5000 + step, memory_mb=1.0)
+                gateway.end(now, number, report=Report(busy=busy.get(gateway.where[number], 0.5)))
+            for worker in gateway.decider.workers.values():
+                worker.placed_mb = 0.0  # memory aside
+            for function in range(40):
+                number, actions = gateway.ask(100.2 + later_s, function=function, memory_mb=1.0)
+                got[sends(actions)[0].worker] += 1
+                gateway.end(100.2 + later_s, number)
+        return got
+
+    even, told = loads({}), loads({1: 1.0, 2: 0.0})
+    assert told[1] < 0.5 * even[1] and told[2] > 1.3 * even[2]
+    assert loads({1: 1.0, 2: 0.0}, later_s=120.0)[1] > 0.8 * even[1]  # words of long ago say nothing
+
+
+def test_copies_with_a_free_lane_do_not_widen_the_spread() -> None:
+    """Nearly every send of hundreds of front ends finds a copy: a spread that grew on that had no end."""
+
+    def spread_after(crowd: int | None) -> float:
+        gateway = Gateway(router(*range(1, 41), instances=300))
+        for function in range(200):
+            number, actions = gateway.ask(100.0 + function * 0.1, function=1000 + function)
+            if sends(actions):
+                gateway.end(100.05 + function * 0.1, number, found=Found.WARM, crowd=crowd)
+        assert gateway.decider.met > 0.2
+        return gateway.decider.spread
+
+    assert spread_after(0) == 1.0
+    assert spread_after(1) == spread_after(None) == 10.0  # every lane taken; a site that does not tell
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,17 +14,8 @@
 import pytest
 
 from saffronstack.platform.beliefs import Beliefs
-from tests.support.platform import (
-    WAIT_S,
-    Client,
-    Directory,
-    Entry,
-    HostConnection,
-    ScriptedHost,
-    config_text,
-    echo,
-    gateway,
-)  # fmt: skip
+from saffronstack.standin.platform import Directory, Entry
+from tests.support.platform import WAIT_S, Client, HostConnection, ScriptedHost, config_text, echo, gateway
 
 
 def test_a_call_passes_and_its_body_is_unchanged() -> None:
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -23,7 +23,7 @@
 from saffronstack.platform.clients import Tags
 from saffronstack.resp.frames import CallFrame, FrameError, frame_of
 from saffronstack.resp.reader import RespError, RespReader, encode
-from tests.support.platform import Entry, dns_answer
+from saffronstack.standin.platform import Entry, dns_answer
 
 FIELDS = b"req=9b1f03aa5c7e2d41,timeout=1500,subject=7f3a9c21e0b4d655"
 CALL = (b"CALL", b"7", b"look", FIELDS, b"\r\n$3\r\n\x00")
--- a/tests/test_platform_run.py
+++ b/tests/test_platform_run.py
@@ -12,7 +12,8 @@
 import threading
 import tomllib
 
-from tests.support.platform import WAIT_S, Client, Directory, Entry, ScriptedHost, config_text
+from saffronstack.standin.platform import Directory, Entry
+from tests.support.platform import WAIT_S, Client, ScriptedHost, config_text
 
 ROOT = pathlib.Path(__file__).parent.parent
 # Where a program would come by another process, a Unix socket or a call that the platform refuses.
