--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -99,6 +99,8 @@
                 failed[test] += 1
             beside = " beside a load on all cores" if loaded else ""
             print(f"run {run + 1}: {len(found)} tests, {len(bad)} failed, {took_s:.0f} s{beside}", flush=True)
+            for test in bad:
+                print(f"  failed: {test}", flush=True)
     print("\nslowest (median seconds, most):")
     for test, took in sorted(times.items(), key=lambda item: -median(item[1]))[:15]:
         print(f"  {median(took):6.1f} {max(took):6.1f}  {test}")
--- a/saffronstack/metering/charges.py
+++ b/saffronstack/metering/charges.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterator, Mapping
 from contextlib import AbstractContextManager
 
-from msgspec import structs
-
 from saffronstack.durable.runs import Item
 from saffronstack.metering.archive import Archive, amounts_of, key_of, parts_of, prefix_of, value_of
 from saffronstack.metering.estimates import shared
@@ -58,11 +56,11 @@
     # ---- changes
 
     def expect(self, charge: Provisional) -> None:
-        """A call's answer was lost; one that was lost twice in one life held there both times."""
+        """A call's answer was lost. Of two losses in one life the longer stays: a retry may have met a dying
+        worker's socket for a millisecond, and both together hold too much where records tell of one."""
         before = self.provisional.get(key_for(charge))
-        if before is not None:
-            charge = structs.replace(charge, amount=wire(int(before.amount) + int(charge.amount)))
-        self.provisional[key_for(charge)] = charge
+        if before is None or int(before.amount) <= int(charge.amount):
+            self.provisional[key_for(charge)] = charge
 
     def replace(self, life: str, call_id: str) -> None:
         """Its records tell all of a call."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -96,6 +96,7 @@
     assert saffronstack("serve").returncode == 2
 
 
+@pytest.mark.xdist_group("fleet")  # with the days of many gateways: one at a time
 def test_a_short_bad_day_keeps_the_rules() -> None:
     done = saffronstack("day", "run", str(ROOT / "deploy/days/short.json5"), timeout=120)
     assert done.returncode == 0, done.stdout + done.stderr
