--- a/saffronstack/metering/answered.py
+++ b/saffronstack/metering/answered.py
@@ -28,6 +28,7 @@
     function: str
     amount: int
     told: bool = False
+    incarnation: str = ""  # the life of the worker that answered it, where known
 
 
 @dataclass(slots=True)
@@ -77,6 +78,7 @@
                 if call.told
                 else min(call.amount, round(self._usual.get(call.function, call.amount))),
                 call.told,
+                call.incarnation,
             )
             for call in (known.calls if known is not None else ())
         ]
--- a/saffronstack/metering/meter.py
+++ b/saffronstack/metering/meter.py
@@ -206,6 +206,7 @@
                     call.function.name,
                     end.held if told else gross,
                     told,
+                    end.incarnation,
                 ),
             )
 
@@ -341,6 +342,8 @@
             dead.add(last)
             now, wall = self._clock(), self._wall()
             for call in self._answered_calls.died(worker_number(worker)):
+                if call.incarnation == incarnation:  # the new life answered it before it was heard of
+                    continue
                 if call.amount > account.charges.charged(life_of(worker, last), call.call_id):
                     age_s = now - call.ended_s
                     ref = Ref(call.call_id, call.tenant, call.call_class)
