--- a/tests/test_platform_run.py
+++ b/tests/test_platform_run.py
@@ -23,6 +23,7 @@
 }  # fmt: skip
 OTHERS = {
     "invoke", "deferred", "operations", "metering", "durable", "roster", "daemon", "day", "standin", "cli",
+    "fleet",
 }  # fmt: skip
 
 
