--- /dev/null
+++ b/benchmarks/standing.py
@@ -0,0 +1,90 @@
+"""The standing duty in order, where the users' kit stands beside the repository, against what is kept.
+
+    python benchmarks/standing.py                  # fleet quick, the earlier days quick, the simulator quick
+    python benchmarks/standing.py --full           # the fleet's days in full, a soak among them
+
+Each step runs alone and writes its journal, which is committed. One table at the end. Ends with 1 where the
+gate failed, a rule broke or a figure fell by more than 0.03, with 2 where a program could not be run.
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import re
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parent.parent
+KIT = ROOT.parent / "given" / "kit"
+SITE = KIT / "more" / "node" / "sites" / "campus-books.toml"
+FALL = 0.03
+STEP_MOST_S = 3600.0
+# What docs/results.md keeps for each step; the newest figures that stood on main.
+KEPT = {"fleet quick": 0.794, "fleet full": 0.688, "earlier days quick": 0.976, "simulator quick": 0.461}
+SCORES = (
+    re.compile(r"score of the real nodes (\d\.\d+)"),
+    re.compile(r"quick (?:estimate|score)[^:]*: (\d\.\d+)"),
+    re.compile(r"one figure[^:]*: (\d\.\d+)"),
+)
+
+
+def command(step: str, why: str) -> list[str]:
+    """What a step runs."""
+    fleet, site = str(KIT / "more" / "mass" / "bin" / "lbreal"), str(SITE)
+    told = ["--why", why]
+    if step == "fleet quick":
+        return [fleet, "score", site, "--quick", *told]
+    if step == "fleet full":
+        return [fleet, "score", site, *told]
+    if step == "earlier days quick":
+        return [fleet, "score", site, "--panel", "later", "--quick", *told]
+    later = str(KIT / "next" / "1" / "campus-books-later.toml")
+    return [str(KIT / "bin" / "lbsim"), "score", later, "--quick", *told]
+
+
+def figure(text: str) -> float | None:
+    """The one figure that a program printed."""
+    for pattern in SCORES:
+        found = pattern.findall(text)
+        if found:
+            return float(found[-1])
+    return None
+
+
+def main() -> int:
+    """See above."""
+    plain = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=plain)
+    parser.add_argument("--full", action="store_true")
+    parser.add_argument("--why", default="standing duty before a landing")
+    asked = parser.parse_args()
+    if not SITE.is_file():
+        print(f"no kit at {KIT}", file=sys.stderr)
+        return 2
+    steps = ["fleet full" if asked.full else "fleet quick", "earlier days quick", "simulator quick"]
+    rows, code = [], 0
+    for step in steps:
+        print(f"{step} ...", flush=True)
+        try:
+            ran = subprocess.run(
+                command(step, asked.why), cwd=ROOT, capture_output=True, text=True, timeout=STEP_MOST_S
+            )
+        except (OSError, subprocess.TimeoutExpired) as error:
+            rows.append((step, "-", f"{KEPT[step]:.3f}", f"could not be run: {error}"))
+            code = 2
+            continue
+        text = ran.stdout + ran.stderr
+        found = figure(text)
+        notes = [line for line in text.splitlines() if line.startswith("GATE") or "broken" in line]
+        bad = found is None or found < KEPT[step] - FALL or any("GATE failed" in note for note in notes)
+        rows.append((step, "-" if found is None else f"{found:.3f}", f"{KEPT[step]:.3f}", "; ".join(notes)))
+        code = max(code, int(bad))
+    print(f"\n{'step':<22}{'now':>8}{'kept':>8}  notes")
+    for step, now, kept, notes_ in rows:
+        print(f"{step:<22}{now:>8}{kept:>8}  {notes_}")
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/saffronstack/choice.py
+++ b/saffronstack/choice.py
@@ -40,6 +40,7 @@
 BUSY_STEP = 0.3  # weight of one told use of a worker's cores
 BUSY_SPAN_S = 20.0  # memory of it: what differs between workers lasts, what one of them does next does not
 REST_LEAST = 0.05  # of its cores that a worker is taken to have free
+REST_STEPS = 10  # smaller differences between two workers decide nothing
 MET_SPAN = 30.0  # answers that the part which met another front end's copy rests on
 MET_MOSTLY = 0.2  # over this part, copies are taken to be shared by all front ends
 BOUND = 1.5  # own requests in flight for a worker's size, as a multiple of the mean, that still is calm
@@ -527,17 +528,20 @@
         first = heapq.nsmallest(
             self._spread(now, ask.function), room, key=lambda worker: (
                 self._rank(worker, ask.function) / (self._room_share(worker) * self._rest(now, worker))))
-        return min(first, key=lambda w: (w.in_flight, -self._rest(now, w), self.random.random()))
+        # The better of two, not the best of all: front ends that hear late would all go to the same one.
+        first = self.random.sample(first, 2) if len(first) > 2 else first
+        return min(first, key=lambda w: (
+            w.in_flight, -round(REST_STEPS * self._rest(now, w)), self.random.random()))
 
     def _spread(self, now: float, function: int) -> int:
-        """Over how many workers a function goes: those that its part of the own requests would fill.
+        """Over how many workers a function goes: two, or those that its part of the own requests would fill.
 
         Guards against all front ends sending a hot function to one favourite, none of them seeing it; hurts
         where front ends get different functions. A part, unlike a rate, is alike at small and large ones."""
         if self.met <= MET_MOSTLY:
             return 1
         part = self._recent(now, ("function", function)) / (self._recent(now, ALL) + PART_PRIOR)
-        return max(1, round(self.spread * part * self.ready))
+        return max(2, round(self.spread * part * self.ready))
 
     def _room_share(self, worker: Worker) -> float:
         """The part of its memory that is free by the own account; where copies are shared, meeting counts."""
