--- /dev/null
+++ b/benchmarks/seeds.py
@@ -0,0 +1,78 @@
+"""Short days of the users' bench over many seeds: a table of verdicts, by day and seed.
+
+    python benchmarks/seeds.py                                   # roll, split and join, seeds 1 to 10, 30 gateways
+    python benchmarks/seeds.py --kinds roll+mass --seeds 11-20 --jobs 2 --logs /tmp/logs
+    python benchmarks/seeds.py --kinds reload,term --nodes 0     # days on real sockets, gateways as the day has them
+
+Each day writes its journal, which is committed. A red day does not end the run. Ends with 1 where any day broke a
+rule, crashed or left a request unanswered, with 2 where the kit is missing.
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import sys
+from concurrent.futures import ThreadPoolExecutor
+
+import kit
+
+KINDS = "roll+mass,split+mass,join+mass"
+DAY_TIMEOUT_S = 900.0
+MAX_DAYS = 400
+
+
+def seeds_of(text: str) -> list[int]:
+    """Seeds as in ``1-10,42``; ValueError."""
+    seeds: list[int] = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds.extend(range(int(first), int(last or first) + 1))
+    return seeds
+
+
+def play(kind: str, seed: int, options: argparse.Namespace) -> kit.DayResult:
+    """Play one day and print its line."""
+    logs = options.logs / f"{kind}-{seed}" if options.logs else None
+    command = kit.short_day(kind, seed, options.nodes, options.why, options.site, logs)
+    played = kit.run(command, DAY_TIMEOUT_S)
+    if options.output:
+        (options.output / f"{kind}-{seed}.txt").write_text(played.text)
+    result = kit.judge(kind, seed, options.nodes, played)
+    score = "-" if result.score is None else f"{result.score:.2f}"
+    verdict = "passed" if result.passed else "FAILED"
+    print(f"{kind:<14}{seed:>5}{verdict:>9}{score:>7}  {'; '.join(result.faults)[:300]}", flush=True)
+    return result
+
+
+def main() -> int:
+    """See above."""
+    plain = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=plain)
+    parser.add_argument("--kinds", default=KINDS, help="days, joined by commas")
+    parser.add_argument("--seeds", type=seeds_of, default=seeds_of("1-10"), help="as in 1-10,42")
+    parser.add_argument("--nodes", type=int, default=30, help="gateways; 0: as many as the day has")
+    parser.add_argument("--jobs", type=int, default=4, help="days at one time")
+    parser.add_argument("--site", type=pathlib.Path, default=kit.SITE)
+    parser.add_argument("--logs", type=pathlib.Path, help="folder for the gateways' logs")
+    parser.add_argument("--output", type=pathlib.Path, help="folder for what the bench printed")
+    parser.add_argument("--why", default="short days over seeds")
+    options = parser.parse_args()
+    if not options.site.is_file():
+        print(f"no kit at {kit.KIT}", file=sys.stderr)
+        return 2
+    days = [(kind, seed) for kind in options.kinds.split(",") for seed in options.seeds]
+    if len(days) > MAX_DAYS:
+        parser.error(f"{len(days)} days, {MAX_DAYS} at most")
+    if options.output:
+        options.output.mkdir(parents=True, exist_ok=True)
+    print(f"{'day':<14}{'seed':>5}{'verdict':>9}{'score':>7}  what broke", flush=True)
+    with ThreadPoolExecutor(options.jobs) as pool:
+        results = list(pool.map(lambda day: play(*day, options), days))
+    failed = [result for result in results if not result.passed]
+    print(f"\n{len(results) - len(failed)} passed, {len(failed)} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
