One thread reads all client connections; graceful shutdown is a state machine

Seen in the code, then shown by tests that force the order on real connections: a request left the set of open ones before its answer was written, and a pause of 0.05 s covered it (Connection._final, Service.stop); Writer.stop dropped outboxes of slow readers; Engine.submit looked at _stopping and queued in two steps; a silent connection was shut though its request lay unread, idle ones that had spoken were never closed for a newcomer, and the listener waited up to 1 s for one victim (Front._admit); one malformed frame failed running calls after a second; SIGHUP replaced the configuration in force, and stop then counted deadlines that never were.

The time of a request counts from when its socket was found readable.

--- a/saffronstack/core/engine.py
+++ b/saffronstack/core/engine.py
@@ -126,7 +126,8 @@
         self._roster = Roster()
         self._numbers = count(1)
         self._now = clock()
-        self._stopping = threading.Event()
+        self._submitting = threading.Lock()  # no call is queued once `stop` has been called
+        self._stopping = False
         self._stopped = threading.Event()
 
     # ---- from any thread
@@ -137,9 +138,12 @@
         spawn("decisions", self._run)
 
     def stop(self, timeout_s: float = 5.0) -> bool:
-        """End the decision thread after what is queued; whether it ended in time."""
-        self._stopping.set()
-        self._queue.put(None)
+        """End the decision thread after what is queued; whether it ended in time.
+
+        From here on no call is taken, and once the thread has ended each that was has its final answer."""
+        with self._submitting:
+            self._stopping = True
+            self._queue.put(None)
         return self._stopped.wait(timeout_s)
 
     def next_number(self) -> int:
@@ -147,11 +151,13 @@
         return next(self._numbers)
 
     def submit(self, call: Call) -> bool:
-        """Take a call: it gets exactly one final answer. False: too many are open, nothing was taken."""
-        if len(self._open) >= self.open_most or self._stopping.is_set():
-            return False
-        self._queue.put(call)
-        return True
+        """Take a call: it gets exactly one final answer. False: too many are open or the engine stops, and
+        nothing was taken."""
+        with self._submitting:
+            if len(self._open) >= self.open_most or self._stopping:
+                return False
+            self._queue.put(call)
+            return True
 
     def leave(self, call: Call) -> None:
         """The client of a call has left."""
--- a/saffronstack/platform/calls.py
+++ b/saffronstack/platform/calls.py
@@ -17,17 +17,16 @@
 class CallMaker:
     """What a call frame asks, by the settings."""
 
-    def __init__(
-        self, settings: api.Settings, next_number: Callable[[], int], clock: Callable[[], float]
-    ) -> None:
+    def __init__(self, settings: api.Settings, next_number: Callable[[], int]) -> None:
         self._classes = {cls.name: place for place, cls in enumerate(settings.classes)}
         self._deadlines = [cls.deadline_s for cls in settings.classes]
         self._tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
         self._next_number = next_number
-        self._clock = clock
 
-    def call(self, frame: frames.CallFrame) -> Call:
-        """The call; `frames.FieldError` where it names what there is not, or a figure is out of range."""
+    def call(self, frame: frames.CallFrame, received_s: float) -> Call:
+        """The call, whose time counts from when its last byte was there to be read (clock time).
+
+        `frames.FieldError` where it names what there is not, or a figure is out of range."""
         fields = frame.fields
         request_id = frames.request_id(fields)
         subject = frames.subject(fields)
@@ -59,7 +58,7 @@
             request_id,
             spec,
             frame.body,
-            self._clock() + wait_s - min(MARGIN_S, wait_s / 4),
+            received_s + wait_s - min(MARGIN_S, wait_s / 4),
             tenant,
             class_name=frame.class_name,
         )
--- a/saffronstack/platform/config.py
+++ b/saffronstack/platform/config.py
@@ -52,10 +52,20 @@
         membership = Membership(self.zones, self.kinds)
         try:
             return membership, take_known(membership, self.known)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
             raise ConfigError(f"known: {error!r}") from error
 
 
+# Parts that a running gateway keeps until it is restarted. `known` is the list of the start and `seed` is new
+# with each start: neither concerns one that runs.
+_KEPT = ("name", "listen", "limits", "settings", "zones", "kinds", "streams", "idle_s", "open_most")
+
+
+def needing_restart(in_force: PlatformConfig, fresh: PlatformConfig) -> list[str]:
+    """Names of the parts that differ and that no signal applies."""
+    return [name for name in _KEPT if getattr(in_force, name) != getattr(fresh, name)]
+
+
 def read(path: str) -> PlatformConfig:
     """The file's configuration; ConfigError, also where it can't be read."""
     try:
@@ -65,7 +75,10 @@
         raise ConfigError(f"{path}: {error.strerror or error}") from error
     if len(content) > CONFIG_BYTES:
         raise ConfigError(f"{path}: over {CONFIG_BYTES} bytes")
-    return parse(content)
+    try:
+        return parse(content)
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from error
 
 
 def parse(content: bytes) -> PlatformConfig:
@@ -80,7 +93,7 @@
         return _config(raw)
     except SettingsError as error:
         raise ConfigError(str(error)) from error
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"malformed: {error!r}") from error
 
 
--- /dev/null
+++ b/saffronstack/platform/connection.py
@@ -0,0 +1,273 @@
+"""One client connection: frames in, calls to the engine, answers out. It has no thread of its own."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from saffronstack.core.calls import Call, Ending, Final
+from saffronstack.core.engine import Engine
+from saffronstack.net.outlet import Outlet, Piece, Writer
+from saffronstack.platform.calls import CallMaker
+from saffronstack.platform.identifiers import OpenIds, Tags
+from saffronstack.resp import frames
+from saffronstack.resp.reader import RespError, RespReader, encode
+
+SERVED, REFUSED, FAILED, UP = b"OK", b"BUSY", b"FAILED", b"UP"
+WORDS = {Ending.SERVED: SERVED, Ending.REFUSED: REFUSED, Ending.FAILED: FAILED}
+
+
+@dataclass(frozen=True, slots=True)
+class FrontLimits:
+    """Bounds of the clients' connections; times in seconds, sizes in bytes."""
+
+    connections: int = 400
+    overflow: int = 4  # connections beyond that whose calls are refused at once
+    open_calls: int = 32  # on one connection
+    silent_s: float = 2.0  # until its first byte
+    message_s: float = 2.0  # for the whole of a message
+    idle_s: float = 4.5  # clients close theirs after 4
+    overflow_s: float = 0.5  # for all of a connection beyond the number
+    outbox_bytes: int = 640 * 1024  # a full set of the largest answers
+    stall_s: float = 2.0
+    linger_s: float = 1.0  # after a half-close, until the client closes: else a reset could take its answers
+    linger_bytes: int = 1024 * 1024
+    busy_holdoff_s: float = 0.1  # asked of a client that has too much open
+
+
+class State(Enum):
+    """What a connection does with bytes that come."""
+
+    READING = auto()
+    FINISHING = auto()  # drops them: no request can be read any more, and the open ones keep their time
+    LINGERING = auto()  # drops them: everything is answered and the writing side is closed
+
+
+@dataclass(frozen=True, slots=True)
+class Services:
+    """What all connections share."""
+
+    engine: Engine
+    maker: CallMaker
+    writer: Writer
+    ids: OpenIds
+    clock: Callable[[], float]
+    ready: Callable[[], bool]
+    holdoff: Callable[[float], bytes]  # seconds to keep away, as a field
+
+
+class ClientConnection:
+    """Owned by the front's thread; answers are written by whichever thread settles a call."""
+
+    def __init__(
+        self, sock: socket.socket, services: Services, limits: FrontLimits, now: float, overflow: bool = False
+    ) -> None:
+        """``overflow``: it is beyond the number of connections, and its calls are refused."""
+        self.refuses = overflow
+        self.accepted_s = now
+        self.active_s = now  # when it was accepted, read from, or last seen with something open
+        self.spoken = False
+        self.state = State.READING
+        self._sock = sock
+        self._services = services
+        self._limits = limits
+        self._outlet = Outlet(sock, services.writer, limits.outbox_bytes, limits.stall_s, services.clock)
+        self._reader = RespReader()
+        self._tags = Tags()
+        self._lock = threading.Lock()
+        self._open: dict[int, Call] = {}  # by tag
+        self._tag_of: dict[int, int] = {}  # by call number
+        self._answering = 0  # answers on their way to the outlet
+        self._message_began_s = now
+        self._linger_until_s = 0.0
+        self._linger_bytes = limits.linger_bytes
+
+    def fileno(self) -> int:
+        """The socket's descriptor."""
+        return self._sock.fileno()
+
+    @property
+    def unanswered(self) -> bool:
+        """Whether a call was read whose answer has not gone to the kernel. Looked at in the order in which an
+        answer passes, so that none is missed between two of these places."""
+        return bool(self._open) or self._answering > 0 or self._outlet.waiting
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is open, half read or half written."""
+        return not self._reader.pending and not self.unanswered
+
+    def has_unread(self) -> bool:
+        """Whether bytes wait in its socket, or its end; neither waits nor takes any."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return False  # broken: nothing of it can be answered
+        return True
+
+    def close(self) -> None:
+        """Close it; calls that are still open have no client any more."""
+        with self._lock:
+            calls = list(self._open.values())
+        for call in calls:
+            self._services.engine.leave(call)
+        self._outlet.end()
+        with contextlib.suppress(OSError):
+            self._sock.close()
+
+    # ---- the front's thread
+
+    def on_readable(self, buffer: bytearray, view: memoryview, now: float) -> bool:
+        """Read once, without waiting; False where it is over and is to be closed.
+
+        ``now`` is when the socket was found readable: the time of what came counts from then."""
+        try:
+            received = self._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False  # reset by the client
+        if not received:
+            return False  # closed by the client, which has gone with that
+        self.active_s = now
+        if self.state is not State.READING:
+            return self._drop(received)
+        self.spoken = True
+        try:
+            self._parse(view[:received], now)
+        except (RespError, frames.FrameError) as error:
+            self._unreadable(error, now)
+        return True
+
+    def on_tick(self, now: float) -> bool:
+        """Look at its time-outs; False where it is over and is to be closed."""
+        if self.state is State.LINGERING:
+            return now < self._linger_until_s
+        if self.unanswered:
+            self.active_s = now
+            return True
+        if self.state is State.FINISHING:
+            self._half_close(now)
+            return True
+        if self._reader.pending:
+            if now - self._message_began_s > self._limits.message_s:
+                self._unreadable(RespError("a request that does not end"), now)
+            return True
+        return now - self.active_s <= self._idle_limit_s() or self.has_unread()
+
+    def _idle_limit_s(self) -> float:
+        if self.refuses:
+            return self._limits.overflow_s
+        return self._limits.idle_s if self.spoken else self._limits.silent_s
+
+    def _half_close(self, now: float) -> None:
+        """The client reads the end after its last answer, and closes."""
+        self.state = State.LINGERING
+        self._linger_until_s = now + self._limits.linger_s
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def _drop(self, received: int) -> bool:
+        """Bytes that nobody reads: while a call is open they cost their sender alone."""
+        if self.unanswered:
+            return True
+        self._linger_bytes -= received
+        return self._linger_bytes > 0
+
+    def _parse(self, data: memoryview, now: float) -> None:
+        reader = self._reader
+        if not reader.pending:
+            self._message_began_s = now
+        reader.feed(data)
+        while (words := reader.next()) is not None:
+            self._message_began_s = now
+            self._handle(words, now)
+
+    def _handle(self, words: tuple[bytes, ...], now: float) -> None:
+        """One whole request; FrameError where it can't be answered under a tag of its own."""
+        try:
+            frame = frames.frame_of(words)
+        except frames.FrameError as error:
+            if error.tag is None or not self._tags.use(error.tag):
+                raise
+            self._write(error.tag, FAILED)  # those behind it can be read all the same
+            return
+        if isinstance(frame, frames.CancelFrame):
+            self._cancel(frame.tag)
+            return
+        if not self._tags.use(frame.tag):
+            raise frames.FrameError("a tag that was used before")
+        if isinstance(frame, frames.CheckFrame):
+            self._write(frame.tag, UP if self._services.ready() else FAILED)
+        else:
+            self._call(frame, now)
+
+    def _cancel(self, tag: int) -> None:
+        with self._lock:
+            call = self._open.get(tag)
+        if call is not None:
+            self._services.engine.leave(call)
+
+    def _call(self, frame: frames.CallFrame, now: float) -> None:
+        services, limits = self._services, self._limits
+        if self.refuses or len(self._open) >= limits.open_calls:
+            self._write(frame.tag, REFUSED, services.holdoff(limits.busy_holdoff_s))
+            return
+        try:
+            call = services.maker.call(frame, now)
+        except frames.FieldError:
+            self._write(frame.tag, FAILED)
+            return
+        if not services.ids.add(call.request_id):
+            self._write(frame.tag, FAILED)
+            return
+        call.on_final = self._on_final
+        with self._lock:
+            self._open[frame.tag] = call
+            self._tag_of[call.number] = frame.tag
+        if not services.engine.submit(call):
+            call.settle(Final(Ending.REFUSED, stay_away_s=limits.busy_holdoff_s))
+
+    def _unreadable(self, error: RespError | frames.FrameError, now: float) -> None:
+        """No further request can be read: an error where there is a tag; what is open keeps its time."""
+        if isinstance(error, RespError):
+            tag = frames.tag_of(error.words)
+            if tag is not None and self._tags.use(tag):
+                self._write(tag, FAILED)
+        self.state = State.FINISHING
+        if not self.unanswered:
+            self._half_close(now)
+
+    # ---- any thread
+
+    def _on_final(self, call: Call, final: Final) -> None:
+        """Write the one final answer, on whatever thread settled the call."""
+        with self._lock:
+            tag = self._tag_of.pop(call.number, None)
+            if tag is not None:
+                self._open.pop(tag, None)
+                self._answering += 1
+        self._services.ids.remove(call.request_id)
+        if tag is None:
+            return
+        try:
+            if final.ending is not Ending.GONE:
+                self._answer(tag, final)
+        finally:
+            with self._lock:
+                self._answering -= 1
+
+    def _answer(self, tag: int, final: Final) -> None:
+        fields = b""
+        if final.ending is Ending.REFUSED and final.stay_away_s > 0:
+            fields = self._services.holdoff(final.stay_away_s)
+        self._write(tag, WORDS[final.ending], fields, final.payload)
+
+    def _write(self, tag: int, word: bytes, fields: bytes = b"", body: bytes = b"") -> None:
+        self._outlet.send(Piece(encode((b"%d" % tag, word, fields, body))))
--- /dev/null
+++ b/saffronstack/platform/front.py
@@ -0,0 +1,320 @@
+"""The client front: one thread accepts, reads and ends all client connections; see `ClientConnection`.
+
+One thread sees everything in one order: no connection is accepted and not yet read, and none is closed
+while a request lies unread in its socket."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import select
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import replace
+
+from saffronstack.core.engine import Engine
+from saffronstack.core.logs import Log
+from saffronstack.core.threads import spawn
+from saffronstack.net.outlet import Writer
+from saffronstack.platform.calls import CallMaker
+from saffronstack.platform.connection import ClientConnection, FrontLimits, Services
+from saffronstack.platform.identifiers import OpenIds
+from saffronstack.platform.shutdown import Activity, GracefulShutdown, Phase, ShutdownLimits
+
+BACKLOG = 512  # connections that the machine holds until they are accepted
+ACCEPTS_AT_ONCE = 64  # before connections that stand are read again
+READ_BYTES = 16 * 1024
+TICK_S = 0.25  # how often time-outs are looked at
+SHORT_TICK_S = 0.05  # and the listener, while there is no room
+STOPPING_TICK_S = 0.01  # and the shutdown
+LAST_READS = 64  # of one connection at the end of a shutdown
+EPOLL_READABLE = select.EPOLLIN | select.EPOLLHUP | select.EPOLLERR
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+LOG_EVERY_S = 10.0
+
+
+class Front:
+    """Listens, and holds client connections within their number.
+
+    Over it, the connection that has been idle longest makes room for a new one; where none is idle, the calls
+    of a few more are refused at once; beyond those, connections wait to be accepted."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        engine: Engine,
+        maker: CallMaker,
+        writer: Writer,
+        limits: FrontLimits,
+        clock: Callable[[], float],
+        log: Log,
+        ready: Callable[[], bool],
+        advice_max_s: float,
+    ) -> None:
+        """OSError where the address can't be had. ``advice_max_s``: clients are never asked to stay away
+        longer; 0: clients are given no such advice."""
+        self.limits = limits
+        self.clock = clock
+        self.ids = OpenIds()
+        self.most = 0  # connections open at one time
+        self.evicted = 0  # idle connections that made room
+        self.overflowed = 0  # connections whose calls were refused for want of room
+        self._services = Services(engine, maker, writer, self.ids, clock, ready, self._holdoff)
+        self._log = log
+        self._logged_s = -LOG_EVERY_S
+        self._advice_max_s = advice_max_s
+        self._connections: dict[int, ClientConnection] = {}  # by descriptor
+        self._shutdown = GracefulShutdown()
+        self._shutdown_limits: ShutdownLimits | None = None  # written by whoever asks for the shutdown
+        self._shutdown_asked_s = 0.0
+        self._settled = False
+        self._received_s = clock()
+        self._drained = threading.Event()
+        self._closed = threading.Event()
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(address)
+        self._listener.listen(BACKLOG)
+        self._listener.setblocking(False)
+        self._waiting = select.poll()  # whether a connection waits to be accepted
+        self._waiting.register(self._listener, select.POLLIN)
+        self._listening = False  # whether the loop waits for the listener
+        self._wake = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self._poll = select.epoll()
+        self._buffer = bytearray(READ_BYTES)
+        self._view = memoryview(self._buffer)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        host, port = self._listener.getsockname()
+        return str(host), int(port)
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self._connections)
+
+    @property
+    def open_calls(self) -> int:
+        """Calls without a final answer."""
+        return len(self.ids)
+
+    @property
+    def phase(self) -> Phase:
+        """How far a shutdown has come."""
+        return self._shutdown.phase
+
+    def _holdoff(self, stay_away_s: float) -> bytes:
+        """The advice to keep away, as a field; empty where clients are given none."""
+        stay_away_s = min(stay_away_s, self._advice_max_s)
+        return b"holdoff=%d" % max(1, round(stay_away_s * 1000)) if stay_away_s > 0 else b""
+
+    # ---- from any thread
+
+    def start(self) -> None:
+        """Take connections."""
+        spawn("clients", self._run)
+
+    def begin_shutdown(self, limits: ShutdownLimits) -> None:
+        """Drain: connections and requests are still taken until it is quiet; asked again, nothing changes."""
+        if self._shutdown_limits is None:
+            self._shutdown_asked_s = self.clock()
+            self._shutdown_limits = limits
+            self._rouse()
+
+    def wait_drained(self, timeout_s: float) -> bool:
+        """Until no call can be taken any more; whether that came in time."""
+        return self._drained.wait(timeout_s)
+
+    def settled(self) -> None:
+        """Told once every call has its final answer and none can be submitted any more."""
+        self._settled = True
+        self._rouse()
+
+    def wait_closed(self, timeout_s: float) -> bool:
+        """Until the last answer is written and everything is closed; whether that came in time."""
+        return self._closed.wait(timeout_s)
+
+    def _rouse(self) -> None:
+        with contextlib.suppress(OSError, ValueError):  # it has ended
+            os.eventfd_write(self._wake, 1)
+
+    # ---- its thread
+
+    def _run(self) -> None:
+        self._poll.register(self._wake, select.EPOLLIN)
+        self._listen(True)
+        ticked_s = self.clock()
+        try:
+            while True:
+                tick_s = self._tick_s()
+                for descriptor, _ in self._poll.poll(tick_s):
+                    self._on_event(descriptor)
+                now = self.clock()
+                if now - ticked_s >= tick_s:
+                    ticked_s = now
+                    self._tick(now)
+                if self._shutdown_limits is not None and self._step_shutdown(now) is Phase.CLOSED:
+                    return
+        finally:
+            self._end()
+
+    def _tick_s(self) -> float:
+        if self._shutdown.phase is not Phase.ACCEPTING:
+            return STOPPING_TICK_S
+        return TICK_S if self._listening else SHORT_TICK_S
+
+    def _on_event(self, descriptor: int) -> None:
+        """One thing that is ready. Whatever goes wrong with it, the others go on."""
+        now = self.clock()
+        try:
+            connection = self._connections.get(descriptor)
+            if connection is not None:
+                self._received_s = now
+                if not connection.on_readable(self._buffer, self._view, now):
+                    self._close(connection)
+            elif descriptor == self._wake:
+                with contextlib.suppress(BlockingIOError):
+                    os.eventfd_read(self._wake)
+            elif self._listening and descriptor == self._listener.fileno():
+                self._accept(now, ACCEPTS_AT_ONCE)
+        except Exception:
+            self._log.exception("step of the clients' thread failed")
+            self._discard(descriptor)
+
+    def _discard(self, descriptor: int) -> None:
+        """Close the connection that a fault left in no known state."""
+        connection = self._connections.get(descriptor)
+        if connection is not None:
+            self._close(connection)
+
+    def _tick(self, now: float) -> None:
+        """Time-outs of all connections; the listener, where there was no room, is tried again."""
+        for descriptor, connection in list(self._connections.items()):
+            try:
+                if not connection.on_tick(now):
+                    self._close(connection)
+            except Exception:
+                self._log.exception("step of the clients' thread failed")
+                self._discard(descriptor)
+        if self._shutdown.phase in (Phase.ACCEPTING, Phase.DRAINING):
+            self._listen(True)
+
+    def _listen(self, wanted: bool) -> None:
+        """Wait for connections, or leave them to the machine for a tick."""
+        if wanted and not self._listening:
+            self._poll.register(self._listener, select.EPOLLIN)
+        elif self._listening and not wanted:
+            self._poll.unregister(self._listener)
+        self._listening = wanted
+
+    def _accept(self, now: float, most: int) -> int:
+        """Accept what has come, up to so many; how many were accepted."""
+        for accepted in range(most):
+            if len(self._connections) >= self.limits.connections + self.limits.overflow:
+                if not self._waiting.poll(0):
+                    return accepted  # nobody comes: nobody has to make room
+                if not self._evict():
+                    self._listen(False)
+                    return accepted
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return accepted
+            except OSError as error:
+                if error.errno not in NO_ROOM:
+                    continue  # that client has gone already
+                self._warn("no connection could be taken", now, error=str(error))
+                self._evict()
+                self._listen(False)
+                return accepted
+            overflow = len(self._connections) >= self.limits.connections and not self._evict()
+            self._add(sock, now, overflow)
+        return most
+
+    def _add(self, sock: socket.socket, now: float, overflow: bool) -> None:
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._received_s = now
+        self.overflowed += overflow
+        connection = ClientConnection(sock, self._services, self.limits, now, overflow)
+        try:
+            self._poll.register(sock, EPOLL_READABLE)
+        except OSError as error:
+            self._warn("no connection could be taken", now, error=str(error))
+            connection.close()
+            return
+        self._connections[sock.fileno()] = connection
+        self.most = max(self.most, len(self._connections))
+
+    def _evict(self) -> bool:
+        """Close the connection that has been idle longest, of those with nothing unread; whether one was.
+
+        Those that never said anything go first: a client that will say something does so at once."""
+        idle = [connection for connection in self._connections.values() if connection.idle]
+        idle.sort(key=lambda connection: (connection.spoken, connection.active_s))
+        for connection in idle:
+            if not connection.has_unread():  # last of all, right before it is closed
+                self.evicted += 1
+                self._close(connection)
+                return True
+        return False
+
+    def _close(self, connection: ClientConnection) -> None:
+        descriptor = connection.fileno()
+        self._connections.pop(descriptor, None)
+        with contextlib.suppress(OSError, ValueError):
+            self._poll.unregister(descriptor)
+        connection.close()
+
+    def _warn(self, event: str, now: float, **fields: object) -> None:
+        if now - self._logged_s >= LOG_EVERY_S:
+            self._logged_s = now
+            self._log.warning(event, **fields)
+
+    # ---- shutdown
+
+    def _step_shutdown(self, now: float) -> Phase:
+        shutdown = self._shutdown
+        assert self._shutdown_limits is not None
+        shutdown.begin(self._shutdown_limits, self._shutdown_asked_s)
+        before = shutdown.phase
+        phase = shutdown.step(now, self._activity())
+        if before is Phase.DRAINING and phase is Phase.FLUSHING:
+            self._take_last(now)
+            self._drained.set()
+        return phase
+
+    def _activity(self) -> Activity:
+        unanswered = any(connection.unanswered for connection in self._connections.values())
+        return Activity(self._received_s, unanswered, self._settled)
+
+    def _take_last(self, now: float) -> None:
+        """What has come to the machine by now is read and gets an answer; then the listener closes."""
+        self.limits = replace(self.limits, overflow=BACKLOG)  # room for all that the machine holds
+        while self._accept(now, ACCEPTS_AT_ONCE) == ACCEPTS_AT_ONCE:
+            pass
+        self._listen(False)
+        self._listener.close()
+        for connection in list(self._connections.values()):
+            reads = 0
+            while connection.has_unread() and reads < LAST_READS:
+                reads += 1
+                if not connection.on_readable(self._buffer, self._view, now):
+                    self._close(connection)
+                    break
+
+    def _end(self) -> None:
+        for connection in list(self._connections.values()):
+            self._close(connection)
+        with contextlib.suppress(OSError):
+            self._listener.close()
+        self._poll.close()
+        wake, self._wake = self._wake, -1
+        os.close(wake)
+        self._drained.set()
+        self._closed.set()
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -19,8 +19,10 @@
 from saffronstack.platform.beliefs import Beliefs
 from saffronstack.platform.budget import divide
 from saffronstack.platform.calls import MARGIN_S, CallMaker
-from saffronstack.platform.clients import Front, FrontLimits
-from saffronstack.platform.config import ConfigError, PlatformConfig, read
+from saffronstack.platform.config import ConfigError, PlatformConfig, needing_restart, read
+from saffronstack.platform.connection import FrontLimits
+from saffronstack.platform.front import Front
+from saffronstack.platform.shutdown import limits_for
 
 NAME = "_work._tcp.fleet.local"  # what the directory lists the hosts under
 IDLE_PART = 0.8  # of the told idle time a link stays open: a host that closes it first may cross a send
@@ -28,7 +30,11 @@
 ORDER_S = 10.0  # where the settings tell no time-out for orders
 LOOK_S = 0.25  # how often beliefs are held against links
 TELL_S = 10.0  # and how often the log may hear of what was found
-STILL_COMING_S = 1.0  # calls may still come for so long after a stop was asked for
+# By the platform's terms connections come for 0.4 s after SIGTERM and requests for 0.2 s more; both may be
+# read late. From then on it is quiet once nothing has come for longer than requests outlast connections.
+MIN_DRAIN_S = 1.0
+QUIET_S = 0.3
+THREAD_END_S = 1.0  # what a thread may take to notice that it is to end
 
 
 class Service:
@@ -41,7 +47,9 @@
         wall: Callable[[], float] = time.time,
         log: Log | None = None,
     ) -> None:
-        """OSError where the address can't be had, ConfigError where the list of the start can't be read."""
+        """OSError where the address can't be had, ConfigError where the list of the start can't be read.
+
+        ``config`` stays in force until the end; `reread` moves the directory's address alone."""
         self.config = config
         self._clock, self._wall = clock, wall
         self._log = log or PlainLog(config.name or "gateway")
@@ -78,7 +86,7 @@
         self.front = Front(
             config.listen,
             self.engine,
-            CallMaker(settings, self.engine.next_number, clock),
+            CallMaker(settings, self.engine.next_number),
             self.writer,
             FrontLimits(connections=self.budget.clients),
             clock,
@@ -118,35 +126,32 @@
         self.engine.change_workers(change.changed, change.gone, self._wall())
 
     def reread(self, path: str) -> bool:
-        """Take a new configuration's directory; where the file can't be used the old one stays."""
+        """Ask the directory that a new configuration names; False, and no change, where it can't be used."""
         try:
-            config = read(path)
+            fresh = read(path)
         except ConfigError as error:
             self._log.warning("the new configuration can't be used, the old one stays", why=str(error))
             return False
-        if config.settings != self.config.settings or config.listen != self.config.listen:
-            self._log.warning("settings and addresses of a new configuration need a restart")
-        self.config = config
-        self.directory.point(config.nameserver)
-        self._log.info("configuration read again", nameserver=config.nameserver)
+        unapplied = needing_restart(self.config, fresh)
+        if unapplied:
+            self._log.warning("parts of the new configuration need a restart", parts=", ".join(unapplied))
+        self.directory.point(fresh.nameserver)
+        self._log.info("configuration read again", nameserver=fresh.nameserver)
         return True
 
-    def stop(self, still_coming_s: float = STILL_COMING_S) -> bool:
-        """Take and answer what still comes, then end once nothing is open; whether all was answered."""
-        begun_s = self._clock()
+    def stop(self, min_drain_s: float = MIN_DRAIN_S, quiet_s: float = QUIET_S) -> bool:
+        """Shut down gracefully: take and answer what still comes until it is quiet, then answer what is left,
+        write it out and end. Whether every call had its final answer by itself and all threads ended."""
         longest_s = max(cls.deadline_s for cls in self.config.settings.classes)
-        pause = threading.Event()
-        while self._clock() < begun_s + still_coming_s:
-            pause.wait(0.02)
-        until_s = begun_s + max(still_coming_s, longest_s + 0.5)
-        while self.front.open_calls and self._clock() < until_s:
-            pause.wait(0.01)
-        pause.wait(0.05)  # the last answers leave
-        clean = not self.front.open_calls
+        limits = limits_for(longest_s, min_drain_s, quiet_s)
+        self.front.begin_shutdown(limits)
+        clean = self.front.wait_drained(limits.max_drain_s + THREAD_END_S)
+        clean = clean and not self.front.open_calls
         self._stopping.set()
-        self.front.close()
+        clean = self.engine.stop(THREAD_END_S) and clean
+        self.front.settled()
+        clean = self.front.wait_closed(limits.max_flush_s + THREAD_END_S) and clean
         self.directory.stop()
-        clean = self.engine.stop() and clean
         self.hosts.stop()
         return self.writer.stop() and clean
 
@@ -160,6 +165,7 @@
             "backstops": counts.backstops,
             "faults": counts.faults,
             "connections_most": self.front.most,
-            "turned_away": self.front.turned_away,
+            "evicted": self.front.evicted,
+            "overflowed": self.front.overflowed,
             "beliefs": self.beliefs.summary(),
         }
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -20,7 +20,7 @@
 from saffronstack.interface import Found
 from saffronstack.net.outlet import Left, Outlet, Piece, Writer
 from saffronstack.platform.budget import divide
-from saffronstack.platform.clients import Tags
+from saffronstack.platform.identifiers import Tags
 from saffronstack.resp.frames import CallFrame, FrameError, frame_of
 from saffronstack.resp.reader import RespError, RespReader, encode
 from saffronstack.standin.platform import Entry, dns_answer
