Hosts are told the time left when a line leaves; races at the end of links are closed

The line is written right before its first byte now, and does not leave with under 1 ms left. - A link that was aborted while it connected wrote its early items all the same (Link._connect). - Link._end marked items over outside the lock that claim uses: a first byte could leave between the two. - HostDispatcher._submit set the time-out before a link had the item: one due between the two lines was never given up. - A second answer that came some milliseconds late ended the next attempt under the same tag on that link, so that one which ran counted as refused. A link does not use the last 64 answered tags again. - Half a line that was given up was made whole once the host took bytes; a link that carries nothing else is ended instead. Looked at and found sound: items that wait for a connection are asked again for drain, deadline and client at their first byte; a connection that comes up after its attempt was given up sends nothing; a reset under half a line never ran. A fault of one piece no longer ends the thread that writes for all.

--- a/saffronstack/hosts/dispatcher.py
+++ b/saffronstack/hosts/dispatcher.py
@@ -133,9 +133,10 @@
 
     def _submit(self, key: tuple[int, int], item: Item, pool: HostPool) -> None:
         self._out[key] = item
-        self.deadlines.set(item.deadline_s, key)
         if not pool.submit(item):
             item.broke(Result.MOOT, "no link to the host can be had")
+            return
+        self.deadlines.set(item.deadline_s, key)  # once a link has it: one that has none can't be given up
 
     def _ended(self, what: AttemptEnd | OrderEnd | Heard) -> None:
         if isinstance(what, AttemptEnd):
--- a/saffronstack/hosts/items.py
+++ b/saffronstack/hosts/items.py
@@ -10,6 +10,9 @@
 from saffronstack.interface import Found, Outcome, Report, Result
 from saffronstack.net.outlet import Left, Piece
 
+LINE_BYTES = 256  # of a request's line beside its body
+LEAST_WAIT_MS = 1  # the host is told how long the gateway waits, and zero would be no time at all
+
 Tell = Callable[[AttemptEnd | OrderEnd | Heard], None]
 
 
@@ -53,9 +56,16 @@
     __slots__ = ("clock", "deadline_s", "host", "leaving", "link", "over", "sent_s", "tag", "tell")
 
     def __init__(
-        self, data: bytes, tag: str, host: Host, deadline_s: float, tell: Tell, clock: Callable[[], float]
+        self,
+        data: bytes,
+        tag: str,
+        host: Host,
+        deadline_s: float,
+        tell: Tell,
+        clock: Callable[[], float],
+        size: int | None = None,
     ) -> None:
-        super().__init__(data)
+        super().__init__(data, size)
         self.tag = tag
         self.host = host
         self.deadline_s = deadline_s
@@ -111,15 +121,22 @@
         tell: Tell,
         clock: Callable[[], float],
     ) -> None:
-        wait_ms = max(1, int((deadline_s - clock()) * 1000))
-        line = codec.call_line(call.request_id, call.class_name, call.function.name, wait_ms, call.payload)
-        super().__init__(line, call.request_id, host, deadline_s, tell, clock)
+        size = LINE_BYTES + len(call.payload) * 4 // 3  # in base64
+        super().__init__(b"", call.request_id, host, deadline_s, tell, clock, size)
         self.call = call
         self.number = number
 
     def stands(self) -> bool:
-        """Nothing is sent for a call that has its final answer."""
-        return not self.call.settled and super().stands()
+        """Nothing is sent for a call that has its final answer, or too late to be of use. The line is written
+        only now, with the time that is left now: it may have waited for a connection or in an outbox."""
+        call = self.call
+        wait_ms = int((self.deadline_s - self.clock()) * 1000)
+        if call.settled or wait_ms < LEAST_WAIT_MS or not super().stands():
+            return False
+        self.data = codec.call_line(
+            call.request_id, call.class_name, call.function.name, wait_ms, call.payload
+        )
+        return True
 
     def answered(self, answer: codec.HostAnswer) -> None:
         """Served calls are answered here, on the link's thread: the decision thread need not come first."""
--- a/saffronstack/hosts/link.py
+++ b/saffronstack/hosts/link.py
@@ -14,9 +14,10 @@
 from saffronstack.hosts.items import Item
 from saffronstack.interface import Result
 from saffronstack.net.inlet import Reader
-from saffronstack.net.outlet import Outlet, Piece, Writer
+from saffronstack.net.outlet import Left, Outlet, Piece, Writer
 from saffronstack.net.stream import Stream
 
+ANSWERED_MOST = 64  # tags answered last: a second answer may still come, and none is used again meanwhile
 ABANDONED_MOST = 32  # tags given up on a link that may still be answered; then it takes nothing new
 
 
@@ -56,6 +57,7 @@
         self._open: dict[str, Item] = {}
         self._early: list[Item] = []  # until it is connected
         self._abandoned: set[str] = set()
+        self._answered: dict[str, None] = {}  # in the order of their answers
         self._stream: Stream | None = None
         self._outlet: Outlet | None = None
         self._closed = False  # takes nothing more
@@ -87,6 +89,7 @@
             or len(self._open) >= self._limits.streams
             or tag in self._open
             or tag in self._abandoned
+            or tag in self._answered
             or len(self._abandoned) >= ABANDONED_MOST
         )
 
@@ -121,6 +124,8 @@
             return
         if not item.leaving:
             result = Result.MOOT if result is Result.CANCELLED else Result.CONNECT_FAILED
+        elif item.left is Left.PART and not self._open:
+            self.abort()  # the host takes no bytes: the rest of the line must not follow when it does
         else:
             self.post(codec.cancel_line(item.tag))
         item.broke(result, reason)
@@ -197,6 +202,8 @@
         with self._lock:
             self._stream, self._outlet = stream, outlet
             early, self._early = self._early, []
+            if self._closed:  # given up while it connected: nothing may leave on it
+                return False
         for item in early:
             self._write(outlet, item)
         return not self._closed
@@ -250,6 +257,9 @@
                 self._abandoned.discard(answer.tag)
                 return
             item.over = True
+            self._answered[answer.tag] = None
+            if len(self._answered) > ANSWERED_MOST:
+                del self._answered[next(iter(self._answered))]
         item.answered(answer)
         self._maybe_close()
 
@@ -257,14 +267,16 @@
         with self._lock:
             self._closed = True
             lost, self._open = list(self._open.values()), {}
+            for item in lost:  # from here on no first byte leaves: `claim` asks under the same lock
+                item.over = True
             self._early = []
             self._abandoned = set()
+            self._answered = {}
         if self._outlet is not None:
-            self._outlet.end()
+            self._outlet.end()  # after a write that is under way: what has left of an item is known now
         if self._stream is not None:
             self._stream.close()
         for item in lost:
-            item.over = True
             with contextlib.suppress(Exception):  # the others must end all the same
                 item.broke(item.lost(), self.reason or "the link ended")
         self._on_end(self)
--- a/saffronstack/net/outlet.py
+++ b/saffronstack/net/outlet.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import threading
+import traceback
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -28,14 +29,17 @@
 class Piece:
     """Bytes that leave in one run, after what was put in before."""
 
-    __slots__ = ("data", "left")
+    __slots__ = ("data", "left", "size")
 
-    def __init__(self, data: bytes) -> None:
+    def __init__(self, data: bytes, size: int | None = None) -> None:
+        """``size``: what it counts for in an outbox, where its bytes are known only once they leave."""
         self.data = data
+        self.size = len(data) if size is None else size
         self.left = Left.NOTHING
 
     def stands(self) -> bool:
-        """Asked right before the first byte: whether it may still leave. It must not wait."""
+        """Asked right before the first byte: whether it may still leave. It must not wait, and may set
+        ``data`` to what is true at this moment."""
         return True
 
     def held_back(self) -> None:
@@ -60,7 +64,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._queue: deque[Piece] = deque()
-        self._bytes = 0
+        self._bytes = 0  # of all pieces that wait, what has left of the first one included
         self._taken_s = 0.0
         self._at = 0  # bytes of the first piece that have left
         self.broken = False
@@ -71,21 +75,21 @@
             if self.broken:
                 return False
             if self._queue:
-                if self._bytes + len(piece.data) > self._most:
+                if self._bytes - self._at + piece.size > self._most:
                     self._break()
                     return False
                 self._queue.append(piece)
-                self._bytes += len(piece.data)
+                self._bytes += piece.size
                 return True
             if self._push(piece):
                 return True
             if self.broken:
                 return False
-            if len(piece.data) - self._at > self._most:
+            if piece.size - self._at > self._most:
                 self._break()
                 return False
             self._queue.append(piece)
-            self._bytes += len(piece.data) - self._at
+            self._bytes += piece.size
             self._taken_s = self._clock()
         self._writer.watch(self)
         return True
@@ -100,10 +104,9 @@
                 if done or self._at > before:
                     self._taken_s = self._clock()
                 if not done:
-                    self._bytes -= self._at - before
                     break
                 self._queue.popleft()
-                self._bytes -= len(piece.data) - before
+                self._bytes -= piece.size
             return self.broken or not self._queue
 
     def _push(self, piece: Piece) -> bool:
@@ -152,6 +155,11 @@
             self._queue.clear()
             self._bytes = 0
 
+    def abort(self) -> None:
+        """Nothing more leaves, and the reader sees the end."""
+        with self._lock:
+            self._break()
+
     def _break(self) -> None:
         self.broken = True
         self._queue.clear()
@@ -195,6 +203,16 @@
             if self._wake >= 0:  # once closed, its number may be another file's
                 os.eventfd_write(self._wake, 1)
 
+    @staticmethod
+    def _flush(outlet: Outlet) -> bool:
+        """As `Outlet.flush`; a fault of a piece ends its outlet alone: all answers that wait pass here."""
+        try:
+            return outlet.flush()
+        except Exception:
+            traceback.print_exc()
+            outlet.abort()
+            return True
+
     def _run(self) -> None:
         poll = select.poll()
         poll.register(self._wake, select.POLLIN)
@@ -204,14 +222,14 @@
                 if fd == self._wake:
                     with contextlib.suppress(OSError):
                         os.eventfd_read(self._wake)
-                elif fd in watched and watched[fd].flush():
+                elif fd in watched and self._flush(watched[fd]):
                     del watched[fd]
                     poll.unregister(fd)
             with self._lock:
                 new, self._new = self._new, []
             for outlet in new:
                 fd = outlet.fileno()
-                if fd >= 0 and not outlet.flush():
+                if fd >= 0 and not self._flush(outlet):
                     watched[fd] = outlet  # one that had the number before is closed
                     poll.register(fd, select.POLLOUT)
             for fd, outlet in list(watched.items()):
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -1,21 +1,29 @@
-"""Links, items and beliefs without sockets: what left, what never did, and who may say so."""
+"""Links, items and beliefs: what left, what never did, and who may say so."""
 
 from __future__ import annotations
 
+import json
 import socket
+import threading
 from dataclasses import dataclass
 from typing import Any
 
 import pytest
 
-from saffronstack.core.calls import AttemptEnd, Call, FunctionSpec
+from saffronstack.choice import Router
+from saffronstack.core.calls import AttemptEnd, Call, Ending, Final, FunctionSpec
 from saffronstack.core.roster import WorkerSpec
+from saffronstack.hosts import codec
 from saffronstack.hosts.dispatcher import HostDispatcher
-from saffronstack.hosts.link import ABANDONED_MOST, Link, LinkLimits
-from saffronstack.hosts.pool import LinkBudget
+from saffronstack.hosts.items import Item
+from saffronstack.hosts.link import ABANDONED_MOST, ANSWERED_MOST, Link, LinkLimits
+from saffronstack.hosts.pool import HostPool, LinkBudget
 from saffronstack.interface import Result
-from saffronstack.net.outlet import Outlet, Writer
+from saffronstack.net.outlet import Left, Outlet, Writer
 from saffronstack.platform.beliefs import Beliefs
+from saffronstack.standin.platform import Directory, Entry
+from tests.support.platform import WAIT_S, Client, ScriptedHost, gateway
+from tests.support.stack import eventually
 from tests.test_platform_codecs import Full
 
 SPEC = WorkerSpec(7, "s-7", "127.0.0.1", 1)
@@ -109,8 +117,6 @@
     assert fleet.sockets[0].taken.endswith(b'{"what":"CANCEL","tag":"0000000000000001"}\n')
     link = fleet.links[0]
     assert not link.takes("0000000000000001")  # its answer may still come, and would be taken for a new one's
-    from saffronstack.hosts import codec
-
     link._heard(codec.answer_of(b'{"what":"OK","tag":"0000000000000001","blob":"eA=="}'))
     assert len(fleet.ends) == 1 and not call.settled and link.takes("0000000000000001")
 
@@ -206,3 +212,187 @@
         writer.watch(Outlet(reused, writer, 10, 1.0, lambda: 0.0))
         with pytest.raises(BlockingIOError):
             other.recv(8)
+
+
+def waits_told(fleet: Fleet) -> list[int]:
+    """The times that the host was told the gateway waits, in milliseconds."""
+    lines = fleet.sockets[0].taken.splitlines()
+    return [json.loads(line)["with"]["w"] for line in lines if b'"CALL"' in line]
+
+
+def test_the_time_told_to_a_host_is_what_is_left_when_the_first_byte_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = Fleet(monkeypatch, room=0)
+    fleet.call(1)  # three seconds, of which two pass in an outbox
+    fleet.now += 2.0
+    fleet.sockets[0].room = 100_000
+    outlet = fleet.links[0]._outlet
+    assert outlet is not None and outlet.flush()
+    assert waits_told(fleet) == [1000]
+
+
+def test_an_attempt_for_which_no_time_is_left_does_not_leave(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = Fleet(monkeypatch, room=0)
+    fleet.call(1)
+    fleet.now += 2.9995
+    fleet.sockets[0].room = 100_000
+    outlet = fleet.links[0]._outlet
+    assert outlet is not None and outlet.flush() and not fleet.sockets[0].taken
+    assert fleet.results() == [(1, Result.MOOT)]
+
+
+def test_a_second_answer_that_comes_late_does_not_end_the_next_attempt(fleet: Fleet) -> None:
+    """The host answered full, twice; the request goes again between the two, and must not be taken for
+    refused: it may be running, and would run twice."""
+    call = fleet.call(1)
+    link = fleet.links[0]
+    full = codec.answer_of(b'{"what":"BUSY","tag":"0000000000000001"}')
+    link._heard(full)
+    assert fleet.results() == [(1, Result.FULL)]
+    fleet.dispatcher.send(call, 1, 7, 0.0)
+    link._heard(full)
+    assert fleet.results() == [(1, Result.FULL)] and len(fleet.links) == 2
+    for number in range(2, 2 + ANSWERED_MOST):  # what is remembered of a link is bounded
+        fleet.call(number)
+        link._heard(codec.answer_of(b'{"what":"OK","tag":"%016x"}' % number))
+    assert len(link._answered) <= ANSWERED_MOST
+
+
+def test_a_link_that_ends_while_a_first_byte_leaves_says_what_left(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The writing thread holds the item as standing, and its link ends before the bytes go."""
+    fleet.call(1)  # opens the link
+    link, sock = fleet.links[0], fleet.sockets[0]
+    claimed = threading.Event()
+    send, outlet = sock.send, link._outlet
+    assert outlet is not None
+    end = outlet.end
+    ending = threading.Event()
+
+    def late(data: bytes, flags: int = 0) -> int:
+        claimed.set()
+        assert ending.wait(WAIT_S)
+        return send(data, flags)
+
+    def told() -> None:
+        ending.set()
+        end()
+
+    def end_the_link() -> None:
+        assert claimed.wait(WAIT_S)
+        link._end()
+
+    monkeypatch.setattr(sock, "send", late)
+    monkeypatch.setattr(outlet, "end", told)
+    ender = threading.Thread(target=end_the_link)
+    ender.start()
+    fleet.call(2)
+    ender.join(WAIT_S)
+    assert sorted(fleet.results()) == [(1, Result.RESET), (2, Result.RESET)]
+
+
+def test_an_item_whose_link_has_ended_is_claimed_by_nobody(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Between the end of a link and the end of its items: no first byte may leave any more."""
+    fleet.call(1)
+    link = fleet.links[0]
+    (item,) = link._open.values()
+    item.leaving, item.left = False, Left.NOTHING
+    outlet = link._outlet
+    assert outlet is not None
+    claims: list[bool] = []
+    monkeypatch.setattr(outlet, "end", lambda: claims.append(link.claim(item)))
+    link._end()
+    assert claims == [False]
+    assert fleet.results() == [(1, Result.CONNECT_FAILED)]
+
+
+def test_half_a_line_that_is_given_up_is_never_made_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = Fleet(monkeypatch, room=30)
+    call = fleet.call(1)
+    link = fleet.links[0]
+    shut: list[bool] = []
+    monkeypatch.setattr(link, "abort", lambda: shut.append(True))
+    call.settle(Final(Ending.GONE))
+    fleet.dispatcher.cancel(call, 0)
+    assert shut == [True]
+
+
+def test_a_call_that_is_due_while_it_is_handed_over_is_given_up_all_the_same(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The deadlines' thread looks between the steps of a send."""
+    submit = HostPool.submit
+
+    def slow(pool: HostPool, item: Item) -> bool:
+        for key in fleet.dispatcher.deadlines.due(item.deadline_s):
+            fleet.dispatcher.expire(key)
+        return submit(pool, item)
+
+    monkeypatch.setattr(HostPool, "submit", slow)
+    fleet.call(1)
+    fleet.now += 4.0
+    for key in fleet.dispatcher.deadlines.due(fleet.now):
+        fleet.dispatcher.expire(key)
+    assert len(fleet.ends) == 1 and not fleet.dispatcher.out
+
+
+class SlowConnect:
+    """Connections of the gateway's links come up once they are released."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.begun, self.release = threading.Semaphore(0), threading.Event()
+        connect = Link._connect
+
+        def late(link: Link) -> bool:
+            self.begun.release()
+            assert self.release.wait(WAIT_S)
+            return connect(link)
+
+        monkeypatch.setattr(Link, "_connect", late)
+
+
+@pytest.mark.parametrize("change", ["client leaves", "host drains", "host goes", "link is ended"])
+def test_nothing_leaves_on_a_connection_that_comes_up_after_things_changed(
+    monkeypatch: pytest.MonkeyPatch, change: str
+) -> None:
+    host = ScriptedHost()
+    directory = Directory(Entry("s-1", host.address))
+    slow = SlowConnect(monkeypatch)
+    with gateway(directory) as service:
+        client, other = Client(service.front.address), Client(service.front.address)
+        tag = client.call(cls=b"sell")
+        assert slow.begun.acquire(timeout=WAIT_S)
+        (link,) = service.hosts.passed().popitem()[1].links
+        eventually(lambda: link.open)  # the call waits for it
+        decided = threading.Event()
+        if change == "client leaves":  # and nobody has decided yet what that means for its attempt
+            held = threading.Event()
+
+            def hold(now: float, router: Router) -> None:
+                held.set()
+                assert decided.wait(WAIT_S)
+
+            service.engine.inspect(hold)
+            assert held.wait(WAIT_S)
+            client.sock.close()
+            eventually(lambda: not service.front.open_calls)
+        elif change == "host drains":
+            directory.tell(Entry("s-1", host.address, draining=True))
+        elif change == "host goes":
+            directory.tell()
+        else:
+            link.abort()
+        slow.release.set()
+        if change == "client leaves":
+            eventually(lambda: not link.open)
+            decided.set()
+            assert other.ask(subject=9)[0] == "OK" and host.next()["with"]["k"] == f"{9:016x}"
+        else:  # it never left, and the one host was tried
+            assert client.read()[:2] == (tag, "BUSY")
+        assert host.seen.empty()
+        eventually(lambda: not service.hosts.out)
+    host.close()
