--- a/saffronstack/directory/__init__.py
+++ b/saffronstack/directory/__init__.py
@@ -1,1 +1,1 @@
-"""The directory of hosts: DNS messages without I/O, membership, and the asker over UDP."""
+"""The directory of hosts: DNS messages without I/O, membership, and the resolver over UDP."""
--- a/saffronstack/directory/asker.py
+++ b/saffronstack/directory/resolver.py
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class Counts:
-    """What the asker counted; written by its thread."""
+    """What the resolver counted; written by its thread."""
 
     asked: int = 0
     good: int = 0
@@ -28,7 +28,7 @@
     refused: dict[str, int] = field(default_factory=dict)
 
 
-class Asker:
+class Resolver:
     """One thread, one socket; `point` may be called from any thread."""
 
     def __init__(
@@ -43,7 +43,7 @@
         timeout_s: float = 0.2,
         seed: int | None = None,
     ) -> None:
-        """``apply`` hears of changes on the asker's thread. ``every_s`` between questions, and ``timeout_s``
+        """``apply`` hears of changes on the resolver's thread. ``every_s`` between questions, and ``timeout_s``
         after which one is asked again: together well inside a drain's grace, though answers get lost."""
         self._membership = membership
         self._name = name
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -10,7 +10,7 @@
 from saffronstack.core.engine import Engine
 from saffronstack.core.logs import Log, PlainLog
 from saffronstack.core.threads import spawn
-from saffronstack.directory.asker import Asker
+from saffronstack.directory.resolver import Resolver
 from saffronstack.directory.membership import Change
 from saffronstack.hosts.dispatcher import HostDispatcher
 from saffronstack.hosts.link import LinkLimits
@@ -78,7 +78,7 @@
             settings.order_timeout_s or ORDER_S,
             self._log,
         )
-        self.directory = Asker(self.membership, NAME, config.nameserver, self._changed, self._log, clock)
+        self.directory = Resolver(self.membership, NAME, config.nameserver, self._changed, self._log, clock)
         self.beliefs = Beliefs(max(cls.aim_s for cls in settings.classes))
         self._stopping = threading.Event()
         self._ready = False
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from saffronstack.core.logs import PlainLog
-from saffronstack.directory.asker import Asker
+from saffronstack.directory.resolver import Resolver
 from saffronstack.directory.dns import DnsError, answer_of, query
 from saffronstack.directory.membership import Change, Listed, Membership, listed_of, newer
 from saffronstack.hosts import codec
@@ -132,13 +132,13 @@
         listed_of(answer_of(message[:at] + noise + message[at + len(noise) :]), 5, NAME)
 
 
-def asker(membership: Membership, heard: list[Change]) -> Asker:
-    return Asker(membership, NAME, ("127.0.0.1", 9), heard.append, PlainLog("test"), lambda: 0.0, seed=1)
+def resolver(membership: Membership, heard: list[Change]) -> Resolver:
+    return Resolver(membership, NAME, ("127.0.0.1", 9), heard.append, PlainLog("test"), lambda: 0.0, seed=1)
 
 
 def test_only_whole_good_new_answers_are_taken() -> None:
     membership, heard = Membership(["east"], ["std"]), list[Change]()
-    told = asker(membership, heard)
+    told = resolver(membership, heard)
     good = dns_answer(query(7, NAME), 10, LIST)
     assert told.take(good, 7) and len(heard) == 1 and len(heard[0].changed) == 2
     assert told.take(good, 7) and len(heard) == 1  # the same again changes nothing
