--- a/saffronstack/directory/membership.py
+++ b/saffronstack/directory/membership.py
@@ -60,6 +60,10 @@
         """The hosts that are held."""
         return tuple(spec for _, spec in self._held.values())
 
+    def holds(self, listed: Iterable[Listed]) -> bool:
+        """Whether the list that is held is this one, in whatever order."""
+        return {one.name: one for one in listed} == {name: one for name, (one, _) in self._held.items()}
+
     def whole(self, serial: int, listed: Iterable[Listed]) -> Change:
         """A whole list: what is missing is gone."""
         fresh = {one.name: one for one in listed}
@@ -143,13 +147,15 @@
 
 def take_known(membership: Membership, known: Mapping[str, Any]) -> Change:
     """The events of the start, in their order; ValueError, KeyError or TypeError where they can't be read."""
-    for event in known.get("notices") or ():
+    for place, event in enumerate(known.get("notices") or ()):
         serial, listed, gone = _event(event)
-        if not membership.serial or event["pool"].get("snapshot"):
+        if place == 0 or event["pool"].get("snapshot"):
             membership.whole(serial, listed)
         else:
             membership.part(serial, listed, gone)
-    membership.serial = max(membership.serial, int(known.get("rev", 0)))
+    last = int(known.get("rev", membership.serial))
+    if newer(last, membership.serial):
+        membership.serial = last
     return Change(membership.specs)
 
 
--- a/saffronstack/directory/resolver.py
+++ b/saffronstack/directory/resolver.py
@@ -6,7 +6,8 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from saffronstack.core.logs import Log
@@ -16,6 +17,21 @@
 
 ANSWER_BYTES = 16 * 1024  # more than any answer holds
 SILENT_S = 3.0  # without a good answer for so long, the log says so, once
+JITTER = 0.1  # of the pause between two queries: many gateways must not ask at one moment
+QUERIES_KEPT = 64  # an answer may come after later queries were sent
+UNANSWERED_MIN = 4  # queries in a row without a good answer, after which the socket is replaced; then doubled
+UNANSWERED_MAX = 64
+
+
+def connected(server: tuple[str, int]) -> socket.socket:
+    """A socket that hears this server alone: the system drops what comes from anywhere else. OSError."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.connect(server)
+    except OSError:
+        sock.close()
+        raise
+    return sock
 
 
 @dataclass(slots=True)
@@ -43,11 +59,12 @@
         timeout_s: float = 0.2,
         seed: int | None = None,
     ) -> None:
-        """``apply`` hears of changes on the resolver's thread. ``every_s`` between questions, and ``timeout_s``
+        """``apply`` hears of changes on the resolver's thread. ``every_s`` between queries, and ``timeout_s``
         after which one is asked again: together well inside a drain's grace, though answers get lost."""
         self._membership = membership
         self._name = name
         self._server = server
+        self._asked: tuple[str, int] | None = None  # the server that the present socket is connected to
         self._apply = apply
         self._log = log
         self._clock = clock
@@ -56,6 +73,10 @@
         self._random = random.Random(seed)
         self._stopping = threading.Event()
         self._last = b""
+        self._last_serial: int | None = None  # of the list that was taken last from an answer
+        self._identifiers: deque[int] = deque(maxlen=QUERIES_KEPT)  # of queries on the present socket
+        self._unanswered = 0  # queries in a row
+        self._patience = UNANSWERED_MIN
         self._silent = False
         self.good_s = clock()
         self.counts = Counts()
@@ -74,36 +95,60 @@
 
     def _run(self) -> None:
         sock: socket.socket | None = None
-        asked: tuple[str, int] | None = None
         while not self._stopping.is_set():
+            begun_s = self._clock()
             try:
-                server = self._server
-                if sock is None or asked != server:
-                    if sock is not None:
-                        sock.close()
-                    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-                    sock.connect(server)  # the system drops what comes from anywhere else
-                    asked = server
+                sock = self._socket(sock)
                 good = self.ask(sock)
             except OSError as error:  # nobody listens there, or no descriptor is to be had
                 self._refused(f"{type(error).__name__}")
                 good = False
-                if sock is not None:
-                    sock.close()
-                sock = None
             except Exception:  # membership must go on whatever one answer did
                 self._log.exception("step of the directory's thread failed")
                 good = False
+            self._count(good)
             self._told(good)
-            self._stopping.wait(self._every_s if good else self._timeout_s / 4)
+            pause_s = self._every_s * self._random.uniform(1 - JITTER, 1 + JITTER)
+            self._stopping.wait(max(0.0, pause_s - (self._clock() - begun_s)))
+        if sock is not None:
+            sock.close()
+
+    def _socket(self, sock: socket.socket | None) -> socket.socket:
+        """The socket to ask on: the present one, or a fresh one where the server has moved or nothing good has
+        come for long, since the port or the path to it may be dead. It is closed only once there is another.
+        OSError where none can be had."""
+        server = self._server
+        if sock is not None and self._asked == server and self._unanswered < self._patience:
+            return sock
+        moved = self._asked != server
+        try:
+            fresh = connected(server)
+        except OSError:
+            if sock is None or moved:
+                raise
+            return sock  # no descriptor is to be had: the present one may answer yet
         if sock is not None:
             sock.close()
+        self._patience = UNANSWERED_MIN if moved else min(UNANSWERED_MAX, 2 * self._patience)
+        self._unanswered = 0
+        self._identifiers.clear()
+        self._asked = server
+        return fresh
+
+    def _count(self, good: bool) -> None:
+        if good:
+            self._unanswered = 0
+            self._patience = UNANSWERED_MIN
+        else:
+            self._unanswered += 1
 
     def ask(self, sock: socket.socket) -> bool:
-        """One question on a connected socket, and its answer within the time-out; whether one was taken."""
-        ident = self._random.getrandbits(16)
+        """One query on a connected socket, and a good answer within the time-out, to it or to one of those
+        before it on this socket; whether one was taken."""
+        identifier = self._random.getrandbits(16)
+        self._identifiers.append(identifier)
         self.counts.asked += 1
-        sock.send(query(ident, self._name))
+        sock.send(query(identifier, self._name))
         until_s = self._clock() + self._timeout_s
         while (left := until_s - self._clock()) > 0:
             sock.settimeout(left)
@@ -111,26 +156,37 @@
                 message = sock.recv(ANSWER_BYTES)
             except TimeoutError:
                 break
-            if self.take(message, ident):
+            if self._asked != self._server:
+                self._refused("an answer from a server that is not asked any more")
+                break
+            if self.take(message, self._identifiers):
                 return True
         self.counts.unanswered += 1
         return False
 
-    def take(self, message: bytes, ident: int) -> bool:
-        """Whether it is a good answer to this question; it is taken whole or not at all."""
-        if message[2:] == self._last and int.from_bytes(message[:2], "big") == ident:
+    def take(self, message: bytes, identifiers: Collection[int]) -> bool:
+        """Whether it is a good answer to one of these queries; it is taken whole or not at all."""
+        identifier = int.from_bytes(message[:2], "big")
+        if identifier not in identifiers:
+            self._refused("an answer to no query of ours")
+            return False
+        if message[2:] == self._last:
             self.counts.good += 1
             return True
         try:
-            serial, listed = listed_of(answer_of(message), ident, self._name)
+            serial, listed = listed_of(answer_of(message), identifier, self._name)
         except DnsError as error:
             self._refused(str(error))
             return False
         if serial != self._membership.serial and not newer(serial, self._membership.serial):
             self._refused("an older list than the one that is held")
             return False
+        if serial == self._last_serial and not self._membership.holds(listed):
+            self._refused("another list under the serial of the one that is held")
+            return False
         change = self._membership.whole(serial, listed)
         self._last = message[2:]
+        self._last_serial = serial
         self.counts.good += 1
         if change:
             self._apply(change)
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -10,8 +10,8 @@
 from saffronstack.core.engine import Engine
 from saffronstack.core.logs import Log, PlainLog
 from saffronstack.core.threads import spawn
-from saffronstack.directory.resolver import Resolver
 from saffronstack.directory.membership import Change
+from saffronstack.directory.resolver import Resolver
 from saffronstack.hosts.dispatcher import HostDispatcher
 from saffronstack.hosts.link import LinkLimits
 from saffronstack.hosts.pool import LinkBudget
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -12,9 +12,9 @@
 from hypothesis import strategies as st
 
 from saffronstack.core.logs import PlainLog
-from saffronstack.directory.resolver import Resolver
 from saffronstack.directory.dns import DnsError, answer_of, query
 from saffronstack.directory.membership import Change, Listed, Membership, listed_of, newer
+from saffronstack.directory.resolver import Resolver
 from saffronstack.hosts import codec
 from saffronstack.hosts.codec import HostError, LineReader
 from saffronstack.interface import Found
@@ -140,8 +140,8 @@
     membership, heard = Membership(["east"], ["std"]), list[Change]()
     told = resolver(membership, heard)
     good = dns_answer(query(7, NAME), 10, LIST)
-    assert told.take(good, 7) and len(heard) == 1 and len(heard[0].changed) == 2
-    assert told.take(good, 7) and len(heard) == 1  # the same again changes nothing
+    assert told.take(good, [7]) and len(heard) == 1 and len(heard[0].changed) == 2
+    assert told.take(good, [7]) and len(heard) == 1  # the same again changes nothing
     refused = [
         good[:-3],  # cut short
         good[:2] + struct.pack(">H", 0x8602) + good[4:],  # truncated by its own word
@@ -150,10 +150,10 @@
         dns_answer(query(7, "_other._tcp.fleet.local"), 11, []),
         dns_answer(query(7, NAME), 9, LIST[:1]),  # an older list
     ]
-    assert not any(told.take(message, 7) for message in refused)
+    assert not any(told.take(message, [7]) for message in refused)
     assert len(heard) == 1 and len(membership.specs) == 2
     assert sum(told.counts.refused.values()) == len(refused)
-    assert told.take(dns_answer(query(7, NAME), 11, LIST[:1]), 7)
+    assert told.take(dns_answer(query(7, NAME), 11, LIST[:1]), [7])
     assert heard[1].gone and membership.serial == 11
 
 
