--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -60,6 +60,7 @@
     out: deque[Outcome] = deque()
     now, number, took = 1.0 + seed * 1000.0, seed * 10_000_000, 0.0
     last = number + calls
+
     def timed(event: Event) -> None:
         nonlocal took
         began = time.perf_counter()
--- a/saffronstack/checks.py
+++ b/saffronstack/checks.py
@@ -44,12 +44,29 @@
         ],
     )
     rules = settings.rules
-    names = ("answer_slack_s", "drain_grace_s", "cold_share", "cold_s", "tip_multiple", "tip_after_s",
-             "ask_within_s", "load_free", "load_part", "load_span_s")
+    names = (
+        "answer_slack_s",
+        "drain_grace_s",
+        "cold_share",
+        "cold_s",
+        "tip_multiple",
+        "tip_after_s",
+        "ask_within_s",
+        "load_free",
+        "load_part",
+        "load_span_s",
+    )
     _not_negative("rules.", [(name, getattr(rules, name)) for name in names])
     allow = settings.allow
-    _not_negative("allow.", [(n, getattr(allow, n)) for n in
-                             ("max_attempts", "max_retry_advice_s", "connect_timeout_s")])
+    _not_negative(
+        "allow.",
+        [(n, getattr(allow, n)) for n in ("max_attempts", "max_retry_advice_s", "connect_timeout_s")],
+    )
     prices = settings.prices
-    _not_negative("prices.", [(n, getattr(prices, n)) for n in
-                              ("cross_zone", "late_fail", "origin", "probe", "waste", "idle_memory")])
+    _not_negative(
+        "prices.",
+        [
+            (n, getattr(prices, n))
+            for n in ("cross_zone", "late_fail", "origin", "probe", "waste", "idle_memory")
+        ],
+    )
--- a/saffronstack/cli/control.py
+++ b/saffronstack/cli/control.py
@@ -103,9 +103,7 @@
     return Daemons(fleet.fleet, addresses, held.token, lambda: held.left_s() > 0)
 
 
-def order(
-    path: str, names: Sequence[str], what: str, release: str, wait_s: float, as_json: bool
-) -> int:
+def order(path: str, names: Sequence[str], what: str, release: str, wait_s: float, as_json: bool) -> int:
     """Start, stop or reload gateways (all, without names) and wait until they are so: 0, 1 where some are
     not, 2 for bad words, 69 and 75 as for leases."""
     try:
--- a/saffronstack/cli/leases.py
+++ b/saffronstack/cli/leases.py
@@ -158,9 +158,7 @@
             }  # fmt: skip
             click.echo(msgspec.json.encode(told).decode())
         elif shown.holder:
-            click.echo(
-                f"{lease}: held by {shown.holder}, token {shown.token}, {shown.left_s} s left"
-            )
+            click.echo(f"{lease}: held by {shown.holder}, token {shown.token}, {shown.left_s} s left")
         else:
             click.echo(f"{lease}: free, last token {shown.token}")
     return 0
--- a/saffronstack/cli/rollout.py
+++ b/saffronstack/cli/rollout.py
@@ -79,9 +79,7 @@
     return _lead(fleet, held, daemons, begun, stopping)
 
 
-def _lead(
-    fleet: FleetFile, held: Held, daemons: Daemons, record: Record, stopping: threading.Event
-) -> int:
+def _lead(fleet: FleetFile, held: Held, daemons: Daemons, record: Record, stopping: threading.Event) -> int:
     shown = ""
 
     def show(now: Record, waits: str) -> None:
--- a/saffronstack/fleet/rollout/controller.py
+++ b/saffronstack/fleet/rollout/controller.py
@@ -388,5 +388,3 @@
 def first(plan: Plan, old: Release, new: Release) -> Record:
     """The record of a rollout that begins."""
     return Record(plan=plan, old=old, new=new, notes=(f"started: {old.version} to {new.version}",))
-
-
--- a/saffronstack/fleet/rollout/samples.py
+++ b/saffronstack/fleet/rollout/samples.py
@@ -92,9 +92,7 @@
     if figures is None or figures.age_s > STALE_S:
         return None
     times = {name: _values(text) for name, text in figures.times.items()}
-    return Counted(
-        state.life, state.restarts, figures.classes, times, figures.memory_mb, figures.descriptors
-    )
+    return Counted(state.life, state.restarts, figures.classes, times, figures.memory_mb, figures.descriptors)
 
 
 def _values(text: str) -> Counter[int]:
--- a/saffronstack/fleet/serving.py
+++ b/saffronstack/fleet/serving.py
@@ -28,9 +28,7 @@
 class SmallServer:
     """Listens; whoever owns it answers, on the connection's thread."""
 
-    def __init__(
-        self, name: str, host: str, port: int, answer: Answerer, clock: Callable[[], float]
-    ) -> None:
+    def __init__(self, name: str, host: str, port: int, answer: Answerer, clock: Callable[[], float]) -> None:
         """OSError where the address can't be had."""
         self._name = name
         self._answer = answer
--- a/saffronstack/hosts/pool.py
+++ b/saffronstack/hosts/pool.py
@@ -122,9 +122,7 @@
                 return None
             self._budget.take(at_all_costs=True)
         address = self.spec.host, self.spec.port
-        link = Link(
-            address, self._limits, self._writer, self._reader, self._clock, self._link_ended
-        )
+        link = Link(address, self._limits, self._writer, self._reader, self._clock, self._link_ended)
         with self._lock:
             self._links.append(link)
         try:
--- a/saffronstack/interface.py
+++ b/saffronstack/interface.py
@@ -387,6 +387,4 @@
     text: str
 
 
-Action = (
-    Send | Refuse | Fail | Cancel | Probe | Load | Unload | WakeMe | Watch | FetchList | Log
-)
+Action = Send | Refuse | Fail | Cancel | Probe | Load | Unload | WakeMe | Watch | FetchList | Log
--- a/saffronstack/platform/calls.py
+++ b/saffronstack/platform/calls.py
@@ -62,5 +62,3 @@
             tenant,
             class_name=frame.class_name,
         )
-
-
--- a/saffronstack/settings.py
+++ b/saffronstack/settings.py
@@ -12,8 +12,14 @@
 from saffronstack import interface as api
 
 REPORT_FIELDS = {
-    "rif": "in_hand", "q": "waiting", "busy": "busy", "lat_ms": "latency_s", "rate": "rate",
-    "fail_rate": "fail_rate", "x0": "bound_memory_share", "x1": "loads",
+    "rif": "in_hand",
+    "q": "waiting",
+    "busy": "busy",
+    "lat_ms": "latency_s",
+    "rate": "rate",
+    "fail_rate": "fail_rate",
+    "x0": "bound_memory_share",
+    "x1": "loads",
 }
 T = TypeVar("T")
 
