A keeper's stop ends the save under way before it returns

Cause: KeeperService.stop only set a flag, so the thread in _save_all could be inside KeeperDisk.write and put copy-1 back after the stop had returned; a keeper started next on this directory then shares it with the old one's thread. Ruled out: the test's own clock and the links (only the disk thread writes there). stop now joins that thread, two seconds at most, and logs a disk that takes longer.

--- a/saffronstack/fleet/leases/service.py
+++ b/saffronstack/fleet/leases/service.py
@@ -20,6 +20,7 @@
 LISTENERS_MOST = 4096  # processes
 MAIL_MOST = 64  # messages for one that listens
 LEFT_S = 2.0  # one that listened so lately will again
+SAVING_MOST_S = 2.0  # that a stop waits for a save under way
 
 
 @dataclass(slots=True)
@@ -63,17 +64,24 @@
         self._wake_s: float | None = None
         self._stopping = False
         self.trouble = ""  # what the disk said last; empty while it is well
+        self._saving: threading.Thread | None = None
 
     def start(self) -> None:
         """Save and keep time on threads of its own."""
-        spawn("keeper-disk", self._save_all)
+        self._saving = spawn("keeper-disk", self._save_all)
         spawn("keeper-clock", self._keep_time)
 
-    def stop(self) -> None:
-        """Answer nobody any more."""
+    def stop(self, wait_s: float = SAVING_MOST_S) -> None:
+        """Answer nobody any more and end a save under way: after this another keeper may use the directory.
+        A disk that takes longer than ``wait_s`` is logged and left to itself."""
         with self._lock:
             self._stopping = True
             self._lock.notify_all()
+        if self._saving is None:
+            return
+        self._saving.join(wait_s)
+        if self._saving.is_alive():
+            log.error("keeper stopped while its disk still saves", waited_s=wait_s)
 
     # ---- what others ask
 
--- a/tests/test_lease_keepers.py
+++ b/tests/test_lease_keepers.py
@@ -15,6 +15,7 @@
 from contextlib import contextmanager
 
 import pytest
+from structlog.testing import capture_logs
 
 from saffronstack.client import Client
 from saffronstack.config.fleet import load_fleet
@@ -207,6 +208,47 @@
     service.stop()
 
 
+class Held(Gate):
+    """A disk whose next sync begins and then lasts until the stop has returned, half a second at most."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.holds = False
+        self.entered, self.stopped = threading.Event(), threading.Event()
+
+    def sync(self, descriptor: int) -> None:
+        if self.holds:
+            self.entered.set()
+            self.stopped.wait(0.5)
+        super().sync(descriptor)
+
+
+def test_a_stop_ends_the_save_under_way_before_it_returns(tmp_path: pathlib.Path) -> None:
+    """Else the copies change under the keeper that is started next on this directory."""
+    gate = Held()
+    service = voting(tmp_path, gate)
+    gate.holds = True
+    assert service.ask("a", (Ask("l", "a", 1),), 0.01) == []
+    assert gate.entered.wait(20.0)
+    service.stop()
+    first, second = ((tmp_path / name).stat().st_mtime_ns for name in COPIES)
+    gate.stopped.set()
+    newest = disk(tmp_path).read().saved
+    assert newest.records and newest.write == service.status()["saved"]
+    assert first <= second, "the second copy was not written when the stop returned"
+
+
+def test_a_stop_leaves_a_disk_that_hangs_to_itself_within_its_bound(tmp_path: pathlib.Path) -> None:
+    gate = Gate()
+    service = voting(tmp_path, gate)
+    gate.open_.clear()
+    assert service.ask("a", (Ask("l", "a", 1),), 0.01) == []
+    with capture_logs() as logs:
+        service.stop(wait_s=0.05)
+    gate.open_.set()
+    assert any(entry["event"] == "keeper stopped while its disk still saves" for entry in logs)
+
+
 # ---- three keepers on sockets
 
 
