A rollout's bake ends by figures that cover it, not by older ones

Seen: the known red rollout test was held at its last stage, 'the new side had 0 calls, 20 at least', then waited 150 s for an operator. Reproduced beside 16 busy processes on 8 cores. The leader's log shows the same figures at five looks in a row: gateways' pages came 2 to 3 s late, and Leader._judge compared at the end of a 2 s bake what had been read before it began. So a stage could also be called good on figures from its middle. Change: the part of the bake that is judged is at most what the oldest fresh figures cover (information, not clock time, as in group-sequential tests). Figures older than 3 s are none, as before, so the wait is bounded.

--- a/saffronstack/fleet/rollout/leader.py
+++ b/saffronstack/fleet/rollout/leader.py
@@ -147,6 +147,7 @@
         self._daemons = daemons
         self._sampler = Sampler(self._gateways)
         self._states: dict[str, GatewayState] = {}
+        self._looked_s = 0.0  # when the last look at the daemons began
         self._words_s = 0.0
 
     def lead(self, record: Record, stopping: threading.Event) -> Record:
@@ -156,6 +157,7 @@
         self._carry_out(machine, [words.Store(record)], adopt=True)
         while not stopping.is_set() and self._held.left_s() > 0 and not machine.record.over:
             orders: dict[str, list[Order]] = {}
+            self._looked_s = self._clock()
             for event in [*self._heard(self._daemons.look()), *self._said(machine.record), words.Tick()]:
                 for action in self._carry_out(machine, machine.handle(self._clock(), event)):
                     orders.setdefault(action.daemon, []).append(Order(action.gateway, action.release))
@@ -188,7 +190,7 @@
                     log.info("rollout", name=action.record.plan.name, note=action.record.notes[-1])
                 event: words.Event = words.Stored(action.record, good)
             elif isinstance(action, words.Bake):
-                self._sampler.begin(self._states)
+                self._sampler.begin(self._states, self._clock())
                 continue
             else:
                 event = self._judge(machine.record, action)
@@ -197,12 +199,15 @@
 
     def _judge(self, record: Record, asked: words.Judge) -> words.Judged:
         plan = record.plan
+        # Figures reach the leader late, most of all on a busy machine: the bake is over once they cover it.
+        covered_s = self._sampler.covered_s(self._states, self._looked_s)
+        part = min(asked.part, covered_s / plan.stages[asked.stage].bake_s)
         least = {"memory_mb": plan.memory_least_mb, "descriptors": plan.descriptors_least}
         limits = Limits(plan.false_stop, plan.calls_least, gross=plan.gross, least=least)
         units = self._sampler.units(self._states, record.new.digest)
-        found = look(limits, units, asked.part, asked.spent)
+        found = look(limits, units, part, asked.spent)
         log.info(
-            "judged", stage=asked.stage, part=round(asked.part, 2), verdict=found.verdict.value,
+            "judged", stage=asked.stage, part=round(part, 2), verdict=found.verdict.value,
             reasons=found.reasons, worst=[one.line() for one in found.findings[:3]],
         )  # fmt: skip
         return words.Judged(asked.stage, found)
--- a/saffronstack/fleet/rollout/samples.py
+++ b/saffronstack/fleet/rollout/samples.py
@@ -37,13 +37,21 @@
 
     fleet: Sequence[Gateway]
     begun: dict[str, Counted] = field(default_factory=dict)
+    begun_s: float = 0.0
 
-    def begin(self, states: Mapping[str, GatewayState]) -> None:
+    def begin(self, states: Mapping[str, GatewayState], now: float) -> None:
         """From now on."""
+        self.begun_s = now
         self.begun = {
             name: counted for name, state in states.items() if (counted := counted_of(state)) is not None
         }  # fmt: skip
 
+    def covered_s(self, states: Mapping[str, GatewayState], looked_s: float) -> float:
+        """How much of the bake the oldest figures cover that are compared; ``looked_s``: no later than when
+        daemons told them. Gateways without fresh figures are not waited for: infinity where none has any."""
+        ages = [state.figures.age_s for state in states.values() if state.figures and _fresh(state.figures)]
+        return max(0.0, looked_s - max(ages) - self.begun_s) if ages else math.inf
+
     def units(self, states: Mapping[str, GatewayState], new: str) -> list[Unit]:
         """What the judge compares; ``new`` is the new side's release."""
         since: dict[str, tuple[Gateway, GatewayState, Counted]] = {}
@@ -89,12 +97,16 @@
 def counted_of(state: GatewayState) -> Counted | None:
     """Decoded; None where its figures are missing or old."""
     figures: Figures | None = state.figures
-    if figures is None or figures.age_s > STALE_S:
+    if figures is None or not _fresh(figures):
         return None
     times = {name: _values(text) for name, text in figures.times.items()}
     return Counted(state.life, state.restarts, figures.classes, times, figures.memory_mb, figures.descriptors)
 
 
+def _fresh(figures: Figures) -> bool:
+    return figures.age_s <= STALE_S
+
+
 def _values(text: str) -> Counter[int]:
     found = HdrHistogram.decode(text.encode())
     return Counter({
