Daemons and operators' commands no longer load the judge's statistics; tests share bytecode

Cause of the suite's length: on machines with PYTHONDONTWRITEBYTECODE set, each of the hundreds of processes that tests start compiled the whole program, and each daemon and each fleet command loaded scipy (0.98 s of 1.6 s start-up, 111 MB for 32 MB) because Daemons and the record's codec stood in the leader's module. Change: the judge's types (comparison), the stored record (records), the client of all daemons (control/daemons) and the leading commands (cli/leading) are modules of their own; a test keeps scipy out of the rest. Tests' processes share a bytecode directory of their run.

--- a/saffronstack/cli/control.py
+++ b/saffronstack/cli/control.py
@@ -17,10 +17,11 @@
 from saffronstack.fleet.control import releases
 from saffronstack.fleet.control.asking import ask_status, flat
 from saffronstack.fleet.control.daemon import Daemon, Entry
+from saffronstack.fleet.control.daemons import Daemons
 from saffronstack.fleet.control.words import LEAD, GatewayState, Order
 from saffronstack.fleet.leases.reading import Reading, read_leases
 from saffronstack.fleet.leases.store import Held
-from saffronstack.fleet.rollout.leader import Daemons, decode
+from saffronstack.fleet.rollout.records import decode
 
 LOOK_S = 0.2
 SILENT = 1  # exit status: some daemon or gateway is not as asked
--- a/saffronstack/day/rolling.py
+++ b/saffronstack/day/rolling.py
@@ -15,8 +15,8 @@
 from saffronstack.fleet.control.gate import Gate
 from saffronstack.fleet.control.slots import Action, Go, Kill, Seen, Slot, Spawn, Term
 from saffronstack.fleet.rollout import controller as words
+from saffronstack.fleet.rollout.comparison import Look, Verdict
 from saffronstack.fleet.rollout.controller import Controller, Record, Word, first
-from saffronstack.fleet.rollout.judge import Look, Verdict
 from saffronstack.fleet.rollout.plan import Gateway, Plan, Release, Stage
 
 OLD, NEW = Release(version="1", digest="old"), Release(version="2", digest="new")
--- a/saffronstack/day/rollouts.py
+++ b/saffronstack/day/rollouts.py
@@ -30,7 +30,7 @@
 from saffronstack.fleet.control.words import LEAD, GatewayState
 from saffronstack.fleet.leases.reading import read_leases
 from saffronstack.fleet.rollout.controller import Record
-from saffronstack.fleet.rollout.leader import decode
+from saffronstack.fleet.rollout.records import decode
 from saffronstack.standin.fleet import StandInFleet, sample
 from saffronstack.standin.model import Profile
 from saffronstack.standin.worker import hold_port
--- a/saffronstack/fleet/rollout/controller.py
+++ b/saffronstack/fleet/rollout/controller.py
@@ -16,7 +16,7 @@
 from msgspec.structs import replace
 
 from saffronstack.fleet.control.slots import Seen
-from saffronstack.fleet.rollout.judge import Look, Verdict
+from saffronstack.fleet.rollout.comparison import Look, Verdict
 from saffronstack.fleet.rollout.plan import Gateway, Plan, Release, batches, reach
 
 Way = Literal["forward", "held", "back", "done", "returned"]
--- a/saffronstack/fleet/rollout/samples.py
+++ b/saffronstack/fleet/rollout/samples.py
@@ -10,7 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from saffronstack.fleet.control.words import Figures, GatewayState
-from saffronstack.fleet.rollout.judge import Ratio, Unit
+from saffronstack.fleet.rollout.comparison import Ratio, Unit
 from saffronstack.fleet.rollout.plan import Gateway
 
 STALE_S = 3.0  # figures older than this are none
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,12 +3,16 @@
 Measured beside other tests on the disk of a shared machine: a sync of one small file takes 3 ms, one in a
 hundred 0.23 s, and 0.44 s at most. Keepers that have half a second for a whole exchange then fall silent, and
 gateways are refused their leases: no defect of theirs. What disks do wrong is played by the tests' own file
-layers."""
+layers.
+
+Processes that tests start share one cache of bytecode: without it each compiles the whole program anew."""
 
 from __future__ import annotations
 
 import os
+import pathlib
 import shutil
+import tempfile
 
 import pytest
 
@@ -23,6 +27,16 @@
 def pytest_configure(config: pytest.Config) -> None:
     """Tests that are listed as failing for a known fault fail no run."""
     config.pluginmanager.register(KnownRed(config.rootpath), "known-red")
+    if "PYTEST_XDIST_WORKER" not in os.environ:
+        _share_bytecode(config)
+
+
+def _share_bytecode(config: pytest.Config) -> None:
+    """A directory for the bytecode of this run alone; workers and their processes inherit its name."""
+    directory = tempfile.mkdtemp(prefix="saffronstack-bytecode-", dir=os.environ.get("PYTEST_DEBUG_TEMPROOT"))
+    os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
+    os.environ["PYTHONPYCACHEPREFIX"] = directory
+    config.add_cleanup(lambda: shutil.rmtree(pathlib.Path(directory), ignore_errors=True))
 
 
 @pytest.hookimpl(trylast=True)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -4,6 +4,8 @@
 
 import ast
 import pathlib
+import subprocess
+import sys
 
 import pytest
 
@@ -107,3 +109,15 @@
     parts = {name.split(".")[1] for name in modules if name.startswith("saffronstack.")}
     assert parts <= MAY["platform"] - {"http1"} | POLICY, parts
     assert not modules & {"structlog", "asyncio", "ssl", "json5", "click", "dns", "prometheus_client"}
+
+
+@pytest.mark.parametrize(
+    "module", ["saffronstack.cli.control", "saffronstack.cli.rollout", "saffronstack.cli.main"]
+)
+def test_only_processes_that_lead_a_rollout_load_the_statistics(module: str) -> None:
+    """They take a second of start-up and 60 MB, in daemons and in each command of an operator's."""
+    loaded = f"import {module}, sys; print(int('scipy' in sys.modules))"
+    ran = subprocess.run(
+        [sys.executable, "-c", loaded], capture_output=True, text=True, timeout=60.0, check=True
+    )
+    assert ran.stdout == "0\n"
--- a/tests/test_rolling.py
+++ b/tests/test_rolling.py
@@ -11,10 +11,11 @@
 from saffronstack.fleet.control.slots import CRASHES, Follow, Go, Kill, Seen, Slot, Spawn, Term
 from saffronstack.fleet.control.words import Figures, GatewayState
 from saffronstack.fleet.rollout import controller as words
+from saffronstack.fleet.rollout.comparison import Look, Verdict
 from saffronstack.fleet.rollout.controller import Controller, Record, Word, first
-from saffronstack.fleet.rollout.judge import Look, Verdict
-from saffronstack.fleet.rollout.leader import decode, encode, runs
+from saffronstack.fleet.rollout.leader import runs
 from saffronstack.fleet.rollout.plan import Gateway, Plan, Release, Stage
+from saffronstack.fleet.rollout.records import decode, encode
 
 OLD, NEW = Release(version="1", digest="old"), Release(version="2", digest="new")
 
--- a/tests/test_rollout_judge.py
+++ b/tests/test_rollout_judge.py
@@ -5,7 +5,8 @@
 import numpy
 import pytest
 
-from saffronstack.fleet.rollout.judge import Limits, Ratio, Unit, Verdict, compare, look
+from saffronstack.fleet.rollout.comparison import Limits, Ratio, Unit, Verdict
+from saffronstack.fleet.rollout.judge import compare, look
 
 LOOKS = 10
 MEASURES = ("refused/look", "refused/sell", "late/look", "failed/sell")
--- a/tests/test_rollout_leader.py
+++ b/tests/test_rollout_leader.py
@@ -6,10 +6,11 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from saffronstack.fleet.control.daemons import Daemons
 from saffronstack.fleet.control.words import DaemonState, Figures, GatewayState, Order
 from saffronstack.fleet.leases.reading import Reading
 from saffronstack.fleet.rollout.controller import Record, first
-from saffronstack.fleet.rollout.leader import Daemons, Leader
+from saffronstack.fleet.rollout.leader import Leader
 from saffronstack.fleet.rollout.plan import Gateway, Plan, Release, Stage
 from saffronstack.invoke.figures import times
 
