--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -28,7 +28,7 @@
 from saffronstack.day.leaserig import Fault, LeaseRig, Report, schedule, shrink
 from saffronstack.day.leases import World
 from saffronstack.fleet.leases.client import LeaseClient
-from saffronstack.fleet.leases.words import Bounds
+from saffronstack.fleet.leases.messages import Bounds
 from saffronstack.standin.worker import hold_port
 
 
--- a/saffronstack/cli/control.py
+++ b/saffronstack/cli/control.py
@@ -15,10 +15,10 @@
 from saffronstack.config.fleet import FleetFile, load_fleet
 from saffronstack.config.load import ConfigError
 from saffronstack.fleet.control import releases
-from saffronstack.fleet.control.asking import ask_status, flat
 from saffronstack.fleet.control.daemon import Daemon, Entry
-from saffronstack.fleet.control.daemons import Daemons
-from saffronstack.fleet.control.words import LEAD, GatewayState, Order
+from saffronstack.fleet.control.daemon_client import Daemons
+from saffronstack.fleet.control.messages import LEAD, GatewayState, Order
+from saffronstack.fleet.control.status_client import ask_status, flat
 from saffronstack.fleet.leases.reading import Reading, read_leases
 from saffronstack.fleet.leases.store import Held
 from saffronstack.fleet.rollout.records import decode
--- a/saffronstack/cli/leading.py
+++ b/saffronstack/cli/leading.py
@@ -15,9 +15,9 @@
 from saffronstack.config.load import ConfigError, convert, read_text
 from saffronstack.core.threads import spawn
 from saffronstack.fleet.control import releases
-from saffronstack.fleet.control.asking import flat
-from saffronstack.fleet.control.daemons import Daemons
-from saffronstack.fleet.control.words import LEAD
+from saffronstack.fleet.control.daemon_client import Daemons
+from saffronstack.fleet.control.messages import LEAD
+from saffronstack.fleet.control.status_client import flat
 from saffronstack.fleet.leases.reading import read_leases
 from saffronstack.fleet.leases.store import Held
 from saffronstack.fleet.rollout.controller import Record, first
--- a/saffronstack/cli/leases.py
+++ b/saffronstack/cli/leases.py
@@ -23,10 +23,10 @@
 from saffronstack.config.load import ConfigError
 from saffronstack.fleet.leases.client import LeaseClient
 from saffronstack.fleet.leases.disk import Foreign, KeeperDisk
+from saffronstack.fleet.leases.messages import Bounds
 from saffronstack.fleet.leases.node import KeeperNode
 from saffronstack.fleet.leases.reading import read_leases
 from saffronstack.fleet.leases.store import Held
-from saffronstack.fleet.leases.words import Bounds
 from saffronstack.fleet.tasks.jobs import FleetUsage, Job, Sweep, Takeover
 from saffronstack.fleet.tasks.runner import TaskRunner
 from saffronstack.http1.messages import HttpError
--- a/saffronstack/cli/rollout.py
+++ b/saffronstack/cli/rollout.py
@@ -10,7 +10,7 @@
 from saffronstack.config.fleet import FleetFile, load_fleet
 from saffronstack.config.load import ConfigError, convert, read_text
 from saffronstack.fleet.control import releases
-from saffronstack.fleet.control.words import LEAD, WORDS
+from saffronstack.fleet.control.messages import LEAD, WORDS
 from saffronstack.fleet.leases.reading import read_leases
 from saffronstack.fleet.rollout.controller import Record
 from saffronstack.fleet.rollout.plan import Gateway, Plan, problems
--- a/saffronstack/cli/tenure.py
+++ b/saffronstack/cli/tenure.py
@@ -14,7 +14,7 @@
 from saffronstack.config.schema import Config
 from saffronstack.fleet.leases.client import LeaseClient
 from saffronstack.fleet.leases.store import Held
-from saffronstack.fleet.tasks.home import FencedFiles, LedgerHome
+from saffronstack.fleet.tasks.ledger_directory import FencedFiles, LedgerDirectory
 
 log = structlog.get_logger("saffronstack.serve")
 LOOK_S = 0.1
@@ -26,7 +26,7 @@
     """One life's right to write a ledger: its token, and the lease that says that it lives."""
 
     def __init__(
-        self, home: LedgerHome, token: int, config: Config, client: LeaseClient | None, held: Held | None
+        self, home: LedgerDirectory, token: int, config: Config, client: LeaseClient | None, held: Held | None
     ) -> None:
         self._home, self._token, self._client, self._held = home, token, client, held
         self._ended = threading.Event()
@@ -70,7 +70,7 @@
     if config.ledger is None:
         raise ConfigError("--fleet needs a ledger in the configuration: it is what others may take over")
     if home:
-        return Tenure(LedgerHome(home), token, config, None, None)
+        return Tenure(LedgerDirectory(home), token, config, None, None)
     from saffronstack.cli.leases import open_client
 
     fleet = load_fleet(fleet_path)
@@ -79,7 +79,7 @@
     if held is None:
         client.close()
         raise ValueError(f"the lease gateway/{name} was not granted: {client.troubles()}")
-    return Tenure(LedgerHome(config.ledger.directory), held.token, config, client, held)
+    return Tenure(LedgerDirectory(config.ledger.directory), held.token, config, client, held)
 
 
 def _beside(config: Config, place: pathlib.Path) -> Config:
--- a/saffronstack/config/load.py
+++ b/saffronstack/config/load.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from saffronstack.config.schema import Config
-from saffronstack.config.sense import senseless
+from saffronstack.config.validation import validation_errors
 
 T = typing.TypeVar("T", bound=msgspec.Struct)
 _AT = re.compile(r" - at `\$\.?(.*)`$")
@@ -42,7 +42,7 @@
 def parse(text: str, name: str = "configuration") -> Config:
     """The configuration in a text; ``name`` stands in the errors."""
     config = convert(text, Config, name)
-    problems = senseless(config)
+    problems = validation_errors(config)
     if not config.workers and config.roster is None and "workers" not in _loads(text):
         problems.append("workers: missing, and there is no roster to tell of any")
     if problems:
--- a/saffronstack/config/sense.py
+++ b/saffronstack/config/validation.py
@@ -10,7 +10,7 @@
 LOOPBACK = ("127.", "localhost:")
 
 
-def senseless(config: Config) -> list[str]:
+def validation_errors(config: Config) -> list[str]:
     """Every problem found, each with its place; none: the configuration can be used."""
     return [
         *_names(config), *_classes(config), *_functions(config), *_workers(config), *_listener(config),
--- a/saffronstack/day/explore.py
+++ b/saffronstack/day/explore.py
@@ -18,7 +18,7 @@
 
 from saffronstack.fleet.leases.holder import Candidate, CandidateAction, Gained, State
 from saffronstack.fleet.leases.keeper import Keeper
-from saffronstack.fleet.leases.words import (
+from saffronstack.fleet.leases.messages import (
     Ask,
     Bounds,
     Found,
--- a/saffronstack/day/leases.py
+++ b/saffronstack/day/leases.py
@@ -13,7 +13,7 @@
 
 from saffronstack.fleet.leases.holder import Candidate, CandidateAction, Gained, Lost
 from saffronstack.fleet.leases.keeper import Keeper
-from saffronstack.fleet.leases.words import Bounds, Found, KeeperAction, Message, Save, Saved, Say, WakeAt
+from saffronstack.fleet.leases.messages import Bounds, Found, KeeperAction, Message, Save, Saved, Say, WakeAt
 
 LEASE = "task/usage"
 KeeperMaker = Callable[[str, Bounds, Found, Saved, float, int], Keeper]
--- a/saffronstack/day/peer.py
+++ b/saffronstack/day/peer.py
@@ -27,9 +27,9 @@
 from saffronstack.durable.segments import Files
 from saffronstack.fleet.leases.client import LeaseClient, holder_clock
 from saffronstack.fleet.leases.holder import Candidate
+from saffronstack.fleet.leases.messages import Bounds, KeeperAction, Message, Say, Take
 from saffronstack.fleet.leases.node import KeeperNode
 from saffronstack.fleet.leases.store import Held
-from saffronstack.fleet.leases.words import Bounds, KeeperAction, Message, Say, Take
 
 ACT_S = 0.03
 MARGIN_S = 0.1  # an act begins only with so much of the lease left beyond its length
--- a/saffronstack/day/rolling.py
+++ b/saffronstack/day/rolling.py
@@ -14,7 +14,7 @@
 
 from saffronstack.fleet.control.gate import Gate
 from saffronstack.fleet.control.slots import Action, Go, Kill, Seen, Slot, Spawn, Term
-from saffronstack.fleet.rollout import controller as words
+from saffronstack.fleet.rollout import controller
 from saffronstack.fleet.rollout.comparison import Look, Verdict
 from saffronstack.fleet.rollout.controller import Controller, Record, Word, first
 from saffronstack.fleet.rollout.plan import Gateway, Plan, Release, Stage
@@ -139,20 +139,21 @@
         if leader is None:
             return False
         self.now += STEP_S
-        events: list[words.Event] = []
+        events: list[controller.Event] = []
         for name, daemon in self.daemons.items():  # all looks first: an order is newer than each of them
             leader.seq += 1
             lost = choose(6) == 0  # the look is, or its answer
             if (lost and not choose(2)) or not self._admit(daemon, leader.token, leader.seq) or lost:
-                events.append(words.Silent(name))
+                events.append(controller.Silent(name))
                 continue
             leader.lives[name] = daemon.gate.life
-            events.append(words.Heard(name, {gateway: slot.seen() for gateway, slot in daemon.slots.items()}))
+            seen = {gateway: slot.seen() for gateway, slot in daemon.slots.items()}
+            events.append(controller.Heard(name, seen))
         for event in events:
             self._tell(leader, event, choose)
         if self.word is not None:
             self._tell(leader, self.word, choose)
-        self._tell(leader, words.Tick(), choose)
+        self._tell(leader, controller.Tick(), choose)
         return True
 
     def _admit(self, daemon: DaemonModel, token: int, seq: int) -> bool:
@@ -162,19 +163,19 @@
         daemon.disk_token = max(daemon.disk_token, token)
         return True
 
-    def _tell(self, leader: LeaderModel, event: words.Event, choose: Callable[[int], int]) -> None:
+    def _tell(self, leader: LeaderModel, event: controller.Event, choose: Callable[[int], int]) -> None:
         waiting = list(leader.machine.handle(self.now, event))
         while waiting:
             action = waiting.pop(0)
-            if isinstance(action, words.Order):
+            if isinstance(action, controller.Order):
                 leader.seq += 1
                 life = leader.lives.get(action.daemon, 0)
                 self.sent.append(
                     Sent(action.daemon, leader.token, leader.seq, life, action.gateway, action.release)
                 )
-            elif isinstance(action, words.Store):
+            elif isinstance(action, controller.Store):
                 if self.broken == "told before stored":
-                    waiting += leader.machine.handle(self.now, words.Stored(action.record, True))
+                    waiting += leader.machine.handle(self.now, controller.Stored(action.record, True))
                     if choose(3):
                         self.store(leader, action.record)
                     continue
@@ -182,11 +183,12 @@
                 if not good:
                     self.leader = None  # it can't know: whoever follows reads what is there
                     return
-                waiting += leader.machine.handle(self.now, words.Stored(action.record, True))
-            elif isinstance(action, words.Judge):
+                waiting += leader.machine.handle(self.now, controller.Stored(action.record, True))
+            elif isinstance(action, controller.Judge):
                 verdict = self._verdict(action.part, choose)
                 waiting += leader.machine.handle(
-                    self.now, words.Judged(action.stage, Look(verdict, action.spent + 0.001, ("made up",)))
+                    self.now,
+                    controller.Judged(action.stage, Look(verdict, action.spent + 0.001, ("made up",))),
                 )
 
     def _verdict(self, part: float, choose: Callable[[int], int]) -> Verdict:
--- a/saffronstack/day/rollouts.py
+++ b/saffronstack/day/rollouts.py
@@ -25,9 +25,9 @@
 from saffronstack.day.plan import Mix
 from saffronstack.day.processes import DayFailed
 from saffronstack.day.wires import Mode, Wires
-from saffronstack.fleet.control.asking import ask_status, flat
+from saffronstack.fleet.control.messages import LEAD, GatewayState
 from saffronstack.fleet.control.releases import read as read_release
-from saffronstack.fleet.control.words import LEAD, GatewayState
+from saffronstack.fleet.control.status_client import ask_status, flat
 from saffronstack.fleet.leases.reading import read_leases
 from saffronstack.fleet.rollout.controller import Record
 from saffronstack.fleet.rollout.records import decode
--- a/saffronstack/fleet/control/daemon.py
+++ b/saffronstack/fleet/control/daemon.py
@@ -19,16 +19,16 @@
 
 from saffronstack.core.threads import spawn
 from saffronstack.daemon.handover import take
-from saffronstack.fleet.control import lives, slots
+from saffronstack.fleet.control import gateway_process, slots
+from saffronstack.fleet.control.desired_state import Kept, Wanted
+from saffronstack.fleet.control.figures_poller import Watcher, serving
 from saffronstack.fleet.control.gate import Gate
-from saffronstack.fleet.control.lives import Process, Told
+from saffronstack.fleet.control.gateway_process import Process, Told
+from saffronstack.fleet.control.messages import LEAD, TARGET, Control, DaemonState, GatewayState, Order
 from saffronstack.fleet.control.releases import Unusable, find
 from saffronstack.fleet.control.slots import Action, Follow, Go, Kill, Slot, Spawn, Term
-from saffronstack.fleet.control.wanted import Kept, Wanted
-from saffronstack.fleet.control.watching import Watcher, serving
-from saffronstack.fleet.control.words import LEAD, TARGET, Control, DaemonState, GatewayState, Order
+from saffronstack.fleet.http_server import HttpServer, problem
 from saffronstack.fleet.leases.reading import Reading
-from saffronstack.fleet.serving import SmallServer, problem
 from saffronstack.http1.messages import RequestHead
 
 log = structlog.get_logger("saffronstack.daemon")
@@ -94,9 +94,9 @@
         self._ended = threading.Event()
         try:
             for gateway in gateways:
-                self._listeners[gateway.name] = lives.listener(gateway.listen)
+                self._listeners[gateway.name] = gateway_process.listener(gateway.listen)
             host, _, port = address.rpartition(":")
-            self._server = SmallServer("daemon", host, int(port), self._reply, clock)
+            self._server = HttpServer("daemon", host, int(port), self._reply, clock)
         except OSError:
             self._close_listeners()
             raise
@@ -125,7 +125,7 @@
         """The life that serves, of those that an earlier daemon left. One that was only prepared ends by
         itself, with its daemon; one that follows another goes on to serve."""
         until_s = self._clock() + TAKE_UP_S
-        while running := lives.left(self._mark(name)):
+        while running := gateway_process.left(self._mark(name)):
             pid = serving(self._gateways[name].listen, self._clock)
             late = self._clock() >= until_s
             serves = next((one for one in running if one.pid == pid), running[-1] if late else None)
@@ -351,7 +351,7 @@
             elif isinstance(action, Term):
                 # One that an earlier daemon started, and that gave its socket to nobody, listens on its own.
                 with contextlib.suppress(OSError):
-                    self._listeners[name].listen(lives.BACKLOG)
+                    self._listeners[name].listen(gateway_process.BACKLOG)
                 process.send(signal.SIGTERM)
             elif isinstance(action, Kill):
                 process.send(signal.SIGKILL)
@@ -361,7 +361,7 @@
         try:
             found = find(self._releases, action.release)
             config = gateway.config.replace("{release}", found.path)
-            self._processes[name, action.life] = lives.start(
+            self._processes[name, action.life] = gateway_process.start(
                 name, action.life, action.release, [*found.command, "--config", config], self._mark(name),
                 self._listeners[name], self._directory / f"{name}.log", self._queue.put,
             )  # fmt: skip
--- a/saffronstack/fleet/control/daemons.py
+++ b/saffronstack/fleet/control/daemon_client.py
@@ -10,7 +10,7 @@
 
 from saffronstack.core.threads import Crew
 from saffronstack.daemon.members import NoAnswer, NotSent, exchange
-from saffronstack.fleet.control.words import TARGET, Control, DaemonState, Order
+from saffronstack.fleet.control.messages import TARGET, Control, DaemonState, Order
 from saffronstack.http1 import writer
 
 ASK_S = 2.5  # a look or an order; a daemon answers within 2 s
--- a/saffronstack/fleet/control/watching.py
+++ b/saffronstack/fleet/control/figures_poller.py
@@ -10,8 +10,8 @@
 
 from saffronstack.core.threads import spawn
 from saffronstack.daemon.members import NoAnswer, NotSent, exchange
-from saffronstack.fleet.control.lives import Process
-from saffronstack.fleet.control.words import Figures
+from saffronstack.fleet.control.gateway_process import Process
+from saffronstack.fleet.control.messages import Figures
 from saffronstack.http1 import writer
 
 EVERY_S = 0.5
--- a/saffronstack/fleet/control/asking.py
+++ b/saffronstack/fleet/control/status_client.py
@@ -9,7 +9,7 @@
 
 from saffronstack.core.threads import spawn
 from saffronstack.daemon.members import NoAnswer, NotSent, exchange
-from saffronstack.fleet.control.words import DaemonState, GatewayState
+from saffronstack.fleet.control.messages import DaemonState, GatewayState
 from saffronstack.http1 import writer
 
 JOIN_S = 0.5  # over the exchange's own bound
--- a/saffronstack/fleet/serving.py
+++ b/saffronstack/fleet/http_server.py
@@ -25,7 +25,7 @@
 Answerer = Callable[[RequestHead, bytes], tuple[int, bytes]]
 
 
-class SmallServer:
+class HttpServer:
     """Listens; whoever owns it answers, on the connection's thread."""
 
     def __init__(self, name: str, host: str, port: int, answer: Answerer, clock: Callable[[], float]) -> None:
--- a/saffronstack/fleet/leases/codec.py
+++ b/saffronstack/fleet/leases/codec.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from saffronstack.fleet.leases.words import Message, Saved
+from saffronstack.fleet.leases.messages import Message, Saved
 
 MESSAGES_MOST = 512  # in one envelope
 
--- a/saffronstack/fleet/leases/disk.py
+++ b/saffronstack/fleet/leases/disk.py
@@ -16,7 +16,7 @@
 
 from saffronstack.durable.segments import Files
 from saffronstack.fleet.leases.codec import Shelf, decode_shelf, encode_shelf
-from saffronstack.fleet.leases.words import Found, Saved
+from saffronstack.fleet.leases.messages import Found, Saved
 
 # Magic, copy (its place: 0 or 1), write, length of the content, XXH3-128 over all before it and the content.
 HEADER = struct.Struct("<4sIQI16s")
--- a/saffronstack/fleet/leases/holder.py
+++ b/saffronstack/fleet/leases/holder.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from saffronstack.fleet.leases.words import (
+from saffronstack.fleet.leases.messages import (
     Ask,
     Bounds,
     Freed,
--- a/saffronstack/fleet/leases/keeper.py
+++ b/saffronstack/fleet/leases/keeper.py
@@ -12,7 +12,7 @@
 
 from msgspec.structs import replace
 
-from saffronstack.fleet.leases.words import (
+from saffronstack.fleet.leases.messages import (
     Ask,
     Bounds,
     Found,
--- a/saffronstack/fleet/leases/links.py
+++ b/saffronstack/fleet/leases/links.py
@@ -10,7 +10,7 @@
 from saffronstack.core.threads import spawn
 from saffronstack.fleet.leases import codec
 from saffronstack.fleet.leases.codec import Envelope
-from saffronstack.fleet.leases.words import Learn, Message, Told
+from saffronstack.fleet.leases.messages import Learn, Message, Told
 from saffronstack.http1 import writer
 from saffronstack.http1.messages import HttpError, Limits
 from saffronstack.http1.reader import MessageReader
--- a/saffronstack/fleet/leases/node.py
+++ b/saffronstack/fleet/leases/node.py
@@ -9,9 +9,9 @@
 from saffronstack.durable.segments import Files
 from saffronstack.fleet.leases.disk import KeeperDisk
 from saffronstack.fleet.leases.links import KeeperLink
+from saffronstack.fleet.leases.messages import Bounds, Message
+from saffronstack.fleet.leases.server import KeeperServer
 from saffronstack.fleet.leases.service import KeeperService
-from saffronstack.fleet.leases.serving import KeeperServer
-from saffronstack.fleet.leases.words import Bounds, Message
 
 
 class KeeperNode:
--- a/saffronstack/fleet/leases/reading.py
+++ b/saffronstack/fleet/leases/reading.py
@@ -10,8 +10,8 @@
 
 from saffronstack.core.threads import spawn
 from saffronstack.daemon.members import NoAnswer, NotSent, exchange
-from saffronstack.fleet.leases.serving import LeaseLine
-from saffronstack.fleet.leases.words import Written
+from saffronstack.fleet.leases.messages import Written
+from saffronstack.fleet.leases.server import LeaseLine
 from saffronstack.http1 import writer
 
 JOIN_S = 0.5  # over the exchange's own bound
--- a/saffronstack/fleet/leases/serving.py
+++ b/saffronstack/fleet/leases/server.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
+from saffronstack.fleet.http_server import HttpServer, problem
 from saffronstack.fleet.leases import codec
 from saffronstack.fleet.leases.codec import Envelope
+from saffronstack.fleet.leases.messages import Written
 from saffronstack.fleet.leases.service import KeeperService
-from saffronstack.fleet.leases.words import Written
-from saffronstack.fleet.serving import SmallServer, problem
 from saffronstack.http1.messages import RequestHead
 
 TARGET = "/lease/messages"
@@ -28,7 +28,7 @@
     value: Written
 
 
-class KeeperServer(SmallServer):
+class KeeperServer(HttpServer):
     """Listens for candidates, other keepers and operators."""
 
     def __init__(
--- a/saffronstack/fleet/leases/service.py
+++ b/saffronstack/fleet/leases/service.py
@@ -11,7 +11,7 @@
 from saffronstack.core.threads import spawn
 from saffronstack.fleet.leases.disk import KeeperDisk
 from saffronstack.fleet.leases.keeper import Keeper
-from saffronstack.fleet.leases.words import Bounds, Message, Record, Save, Saved, Say, WakeAt
+from saffronstack.fleet.leases.messages import Bounds, Message, Record, Save, Saved, Say, WakeAt
 
 log = structlog.get_logger("saffronstack.keeper")
 AGAIN_S = 0.5  # after a save that failed
--- a/saffronstack/fleet/rollout/leader.py
+++ b/saffronstack/fleet/rollout/leader.py
@@ -12,12 +12,12 @@
 import msgspec
 import structlog
 
-from saffronstack.fleet.control.daemons import Daemons
+from saffronstack.fleet.control.daemon_client import Daemons
+from saffronstack.fleet.control.messages import WORDS, DaemonState, GatewayState, Order
 from saffronstack.fleet.control.slots import Seen
-from saffronstack.fleet.control.words import WORDS, DaemonState, GatewayState, Order
 from saffronstack.fleet.leases.reading import Reading
 from saffronstack.fleet.leases.store import Held
-from saffronstack.fleet.rollout import controller as words
+from saffronstack.fleet.rollout import controller
 from saffronstack.fleet.rollout.comparison import Limits
 from saffronstack.fleet.rollout.controller import Controller, Record, Word
 from saffronstack.fleet.rollout.judge import look
@@ -51,7 +51,7 @@
         read: Callable[[], Reading],
         show: Callable[[Record, str], None] = lambda record, waits: None,
         clock: Callable[[], float] = time.monotonic,
-        patience_s: float = words.PATIENCE_S,
+        patience_s: float = controller.PATIENCE_S,
         round_s: float = ROUND_S,
     ) -> None:
         """``read`` asks keepers for operators' words; ``show`` hears of each round."""
@@ -68,11 +68,11 @@
         """Until it is over, the lease is lost or ``stopping``; the record as it stands then."""
         machine = Controller(record, self._gateways, self._daemon_of, self._clock(), self._patience_s)
         # The record may have been read from less than a majority's last word: it is stored anew first.
-        self._carry_out(machine, [words.Store(record)], adopt=True)
+        self._carry_out(machine, [controller.Store(record)], adopt=True)
         while not stopping.is_set() and self._held.left_s() > 0 and not machine.record.over:
             orders: dict[str, list[Order]] = {}
             self._looked_s = self._clock()
-            for event in [*self._heard(self._daemons.look()), *self._said(machine.record), words.Tick()]:
+            for event in [*self._heard(self._daemons.look()), *self._said(machine.record), controller.Tick()]:
                 for action in self._carry_out(machine, machine.handle(self._clock(), event)):
                     orders.setdefault(action.daemon, []).append(Order(action.gateway, action.release))
             if orders and self._held.left_s() > 0:
@@ -86,24 +86,24 @@
         return machine.record
 
     def _carry_out(
-        self, machine: Controller, actions: Sequence[words.Action], adopt: bool = False
-    ) -> list[words.Order]:
+        self, machine: Controller, actions: Sequence[controller.Action], adopt: bool = False
+    ) -> list[controller.Order]:
         """Do what can be done here and tell the controller; the orders that are left."""
-        orders: list[words.Order] = []
+        orders: list[controller.Order] = []
         waiting = list(actions)
         while waiting:
             action = waiting.pop(0)
-            if isinstance(action, words.Order):
+            if isinstance(action, controller.Order):
                 orders.append(action)
                 continue
-            if isinstance(action, words.Store):
+            if isinstance(action, controller.Store):
                 good = self._held.put(encode(action.record), STORE_S)
                 if adopt or self._held.left_s() <= 0:
                     return orders
                 if good and action.record.notes[-1:] != machine.record.notes[-1:]:
                     log.info("rollout", name=action.record.plan.name, note=action.record.notes[-1])
-                event: words.Event = words.Stored(action.record, good)
-            elif isinstance(action, words.Bake):
+                event: controller.Event = controller.Stored(action.record, good)
+            elif isinstance(action, controller.Bake):
                 self._sampler.begin(self._states, self._clock())
                 continue
             else:
@@ -111,7 +111,7 @@
             waiting += machine.handle(self._clock(), event)
         return orders
 
-    def _judge(self, record: Record, asked: words.Judge) -> words.Judged:
+    def _judge(self, record: Record, asked: controller.Judge) -> controller.Judged:
         plan = record.plan
         # Figures reach the leader late, most of all on a busy machine: the bake is over once they cover it.
         covered_s = self._sampler.covered_s(self._states, self._looked_s)
@@ -124,26 +124,26 @@
             "judged", stage=asked.stage, part=round(part, 2), verdict=found.verdict.value,
             reasons=found.reasons, worst=[one.line() for one in found.findings[:3]],
         )  # fmt: skip
-        return words.Judged(asked.stage, found)
+        return controller.Judged(asked.stage, found)
 
-    def _heard(self, answers: Mapping[str, DaemonState | str]) -> list[words.Event]:
-        events: list[words.Event] = []
+    def _heard(self, answers: Mapping[str, DaemonState | str]) -> list[controller.Event]:
+        events: list[controller.Event] = []
         for daemon, answer in sorted(answers.items()):
             if isinstance(answer, str):
                 for name, keeper in self._daemon_of.items():
                     if keeper == daemon:
                         self._states.pop(name, None)
-                events.append(words.Silent(daemon))
+                events.append(controller.Silent(daemon))
                 continue
             self._states |= answer.gateways
             seen = {
                 name: Seen(one.wanted, runs(one), one.state, one.life, one.restarts, one.refused, one.why)
                 for name, one in answer.gateways.items()
             }
-            events.append(words.Heard(daemon, seen))
+            events.append(controller.Heard(daemon, seen))
         return events
 
-    def _said(self, record: Record) -> list[words.Event]:
+    def _said(self, record: Record) -> list[controller.Event]:
         """Operators' words, as a majority of keepers shows them."""
         now = self._clock()
         if now < self._words_s + WORDS_EVERY_S:
--- a/saffronstack/fleet/rollout/samples.py
+++ b/saffronstack/fleet/rollout/samples.py
@@ -9,7 +9,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from saffronstack.fleet.control.words import Figures, GatewayState
+from saffronstack.fleet.control.messages import Figures, GatewayState
 from saffronstack.fleet.rollout.comparison import Ratio, Unit
 from saffronstack.fleet.rollout.plan import Gateway
 
--- a/saffronstack/fleet/tasks/jobs.py
+++ b/saffronstack/fleet/tasks/jobs.py
@@ -12,7 +12,7 @@
 
 from saffronstack.durable.journal import JournalError
 from saffronstack.fleet.leases.store import Held, LeaseStore
-from saffronstack.fleet.tasks.home import LedgerHome
+from saffronstack.fleet.tasks.ledger_directory import LedgerDirectory
 from saffronstack.fleet.tasks.published import Published
 from saffronstack.metering.merging import merge
 from saffronstack.metering.meter import read_usage_log
@@ -88,7 +88,7 @@
         for path in homes:
             if not turn.still():
                 break
-            home = LedgerHome(str(path))
+            home = LedgerDirectory(str(path))
             if not home.abandoned():
                 continue
             held = self._store.acquire(f"gateway/{path.name}", FREE_S)
@@ -134,7 +134,7 @@
         root = pathlib.Path(self._root) if self._root else None
         for path in sorted(root.iterdir()) if root is not None and root.is_dir() else ():
             if path.is_dir() and turn.still():
-                removed += LedgerHome(str(path)).sweep()
+                removed += LedgerDirectory(str(path)).sweep()
         return f"{removed} removed"
 
 
--- a/saffronstack/fleet/tasks/home.py
+++ b/saffronstack/fleet/tasks/ledger_directory.py
@@ -19,7 +19,7 @@
 COPIED = "*.seg"
 
 
-class LedgerHome:
+class LedgerDirectory:
     """The directory of one gateway."""
 
     def __init__(self, directory: str) -> None:
@@ -106,7 +106,7 @@
 class FencedFiles(Files):
     """File operations of one holder: under a greater fence a sync fails, and what was written is nobody's."""
 
-    def __init__(self, home: LedgerHome, token: int) -> None:
+    def __init__(self, home: LedgerDirectory, token: int) -> None:
         self._home, self._token = home, token
 
     def sync(self, descriptor: int) -> None:
--- a/saffronstack/fleet/tasks/runner.py
+++ b/saffronstack/fleet/tasks/runner.py
@@ -11,7 +11,7 @@
 from saffronstack.core.threads import spawn
 from saffronstack.fleet.leases.store import Held, LeaseStore
 from saffronstack.fleet.tasks.jobs import Job
-from saffronstack.fleet.tasks.turns import Action, Begin, GiveBack, Phase, Stop, Turns
+from saffronstack.fleet.tasks.schedule import Action, Begin, GiveBack, Phase, Stop, TaskSchedule
 
 log = structlog.get_logger("saffronstack.tasks")
 ACQUIRE_S = 5.0
@@ -53,7 +53,7 @@
     ) -> None:
         self.name = name
         self._job, self._store, self._clock = job, store, clock
-        self._turns = Turns(period_s, budget_s)
+        self._turns = TaskSchedule(period_s, budget_s)
         self._lock = threading.Condition()
         self._held: Held | None = None
         self._lost: str = ""
--- a/saffronstack/fleet/tasks/turns.py
+++ b/saffronstack/fleet/tasks/schedule.py
@@ -45,7 +45,7 @@
 Action = Begin | Stop | GiveBack
 
 
-class Turns:
+class TaskSchedule:
     """One task in one process."""
 
     def __init__(self, period_s: float, budget_s: float) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -18,11 +18,11 @@
 from saffronstack.day import releases as made
 from saffronstack.fleet.control import releases
 from saffronstack.fleet.control.daemon import Daemon, Entry
-from saffronstack.fleet.control.wanted import Kept, Wanted
-from saffronstack.fleet.control.words import LEAD, TARGET, Control, DaemonState, Order
+from saffronstack.fleet.control.desired_state import Kept, Wanted
+from saffronstack.fleet.control.messages import LEAD, TARGET, Control, DaemonState, Order
+from saffronstack.fleet.leases.messages import Written
 from saffronstack.fleet.leases.reading import Reading, Shown, agree
-from saffronstack.fleet.leases.serving import LeaseLine
-from saffronstack.fleet.leases.words import Written
+from saffronstack.fleet.leases.server import LeaseLine
 from saffronstack.standin.worker import hold_port
 from tests.support.stack import eventually
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,8 +12,8 @@
 
 from saffronstack.client import Client
 from saffronstack.daemon.handover import HandOver, take
-from saffronstack.fleet.control import lives
-from saffronstack.fleet.control.lives import Told
+from saffronstack.fleet.control import gateway_process
+from saffronstack.fleet.control.gateway_process import Told
 from saffronstack.standin.fleet import StandInFleet
 from saffronstack.standin.worker import hold_port
 from tests.support.stack import configuration, eventually
@@ -47,10 +47,10 @@
         address = f"127.0.0.1:{held.getsockname()[1]}"
         path = tmp_path / "g1.json5"
         path.write_text(json.dumps(configuration(fleet)))
-        listening = lives.listener(address)
+        listening = gateway_process.listener(address)
         mark = f"test/{tmp_path}"
         made = [
-            lives.start(
+            gateway_process.start(
                 "g1",
                 n,
                 f"r{n}",
@@ -66,7 +66,7 @@
         eventually(lambda: {one.number for one in told if one.what == "prepared"} == {1, 2})
         first.go()
         eventually(lambda: any(one.what == "up" and one.number == 1 for one in told))
-        assert [one.release for one in lives.left(mark)] == ["r1", "r2"]
+        assert [one.release for one in gateway_process.left(mark)] == ["r1", "r2"]
         # The daemon's end: its pipes close. The one that serves goes on, the one that follows waits for it.
         second.follow(first)
         for life in made:
--- a/tests/test_lease_keepers.py
+++ b/tests/test_lease_keepers.py
@@ -26,9 +26,9 @@
 from saffronstack.fleet.leases.client import LeaseClient
 from saffronstack.fleet.leases.codec import Envelope
 from saffronstack.fleet.leases.disk import COPIES, Foreign, KeeperDisk
+from saffronstack.fleet.leases.messages import Ask, Bounds, Found, Promise, Record, Saved, Take, Told, Written
 from saffronstack.fleet.leases.node import KeeperNode
 from saffronstack.fleet.leases.service import KeeperService
-from saffronstack.fleet.leases.words import Ask, Bounds, Found, Promise, Record, Saved, Take, Told, Written
 from saffronstack.standin.fleet import StandInFleet
 from saffronstack.standin.worker import hold_port
 from tests.support.stack import configuration, eventually
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -11,7 +11,7 @@
 from saffronstack.day.leases import CandidateMaker, Faults, KeeperMaker, World
 from saffronstack.fleet.leases.holder import Candidate, CandidateAction, Gained, Lost, State, Stored
 from saffronstack.fleet.leases.keeper import Keeper
-from saffronstack.fleet.leases.words import (
+from saffronstack.fleet.leases.messages import (
     Ask,
     Bounds,
     Found,
--- a/tests/test_rolling.py
+++ b/tests/test_rolling.py
@@ -8,9 +8,9 @@
 from saffronstack.cli.rollout import line_of
 from saffronstack.day.rolling import BROKEN, Broken, explore, wander
 from saffronstack.fleet.control.gate import Gate
+from saffronstack.fleet.control.messages import Figures, GatewayState
 from saffronstack.fleet.control.slots import CRASHES, Follow, Go, Kill, Seen, Slot, Spawn, Term
-from saffronstack.fleet.control.words import Figures, GatewayState
-from saffronstack.fleet.rollout import controller as words
+from saffronstack.fleet.rollout import controller
 from saffronstack.fleet.rollout.comparison import Look, Verdict
 from saffronstack.fleet.rollout.controller import Controller, Record, Word, first
 from saffronstack.fleet.rollout.leader import runs
@@ -149,29 +149,29 @@
     return Seen(wanted, wanted if runs is None else runs, state, 1, 0, refused, "made up")  # type: ignore[arg-type]
 
 
-def tell(machine: Controller, now: float, **states: Seen) -> list[words.Action]:
+def tell(machine: Controller, now: float, **states: Seen) -> list[controller.Action]:
     """A look at both daemons; those not named run the old one."""
-    found: list[words.Action] = []
+    found: list[controller.Action] = []
     for daemon in ("d0", "d1"):
         mine = {name: states.get(name, seen()) for name, keeper in DAEMON_OF.items() if keeper == daemon}
-        found += machine.handle(now, words.Heard(daemon, mine))
+        found += machine.handle(now, controller.Heard(daemon, mine))
     return found
 
 
-def stored(machine: Controller, now: float, actions: list[words.Action]) -> list[words.Action]:
+def stored(machine: Controller, now: float, actions: list[controller.Action]) -> list[controller.Action]:
     (store,) = actions
-    assert isinstance(store, words.Store), actions
-    return machine.handle(now, words.Stored(store.record, True))
+    assert isinstance(store, controller.Store), actions
+    return machine.handle(now, controller.Stored(store.record, True))
 
 
 def test_nothing_is_ordered_before_all_were_seen_and_one_at_a_time_then() -> None:
     machine = leading()
-    assert machine.handle(1.0, words.Heard("d0", {"g0": seen(), "g2": seen()})) == []
-    (order,) = machine.handle(1.1, words.Heard("d1", {"g1": seen(), "g3": seen()}))
-    assert isinstance(order, words.Order) and order.release == "new"
+    assert machine.handle(1.0, controller.Heard("d0", {"g0": seen(), "g2": seen()})) == []
+    (order,) = machine.handle(1.1, controller.Heard("d1", {"g1": seen(), "g3": seen()}))
+    assert isinstance(order, controller.Order) and order.release == "new"
     assert tell(machine, 2.0, **{order.gateway: seen("new", "old", "changing")}) == []
     (bake,) = tell(machine, 3.0, **{order.gateway: seen("new")})[:1]
-    assert bake == words.Bake(0)
+    assert bake == controller.Bake(0)
 
 
 def test_the_bake_begins_once_the_stage_has_stood_for_a_while() -> None:
@@ -181,32 +181,32 @@
     assert tell(machine, 6.0, **{changed: seen("new", "", "down")}) == []  # and anew after this
     assert tell(machine, 7.0, **{changed: seen("new")}) == []
     assert tell(machine, 11.9, **{changed: seen("new")}) == []
-    assert tell(machine, 12.0, **{changed: seen("new")})[:1] == [words.Bake(0)]
+    assert tell(machine, 12.0, **{changed: seen("new")})[:1] == [controller.Bake(0)]
 
 
 def test_what_is_decided_is_stored_before_it_is_told_and_again_where_that_is_open() -> None:
     machine = leading()
     order = tell(machine, 1.0)[-1]
-    assert isinstance(order, words.Order)
+    assert isinstance(order, controller.Order)
     (store,) = machine.handle(2.0, Word(1, "abort"))
-    assert isinstance(store, words.Store) and store.record.way == "back"
+    assert isinstance(store, controller.Store) and store.record.way == "back"
     assert tell(machine, 3.0, **{order.gateway: seen("new")}) == []  # nothing is told meanwhile
-    (again,) = machine.handle(4.0, words.Stored(store.record, False))
+    (again,) = machine.handle(4.0, controller.Stored(store.record, False))
     assert again == store
-    (back,) = machine.handle(5.0, words.Stored(store.record, True))
-    assert back == words.Order(DAEMON_OF[order.gateway], order.gateway, "old")
+    (back,) = machine.handle(5.0, controller.Stored(store.record, True))
+    assert back == controller.Order(DAEMON_OF[order.gateway], order.gateway, "old")
 
 
 def test_another_leader_goes_on_from_the_record_alone() -> None:
     machine = leading()
     changed = tell(machine, 1.0)[-1].gateway  # type: ignore[union-attr]
     tell(machine, 2.0, **{changed: seen("new")})
-    good = machine.handle(13.0, words.Judged(0, Look(Verdict.GOOD, 0.01, ())))
+    good = machine.handle(13.0, controller.Judged(0, Look(Verdict.GOOD, 0.01, ())))
     orders = stored(machine, 14.0, good)
-    assert machine.record.stage == 1 and isinstance(orders[0], words.Order)
+    assert machine.record.stage == 1 and isinstance(orders[0], controller.Order)
     other = leading(decode(encode(machine.record)))
     found = tell(other, 20.0, **{changed: seen("new")})
-    assert [one.gateway for one in found if isinstance(one, words.Order)] != [changed]
+    assert [one.gateway for one in found if isinstance(one, controller.Order)] != [changed]
     assert other.record == machine.record
 
 
@@ -215,7 +215,7 @@
     machine = leading(on_doubt=on_doubt)
     changed = tell(machine, 1.0)[-1].gateway  # type: ignore[union-attr]
     tell(machine, 2.0, **{changed: seen("new")})
-    doubt = machine.handle(13.0, words.Judged(0, Look(Verdict.DOUBT, 0.01, ("too few calls",))))
+    doubt = machine.handle(13.0, controller.Judged(0, Look(Verdict.DOUBT, 0.01, ("too few calls",))))
     stored(machine, 13.1, doubt)
     assert machine.record.way == ("held" if on_doubt == "hold" else "back")
     assert "too few calls" in machine.record.why
@@ -230,7 +230,7 @@
     machine = leading()
     changed = tell(machine, 1.0)[-1].gateway  # type: ignore[union-attr]
     actions = tell(machine, 2.0, **{changed: seen("new", "old", "up", refused="new")})
-    (store,) = [one for one in actions if isinstance(one, words.Store)]
+    (store,) = [one for one in actions if isinstance(one, controller.Store)]
     assert store.record.way == "back" and "could not be run" in store.record.why
 
 
@@ -241,15 +241,15 @@
     changed = tell(machine, 1.0)[-1].gateway  # type: ignore[union-attr]
     done = {changed: seen("new", runs(state))}
     assert tell(machine, 2.0, **done) == []
-    (store,) = machine.handle(23.0, words.Tick())
-    assert isinstance(store, words.Store) and store.record.way == "held" and changed in store.record.why
+    (store,) = machine.handle(23.0, controller.Tick())
+    assert isinstance(store, controller.Store) and store.record.way == "held" and changed in store.record.why
     assert runs(GatewayState("new", "new", "up", 3, 0, figures=Figures(9.0, release="old"))) == "new"
     assert runs(GatewayState("new", "new", "up", 3, 0, figures=Figures(0.4))) == "new"
 
 
 def test_the_next_zone_waits_for_whoever_is_down_in_another() -> None:
     machine = leading(unavailable_most=2, stages=(Stage(share=1.0, bake_s=10.0),))
-    orders = [one for one in tell(machine, 1.0) if isinstance(one, words.Order)]
+    orders = [one for one in tell(machine, 1.0) if isinstance(one, controller.Order)]
     assert len({DAEMON_OF[one.gateway] for one in orders}) == 1 and len(orders) == 2
     # One of them comes up, the other stays down: nobody of the other zone is touched.
     up, down = (one.gateway for one in orders)
@@ -261,14 +261,14 @@
     changed = tell(machine, 1.0)[-1].gateway  # type: ignore[union-attr]
     hung = {changed: seen("new", "", "changing")}
     tell(machine, 2.0, **hung)
-    (store,) = machine.handle(23.0, words.Tick())
-    assert isinstance(store, words.Store) and store.record.way == "held" and changed in store.record.why
-    machine.handle(23.1, words.Stored(store.record, True))
+    (store,) = machine.handle(23.0, controller.Tick())
+    assert isinstance(store, controller.Store) and store.record.way == "held" and changed in store.record.why
+    machine.handle(23.1, controller.Stored(store.record, True))
     stored(machine, 24.0, machine.handle(24.0, Word(1, "abort")))
     back = {changed: seen("old", "", "changing")}
     tell(machine, 25.0, **back)
-    (told,) = machine.handle(50.0, words.Tick())
-    assert isinstance(told, words.Store) and "going back" in told.record.notes[-1]
+    (told,) = machine.handle(50.0, controller.Tick())
+    assert isinstance(told, controller.Store) and "going back" in told.record.notes[-1]
 
 
 def test_a_record_of_another_version_is_refused_and_none_is_none() -> None:
@@ -283,9 +283,9 @@
     record = leading().record
     for number in range(30):
         record = replace(
-            record, notes=(*record.notes, f"{number}" + "x" * words.NOTE_MOST)[-words.NOTES_MOST :]
+            record, notes=(*record.notes, f"{number}" + "x" * controller.NOTE_MOST)[-controller.NOTES_MOST :]
         )
-    record = replace(record, why="y" * words.WHY_MOST)
+    record = replace(record, why="y" * controller.WHY_MOST)
     assert len(encode(record)) < 4096
 
 
--- a/tests/test_rollout_leader.py
+++ b/tests/test_rollout_leader.py
@@ -6,8 +6,8 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from saffronstack.fleet.control.daemons import Daemons
-from saffronstack.fleet.control.words import DaemonState, Figures, GatewayState, Order
+from saffronstack.fleet.control.daemon_client import Daemons
+from saffronstack.fleet.control.messages import DaemonState, Figures, GatewayState, Order
 from saffronstack.fleet.leases.reading import Reading
 from saffronstack.fleet.rollout.controller import Record, first
 from saffronstack.fleet.rollout.leader import Leader
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -19,11 +19,11 @@
 from saffronstack.deferred.ledger import CODEC
 from saffronstack.deferred.records import Finished
 from saffronstack.durable.journal import read_back
-from saffronstack.fleet.tasks.home import FencedFiles, LedgerHome
 from saffronstack.fleet.tasks.jobs import FleetUsage, Sweep, Turn
+from saffronstack.fleet.tasks.ledger_directory import FencedFiles, LedgerDirectory
 from saffronstack.fleet.tasks.published import KEEP, Outdated, Published
 from saffronstack.fleet.tasks.runner import TaskRunner
-from saffronstack.fleet.tasks.turns import END_S, Begin, GiveBack, Phase, Stop, Turns
+from saffronstack.fleet.tasks.schedule import END_S, Begin, GiveBack, Phase, Stop, TaskSchedule
 from saffronstack.standin.fleet import StandInFleet
 from saffronstack.standin.model import Profile
 from tests.support.stack import Stack, configuration, eventually
@@ -36,7 +36,7 @@
 
 
 def test_a_task_runs_when_gained_each_period_and_sooner_after_a_failure() -> None:
-    turns = Turns(period_s=60.0, budget_s=10.0)
+    turns = TaskSchedule(period_s=60.0, budget_s=10.0)
     assert turns.tick(5.0) == []
     assert turns.gained(10.0, 3) == [Begin(1, 3)]
     assert turns.tick(15.0) == [] and turns.ended(16.0, 1, True) == []
@@ -49,7 +49,7 @@
 
 
 def test_a_run_past_its_budget_is_stopped_and_its_lease_given_back_where_it_does_not_end() -> None:
-    turns = Turns(60.0, 10.0)
+    turns = TaskSchedule(60.0, 10.0)
     turns.gained(0.0, 3)
     (stop,) = turns.tick(10.0)
     assert isinstance(stop, Stop) and "longer than its 10 s" in stop.why
@@ -60,7 +60,7 @@
 
 
 def test_a_lost_lease_stops_a_run_and_the_next_one_is_under_a_new_token() -> None:
-    turns = Turns(60.0, 10.0)
+    turns = TaskSchedule(60.0, 10.0)
     turns.gained(0.0, 3)
     assert turns.lost(1.0, "cut off") == [Stop(1, "cut off")]
     turns.ended(1.5, 1, False)
@@ -89,7 +89,7 @@
 
 
 def test_a_later_holder_fences_the_one_before_and_has_all_that_it_let_know_of(tmp_path: pathlib.Path) -> None:
-    home = LedgerHome(str(tmp_path / "g1"))
+    home = LedgerDirectory(str(tmp_path / "g1"))
     first = home.enter(3)
     files = FencedFiles(home, 3)
     (first / "ledger-0000000001.seg").write_bytes(b"acknowledged")
@@ -112,11 +112,11 @@
 
 
 def test_one_that_died_between_fence_and_copy_loses_nothing(tmp_path: pathlib.Path) -> None:
-    home = LedgerHome(str(tmp_path / "g1"))
+    home = LedgerDirectory(str(tmp_path / "g1"))
     (home.enter(3) / "ledger-0000000001.seg").write_bytes(b"x")
     (home.directory / f"fence-{5:020d}").touch()  # and no place of its own
     assert (home.enter(6) / "ledger-0000000001.seg").read_bytes() == b"x"
-    old = LedgerHome(str(tmp_path / "before"))
+    old = LedgerDirectory(str(tmp_path / "before"))
     old.directory.mkdir()
     (old.directory / "ledger-0000000001.seg").write_bytes(b"from before there were homes")
     assert (old.enter(1) / "ledger-0000000001.seg").exists()
@@ -276,7 +276,7 @@
         assert stack.runs("record-sale") + stack.runs("identify-copy") < OPEN  # most are open
         os.kill(gateway.pid, signal.SIGSTOP)
         tasks = subprocess.Popen([*SAFFRON, "tasks", "run", "--fleet", shared], stdout=subprocess.PIPE)
-        home = LedgerHome(str(homes / "g1"))
+        home = LedgerDirectory(str(homes / "g1"))
 
         def finished() -> bool:
             place = home.place()
