At the end of draining late requests are refused, not sent and cut off

Seen while forcing the order 'a request comes between the last look and the end': its answer was FAILED. Cause: Front._take_last handed it to the engine, which had it sent and was stopped a moment later, so that it may have run. Its connections refuse now before they are read for the last time, as docs/platform.md says. A fault in that last reading ended the clients' thread and cut all connections (on_readable was called outside of _on_event): it costs its own connection alone.

--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -310,19 +310,18 @@
         return Activity(self._received_s, unanswered, self._settled)
 
     def _take_last(self, now: float) -> None:
-        """What has come to the machine by now is read and gets an answer; then the listener closes."""
+        """What has come to the machine by now is read and refused; the listener closes."""
         self.limits = replace(self.limits, connections=len(self._connections) + BACKLOG + 1)
         while self._accept(now, ACCEPTS_AT_ONCE) == ACCEPTS_AT_ONCE:
             pass
         self._listen(False)
         self._listener.close()
-        for connection in list(self._connections.values()):
-            reads = 0
-            while connection.has_unread() and reads < LAST_READS:
-                reads += 1
-                if not connection.on_readable(self._buffer, self._view, now):
-                    self._close(connection)
+        for descriptor, connection in list(self._connections.items()):
+            connection.refuses = True  # sent now, their calls would be cut off by the engine's end
+            for _ in range(LAST_READS):
+                if descriptor not in self._connections or not connection.has_unread():
                     break
+                self._on_event(descriptor)
 
     def _end(self) -> None:
         for connection in list(self._connections.values()):
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -145,7 +145,7 @@
         assert ended == [True]
 
 
-def test_a_request_that_comes_between_the_last_look_and_the_end_is_answered(
+def test_a_request_that_comes_between_the_last_look_and_the_end_is_refused_and_not_sent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """One on a connection that stands, one on a connection that nobody has accepted yet."""
@@ -169,8 +169,41 @@
         thread, _ = stopping(service)
         thread.join(WAIT_S)
         assert not thread.is_alive()
-        assert late[0].read()[1] in ("OK", "BUSY", "FAILED")
-        assert client.read()[1] in ("OK", "BUSY", "FAILED")
+        assert late[0].read()[1] == "BUSY"
+        assert client.read()[1] == "BUSY"
+        sent = [host.seen.get_nowait()["what"] for _ in range(host.seen.qsize())]
+        assert sent.count("CALL") == 1, "a call that is cut off may have run: it was sent too late"
+
+
+def test_a_fault_in_the_last_reading_of_one_connection_costs_the_others_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    host = ScriptedHost()
+    with gateway(Directory(Entry("s-1", host.address))) as service:
+        clients = [Client(service.front.address) for _ in range(2)]
+        for client in clients:
+            assert client.ask()[0] == "OK"
+        faulty, sound = service.front._connections.values()
+        read, step, tags = ClientConnection.on_readable, GracefulShutdown.step, list[int]()
+
+        def faulty_read(self: ClientConnection, *arguments: Any) -> bool:
+            if self is faulty:
+                raise ValueError("made up by the test")
+            return read(self, *arguments)
+
+        def between(self: GracefulShutdown, now: float, activity: Activity) -> Phase:
+            phase = step(self, now, activity)
+            if phase is Phase.FLUSHING and not tags:  # decided, and not carried out yet
+                monkeypatch.setattr(ClientConnection, "on_readable", faulty_read)
+                tags.extend(client.call() for client in clients)
+                eventually(lambda: faulty.has_unread() and sound.has_unread())
+            return phase
+
+        monkeypatch.setattr(GracefulShutdown, "step", between)
+        thread, ended = stopping(service)
+        assert clients[1].read()[:2] == (tags[1], "BUSY")
+        thread.join(WAIT_S)
+        assert len(ended) == 1
 
 
 def test_calls_that_outlast_the_shutdown_get_an_answer_that_promises_nothing() -> None:
