--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -20,7 +20,7 @@
 NAMES = """
 choice interface checks core/engine core/calls core/timers core/roster resp/reader resp/frames platform/calls
 platform/connection platform/front platform/identifiers
-hosts/items hosts/link hosts/pool hosts/dispatcher hosts/deadlines net/outlet net/inlet
+hosts/items hosts/link hosts/pool hosts/dispatcher hosts/deadlines net/write_buffer net/read_loop
 """
 MODULES = [f"saffronstack/{name}.py" for name in NAMES.split()]
 MYPY = "mypy>=1.8,<3"
--- a/saffronstack/hosts/dispatcher.py
+++ b/saffronstack/hosts/dispatcher.py
@@ -15,8 +15,8 @@
 from saffronstack.hosts.link import LinkLimits
 from saffronstack.hosts.pool import HostPool, LinkBudget
 from saffronstack.interface import Outcome, Result
-from saffronstack.net.inlet import Reader
-from saffronstack.net.outlet import Writer
+from saffronstack.net.read_loop import ReadLoop
+from saffronstack.net.write_buffer import WriteLoop
 
 ORDER = 0  # the call number that orders have among what is out; calls count from 1
 
@@ -29,7 +29,7 @@
         self,
         limits: LinkLimits,
         budget: LinkBudget,
-        writer: Writer,
+        writer: WriteLoop,
         tell: Tell,
         clock: Callable[[], float],
         order_timeout_s: float,
@@ -46,7 +46,7 @@
         self._out: dict[tuple[int, int], Item] = {}
         self._orders = count(1)
         self.deadlines = Deadlines(clock, self)
-        self.reader = Reader(clock, log or PlainLog("hosts"))
+        self.reader = ReadLoop(clock, log or PlainLog("hosts"))
 
     def start(self) -> None:
         """Start its threads."""
--- a/saffronstack/hosts/items.py
+++ b/saffronstack/hosts/items.py
@@ -8,7 +8,7 @@
 from saffronstack.core.calls import Answer, AttemptEnd, Call, Ending, Final, FunctionSpec, Heard, OrderEnd
 from saffronstack.hosts import codec
 from saffronstack.interface import Found, Outcome, Report, Result
-from saffronstack.net.outlet import Left, Piece
+from saffronstack.net.write_buffer import OutgoingMessage, Sent
 
 LINE_BYTES = 256  # of a request's line beside its body
 LEAST_WAIT_MS = 1  # the host is told how long the gateway waits, and zero would be no time at all
@@ -41,7 +41,7 @@
         """Not one byte of it was taken after all."""
         ...
 
-    def passed_over(self, item: Item) -> None:
+    def on_dropped(self, item: Item) -> None:
         """It no longer stood when its first byte was to leave."""
         ...
 
@@ -50,7 +50,7 @@
         ...
 
 
-class Item(Piece):
+class Item(OutgoingMessage):
     """Something that goes out on a link under a tag. `Link` calls `ended` exactly once."""
 
     __slots__ = ("clock", "deadline_s", "host", "leaving", "link", "over", "sent_s", "tag", "tell")
@@ -76,7 +76,7 @@
         self.over = False  # its end is told, or it is given up: no byte may leave any more
         self.leaving = False  # its first byte may have left
 
-    def stands(self) -> bool:
+    def may_start(self) -> bool:
         """Whether its first byte may leave now."""
         return not self.host.closed and self.clock() < self.deadline_s and self.claimed()
 
@@ -84,15 +84,15 @@
         """Whether nobody gave it up before its first byte; from then on nobody takes it for unsent."""
         return self.link is None or self.link.claim(self)
 
-    def held_back(self) -> None:
+    def on_blocked(self) -> None:
         """It is unsent still: whoever gives it up now may say so."""
         if self.link is not None:
             self.link.unclaim(self)
 
-    def passed_over(self) -> None:
+    def on_dropped(self) -> None:
         """It did not stand: no byte of it leaves."""
         if self.link is not None:
-            self.link.passed_over(self)
+            self.link.on_dropped(self)
 
     def answered(self, answer: codec.HostAnswer) -> None:
         """The host's answer came."""
@@ -104,7 +104,7 @@
 
     def lost(self) -> Result:
         """How it ends where its link ends under it: a line that never left whole was never read."""
-        return Result.RESET if self.left is Left.WHOLE else Result.CONNECT_FAILED
+        return Result.RESET if self.sent is Sent.WHOLE else Result.CONNECT_FAILED
 
 
 class Attempt(Item):
@@ -126,12 +126,12 @@
         self.call = call
         self.number = number
 
-    def stands(self) -> bool:
+    def may_start(self) -> bool:
         """Nothing is sent for a call that has its final answer, or too late to be of use. The line is written
         only now, with the time that is left now: it may have waited for a connection or in an outbox."""
         call = self.call
         wait_ms = int((self.deadline_s - self.clock()) * 1000)
-        if call.settled or wait_ms < LEAST_WAIT_MS or not super().stands():
+        if call.settled or wait_ms < LEAST_WAIT_MS or not super().may_start():
             return False
         self.data = codec.call_line(
             call.request_id, call.class_name, call.function.name, wait_ms, call.payload
@@ -203,9 +203,9 @@
         self.function = function
         self.copies = copies
 
-    def stands(self) -> bool:
+    def may_start(self) -> bool:
         """Asking alone is no load: it may go to a host that drains."""
-        return super().stands() if self.copies else self.claimed()
+        return super().may_start() if self.copies else self.claimed()
 
     def answered(self, answer: codec.HostAnswer) -> None:
         """Whether the copies stand."""
--- a/saffronstack/hosts/link.py
+++ b/saffronstack/hosts/link.py
@@ -13,9 +13,9 @@
 from saffronstack.hosts import codec
 from saffronstack.hosts.items import Item
 from saffronstack.interface import Result
-from saffronstack.net.inlet import Reader
-from saffronstack.net.outlet import Left, Outlet, Piece, Writer
+from saffronstack.net.read_loop import ReadLoop
 from saffronstack.net.stream import Stream
+from saffronstack.net.write_buffer import OutgoingMessage, Sent, WriteBuffer, WriteLoop
 
 ANSWERED_MOST = 64  # tags answered last: a second answer may still come, and none is used again meanwhile
 ABANDONED_MOST = 32  # tags given up on a link that may still be answered; then it takes nothing new
@@ -40,8 +40,8 @@
         self,
         address: tuple[str, int],
         limits: LinkLimits,
-        writer: Writer,
-        reader: Reader,
+        writer: WriteLoop,
+        reader: ReadLoop,
         clock: Callable[[], float],
         on_end: Callable[[Link], None],
     ) -> None:
@@ -59,7 +59,7 @@
         self._abandoned: set[str] = set()
         self._answered: dict[str, None] = {}  # in the order of their answers
         self._stream: Stream | None = None
-        self._outlet: Outlet | None = None
+        self._write_buffer: WriteBuffer | None = None
         self._closed = False  # takes nothing more
         self._retired = False  # takes nothing more, and closes once nothing is open
         self.reason = ""  # why it ended, where it broke
@@ -102,21 +102,21 @@
                 return False
             self._open[item.tag] = item
             item.link = self
-            outlet = self._outlet
-            if outlet is None:
+            write_buffer = self._write_buffer
+            if write_buffer is None:
                 self._early.append(item)
                 return True
-        self._write(outlet, item)
+        self._write(write_buffer, item)
         return True
 
-    def _write(self, outlet: Outlet, item: Item) -> None:
-        if not outlet.send(item) and self._take(item):
+    def _write(self, write_buffer: WriteBuffer, item: Item) -> None:
+        if not write_buffer.send(item) and self._take(item):
             item.broke(item.lost(), "the link takes nothing more")
 
     def post(self, data: bytes) -> bool:
         """Send bytes that are not answered; False where it takes nothing."""
-        outlet = self._outlet
-        return outlet is not None and outlet.send(Piece(data))
+        write_buffer = self._write_buffer
+        return write_buffer is not None and write_buffer.send(OutgoingMessage(data))
 
     def give_up(self, item: Item, result: Result, reason: str) -> None:
         """Stop waiting for it. One that never left never ran; the host is told of one that did."""
@@ -124,7 +124,7 @@
             return
         if not item.leaving:
             result = Result.MOOT if result is Result.CANCELLED else Result.CONNECT_FAILED
-        elif item.left is Left.PART and not self._open:
+        elif item.sent is Sent.PART and not self._open:
             self.abort()  # the host takes no bytes: the rest of the line must not follow when it does
         else:
             self.post(codec.cancel_line(item.tag))
@@ -143,7 +143,7 @@
         with self._lock:
             item.leaving = False
 
-    def passed_over(self, item: Item) -> None:
+    def on_dropped(self, item: Item) -> None:
         """It no longer stood when its first byte was to leave."""
         if self._take(item):
             item.broke(Result.MOOT, "no longer wanted when it was to be sent")
@@ -197,15 +197,17 @@
             sock.close()
             raise
         stream = Stream(sock)
-        outlet = Outlet(sock, self._writer, self._limits.outbox_bytes, self._limits.stall_s, self._clock)
+        write_buffer = WriteBuffer(
+            sock, self._writer, self._limits.outbox_bytes, self._limits.stall_s, self._clock
+        )
         self.heard_s = self._clock()
         with self._lock:
-            self._stream, self._outlet = stream, outlet
+            self._stream, self._write_buffer = stream, write_buffer
             early, self._early = self._early, []
             if self._closed:  # given up while it connected: nothing may leave on it
                 return False
         for item in early:
-            self._write(outlet, item)
+            self._write(write_buffer, item)
         return not self._closed
 
     # ---- the reader's thread
@@ -215,7 +217,7 @@
         assert self._stream is not None
         return self._stream.sock.fileno()
 
-    def read_ready(self, buffer: bytearray, view: memoryview) -> bool:
+    def on_readable(self, buffer: bytearray, view: memoryview) -> bool:
         """Take what has come; False where the link is over."""
         assert self._stream is not None
         try:
@@ -236,11 +238,11 @@
             return False
         return True
 
-    def look(self, now: float) -> bool:
+    def on_tick(self, now: float) -> bool:
         """False where nothing has been open for as long as a link may be idle."""
         return now - self.heard_s < self._limits.idle_s or not self._done()
 
-    def ended(self) -> None:
+    def on_end(self) -> None:
         """The reader has let go of it."""
         self._end()
 
@@ -272,8 +274,8 @@
             self._early = []
             self._abandoned = set()
             self._answered = {}
-        if self._outlet is not None:
-            self._outlet.end()  # after a write that is under way: what has left of an item is known now
+        if self._write_buffer is not None:
+            self._write_buffer.end()  # after a write that is under way: what has left of an item is known now
         if self._stream is not None:
             self._stream.close()
         for item in lost:
--- a/saffronstack/hosts/pool.py
+++ b/saffronstack/hosts/pool.py
@@ -9,8 +9,8 @@
 from saffronstack.core.roster import WorkerSpec
 from saffronstack.hosts.items import Item
 from saffronstack.hosts.link import Link, LinkLimits
-from saffronstack.net.inlet import Reader
-from saffronstack.net.outlet import Writer
+from saffronstack.net.read_loop import ReadLoop
+from saffronstack.net.write_buffer import WriteLoop
 
 
 class LinkBudget:
@@ -48,8 +48,8 @@
         spec: WorkerSpec,
         limits: LinkLimits,
         budget: LinkBudget,
-        writer: Writer,
-        reader: Reader,
+        writer: WriteLoop,
+        reader: ReadLoop,
         clock: Callable[[], float],
         spare: Callable[[], None],
     ) -> None:
--- a/saffronstack/net/inlet.py
+++ b/saffronstack/net/read_loop.py
@@ -18,35 +18,35 @@
 LOOK_S = 1.0  # how often every socket is looked at, come what may
 
 
-class Inlet(Protocol):
+class ReadHandler(Protocol):
     """A connected socket as the reader sees it; all but `fileno` on the reader's thread alone."""
 
     def fileno(self) -> int:
-        """The socket's; it stays open until `ended`."""
+        """The socket's; it stays open until `on_end`."""
         ...
 
-    def read_ready(self, buffer: bytearray, view: memoryview) -> bool:
+    def on_readable(self, buffer: bytearray, view: memoryview) -> bool:
         """Take what has come, once and without waiting; False where it is over. All share the buffer."""
         ...
 
-    def look(self, now: float) -> bool:
+    def on_tick(self, now: float) -> bool:
         """Asked each second; False where it is over."""
         ...
 
-    def ended(self) -> None:
+    def on_end(self) -> None:
         """The reader has let go of it: it may be closed."""
         ...
 
 
-class Reader:
-    """One thread that reads for every inlet handed to it, until it is over."""
+class ReadLoop:
+    """One thread that reads for every handler handed to it, until it is over."""
 
     def __init__(self, clock: Callable[[], float], log: Log, read_bytes: int = 8 * 1024) -> None:
         self._clock = clock
         self._log = log
         self._read_bytes = read_bytes
         self._lock = threading.Lock()
-        self._new: list[Inlet] = []
+        self._new: list[ReadHandler] = []
         self._wake = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._stopping = False
         self._runner: threading.Thread | None = None
@@ -67,19 +67,19 @@
         self._runner.join(timeout_s)
         return not self._runner.is_alive()
 
-    def watch(self, inlet: Inlet) -> bool:
+    def watch(self, handler: ReadHandler) -> bool:
         """Read for it until it is over. False: the reader has stopped, the caller ends it."""
         with self._lock:
             if self._stopping:
                 return False
-            self._new.append(inlet)
+            self._new.append(handler)
             os.eventfd_write(self._wake, 1)
             return True
 
     def _run(self) -> None:
         poll = select.poll()
         poll.register(self._wake, select.POLLIN)
-        held: dict[int, Inlet] = {}
+        held: dict[int, ReadHandler] = {}
         buffer = bytearray(self._read_bytes)
         view = memoryview(buffer)
         looked_s = self._clock()
@@ -92,34 +92,34 @@
                     self._let_go(poll, held, fd)
             with self._lock:
                 new, self._new = self._new, []
-            for inlet in new:
-                held[inlet.fileno()] = inlet
-                poll.register(inlet.fileno(), select.POLLIN)
+            for handler in new:
+                held[handler.fileno()] = handler
+                poll.register(handler.fileno(), select.POLLIN)
             now = self._clock()
             if now - looked_s >= LOOK_S:
                 looked_s = now
-                for fd in [fd for fd, inlet in held.items() if not inlet.look(now)]:
+                for fd in [fd for fd, handler in held.items() if not handler.on_tick(now)]:
                     self._let_go(poll, held, fd)
         with self._lock:
             left = [*held.values(), *self._new]
             os.close(self._wake)
             self._wake = -1
-        for inlet in left:
-            self._end(inlet)
+        for handler in left:
+            self._end(handler)
 
-    def _let_go(self, poll: select.poll, held: dict[int, Inlet], fd: int) -> None:
+    def _let_go(self, poll: select.poll, held: dict[int, ReadHandler], fd: int) -> None:
         poll.unregister(fd)  # before it is closed: its number may be another's at once
         self._end(held.pop(fd))
 
-    def _read(self, inlet: Inlet, buffer: bytearray, view: memoryview) -> bool:
+    def _read(self, handler: ReadHandler, buffer: bytearray, view: memoryview) -> bool:
         try:
-            return inlet.read_ready(buffer, view)
+            return handler.on_readable(buffer, view)
         except Exception:  # the others go on: all answers pass here
             self._log.exception("reading a socket failed")
             return False
 
-    def _end(self, inlet: Inlet) -> None:
+    def _end(self, handler: ReadHandler) -> None:
         try:
-            inlet.ended()
+            handler.on_end()
         except Exception:
             self._log.exception("ending a socket failed")
--- a/saffronstack/net/outlet.py
+++ b/saffronstack/net/write_buffer.py
@@ -18,78 +18,83 @@
 IDLE_S = 5.0  # how often it looks up without any
 
 
-class Left(Enum):
-    """How much of a piece has left."""
+class Sent(Enum):
+    """How much of a message has left."""
 
     NOTHING = 0
     PART = 1
     WHOLE = 2
 
 
-class Piece:
+class OutgoingMessage:
     """Bytes that leave in one run, after what was put in before."""
 
-    __slots__ = ("data", "left", "size")
+    __slots__ = ("data", "sent", "size")
 
     def __init__(self, data: bytes, size: int | None = None) -> None:
         """``size``: what it counts for in an outbox, where its bytes are known only once they leave."""
         self.data = data
         self.size = len(data) if size is None else size
-        self.left = Left.NOTHING
+        self.sent = Sent.NOTHING
 
-    def stands(self) -> bool:
+    def may_start(self) -> bool:
         """Asked right before the first byte: whether it may still leave. It must not wait, and may set
         ``data`` to what is true at this moment."""
         return True
 
-    def held_back(self) -> None:
+    def on_blocked(self) -> None:
         """It stood, but not one byte was taken: it is asked again later."""
 
-    def passed_over(self) -> None:
+    def on_dropped(self) -> None:
         """It did not stand: no byte of it leaves."""
 
 
-class Outlet:
+class WriteBuffer:
     """The writing side of one connected socket; any thread may send."""
 
     def __init__(
-        self, sock: socket.socket, writer: Writer, most_bytes: int, stall_s: float, clock: Callable[[], float]
+        self,
+        sock: socket.socket,
+        writer: WriteLoop,
+        max_bytes: int,
+        stall_s: float,
+        clock: Callable[[], float],
     ) -> None:
-        """Over ``most_bytes`` in the outbox, or when nothing is taken for ``stall_s``, it breaks: the socket
+        """Over ``max_bytes`` in the outbox, or when nothing is taken for ``stall_s``, it breaks: the socket
         is shut down, which its reader sees."""
         self._sock = sock
         self._writer = writer
-        self._most = most_bytes
+        self._max_bytes = max_bytes
         self._stall_s = stall_s
         self._clock = clock
         self._lock = threading.Lock()
-        self._queue: deque[Piece] = deque()
-        self._bytes = 0  # of all pieces that wait, what has left of the first one included
+        self._queue: deque[OutgoingMessage] = deque()
+        self._bytes = 0  # of all messages that wait, what has left of the first one included
         self._taken_s = 0.0
-        self._at = 0  # bytes of the first piece that have left
+        self._at = 0  # bytes of the first message that have left
         self.broken = False
 
-    def send(self, piece: Piece) -> bool:
-        """Send it, now or by the writer. False: the outlet is broken; ``piece.left`` says what has left."""
+    def send(self, message: OutgoingMessage) -> bool:
+        """Send it, now or by the writer. False: the buffer is broken; ``message.sent`` says what has left."""
         with self._lock:
             if self.broken:
                 return False
             if self._queue:
-                if self._bytes - self._at + piece.size > self._most:
+                if self._bytes - self._at + message.size > self._max_bytes:
                     self._break()
                     return False
-                self._queue.append(piece)
-                self._bytes += piece.size
+                self._queue.append(message)
+                self._bytes += message.size
                 return True
-            if self._push(piece):
+            if self._push(message):
                 return True
             if self.broken:
                 return False
-            if piece.size - self._at > self._most:
+            if message.size - self._at > self._max_bytes:
                 self._break()
                 return False
-            self._queue.append(piece)
-            self._bytes += piece.size
+            self._queue.append(message)
+            self._bytes += message.size
             self._taken_s = self._clock()
         self._writer.watch(self)
         return True
@@ -98,28 +103,28 @@
         """Write what can be written; True where nothing is left to do (broken counts)."""
         with self._lock:
             while self._queue and not self.broken:
-                piece = self._queue[0]
+                message = self._queue[0]
                 before = self._at
-                done = self._push(piece)
+                done = self._push(message)
                 if done or self._at > before:
                     self._taken_s = self._clock()
                 if not done:
                     break
                 self._queue.popleft()
-                self._bytes -= piece.size
+                self._bytes -= message.size
             return self.broken or not self._queue
 
-    def _push(self, piece: Piece) -> bool:
+    def _push(self, message: OutgoingMessage) -> bool:
         """Try without waiting; True where nothing of it is left to write. The caller holds the lock."""
-        if piece.left is Left.NOTHING and not piece.stands():
-            piece.passed_over()
+        if message.sent is Sent.NOTHING and not message.may_start():
+            message.on_dropped()
             return True
-        data = piece.data
+        data = message.data
         try:
             sent = self._sock.send(memoryview(data)[self._at :] if self._at else data, socket.MSG_DONTWAIT)
         except BlockingIOError:
-            if piece.left is Left.NOTHING:
-                piece.held_back()
+            if message.sent is Sent.NOTHING:
+                message.on_blocked()
             return False
         except OSError:
             self._break()
@@ -127,9 +132,9 @@
         self._at += sent
         if self._at >= len(data):
             self._at = 0
-            piece.left = Left.WHOLE
+            message.sent = Sent.WHOLE
             return True
-        piece.left = Left.PART
+        message.sent = Sent.PART
         return False
 
     def overdue(self) -> bool:
@@ -168,13 +173,13 @@
             self._sock.shutdown(socket.SHUT_RDWR)
 
 
-class Writer:
-    """One thread that writes for every outlet whose socket was full."""
+class WriteLoop:
+    """One thread that writes for every buffer whose socket was full."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._lock = threading.Lock()
-        self._new: list[Outlet] = []
+        self._new: list[WriteBuffer] = []
         self._wake = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._stopping = False
         self._runner: threading.Thread | None = None
@@ -192,10 +197,10 @@
         self._runner.join(timeout_s)
         return not self._runner.is_alive()
 
-    def watch(self, outlet: Outlet) -> None:
+    def watch(self, buffer: WriteBuffer) -> None:
         """Write for it until its outbox is empty."""
         with self._lock:
-            self._new.append(outlet)
+            self._new.append(buffer)
         self._rouse()
 
     def _rouse(self) -> None:
@@ -204,19 +209,19 @@
                 os.eventfd_write(self._wake, 1)
 
     @staticmethod
-    def _flush(outlet: Outlet) -> bool:
-        """As `Outlet.flush`; a fault of a piece ends its outlet alone: all answers that wait pass here."""
+    def _flush(buffer: WriteBuffer) -> bool:
+        """As `WriteBuffer.flush`; a fault of a message ends its buffer alone: all answers pass here."""
         try:
-            return outlet.flush()
+            return buffer.flush()
         except Exception:
             traceback.print_exc()
-            outlet.abort()
+            buffer.abort()
             return True
 
     def _run(self) -> None:
         poll = select.poll()
         poll.register(self._wake, select.POLLIN)
-        watched: dict[int, Outlet] = {}
+        watched: dict[int, WriteBuffer] = {}
         while not self._stopping:
             for fd, _ in poll.poll((LOOK_S if watched else IDLE_S) * 1000):
                 if fd == self._wake:
@@ -227,13 +232,13 @@
                     poll.unregister(fd)
             with self._lock:
                 new, self._new = self._new, []
-            for outlet in new:
-                fd = outlet.fileno()
-                if fd >= 0 and not self._flush(outlet):
-                    watched[fd] = outlet  # one that had the number before is closed
+            for buffer in new:
+                fd = buffer.fileno()
+                if fd >= 0 and not self._flush(buffer):
+                    watched[fd] = buffer  # one that had the number before is closed
                     poll.register(fd, select.POLLOUT)
-            for fd, outlet in list(watched.items()):
-                if outlet.fileno() != fd or outlet.overdue():
+            for fd, buffer in list(watched.items()):
+                if buffer.fileno() != fd or buffer.overdue():
                     del watched[fd]
                     with contextlib.suppress(KeyError, OSError):
                         poll.unregister(fd)
--- a/saffronstack/platform/connection.py
+++ b/saffronstack/platform/connection.py
@@ -11,7 +11,7 @@
 
 from saffronstack.core.calls import Call, Ending, Final
 from saffronstack.core.engine import Engine
-from saffronstack.net.outlet import Outlet, Piece, Writer
+from saffronstack.net.write_buffer import OutgoingMessage, WriteBuffer, WriteLoop
 from saffronstack.platform.calls import CallMaker
 from saffronstack.platform.identifiers import OpenIds, Tags
 from saffronstack.resp import frames
@@ -53,7 +53,7 @@
 
     engine: Engine
     maker: CallMaker
-    writer: Writer
+    writer: WriteLoop
     ids: OpenIds
     clock: Callable[[], float]
     ready: Callable[[], bool]
@@ -75,13 +75,15 @@
         self._sock = sock
         self._services = services
         self._limits = limits
-        self._outlet = Outlet(sock, services.writer, limits.outbox_bytes, limits.stall_s, services.clock)
+        self._write_buffer = WriteBuffer(
+            sock, services.writer, limits.outbox_bytes, limits.stall_s, services.clock
+        )
         self._reader = RespReader()
         self._tags = Tags()
         self._lock = threading.Lock()
         self._open: dict[int, Call] = {}  # by tag
         self._tag_of: dict[int, int] = {}  # by call number
-        self._answering = 0  # answers on their way to the outlet
+        self._answering = 0  # answers on their way to the write buffer
         self._message_began_s = now
         self._linger_until_s = 0.0
         self._linger_bytes = limits.linger_bytes
@@ -94,7 +96,7 @@
     def unanswered(self) -> bool:
         """Whether a call was read whose answer has not gone to the kernel. Looked at in the order in which an
         answer passes, so that none is missed between two of these places."""
-        return bool(self._open) or self._answering > 0 or self._outlet.waiting
+        return bool(self._open) or self._answering > 0 or self._write_buffer.waiting
 
     @property
     def idle(self) -> bool:
@@ -125,7 +127,7 @@
             calls = list(self._open.values())
         for call in calls:
             self._services.engine.leave(call)
-        self._outlet.end()
+        self._write_buffer.end()
         with contextlib.suppress(OSError):
             self._sock.close()
 
@@ -278,4 +280,4 @@
         self._write(tag, WORDS[final.ending], fields, final.payload)
 
     def _write(self, tag: int, word: bytes, fields: bytes = b"", body: bytes = b"") -> None:
-        self._outlet.send(Piece(encode((b"%d" % tag, word, fields, body))))
+        self._write_buffer.send(OutgoingMessage(encode((b"%d" % tag, word, fields, body))))
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -17,7 +17,7 @@
 from saffronstack.core.engine import Engine
 from saffronstack.core.logs import Log
 from saffronstack.core.threads import spawn
-from saffronstack.net.outlet import Writer
+from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.calls import CallMaker
 from saffronstack.platform.connection import ClientConnection, FrontLimits, Services
 from saffronstack.platform.identifiers import OpenIds
@@ -46,7 +46,7 @@
         address: tuple[str, int],
         engine: Engine,
         maker: CallMaker,
-        writer: Writer,
+        writer: WriteLoop,
         limits: FrontLimits,
         clock: Callable[[], float],
         log: Log,
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -15,7 +15,7 @@
 from saffronstack.hosts.dispatcher import HostDispatcher
 from saffronstack.hosts.link import LinkLimits
 from saffronstack.hosts.pool import LinkBudget
-from saffronstack.net.outlet import Writer
+from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.beliefs import Beliefs
 from saffronstack.platform.budget import divide
 from saffronstack.platform.calls import MARGIN_S, CallMaker
@@ -64,7 +64,7 @@
             open_most=self.budget.calls,
             log=self._log,
         )
-        self.writer = Writer(clock)
+        self.writer = WriteLoop(clock)
         self.hosts = HostDispatcher(
             LinkLimits(
                 config.streams,
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -18,7 +18,7 @@
 from saffronstack.hosts import codec
 from saffronstack.hosts.codec import HostError, LineReader
 from saffronstack.interface import Found
-from saffronstack.net.outlet import Left, Outlet, Piece, Writer
+from saffronstack.net.write_buffer import OutgoingMessage, Sent, WriteBuffer, WriteLoop
 from saffronstack.platform.budget import divide
 from saffronstack.platform.identifiers import Tags
 from saffronstack.resp.frames import CallFrame, FrameError, frame_of
@@ -193,7 +193,7 @@
         return 0
 
 
-class Barred(Piece):
+class Barred(OutgoingMessage):
     """Stands until it is barred."""
 
     __slots__ = ("barred", "passed")
@@ -202,41 +202,41 @@
         super().__init__(data)
         self.barred = self.passed = False
 
-    def stands(self) -> bool:
+    def may_start(self) -> bool:
         return not self.barred
 
-    def passed_over(self) -> None:
+    def on_dropped(self) -> None:
         self.passed = True
 
 
-def outlet(sock: Full, now: list[float], most: int = 100) -> Outlet:
-    return Outlet(sock, Writer(lambda: now[0]), most, 2.0, lambda: now[0])  # type: ignore[arg-type]
+def write_buffer(sock: Full, now: list[float], most: int = 100) -> WriteBuffer:
+    return WriteBuffer(sock, WriteLoop(lambda: now[0]), most, 2.0, lambda: now[0])  # type: ignore[arg-type]
 
 
 def test_what_waits_in_an_outbox_is_asked_again_before_its_first_byte() -> None:
     sock = Full(3)
-    out = outlet(sock, [0.0])
+    out = write_buffer(sock, [0.0])
     first, second, third = Barred(b"first"), Barred(b"second"), Barred(b"third")
     assert out.send(first) and out.send(second) and out.send(third)
-    assert (first.left, second.left) == (Left.PART, Left.NOTHING)
+    assert (first.sent, second.sent) == (Sent.PART, Sent.NOTHING)
     first.barred = second.barred = True  # a line that has begun is finished: half of one breaks the link
     sock.room = 100
     assert out.flush() and sock.taken == b"firstthird"
-    assert first.left is Left.WHOLE and second.left is Left.NOTHING and second.passed and not first.passed
+    assert first.sent is Sent.WHOLE and second.sent is Sent.NOTHING and second.passed and not first.passed
 
 
 def test_an_outbox_that_overflows_or_stalls_breaks_its_socket() -> None:
     sock, now = Full(1), [0.0]
-    out = outlet(sock, now, 10)
-    assert out.send(Piece(b"12345")) and out.send(Piece(b"123456"))
-    assert not out.send(Piece(b"7")) and sock.shut
+    out = write_buffer(sock, now, 10)
+    assert out.send(OutgoingMessage(b"12345")) and out.send(OutgoingMessage(b"123456"))
+    assert not out.send(OutgoingMessage(b"7")) and sock.shut
     sock = Full(1)
-    out = outlet(sock, now)
-    assert out.send(Piece(b"12345"))
+    out = write_buffer(sock, now)
+    assert out.send(OutgoingMessage(b"12345"))
     now[0] = 1.9
     assert not out.overdue()
     now[0] = 2.1
-    assert out.overdue() and sock.shut and not out.send(Piece(b"x"))
+    assert out.overdue() and sock.shut and not out.send(OutgoingMessage(b"x"))
 
 
 def test_descriptors_are_divided_within_their_number() -> None:
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -19,7 +19,7 @@
 from saffronstack.hosts.link import ABANDONED_MOST, ANSWERED_MOST, Link, LinkLimits
 from saffronstack.hosts.pool import HostPool, LinkBudget
 from saffronstack.interface import Result
-from saffronstack.net.outlet import Left, Outlet, Writer
+from saffronstack.net.write_buffer import Sent, WriteBuffer, WriteLoop
 from saffronstack.platform.beliefs import Beliefs
 from saffronstack.standin.platform import Directory, Entry
 from tests.support.platform import WAIT_S, Client, ScriptedHost, gateway
@@ -39,7 +39,7 @@
         self.links: list[Link] = []
         self.room = room
         monkeypatch.setattr(Link, "start", self._start)
-        writer = Writer(lambda: self.now)
+        writer = WriteLoop(lambda: self.now)
         limits = LinkLimits(streams=4)
         self.dispatcher = HostDispatcher(limits, LinkBudget(1), writer, self._tell, lambda: self.now, 5.0)
         self.dispatcher.changed([SPEC], [])
@@ -50,8 +50,8 @@
     def _start(self) -> None:
         link = self.dispatcher.passed()[7].links[-1]
         sock = Full(self.room)
-        outlet = Outlet(sock, link._writer, 1_000_000, 3.0, lambda: self.now)  # type: ignore[arg-type]
-        link._outlet = outlet
+        write_buffer = WriteBuffer(sock, link._writer, 1_000_000, 3.0, lambda: self.now)  # type: ignore[arg-type]
+        link._write_buffer = write_buffer
         self.sockets.append(sock)
         self.links.append(link)
 
@@ -94,8 +94,8 @@
     fleet.call(2)
     fleet.dispatcher.changed([WorkerSpec(7, "s-7", "127.0.0.1", 1, draining=True)], [])
     fleet.sockets[0].room = 100_000
-    outlet = fleet.links[0]._outlet
-    assert outlet is not None and outlet.flush()
+    write_buffer = fleet.links[0]._write_buffer
+    assert write_buffer is not None and write_buffer.flush()
     assert fleet.sockets[0].taken.count(b"CALL") == 1  # the line that had begun; half of one breaks the link
     assert fleet.results() == [(2, Result.MOOT)]
 
@@ -106,8 +106,8 @@
     fleet.dispatcher.cancel(call, 0)
     assert fleet.results() == [(1, Result.MOOT)]
     fleet.sockets[0].room = 100_000
-    outlet = fleet.links[0]._outlet
-    assert outlet is not None and outlet.flush() and not fleet.sockets[0].taken
+    write_buffer = fleet.links[0]._write_buffer
+    assert write_buffer is not None and write_buffer.flush() and not fleet.sockets[0].taken
 
 
 def test_giving_up_tells_the_host_and_a_late_answer_ends_nothing(fleet: Fleet) -> None:
@@ -203,13 +203,13 @@
 
 
 def test_a_stopped_writer_writes_into_no_ones_descriptor() -> None:
-    writer = Writer(lambda: 0.0)
+    writer = WriteLoop(lambda: 0.0)
     writer.start()
     assert writer.stop()
     reused, other = socket.socketpair()
     with reused, other:
         other.setblocking(False)
-        writer.watch(Outlet(reused, writer, 10, 1.0, lambda: 0.0))
+        writer.watch(WriteBuffer(reused, writer, 10, 1.0, lambda: 0.0))
         with pytest.raises(BlockingIOError):
             other.recv(8)
 
@@ -227,8 +227,8 @@
     fleet.call(1)  # three seconds, of which two pass in an outbox
     fleet.now += 2.0
     fleet.sockets[0].room = 100_000
-    outlet = fleet.links[0]._outlet
-    assert outlet is not None and outlet.flush()
+    write_buffer = fleet.links[0]._write_buffer
+    assert write_buffer is not None and write_buffer.flush()
     assert waits_told(fleet) == [1000]
 
 
@@ -237,8 +237,8 @@
     fleet.call(1)
     fleet.now += 2.9995
     fleet.sockets[0].room = 100_000
-    outlet = fleet.links[0]._outlet
-    assert outlet is not None and outlet.flush() and not fleet.sockets[0].taken
+    write_buffer = fleet.links[0]._write_buffer
+    assert write_buffer is not None and write_buffer.flush() and not fleet.sockets[0].taken
     assert fleet.results() == [(1, Result.MOOT)]
 
 
@@ -266,9 +266,9 @@
     fleet.call(1)  # opens the link
     link, sock = fleet.links[0], fleet.sockets[0]
     claimed = threading.Event()
-    send, outlet = sock.send, link._outlet
-    assert outlet is not None
-    end = outlet.end
+    send, write_buffer = sock.send, link._write_buffer
+    assert write_buffer is not None
+    end = write_buffer.end
     ending = threading.Event()
 
     def late(data: bytes, flags: int = 0) -> int:
@@ -285,7 +285,7 @@
         link._end()
 
     monkeypatch.setattr(sock, "send", late)
-    monkeypatch.setattr(outlet, "end", told)
+    monkeypatch.setattr(write_buffer, "end", told)
     ender = threading.Thread(target=end_the_link)
     ender.start()
     fleet.call(2)
@@ -300,11 +300,11 @@
     fleet.call(1)
     link = fleet.links[0]
     (item,) = link._open.values()
-    item.leaving, item.left = False, Left.NOTHING
-    outlet = link._outlet
-    assert outlet is not None
+    item.leaving, item.sent = False, Sent.NOTHING
+    write_buffer = link._write_buffer
+    assert write_buffer is not None
     claims: list[bool] = []
-    monkeypatch.setattr(outlet, "end", lambda: claims.append(link.claim(item)))
+    monkeypatch.setattr(write_buffer, "end", lambda: claims.append(link.claim(item)))
     link._end()
     assert claims == [False]
     assert fleet.results() == [(1, Result.CONNECT_FAILED)]
--- a/tests/test_inlet.py
+++ b/tests/test_read_loop.py
@@ -11,13 +11,13 @@
 import pytest
 
 from saffronstack.core.logs import PlainLog
-from saffronstack.net.inlet import Reader
+from saffronstack.net.read_loop import ReadLoop
 from saffronstack.standin.platform import Directory, Entry
 from tests.support.platform import WAIT_S, Client, ScriptedHost, gateway
 
 
 class Fake:
-    """An inlet over one end of a pair; what it read and its end go to a queue."""
+    """A handler over one end of a pair; what it read and its end go to a queue."""
 
     def __init__(self, sock: socket.socket, fault: bool = False) -> None:
         self.sock, self.fault = sock, fault
@@ -27,7 +27,7 @@
     def fileno(self) -> int:
         return self.sock.fileno()
 
-    def read_ready(self, buffer: bytearray, view: memoryview) -> bool:
+    def on_readable(self, buffer: bytearray, view: memoryview) -> bool:
         came = self.sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
         if self.fault:
             raise KeyError("a fault of its own")
@@ -35,15 +35,15 @@
             self.heard.put(bytes(view[:came]))
         return came > 0
 
-    def look(self, now: float) -> bool:
+    def on_tick(self, now: float) -> bool:
         return self.lives
 
-    def ended(self) -> None:
+    def on_end(self) -> None:
         self.sock.close()
         self.heard.put(None)
 
 
-Made = tuple[Reader, io.StringIO]
+Made = tuple[ReadLoop, io.StringIO]
 
 
 @pytest.fixture
@@ -51,7 +51,7 @@
     """A reader whose clock passes a second at each look, and its log."""
     told = io.StringIO()
     now = iter(range(10**9))
-    reader = Reader(lambda: float(next(now)), PlainLog("test", told))
+    reader = ReadLoop(lambda: float(next(now)), PlainLog("test", told))
     reader.start()
     yield reader, told
     assert reader.stop()
@@ -85,7 +85,7 @@
 
 
 def test_a_stop_ends_all_that_is_held_and_takes_nothing_more() -> None:
-    reader = Reader(lambda: 0.0, PlainLog("test", io.StringIO()))
+    reader = ReadLoop(lambda: 0.0, PlainLog("test", io.StringIO()))
     reader.start()
     pairs = [socket.socketpair() for _ in range(2)]
     held, late = (Fake(far) for _, far in pairs)
