A keeper that lost its disk asks those again whose word did not count

Cause: Keeper.tick took everyone who had answered as heard, while _begin_life and _settle count only words that are sound and of keepers that nobody replaced since. Two of five that were learning themselves, or were replaced after they told, were never asked again, and with three needed k0 waited for ever. Ruled out: load (all others voted), and the suspected comparison in outdated, which is right. Change: who is asked again and whose word counts is one rule, _sound_words. Safe as before: each word is told after grants of an earlier life are over, and a later one of the same keeper only adds to it.

--- a/saffronstack/fleet/leases/keeper.py
+++ b/saffronstack/fleet/leases/keeper.py
@@ -82,11 +82,7 @@
         was in shares a member with those."""
         if self.sure or now < self.waits_until_s or self.found is Found.REPLACED:
             return []
-        replaced = outdated((word.keeper, word.own, word.lives) for word in self._heard.values())
-        told = sum(
-            word.sound and word.life == self.life and word.keeper not in replaced
-            for word in self._heard.values()
-        )
+        told = sum(word.life == self.life for word in self._sound_words())
         bounds = self.bounds
         if self.found is Found.LOST:
             self.sure = told >= bounds.majority
@@ -112,15 +108,19 @@
         """One whose promises are lost may be a machine in place of another that is not dead: as soon as a
         majority of others has told, it takes the next life, and votes once a majority of others has saved
         that. One with an older life finds it among any that it has to hear, and votes no more."""
-        replaced = outdated((word.keeper, word.own, word.lives) for word in self._heard.values())
-        sound = [word for word in self._heard.values() if word.sound and word.keeper not in replaced]
-        if self._named or self.found is not Found.LOST or len(sound) < self.bounds.majority:
+        sound = len(self._sound_words())
+        if self._named or self.found is not Found.LOST or sound < self.bounds.majority:
             return []
         self._named = True
         self.life = 1 + max(self.life, *(word.life for word in self._heard.values()))
         self._asked_s = -math.inf  # others are asked again, under the new life
         return [self._save()]
 
+    def _sound_words(self) -> list[Told]:
+        """What was told by those that know what they promised and that nobody has replaced."""
+        replaced = outdated((word.keeper, word.own, word.lives) for word in self._heard.values())
+        return [word for word in self._heard.values() if word.sound and word.keeper not in replaced]
+
     def votes(self, now: float) -> bool:
         """Whether it promises and grants now."""
         return self.sure and now >= self.waits_until_s
@@ -144,7 +144,8 @@
             return []
         self._asked_s = now
         others = [keeper for keeper in self.bounds.keepers if keeper != self.name]
-        heard = {keeper for keeper, word in self._heard.items() if word.life == self.life}
+        # One that was learning itself, or was replaced since, is asked again: its word does not count.
+        heard = {word.keeper for word in self._sound_words() if word.life == self.life}
         learn = Learn(self.name, self.nonce, self.life)
         asked = [Say(keeper, learn) for keeper in others if keeper not in heard]
         return [*asked, WakeAt(now + AGAIN_S)]
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -289,6 +289,54 @@
     assert asked == ["k1", "k2"]
 
 
+FIVE = Bounds(("k0", "k1", "k2", "k3", "k4"), longest_s=10.0)
+
+
+def asked(one: Keeper, now: float) -> set[str]:
+    """The keepers that it asks for what they know of it."""
+    return {
+        said.to for said in one.tick(now) if isinstance(said, Say) and isinstance(said.message, Learn)
+    }  # fmt: skip
+
+
+def told(one: Keeper, now: float, keeper: str, **word: object) -> None:
+    """A keeper answers."""
+    plain = Told(keeper, 7, True, 0, life=one.life)
+    one.handle(now, keeper, altered(plain, **word))
+
+
+def test_one_that_was_learning_itself_is_asked_again_until_it_knows() -> None:
+    """Else a keeper that lost its disk while two others were learning never votes again."""
+    lost = Keeper("k0", FIVE, Found.LOST, Saved(), 0.0, nonce=7)
+    now = lost.waits_until_s + 1.0
+    assert asked(lost, now) == {"k1", "k2", "k3", "k4"}
+    for name in ("k1", "k2"):
+        told(lost, now, name, sound=False)
+    for name in ("k3", "k4"):
+        told(lost, now, name)
+    assert lost.life == 0
+    assert asked(lost, now + 1.0) == {"k1", "k2"}
+    told(lost, now + 1.0, "k1")
+    assert lost.life == 1, "a majority of others knows what it promised: it begins a life"
+    for name in ("k1", "k3", "k4"):
+        told(lost, now + 1.0, name)
+    assert lost.sure
+
+
+def test_one_that_was_replaced_since_it_told_is_asked_again() -> None:
+    lost = Keeper("k0", FIVE, Found.LOST, Saved(), 0.0, nonce=7)
+    now = lost.waits_until_s + 1.0
+    assert asked(lost, now) == {"k1", "k2", "k3", "k4"}
+    told(lost, now, "k1")
+    told(lost, now, "k2")
+    told(lost, now, "k3", lives=(("k1", 1), ("k2", 1)))  # both were replaced by machines that are new
+    assert lost.life == 0
+    assert asked(lost, now + 1.0) == {"k1", "k2", "k4"}
+    told(lost, now + 1.0, "k1", own=1)
+    told(lost, now + 1.0, "k2", own=1)
+    assert lost.life == 1
+
+
 def test_bounds_on_what_a_keeper_holds() -> None:
     small = Keeper("k0", replace(BOUNDS, leases_most=2, value_most=3), Found.NEW, Saved(), 0.0, 1)
     for lease in ("l1", "l2"):
