--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -17,7 +17,7 @@
 from saffronstack.core.engine import Engine
 from saffronstack.core.logs import Log
 from saffronstack.core.threads import spawn
-from saffronstack.net.outlet import Writer
+from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.calls import CallMaker
 from saffronstack.platform.connection import ClientConnection, FrontLimits, Services
 from saffronstack.platform.identifiers import OpenIds
@@ -46,7 +46,7 @@
         address: tuple[str, int],
         engine: Engine,
         maker: CallMaker,
-        writer: Writer,
+        writer: WriteLoop,
         limits: FrontLimits,
         clock: Callable[[], float],
         log: Log,
@@ -310,19 +310,18 @@
         return Activity(self._received_s, unanswered, self._settled)
 
     def _take_last(self, now: float) -> None:
-        """What has come to the machine by now is read and gets an answer; then the listener closes."""
+        """What has come to the machine by now is read and refused; the listener closes."""
         self.limits = replace(self.limits, connections=len(self._connections) + BACKLOG + 1)
         while self._accept(now, ACCEPTS_AT_ONCE) == ACCEPTS_AT_ONCE:
             pass
         self._listen(False)
         self._listener.close()
-        for connection in list(self._connections.values()):
-            reads = 0
-            while connection.has_unread() and reads < LAST_READS:
-                reads += 1
-                if not connection.on_readable(self._buffer, self._view, now):
-                    self._close(connection)
+        for descriptor, connection in list(self._connections.items()):
+            connection.refuses = True  # sent now, their calls would be cut off by the engine's end
+            for _ in range(LAST_READS):
+                if descriptor not in self._connections or not connection.has_unread():
                     break
+                self._on_event(descriptor)
 
     def _end(self) -> None:
         for connection in list(self._connections.values()):
