--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -18,7 +18,7 @@
 import sys
 import tempfile
 
-from saffronstack.day.fleetday import DAYS, play
+from saffronstack.harness.fleet.scenario import DAYS, play
 
 ROOT = pathlib.Path(__file__).parent.parent
 
--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -20,9 +20,9 @@
 from saffronstack import config as configs
 from saffronstack.client import Client
 from saffronstack.config.build import Functions
-from saffronstack.day.processes import StandInHost
 from saffronstack.deferred.ledger import open_ledger
 from saffronstack.deferred.records import Accepted
+from saffronstack.harness.scenario.processes import StandInHost
 from saffronstack.standin.fleet import sample
 
 HERE = pathlib.Path(__file__).parent
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -24,11 +24,11 @@
 import msgspec
 
 from saffronstack.config.fleet import FleetFile, KeeperEntry
-from saffronstack.day.explore import Budget, Explored, explore
-from saffronstack.day.leaserig import Fault, LeaseRig, Report, schedule, shrink
-from saffronstack.day.leases import World
 from saffronstack.fleet.leases.client import LeaseClient
 from saffronstack.fleet.leases.messages import Bounds
+from saffronstack.harness.leases.explorer import Budget, Explored, explore
+from saffronstack.harness.leases.processes import Fault, LeaseRig, Report, schedule, shrink
+from saffronstack.harness.leases.simulation import World
 from saffronstack.standin.worker import hold_port
 
 
--- a/benchmarks/metering.py
+++ b/benchmarks/metering.py
@@ -16,7 +16,7 @@
 import psutil
 from gateway import CALLS, FUNCTIONS, gateway, load
 
-from saffronstack.day.processes import StandInHost
+from saffronstack.harness.scenario.processes import StandInHost
 from saffronstack.metering.meter import open_usage_log, read_usage_log
 from saffronstack.metering.records import Confirmed, Received, Ref, Usage
 from saffronstack.standin.fleet import sample
--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -26,8 +26,8 @@
 from botocore.config import Config as BotoConfig
 from gateway import FUNCTIONS, POST, gateway, load
 
-from saffronstack.day.processes import StandInHost
-from saffronstack.day.relay import Relay, seldom
+from saffronstack.harness.scenario.processes import StandInHost
+from saffronstack.harness.scenario.relay import Relay, seldom
 from saffronstack.interface import Effect
 from saffronstack.operations.handover import Keeper
 from saffronstack.operations.notes import Noted, open_notes
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -26,13 +26,13 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from saffronstack.core.threads import spawn
-from saffronstack.day.clients import Clients
-from saffronstack.day.plan import Mix
-from saffronstack.day.releases import HARMS
-from saffronstack.day.rolling import BROKEN, Broken, explore, wander
-from saffronstack.day.rollouts import RolloutRig, Sizes
-from saffronstack.day.wires import Mode
 from saffronstack.fleet.rollout.judge import Limits, Ratio, Unit, Verdict, look
+from saffronstack.harness.links import Mode
+from saffronstack.harness.rollout.processes import RolloutRig, Sizes
+from saffronstack.harness.rollout.releases import HARMS
+from saffronstack.harness.rollout.simulation import BROKEN, Broken, explore, wander
+from saffronstack.harness.scenario.clients import Clients
+from saffronstack.harness.scenario.plan import Mix
 
 BAKE_S = 10.0
 
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -31,8 +31,8 @@
 
 from saffronstack.audit.traffic import Try
 from saffronstack.core.threads import spawn
-from saffronstack.day.fleet import Caller, FleetPlan, Gateway, Lag
-from saffronstack.day.spread import (
+from saffronstack.harness.fleet.cluster import Caller, FleetPlan, Gateway, Lag
+from saffronstack.harness.fleet.load_spread import (
     Arrival,
     Sample,
     evenness,
--- a/benchmarks/stalls.py
+++ b/benchmarks/stalls.py
@@ -2,7 +2,7 @@
 
     python benchmarks/stalls.py                       # 8 callers, 64 deferred calls a second, a stall of 30 s
 
-The gateway is a process of its own with a ledger on a disk that a file rules (`day/slowdisk.py`)."""
+The gateway is a process of its own with a ledger on a disk that a file rules: `slow_disk`."""
 
 from __future__ import annotations
 
@@ -65,7 +65,7 @@
         content["ledger"]["commit_timeout_s"] = 5.0
         (folder / "gateway.json5").write_text(json.dumps(content))
         word = folder / "disk"
-        slow = [sys.executable, "-m", "saffronstack.day.slowdisk", str(word)]
+        slow = [sys.executable, "-m", "saffronstack.harness.scenario.slow_disk", str(word)]
         command = [*slow, "serve", "--log-level", "error"]
         process = subprocess.Popen(
             [*command, "--config", str(folder / "gateway.json5")], stdout=subprocess.PIPE
--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -422,7 +422,7 @@
 )
 def day_run(path: str, seed: int, seconds: float | None, keep: str | None, membership: str | None) -> None:
     """Play a day with real gateways and judge the five rules from the traffic; 1 if one is broken."""
-    from saffronstack.day.run import run
+    from saffronstack.harness.scenario.runner import run
 
     sys.exit(run(path, seed, seconds, keep, membership))
 
--- a/saffronstack/day/troubles.py
+++ b/saffronstack/harness/fleet/faults.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from saffronstack.audit.traffic import Seen
-from saffronstack.day.fleet import Fleet, Gateway, Impatient
+from saffronstack.harness.fleet.cluster import Fleet, Gateway, Impatient
 from saffronstack.standin.model import Faults
 from saffronstack.standin.platform import Directory, Entry
 
--- a/saffronstack/day/fleetday.py
+++ b/saffronstack/harness/fleet/scenario.py
@@ -10,10 +10,10 @@
 
 from saffronstack.audit.rules import judge
 from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic
-from saffronstack.day.fleet import EFFECTS, Fleet, FleetPlan, Sums
-from saffronstack.day.spread import Arrival, evenness
-from saffronstack.day.troubles import DAYS as USUAL
-from saffronstack.day.uneven import UNEVEN
+from saffronstack.harness.fleet.cluster import EFFECTS, Fleet, FleetPlan, Sums
+from saffronstack.harness.fleet.faults import DAYS as USUAL
+from saffronstack.harness.fleet.load_spread import Arrival, evenness
+from saffronstack.harness.fleet.uneven_load import UNEVEN
 from saffronstack.standin.model import Profile, Store
 from saffronstack.standin.platform import LinesHost
 
--- a/saffronstack/day/uneven.py
+++ b/saffronstack/harness/fleet/uneven_load.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable
 
 from saffronstack.audit.traffic import Seen, Try
-from saffronstack.day.fleet import Fleet
-from saffronstack.day.troubles import Day, Step, calm, cold, host_zone
+from saffronstack.harness.fleet.cluster import Fleet
+from saffronstack.harness.fleet.faults import Day, Step, calm, cold, host_zone
 from saffronstack.standin.model import Faults
 from saffronstack.standin.platform import Entry
 
--- a/saffronstack/day/peer.py
+++ b/saffronstack/harness/leases/peer.py
@@ -1,6 +1,6 @@
 """A process of the rig: a keeper or a candidate of the program, on a clock and a disk that the rig spoils.
 
-    python -m saffronstack.day.peer '{"role": "keeper", ...}'
+    python -m saffronstack.harness.leases.peer '{"role": "keeper", ...}'
 
 The program itself knows none of this: what it takes as clock and file layer is handed in here."""
 
--- a/saffronstack/day/leaserig.py
+++ b/saffronstack/harness/leases/processes.py
@@ -26,11 +26,11 @@
 
 from saffronstack.client import Client
 from saffronstack.core.threads import spawn
-from saffronstack.day.leasejudge import Judgement, LeaseJudge
-from saffronstack.day.processes import DayFailed
-from saffronstack.day.wires import Mode, Wires
 from saffronstack.fleet.leases.client import holder_clock
 from saffronstack.fleet.leases.disk import COPIES
+from saffronstack.harness.leases.judge import Judgement, LeaseJudge
+from saffronstack.harness.links import Mode, Wires
+from saffronstack.harness.scenario.processes import DayFailed
 from saffronstack.http1.messages import HttpError
 from saffronstack.standin.worker import hold_port
 
@@ -186,7 +186,7 @@
     def _start(self, name: str, told: dict[str, Any]) -> _Process:
         with open(self._directory / f"{name}.log", "ab") as errors:
             process = subprocess.Popen(
-                [sys.executable, "-m", "saffronstack.day.peer", json.dumps(told)],
+                [sys.executable, "-m", "saffronstack.harness.leases.peer", json.dumps(told)],
                 stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=errors,
             )  # fmt: skip
         assert process.stdout is not None
--- a/saffronstack/day/rollouts.py
+++ b/saffronstack/harness/rollout/processes.py
@@ -20,17 +20,17 @@
 from saffronstack.audit.rules import judge
 from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Stopped, Traffic, Try
 from saffronstack.core.threads import spawn
-from saffronstack.day import releases
-from saffronstack.day.clients import Clients
-from saffronstack.day.plan import Mix
-from saffronstack.day.processes import DayFailed
-from saffronstack.day.wires import Mode, Wires
 from saffronstack.fleet.control.messages import LEAD, GatewayState
 from saffronstack.fleet.control.releases import read as read_release
 from saffronstack.fleet.control.status_client import ask_status, flat
 from saffronstack.fleet.leases.reading import read_leases
 from saffronstack.fleet.rollout.controller import Record
 from saffronstack.fleet.rollout.records import decode
+from saffronstack.harness.links import Mode, Wires
+from saffronstack.harness.rollout import releases
+from saffronstack.harness.scenario.clients import Clients
+from saffronstack.harness.scenario.plan import Mix
+from saffronstack.harness.scenario.processes import DayFailed
 from saffronstack.standin.fleet import StandInFleet, sample
 from saffronstack.standin.model import Profile
 from saffronstack.standin.worker import hold_port
--- /dev/null
+++ b/saffronstack/harness/scenario/__init__.py
@@ -0,0 +1,1 @@
+"""One scripted day of gateway processes under faults: plan, director, clients, verdict."""
--- a/saffronstack/day/clients.py
+++ b/saffronstack/harness/scenario/clients.py
@@ -15,7 +15,7 @@
 from saffronstack.audit.traffic import Try
 from saffronstack.client import Answer, Client
 from saffronstack.core.threads import spawn
-from saffronstack.day.plan import Mix
+from saffronstack.harness.scenario.plan import Mix
 from saffronstack.http1.messages import HttpError
 
 PATIENCE_S = 3.0  # the classes' deadline in the sample configuration
--- a/saffronstack/day/director.py
+++ b/saffronstack/harness/scenario/director.py
@@ -13,8 +13,8 @@
 
 from saffronstack.audit.traffic import Stopped, Told
 from saffronstack.core.threads import spawn
-from saffronstack.day.plan import Plan, Trouble
-from saffronstack.day.processes import DayFailed, GatewayProcess, StandInHost
+from saffronstack.harness.scenario.plan import Plan, Trouble
+from saffronstack.harness.scenario.processes import DayFailed, GatewayProcess, StandInHost
 from saffronstack.standin.model import Faults
 
 LIST_LATE_S = 1.0  # how late the list tells of workers that died by themselves
--- a/saffronstack/day/run.py
+++ b/saffronstack/harness/scenario/runner.py
@@ -19,12 +19,12 @@
 from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic, Try
 from saffronstack.client import Client
 from saffronstack.config import ConfigError
-from saffronstack.day import plan as plans
-from saffronstack.day.clients import Clients
-from saffronstack.day.director import Director
-from saffronstack.day.plan import Plan
-from saffronstack.day.processes import DayFailed, GatewayProcess, StandInHost
-from saffronstack.day.relay import Relay
+from saffronstack.harness.scenario import plan as plans
+from saffronstack.harness.scenario.clients import Clients
+from saffronstack.harness.scenario.director import Director
+from saffronstack.harness.scenario.plan import Plan
+from saffronstack.harness.scenario.processes import DayFailed, GatewayProcess, StandInHost
+from saffronstack.harness.scenario.relay import Relay
 from saffronstack.http1.messages import HttpError
 from saffronstack.metering.merging import merge
 from saffronstack.metering.meter import read_usage_log
--- a/saffronstack/day/slowdisk.py
+++ b/saffronstack/harness/scenario/slow_disk.py
@@ -1,4 +1,6 @@
-"""A gateway whose disk hangs or fails when a file says so: `python -m saffronstack.day.slowdisk FILE serve`.
+"""A gateway whose disk hangs or fails when a file says so.
+
+    python -m saffronstack.harness.scenario.slow_disk FILE serve
 
 The file holds one word: ``hang`` (syncs wait until it says something else), ``fail`` (they fail), or nothing.
 Only the rig starts gateways so; the program knows no such switch."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -82,7 +82,7 @@
 
 def test_stand_ins_serve_the_command_line_and_the_days_alone() -> None:
     users = {path.relative_to(ROOT).parts[0] for path in ROOT.rglob("*.py") if "standin" in imported(path)}
-    assert users <= {"cli", "day", "standin"}
+    assert users <= {"cli", "harness", "standin"}
 
 
 def test_the_bench_adapter_runs_on_the_standard_library() -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,7 +13,7 @@
 
 from saffronstack.cli.serve import choose_cpus
 from saffronstack.config import ConfigError
-from saffronstack.day import plan
+from saffronstack.harness.scenario import plan
 
 ROOT = pathlib.Path(__file__).parent.parent
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,7 +15,6 @@
 from saffronstack.client import Client
 from saffronstack.config.fleet import load_fleet
 from saffronstack.config.load import ConfigError
-from saffronstack.day import releases as made
 from saffronstack.fleet.control import releases
 from saffronstack.fleet.control.daemon import Daemon, Entry
 from saffronstack.fleet.control.desired_state import Kept, Wanted
@@ -23,6 +22,7 @@
 from saffronstack.fleet.leases.messages import Written
 from saffronstack.fleet.leases.reading import Reading, Shown, agree
 from saffronstack.fleet.leases.server import LeaseLine
+from saffronstack.harness.rollout import releases as made
 from saffronstack.standin.worker import hold_port
 from tests.support.stack import eventually
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from saffronstack.day.fleetday import DAYS, play
+from saffronstack.harness.fleet.scenario import DAYS, play
 
 SHORT = ("hot", "once", "sizes", "alone", "paused", "idle")  # days on which little changes
 # Two at a time: each has three of eight cores, and most of its processes wait.
--- a/tests/test_lease_processes.py
+++ b/tests/test_lease_processes.py
@@ -11,10 +11,10 @@
 import pytest
 
 from saffronstack.core.threads import spawn
-from saffronstack.day.leasejudge import LeaseJudge
-from saffronstack.day.leaserig import Fault, LeaseRig, schedule, shrink
-from saffronstack.day.peer import Steps, until_of
-from saffronstack.day.wires import Mode, Wires
+from saffronstack.harness.leases.judge import LeaseJudge
+from saffronstack.harness.leases.peer import Steps, until_of
+from saffronstack.harness.leases.processes import Fault, LeaseRig, schedule, shrink
+from saffronstack.harness.links import Mode, Wires
 
 FLEET = pytest.mark.xdist_group("leases")  # heavy ones play one at a time
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -7,8 +7,6 @@
 import pytest
 from msgspec.structs import replace as altered
 
-from saffronstack.day.explore import Budget, explore
-from saffronstack.day.leases import CandidateMaker, Faults, KeeperMaker, World
 from saffronstack.fleet.leases.holder import Candidate, CandidateAction, Gained, Lost, State, Stored
 from saffronstack.fleet.leases.keeper import Keeper
 from saffronstack.fleet.leases.messages import (
@@ -30,6 +28,8 @@
     Told,
     WakeAt,
 )
+from saffronstack.harness.leases.explorer import Budget, explore
+from saffronstack.harness.leases.simulation import CandidateMaker, Faults, KeeperMaker, World
 
 BOUNDS = Bounds(("k0", "k1", "k2"), longest_s=10.0)
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -23,9 +23,9 @@
 
 from saffronstack import config as configs
 from saffronstack.client import Answer
-from saffronstack.day.relay import Relay, seldom
 from saffronstack.durable.segments import Files
 from saffronstack.gateway import Gateway
+from saffronstack.harness.scenario.relay import Relay, seldom
 from saffronstack.interface import Effect
 from saffronstack.operations.notes import Ended, open_notes
 from saffronstack.operations.service import Live, Operations, Rule
--- a/tests/test_platform_run.py
+++ b/tests/test_platform_run.py
@@ -22,8 +22,8 @@
     "shutil", "tempfile", "structlog", "click", "watchfiles", "zstandard",
 }  # fmt: skip
 OTHERS = {
-    "invoke", "deferred", "operations", "metering", "durable", "roster", "daemon", "day", "standin", "cli",
-    "fleet",
+    "invoke", "deferred", "operations", "metering", "durable", "roster", "daemon", "harness", "standin",
+    "cli", "fleet",
 }  # fmt: skip
 
 
--- a/tests/test_rolling.py
+++ b/tests/test_rolling.py
@@ -6,7 +6,6 @@
 from msgspec.structs import replace
 
 from saffronstack.cli.rollout import line_of
-from saffronstack.day.rolling import BROKEN, Broken, explore, wander
 from saffronstack.fleet.control.gate import Gate
 from saffronstack.fleet.control.messages import Figures, GatewayState
 from saffronstack.fleet.control.slots import CRASHES, Follow, Go, Kill, Seen, Slot, Spawn, Term
@@ -16,6 +15,7 @@
 from saffronstack.fleet.rollout.leader import runs
 from saffronstack.fleet.rollout.plan import Gateway, Plan, Release, Stage
 from saffronstack.fleet.rollout.records import decode, encode
+from saffronstack.harness.rollout.simulation import BROKEN, Broken, explore, wander
 
 OLD, NEW = Release(version="1", digest="old"), Release(version="2", digest="new")
 
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from saffronstack.day.rollouts import RolloutRig, Sizes
-from saffronstack.day.wires import Mode
+from saffronstack.harness.links import Mode
+from saffronstack.harness.rollout.processes import RolloutRig, Sizes
 from tests.support.stack import eventually
 
 HEAVY = pytest.mark.xdist_group("rollout")  # one at a time
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from saffronstack.day.spread import (
+from saffronstack.harness.fleet.load_spread import (
     Arrival,
     Sample,
     evenness,
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -112,8 +112,8 @@
     def start(self) -> None:
         self.process = subprocess.Popen(
             [
-                sys.executable, "-m", "saffronstack.day.slowdisk", str(self.word), "serve", "--config",
-                str(self.path), "--listen", self.address, "--log-level", "error",
+                sys.executable, "-m", "saffronstack.harness.scenario.slow_disk", str(self.word), "serve",
+                "--config", str(self.path), "--listen", self.address, "--log-level", "error",
             ],
             stdout=subprocess.PIPE,
         )  # fmt: skip
