Lint checks docstrings, names and complexity; three long functions split

ruff: N, C901 with 15 at most, a docstring on each public module, class, method and function. Over it were cli/serve.run (21: parts beside the gateway, making it, waiting for a signal are functions now), durable read_back (18) and the leases' fault rig (26: a method for each fault and a table). Eight docstrings were missing.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -147,19 +147,24 @@
     # ---- the policies
 
     def random(self, ready: list[Known]) -> Known:
+        """Any of them."""
         return self._random.choice(ready)
 
     def robin(self, ready: list[Known]) -> Known:
+        """One after the other."""
         self._turn += 1
         return ready[self._turn % len(ready)]
 
     def least(self, ready: list[Known]) -> Known:
+        """Fewest attempts out by own count."""
         return min(ready, key=lambda known: (known.out, self._random.random()))
 
     def two(self, ready: list[Known]) -> Known:
+        """The better of two that are drawn."""
         return min(self._random.choices(ready, k=2), key=lambda known: known.out)
 
     def told(self, ready: list[Known]) -> Known:
+        """Least use of cores by what answers told."""
         return min(ready, key=lambda known: (known.told, self._random.random()))
 
     def _seen(self, ready: list[Known], ago: int) -> Known:
@@ -168,9 +173,11 @@
         return min(ready, key=lambda known: (truth.read(known.entry.worker, moment), self._random.random()))
 
     def truth(self, ready: list[Known]) -> Known:
+        """Least busy by the bench's own account, at this moment."""
         return self._seen(ready, 0)
 
     def late(self, ready: list[Known]) -> Known:
+        """The same, as it was a few slots ago."""
         return self._seen(ready, LATE_SLOTS)
 
 
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -169,83 +169,114 @@
         pause.wait(SHOW_S)
 
 
+@dataclass
+class _Parts:
+    """What runs beside the gateway in this process, as far as its options ask for it."""
+
+    standins: StandInFleet | None = None
+    tenure: Tenure | None = None
+    fleet: FleetPart | None = None
+    members: Members | None = None
+    listener: socket.socket | None = None
+
+    def stop(self, clean: bool) -> bool:
+        """Stop them after the gateway; ``clean``: whether that one ended cleanly. Whether all did."""
+        if self.standins is not None:
+            self.standins.stop()
+        if self.tenure is not None:
+            self.tenure.end(clean)
+        if self.fleet is not None:
+            clean = self.fleet.stop() and clean
+        return clean
+
+
 def run(options: Options) -> int:
     """Serve until a signal says stop; 0 after a clean end, 1 after an unclean one, 2 where it can't start."""
     set_up_logs(options.log_form, options.log_level)
     signals = _signals()
     leaving = threading.Event()
-    standins: StandInFleet | None = None
-    tenure: Tenure | None = None
-    part: FleetPart | None = None
-    members: Members | None = None
+    parts = _Parts()
     try:
-        if options.path is None:
-            standins = StandInFleet(4)
-            directory = options.ledger or tempfile.mkdtemp(prefix="saffronstack-ledger-")
-            listen = options.listen or "127.0.0.1:9000"
-            config = configs.parse(json.dumps(sample(standins.entries(), listen, directory)), "sample")
-        else:
-            config, members = _member(_overridden(configs.load(options.path), options), options.member)
-            # With stand-ins in the same process there would be more to run.
-            _pin(options.cpus, members.index if members is not None else os.getpid())
-        listener = socket.socket(fileno=options.listen_fd) if options.listen_fd >= 0 else None
-        if options.standby and not _told_to_go():
+        gateway = _gateway(options, parts)
+        if gateway is None:
             return 0
-        tenure = enter(options.fleet, options.name, options.ledger_home, options.ledger_token, config)
-        if tenure is not None:
-            config = tenure.config
-        files = tenure.files if tenure is not None else None
-        if config.fleet is not None and not options.finish:
-            if members is not None:
-                raise configs.ConfigError("fleet: goes with one process, and not with --processes")
-            part = FleetPart(config.fleet)
-        gateway = Gateway(
-            config, record_to=options.record_to, members=members, files=files, listener=listener
-        )
         host, port = gateway.start()
     except (configs.ConfigError, JournalError, OSError, ValueError) as error:
         click.echo(f"saffronstack serve: {error}", err=True)
-        if tenure is not None:
-            tenure.end(clean=False)
-        if part is not None:
-            part.stop()
-        if standins is not None:
-            standins.stop()
+        parts.stop(clean=False)
         return 2
-    handing = _hand_over(listener)
+    handing = _hand_over(parts.listener)
     click.echo(f"saffronstack takes calls on http://{host}:{port}")
     sys.stdout.flush()
-    if members is not None:
+    if parts.members is not None:
         _end_with_parent(signals)
         spawn("life", lambda: _show_life(gateway, leaving))
-    if tenure is not None:
-        spawn("tenure", tenure.watch)
+    if parts.tenure is not None:
+        spawn("tenure", parts.tenure.watch)
+    number = _wait_for_end(gateway, options, signals)
+    log.info("stopping", signal=signal.Signals(number).name)
+    leaving.set()
+    clean = gateway.stop()
+    if handing is not None:
+        handing.stop()
+    clean = parts.stop(clean)
+    log.info("stopped", clean=clean)
+    _deaf()
+    return 0 if clean else 1
+
+
+def _gateway(options: Options, parts: _Parts) -> Gateway | None:
+    """The gateway that the options ask for, not started, and what runs beside it in ``parts``; None where it
+    stood by and was not told to go. ConfigError, JournalError, OSError, ValueError."""
+    if options.path is None:
+        config = _sample(options, parts)
+    else:
+        whole = _overridden(configs.load(options.path), options)
+        config, parts.members = _member(whole, options.member)
+        # With stand-ins in the same process there would be more to run.
+        _pin(options.cpus, parts.members.index if parts.members is not None else os.getpid())
+    if options.listen_fd >= 0:
+        parts.listener = socket.socket(fileno=options.listen_fd)
+    if options.standby and not _told_to_go():
+        return None
+    parts.tenure = enter(options.fleet, options.name, options.ledger_home, options.ledger_token, config)
+    if parts.tenure is not None:
+        config = parts.tenure.config
+    if config.fleet is not None and not options.finish:
+        if parts.members is not None:
+            raise configs.ConfigError("fleet: goes with one process, and not with --processes")
+        parts.fleet = FleetPart(config.fleet)
+    return Gateway(
+        config,
+        record_to=options.record_to,
+        members=parts.members,
+        files=parts.tenure.files if parts.tenure is not None else None,
+        listener=parts.listener,
+    )
+
+
+def _sample(options: Options, parts: _Parts) -> Config:
+    """Without a configuration: a gateway before workers that are emulated in this process."""
+    parts.standins = StandInFleet(4)
+    directory = options.ledger or tempfile.mkdtemp(prefix="saffronstack-ledger-")
+    listen = options.listen or "127.0.0.1:9000"
+    return configs.parse(json.dumps(sample(parts.standins.entries(), listen, directory)), "sample")
+
+
+def _wait_for_end(gateway: Gateway, options: Options, signals: queue.SimpleQueue[int]) -> int:
+    """The signal to end by; SIGHUP rereads the configuration. One that only finishes what is open ends by
+    itself."""
     while True:
         try:
             number = signals.get(timeout=FINISH_LOOK_S if options.finish else 1.0)
         except queue.Empty:
             if options.finish and gateway.deferred is not None and not gateway.deferred.open_calls:
-                number = signal.SIGTERM
-                break
+                return signal.SIGTERM
             continue
         if number != signal.SIGHUP:
-            break
+            return number
         if options.path is not None:
             _reread(gateway, options)
-    log.info("stopping", signal=signal.Signals(number).name)
-    leaving.set()
-    clean = gateway.stop()
-    if handing is not None:
-        handing.stop()
-    if standins is not None:
-        standins.stop()
-    if tenure is not None:
-        tenure.end(clean)
-    if part is not None:
-        clean = part.stop() and clean
-    log.info("stopped", clean=clean)
-    _deaf()
-    return 0 if clean else 1
 
 
 def supervise(options: Options, count: int) -> int:
--- a/saffronstack/durable/journal.py
+++ b/saffronstack/durable/journal.py
@@ -126,52 +126,15 @@
     scans: list[tuple[str, segments.Scan]] = []
     for number in numbers:
         path = directory / segments.segment_name(number, codec.prefix)
-        try:
-            data = path.read_bytes()
-        except OSError as error:
-            raise JournalError(f"{path}: {error.strerror}") from error
-        found.closed_bytes += len(data)
-        scan = segments.scan(data)
-        if not scan.blocks and (other := segments.other_version(data)):
-            raise JournalError(f"{path}: blocks of another version, {other}: it was left as it is")
-        for at in scan.repaired:
-            found.lines.append(
-                f"{path.name}: byte {at}: one copy of a block is damaged; read from its other copy"
-            )
-        if scan.damaged_at is not None:
-            found.lines.append(f"{path.name}: byte {scan.damaged_at}: both copies of a block are damaged")
-        if scan.torn_at is not None:
-            found.lines.append(
-                f"{path.name}: byte {scan.torn_at}: a write was cut here; nothing behind it "
-                "was ever acknowledged"
-            )
-        if (
-            scan.blocks
-        ):  # blocks that a later segment numbers anew were given up before they were acknowledged
-            for _, earlier in scans:
-                while earlier.blocks and earlier.blocks[-1].number >= scan.blocks[0].number:
-                    earlier.blocks.pop()
+        scan = _scan(path, found)
+        _drop_renumbered(scans, scan)
         scans.append((path.name, scan))
     expected: int | None = None
     for name, scan in scans:
         for place, block in enumerate(scan.blocks):
-            try:
-                items = [codec.decode(part) for part in block.parts()]
-            except (ValueError, struct.error) as error:
-                raise JournalError(
-                    f"{directory / name}: byte {block.at}: records of another version: {error}"
-                ) from error
+            items = _decode(directory / name, block, codec)
             fresh = place == 0 and codec.fresh(items[0])
-            if fresh:  # it stands for all before it, whatever was wrong there
-                found.in_doubt = False
-            if expected is not None and block.number != expected and not fresh:
-                found.in_doubt = True
-                found.lines.append(
-                    f"{name}: byte {block.at}: blocks {expected} to {block.number - 1} are missing"
-                )
-            if expected is None and block.number != 0 and not fresh:
-                found.in_doubt = True
-                found.lines.append(f"{name}: byte {block.at}: all before block {block.number} is missing")
+            _compare_number(found, name, block, expected, fresh)
             for item in items:
                 state.apply(item)
             expected = block.number + 1
@@ -183,6 +146,59 @@
     return found
 
 
+def _scan(path: pathlib.Path, found: Found[Any]) -> segments.Scan:
+    """The blocks of one segment; what is wrong with it goes to the lines of ``found``."""
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise JournalError(f"{path}: {error.strerror}") from error
+    found.closed_bytes += len(data)
+    scan = segments.scan(data)
+    if not scan.blocks and (other := segments.other_version(data)):
+        raise JournalError(f"{path}: blocks of another version, {other}: it was left as it is")
+    for at in scan.repaired:
+        found.lines.append(
+            f"{path.name}: byte {at}: one copy of a block is damaged; read from its other copy"
+        )
+    if scan.damaged_at is not None:
+        found.lines.append(f"{path.name}: byte {scan.damaged_at}: both copies of a block are damaged")
+    if scan.torn_at is not None:
+        found.lines.append(
+            f"{path.name}: byte {scan.torn_at}: a write was cut here; nothing behind it was ever acknowledged"
+        )
+    return scan
+
+
+def _drop_renumbered(scans: list[tuple[str, segments.Scan]], later: segments.Scan) -> None:
+    """Blocks that a later segment numbers anew were given up before they were acknowledged."""
+    if not later.blocks:
+        return
+    for _, earlier in scans:
+        while earlier.blocks and earlier.blocks[-1].number >= later.blocks[0].number:
+            earlier.blocks.pop()
+
+
+def _decode(path: pathlib.Path, block: segments.Block, codec: Codec[Any]) -> list[Any]:
+    try:
+        return [codec.decode(part) for part in block.parts()]
+    except (ValueError, struct.error) as error:
+        raise JournalError(f"{path}: byte {block.at}: records of another version: {error}") from error
+
+
+def _compare_number(
+    found: Found[Any], name: str, block: segments.Block, expected: int | None, fresh: bool
+) -> None:
+    """Whether blocks are missing before this one; a fresh one stands for all before it."""
+    if fresh:
+        found.in_doubt = False
+    elif expected is None and block.number != 0:
+        found.in_doubt = True
+        found.lines.append(f"{name}: byte {block.at}: all before block {block.number} is missing")
+    elif expected is not None and block.number != expected:
+        found.in_doubt = True
+        found.lines.append(f"{name}: byte {block.at}: blocks {expected} to {block.number - 1} are missing")
+
+
 class Journal(Generic[R, S]):
     """Append records; they are durable when their ticket is done without an error."""
 
--- a/saffronstack/harness/leases/peer.py
+++ b/saffronstack/harness/leases/peer.py
@@ -227,6 +227,7 @@
 
     @property
     def majority(self) -> int:
+        """One of any number: the fault that the judge must find."""
         return 1
 
 
--- a/saffronstack/harness/leases/processes.py
+++ b/saffronstack/harness/leases/processes.py
@@ -17,7 +17,7 @@
 import sys
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import IO, Any
@@ -303,95 +303,123 @@
                 self._bad[keeper] += by
 
     def _begin(self, fault: Fault) -> None:
-        keepers = [self._names[number] for number in fault.keepers if number < len(self._names)]
-        some = [self._candidates[number] for number in fault.candidates if number < len(self._candidates)]
         if fault.kind == "lie":
-            self._lie(keepers[0], fault.how)
-            return
-        if fault.kind == "kill candidate":
-            for number in fault.candidates:
-                if number < len(self._candidates):
-                    self._end(self._candidates[number])
-                    self._wires.drop(self._candidates[number].name)
-                    self._candidates[number] = self._start_candidate()
-            return
-        if fault.kind == "clock steps":  # as of a machine that was suspended for so long
-            for one in some:
-                path = self._steps(one.name)
-                before = float(path.read_text()) if path.exists() else 0.0
-                partial = path.with_suffix(".new")
-                partial.write_text(str(before + fault.length_s))
-                os.replace(partial, path)
-            return
-        if fault.kind == "stop candidate":
-            for one in some:
-                self._signal(one, signal.SIGSTOP)
-            self._later(fault.length_s, lambda: [self._signal(one, signal.SIGCONT) for one in some])
-            return
-        if fault.kind == "cut candidates":
-            names = {one.name for one in some}
-            cut = self._wires.between(names, set(self._names)) + self._wires.between(set(self._names), names)
-            self._wires.set(cut, Mode(fault.how))
-            self._later(fault.length_s, lambda: self._mend(cut, fault.how == "lose"))
-            return
-        others = (set(self._names) | {one.name for one in self._candidates}) - set(keepers)
-        forth = self._wires.between(others, set(keepers))
-        back = self._wires.between(set(keepers), others)
-        both = forth + back
+            self._lie(self._names[fault.keepers[0]], fault.how)
+        elif fault.kind in CANDIDATE_FAULTS:
+            numbers = [number for number in fault.candidates if number < len(self._candidates)]
+            CANDIDATE_FAULTS[fault.kind](self, fault, numbers)
+        else:
+            self._begin_at_keepers(fault)
+
+    def _begin_at_keepers(self, fault: Fault) -> None:
+        keepers = self._keepers_of(fault)
         if fault.kind == "replace paused":
             # Of two with lost disks under one name the later one counts, and the rig ends the one that woke.
             keepers = [keeper for keeper in keepers if self.status(keeper).get("votes")]
-        if fault.kind in ("kill keeper", "stop keeper", "replace keeper", "replace paused"):
+        if fault.kind in DOWN_FAULTS:
             # One that is down or stopped already is left to the fault that has it.
             with self._lock:
                 keepers = [keeper for keeper in keepers if keeper not in self._down]
                 self._down.update(keepers)
         self._mark(keepers, 1)
-        if fault.kind == "kill keeper":
-            for keeper in keepers:
-                self._snapshot(keeper)
-                self._end(self._keepers[keeper])
-            self._later(fault.length_s, lambda: self._return(keepers))
-        elif fault.kind == "replace keeper":
-            for keeper in keepers:
-                self._end(self._keepers[keeper])
-            self._later(fault.length_s, lambda: self._replace(keepers))
-        elif fault.kind == "replace paused":
-            for keeper in keepers:
-                self._signal(self._keepers[keeper], signal.SIGSTOP)
-            peers = sorted(others)
-            unaware = set(self._random.sample(peers, len(peers) // 2))
-            for keeper in keepers:
-                self._later(
-                    fault.length_s,
-                    lambda keeper=keeper: self._replace_paused(keeper, unaware, fault.length_s),
-                )
-        elif fault.kind == "stop keeper":
-            for keeper in keepers:
-                self._signal(self._keepers[keeper], signal.SIGSTOP)
-            self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._resume(keepers)))
-        elif fault.kind.startswith("disk"):
-            order = {"full": True} if fault.kind == "disk full" else {"stall_s": 10.0}
-            path = self._directory / f"disk-{keepers[0]}.json"
-            path.write_text(json.dumps(order))
-            self._later(fault.length_s, lambda: self._heal(keepers, lambda: path.write_text("{}")))
-        elif fault.kind in ("cut", "cut one way"):
-            cut = both if fault.kind == "cut" else self._random.choice((forth, back))
-            self._wires.set(cut, Mode(fault.how))
-            # What was lost leaves streams that make no sense: they end by a reset.
+        KEEPER_FAULTS[fault.kind](self, fault, keepers)
+
+    def _keepers_of(self, fault: Fault) -> list[str]:
+        return [self._names[number] for number in fault.keepers if number < len(self._names)]
+
+    # ---- faults of candidates, by their numbers
+
+    def _kill_candidates(self, fault: Fault, numbers: list[int]) -> None:
+        for number in numbers:
+            self._end(self._candidates[number])
+            self._wires.drop(self._candidates[number].name)
+            self._candidates[number] = self._start_candidate()
+
+    def _step_clocks(self, fault: Fault, numbers: list[int]) -> None:
+        """As of a machine that was suspended for so long."""
+        for number in numbers:
+            path = self._steps(self._candidates[number].name)
+            before = float(path.read_text()) if path.exists() else 0.0
+            partial = path.with_suffix(".new")
+            partial.write_text(str(before + fault.length_s))
+            os.replace(partial, path)
+
+    def _stop_candidates(self, fault: Fault, numbers: list[int]) -> None:
+        some = [self._candidates[number] for number in numbers]
+        for one in some:
+            self._signal(one, signal.SIGSTOP)
+        self._later(fault.length_s, lambda: [self._signal(one, signal.SIGCONT) for one in some])
+
+    def _cut_candidates(self, fault: Fault, numbers: list[int]) -> None:
+        names = {self._candidates[number].name for number in numbers}
+        cut = self._wires.between(names, set(self._names)) + self._wires.between(set(self._names), names)
+        self._wires.set(cut, Mode(fault.how))
+        self._later(fault.length_s, lambda: self._mend(cut, fault.how == "lose"))
+
+    # ---- faults of keepers
+
+    def _others(self, keepers: Sequence[str]) -> set[str]:
+        return (set(self._names) | {one.name for one in self._candidates}) - set(keepers)
+
+    def _forth(self, keepers: Sequence[str]) -> list[Any]:
+        return self._wires.between(self._others(keepers), set(keepers))
+
+    def _back(self, keepers: Sequence[str]) -> list[Any]:
+        return self._wires.between(set(keepers), self._others(keepers))
+
+    def _kill_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        for keeper in keepers:
+            self._snapshot(keeper)
+            self._end(self._keepers[keeper])
+        self._later(fault.length_s, lambda: self._return(keepers))
+
+    def _replace_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        for keeper in keepers:
+            self._end(self._keepers[keeper])
+        self._later(fault.length_s, lambda: self._replace(keepers))
+
+    def _pause_and_replace_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        for keeper in keepers:
+            self._signal(self._keepers[keeper], signal.SIGSTOP)
+        peers = sorted(self._others(self._keepers_of(fault)))
+        unaware = set(self._random.sample(peers, len(peers) // 2))
+        for keeper in keepers:
             self._later(
-                fault.length_s, lambda: self._heal(keepers, lambda: self._mend(cut, fault.how == "lose"))
+                fault.length_s, lambda keeper=keeper: self._replace_paused(keeper, unaware, fault.length_s)
             )
-        elif fault.kind == "late":
-            self._wires.set(both, late_s=fault.length_s / 5)
-            self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._wires.set(both)))
-        elif fault.kind == "reset":
-            self._wires.reset(both)
-            self._later(0.1, lambda: self._heal(keepers, lambda: None))
-        elif fault.kind == "refuse":
-            self._wires.refuse(both, True)
-            self._wires.reset(both)
-            self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._wires.refuse(both, False)))
+
+    def _stop_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        for keeper in keepers:
+            self._signal(self._keepers[keeper], signal.SIGSTOP)
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._resume(keepers)))
+
+    def _fault_disk(self, fault: Fault, keepers: list[str]) -> None:
+        order = {"full": True} if fault.kind == "disk full" else {"stall_s": 10.0}
+        path = self._directory / f"disk-{keepers[0]}.json"
+        path.write_text(json.dumps(order))
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: path.write_text("{}")))
+
+    def _cut_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        forth, back = self._forth(keepers), self._back(keepers)
+        cut = forth + back if fault.kind == "cut" else self._random.choice((forth, back))
+        self._wires.set(cut, Mode(fault.how))
+        # What was lost leaves streams that make no sense: they end by a reset.
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._mend(cut, fault.how == "lose")))
+
+    def _delay_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        both = self._forth(keepers) + self._back(keepers)
+        self._wires.set(both, late_s=fault.length_s / 5)
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._wires.set(both)))
+
+    def _reset_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        self._wires.reset(self._forth(keepers) + self._back(keepers))
+        self._later(0.1, lambda: self._heal(keepers, lambda: None))
+
+    def _refuse_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        both = self._forth(keepers) + self._back(keepers)
+        self._wires.refuse(both, True)
+        self._wires.reset(both)
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._wires.refuse(both, False)))
 
     def _mend(self, cut: list[Any], reset: bool) -> None:
         self._wires.set(cut)
@@ -566,3 +594,25 @@
                 break
             parts = min(len(left), parts * 2)
     return left
+
+
+DOWN_FAULTS = {"kill keeper", "stop keeper", "replace keeper", "replace paused"}
+CANDIDATE_FAULTS: dict[str, Callable[[LeaseRig, Fault, list[int]], None]] = {
+    "kill candidate": LeaseRig._kill_candidates,
+    "clock steps": LeaseRig._step_clocks,
+    "stop candidate": LeaseRig._stop_candidates,
+    "cut candidates": LeaseRig._cut_candidates,
+}
+KEEPER_FAULTS: dict[str, Callable[[LeaseRig, Fault, list[str]], None]] = {
+    "kill keeper": LeaseRig._kill_keepers,
+    "replace keeper": LeaseRig._replace_keepers,
+    "replace paused": LeaseRig._pause_and_replace_keepers,
+    "stop keeper": LeaseRig._stop_keepers,
+    "disk full": LeaseRig._fault_disk,
+    "disk stalls": LeaseRig._fault_disk,
+    "cut": LeaseRig._cut_keepers,
+    "cut one way": LeaseRig._cut_keepers,
+    "late": LeaseRig._delay_keepers,
+    "reset": LeaseRig._reset_keepers,
+    "refuse": LeaseRig._refuse_keepers,
+}
