--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -31,7 +31,10 @@
 
 from saffronstack.audit.traffic import Try
 from saffronstack.core.threads import spawn
-from saffronstack.harness.fleet.cluster import Caller, FleetPlan, Gateway, Lag
+from saffronstack.harness.fleet.clients import Caller
+from saffronstack.harness.fleet.cluster import Lag
+from saffronstack.harness.fleet.gateway import Gateway
+from saffronstack.harness.fleet.plan import FleetPlan
 from saffronstack.harness.fleet.load_spread import (
     Arrival,
     Sample,
--- a/saffronstack/harness/fleet/faults.py
+++ b/saffronstack/harness/fleet/faults.py
@@ -10,7 +10,9 @@
 from typing import Any
 
 from saffronstack.audit.traffic import Seen
-from saffronstack.harness.fleet.cluster import Fleet, Gateway, Impatient
+from saffronstack.harness.fleet.clients import Impatient
+from saffronstack.harness.fleet.cluster import Fleet
+from saffronstack.harness.fleet.gateway import Gateway
 from saffronstack.standin.model import Faults
 from saffronstack.standin.platform import Directory, Entry
 
--- /dev/null
+++ b/saffronstack/harness/fleet/gateway.py
@@ -0,0 +1,98 @@
+"""One gateway process of a fleet over its lives."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+from collections.abc import Iterable
+
+from saffronstack.harness.fleet.plan import FleetPlan
+from saffronstack.standin.platform import Entry
+from saffronstack.standin.worker import hold_port
+
+
+class Gateway:
+    """One gateway process; its address and configuration file stay over its lives."""
+
+    def __init__(self, number: int, folder: pathlib.Path, plan: FleetPlan) -> None:
+        self.number = number
+        self.plan = plan
+        self.path = folder / f"gateway-{number}.json"
+        self.log = folder / f"gateway-{number}.log"
+        self._held = hold_port("127.0.0.1")  # nobody else gets the port between two lives
+        self.address = ("127.0.0.1", self._held.getsockname()[1])
+        self.process: subprocess.Popen[bytes] | None = None
+        self.lives = 0
+
+    def write(self, nameserver: str, entries: Iterable[Entry], serial: int) -> None:
+        """The configuration file, changed as a whole."""
+        states = {True: "Terminating", False: "Ready"}
+        endpoints = [
+            {
+                "name": entry.name, "address": entry.address, "zone": entry.zone, "type": "std", "group": 0,
+                "status": states[entry.draining], "weight": entry.weight, "since_ms": entry.started,
+            }
+            for entry in entries
+        ]  # fmt: skip
+        pool = {"index": 0, "snapshot": True, "endpoints": endpoints}
+        content = {
+            "name": f"n{self.number}", "listen": f"{self.address[0]}:{self.address[1]}",
+            "seed": f"{self.plan.seed * 100_000 + self.number * 100 + self.lives:016x}",
+            "nameserver": nameserver, "known": {"rev": serial, "notices": [{"rev": serial, "pool": pool}]},
+            "limits": {
+                "cores": 1.0, "memory_mb": self.plan.memory_limit_mb, "sockets": self.plan.sockets,
+            },
+            "settings": self.plan.settings(self.number),
+        }  # fmt: skip
+        partial = self.path.with_suffix(".tmp")
+        partial.write_text(json.dumps(content))
+        os.replace(partial, self.path)
+
+    def start(self) -> None:
+        """Start it; ``ready`` tells when it takes calls."""
+        self.lives += 1
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "saffronstack.platform"], stderr=log,
+                env={**os.environ, "LB_CONFIG": str(self.path), "LB_NAME": f"n{self.number}"},
+            )  # fmt: skip
+
+    def ready(self) -> bool:
+        """Whether this life takes calls; AssertionError where it ended instead."""
+        assert self.process is not None and self.process.poll() is None, self.log.read_text()
+        return self.log.read_text().count("takes calls") >= self.lives
+
+    def send(self, number: signal.Signals) -> None:
+        """A signal to its process."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def wait(self, timeout_s: float = 20.0) -> int:
+        """Its exit status; it is killed where it does not end in time."""
+        assert self.process is not None
+        try:
+            return self.process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+            return -int(signal.SIGKILL)
+
+    def descriptors(self) -> int:
+        """How many it holds; 0 where it is gone."""
+        assert self.process is not None
+        with contextlib.suppress(OSError):
+            return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        return 0
+
+    def memory_mb(self) -> float:
+        """Resident memory; 0 where it is gone."""
+        assert self.process is not None
+        with contextlib.suppress(OSError):
+            pages = int(pathlib.Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+            return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+        return 0.0
--- a/saffronstack/harness/fleet/scenario.py
+++ b/saffronstack/harness/fleet/scenario.py
@@ -10,9 +10,10 @@
 
 from saffronstack.audit.rules import judge
 from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic
-from saffronstack.harness.fleet.cluster import EFFECTS, Fleet, FleetPlan, Sums
+from saffronstack.harness.fleet.cluster import Fleet, Sums
 from saffronstack.harness.fleet.faults import DAYS as USUAL
 from saffronstack.harness.fleet.load_spread import Arrival, evenness
+from saffronstack.harness.fleet.plan import EFFECTS, FleetPlan
 from saffronstack.harness.fleet.uneven_load import UNEVEN
 from saffronstack.standin.model import Profile, Store
 from saffronstack.standin.platform import LinesHost
