--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -26,7 +26,8 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from saffronstack.core.threads import spawn
-from saffronstack.fleet.rollout.judge import Limits, Ratio, Unit, Verdict, look
+from saffronstack.fleet.rollout.comparison import Limits, Ratio, Unit, Verdict
+from saffronstack.fleet.rollout.judge import look
 from saffronstack.harness.links import Mode
 from saffronstack.harness.rollout.processes import RolloutRig, Sizes
 from saffronstack.harness.rollout.releases import HARMS
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -34,7 +34,6 @@
 from saffronstack.harness.fleet.clients import Caller
 from saffronstack.harness.fleet.cluster import Lag
 from saffronstack.harness.fleet.gateway import Gateway
-from saffronstack.harness.fleet.plan import FleetPlan
 from saffronstack.harness.fleet.load_spread import (
     Arrival,
     Sample,
@@ -44,6 +43,7 @@
     idle_beside_queue,
     quantile,
 )  # fmt: skip
+from saffronstack.harness.fleet.plan import FleetPlan
 from saffronstack.standin.model import Faults, Profile, Store
 from saffronstack.standin.platform import Directory, Entry, LinesHost
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import importlib
 import pathlib
 import subprocess
 import sys
@@ -121,3 +122,17 @@
         [sys.executable, "-c", loaded], capture_output=True, text=True, timeout=60.0, check=True
     )
     assert ran.stdout == "0\n"
+
+
+@pytest.mark.parametrize(
+    "path", sorted((ROOT.parent / "benchmarks").glob("*.py")), ids=lambda path: path.name
+)
+def test_what_benchmarks_import_from_the_package_exists(path: pathlib.Path) -> None:
+    """No other test runs them all, and a module that is renamed or split would break one unseen."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.ImportFrom) or not (node.module or "").startswith("saffronstack"):
+            continue
+        module = importlib.import_module(str(node.module))
+        for alias in node.names:
+            if not hasattr(module, alias.name):
+                importlib.import_module(f"{node.module}.{alias.name}")
