--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -31,8 +31,10 @@
 
 from saffronstack.audit.traffic import Try
 from saffronstack.core.threads import spawn
-from saffronstack.day.fleet import Caller, FleetPlan, Gateway, Lag
-from saffronstack.day.spread import (
+from saffronstack.harness.fleet.clients import Caller
+from saffronstack.harness.fleet.cluster import Lag
+from saffronstack.harness.fleet.gateway import Gateway
+from saffronstack.harness.fleet.load_spread import (
     Arrival,
     Sample,
     evenness,
@@ -41,6 +43,7 @@
     idle_beside_queue,
     quantile,
 )  # fmt: skip
+from saffronstack.harness.fleet.plan import FleetPlan
 from saffronstack.standin.model import Faults, Profile, Store
 from saffronstack.standin.platform import Directory, Entry, LinesHost
 
--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -171,11 +171,11 @@
 
 
 def _roster(command: Callable[[], int]) -> None:
-    from saffronstack.cli.roster import Unusable
+    from saffronstack.cli.roster import UnusableError
 
     try:
         sys.exit(command())
-    except (Unusable, OSError) as error:
+    except (UnusableError, OSError) as error:
         click.echo(str(error), err=True)
         sys.exit(1)
 
@@ -422,7 +422,7 @@
 )
 def day_run(path: str, seed: int, seconds: float | None, keep: str | None, membership: str | None) -> None:
     """Play a day with real gateways and judge the five rules from the traffic; 1 if one is broken."""
-    from saffronstack.day.run import run
+    from saffronstack.harness.scenario.runner import run
 
     sys.exit(run(path, seed, seconds, keep, membership))
 
--- a/saffronstack/day/peer.py
+++ b/saffronstack/harness/leases/peer.py
@@ -1,6 +1,6 @@
 """A process of the rig: a keeper or a candidate of the program, on a clock and a disk that the rig spoils.
 
-    python -m saffronstack.day.peer '{"role": "keeper", ...}'
+    python -m saffronstack.harness.leases.peer '{"role": "keeper", ...}'
 
 The program itself knows none of this: what it takes as clock and file layer is handed in here."""
 
@@ -227,6 +227,7 @@
 
     @property
     def majority(self) -> int:
+        """One of any number: the fault that the judge must find."""
         return 1
 
 
--- a/saffronstack/day/leaserig.py
+++ b/saffronstack/harness/leases/processes.py
@@ -17,7 +17,7 @@
 import sys
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import IO, Any
@@ -26,11 +26,12 @@
 
 from saffronstack.client import Client
 from saffronstack.core.threads import spawn
-from saffronstack.day.leasejudge import Judgement, LeaseJudge
-from saffronstack.day.processes import DayFailed
-from saffronstack.day.wires import Mode, Wires
 from saffronstack.fleet.leases.client import holder_clock
-from saffronstack.fleet.leases.disk import COPIES
+from saffronstack.harness.leases.disk_faults import damage
+from saffronstack.harness.leases.judge import Judgement, LeaseJudge
+from saffronstack.harness.leases.schedule import Fault
+from saffronstack.harness.links import Mode, Wires
+from saffronstack.harness.scenario.processes import ScenarioError
 from saffronstack.http1.messages import HttpError
 from saffronstack.standin.worker import hold_port
 
@@ -39,48 +40,6 @@
 START_S = 20.0
 SETTLE_S = 15.0
 LOOK_S = 0.1
-# How often each kind of fault comes, in parts.
-KINDS = {
-    "kill keeper": 3, "replace keeper": 1, "replace paused": 1,
-    "stop keeper": 2, "disk stalls": 2, "disk full": 1, "lie": 3, "cut": 3,
-    "cut one way": 2, "cut candidates": 3,
-    "late": 2, "reset": 2, "refuse": 1, "stop candidate": 3, "kill candidate": 2, "clock steps": 1,
-}  # fmt: skip
-LIES = ("old", "gone", "flip one copy", "flip both copies", "cut one copy", "swap copies")
-
-
-class Fault(msgspec.Struct, frozen=True):
-    """One fault: when it comes (seconds after the start of the faults), for how long, to whom."""
-
-    at_s: float
-    kind: str
-    length_s: float
-    keepers: tuple[int, ...] = ()
-    candidates: tuple[int, ...] = ()
-    how: str = ""
-
-
-def schedule(seed: int, seconds: float, keepers: int, candidates: int, every_s: float = 1.0) -> list[Fault]:
-    """What a seed has in store."""
-    chance = random.Random(seed)
-    found: list[Fault] = []
-    at_s = chance.expovariate(1 / every_s)
-    minority = (keepers - 1) // 2
-    while at_s < seconds:
-        kind = chance.choices(list(KINDS), list(KINDS.values()))[0]
-        who = tuple(sorted(chance.sample(range(keepers), chance.randint(1, minority))))
-        if kind in ("lie", "disk stalls", "disk full", "replace keeper", "replace paused"):
-            who = who[:1]
-        some = tuple(sorted(chance.sample(range(candidates), chance.randint(1, max(1, candidates // 3)))))
-        how = ""
-        if kind == "lie":
-            how = chance.choice(LIES)
-        elif kind.startswith("cut"):
-            how = chance.choice(("hold", "lose"))
-        length_s = round(chance.uniform(0.2, 4.0), 3)
-        found.append(Fault(round(at_s, 3), kind, length_s, who, some, how))
-        at_s += chance.expovariate(1 / every_s)
-    return found
 
 
 @dataclass
@@ -114,7 +73,7 @@
         wait_s: float = 0.5,
         broken: str = "",
     ) -> None:
-        """Starts everything; DayFailed where a process does not come up."""
+        """Starts everything; ScenarioError where a process does not come up."""
         self._directory = directory
         self._random = random.Random(seed)
         self._lease_s, self._wait_s, self._broken = lease_s, wait_s, broken
@@ -181,12 +140,12 @@
             [sys.executable, "-m", "saffronstack.cli.main", *arguments], capture_output=True, timeout=START_S
         )
         if done.returncode:
-            raise DayFailed(done.stderr.decode("utf-8", "replace"))
+            raise ScenarioError(done.stderr.decode("utf-8", "replace"))
 
     def _start(self, name: str, told: dict[str, Any]) -> _Process:
         with open(self._directory / f"{name}.log", "ab") as errors:
             process = subprocess.Popen(
-                [sys.executable, "-m", "saffronstack.day.peer", json.dumps(told)],
+                [sys.executable, "-m", "saffronstack.harness.leases.peer", json.dumps(told)],
                 stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=errors,
             )  # fmt: skip
         assert process.stdout is not None
@@ -199,7 +158,7 @@
             line = b""
         if not line:
             process.kill()
-            raise DayFailed(f"{name} did not come up; see {self._directory / name}.log")
+            raise ScenarioError(f"{name} did not come up; see {self._directory / name}.log")
         return _Process(name, process)
 
     def _start_keeper(self, name: str) -> None:
@@ -251,7 +210,7 @@
     def play(self, faults: Sequence[Fault], seconds: float, until_breach: bool = False) -> Report:
         """Play a schedule; the disk of one keeper at a time lies, the others being well (see the note)."""
         if not self.wait_votes():
-            raise DayFailed("the keepers do not vote")
+            raise ScenarioError("the keepers do not vote")
         spawn("talk", self._watch_talk)
         began_s, began_real = time.monotonic(), holder_clock()
         for fault in faults:
@@ -269,7 +228,7 @@
         ended_real = holder_clock()
         self._ended = True
         if self._failed:
-            raise DayFailed(self._failed)
+            raise ScenarioError(self._failed)
         report = Report(self._judged(began_real, ended_real), dict(sorted(self._counted.items())))
         report.seconds = ended_real - began_real
         beliefs = self.judge.held_between()
@@ -303,95 +262,123 @@
                 self._bad[keeper] += by
 
     def _begin(self, fault: Fault) -> None:
-        keepers = [self._names[number] for number in fault.keepers if number < len(self._names)]
-        some = [self._candidates[number] for number in fault.candidates if number < len(self._candidates)]
         if fault.kind == "lie":
-            self._lie(keepers[0], fault.how)
-            return
-        if fault.kind == "kill candidate":
-            for number in fault.candidates:
-                if number < len(self._candidates):
-                    self._end(self._candidates[number])
-                    self._wires.drop(self._candidates[number].name)
-                    self._candidates[number] = self._start_candidate()
-            return
-        if fault.kind == "clock steps":  # as of a machine that was suspended for so long
-            for one in some:
-                path = self._steps(one.name)
-                before = float(path.read_text()) if path.exists() else 0.0
-                partial = path.with_suffix(".new")
-                partial.write_text(str(before + fault.length_s))
-                os.replace(partial, path)
-            return
-        if fault.kind == "stop candidate":
-            for one in some:
-                self._signal(one, signal.SIGSTOP)
-            self._later(fault.length_s, lambda: [self._signal(one, signal.SIGCONT) for one in some])
-            return
-        if fault.kind == "cut candidates":
-            names = {one.name for one in some}
-            cut = self._wires.between(names, set(self._names)) + self._wires.between(set(self._names), names)
-            self._wires.set(cut, Mode(fault.how))
-            self._later(fault.length_s, lambda: self._mend(cut, fault.how == "lose"))
-            return
-        others = (set(self._names) | {one.name for one in self._candidates}) - set(keepers)
-        forth = self._wires.between(others, set(keepers))
-        back = self._wires.between(set(keepers), others)
-        both = forth + back
+            self._lie(self._names[fault.keepers[0]], fault.how)
+        elif fault.kind in CANDIDATE_FAULTS:
+            numbers = [number for number in fault.candidates if number < len(self._candidates)]
+            CANDIDATE_FAULTS[fault.kind](self, fault, numbers)
+        else:
+            self._begin_at_keepers(fault)
+
+    def _begin_at_keepers(self, fault: Fault) -> None:
+        keepers = self._keepers_of(fault)
         if fault.kind == "replace paused":
             # Of two with lost disks under one name the later one counts, and the rig ends the one that woke.
             keepers = [keeper for keeper in keepers if self.status(keeper).get("votes")]
-        if fault.kind in ("kill keeper", "stop keeper", "replace keeper", "replace paused"):
+        if fault.kind in DOWN_FAULTS:
             # One that is down or stopped already is left to the fault that has it.
             with self._lock:
                 keepers = [keeper for keeper in keepers if keeper not in self._down]
                 self._down.update(keepers)
         self._mark(keepers, 1)
-        if fault.kind == "kill keeper":
-            for keeper in keepers:
-                self._snapshot(keeper)
-                self._end(self._keepers[keeper])
-            self._later(fault.length_s, lambda: self._return(keepers))
-        elif fault.kind == "replace keeper":
-            for keeper in keepers:
-                self._end(self._keepers[keeper])
-            self._later(fault.length_s, lambda: self._replace(keepers))
-        elif fault.kind == "replace paused":
-            for keeper in keepers:
-                self._signal(self._keepers[keeper], signal.SIGSTOP)
-            peers = sorted(others)
-            unaware = set(self._random.sample(peers, len(peers) // 2))
-            for keeper in keepers:
-                self._later(
-                    fault.length_s,
-                    lambda keeper=keeper: self._replace_paused(keeper, unaware, fault.length_s),
-                )
-        elif fault.kind == "stop keeper":
-            for keeper in keepers:
-                self._signal(self._keepers[keeper], signal.SIGSTOP)
-            self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._resume(keepers)))
-        elif fault.kind.startswith("disk"):
-            order = {"full": True} if fault.kind == "disk full" else {"stall_s": 10.0}
-            path = self._directory / f"disk-{keepers[0]}.json"
-            path.write_text(json.dumps(order))
-            self._later(fault.length_s, lambda: self._heal(keepers, lambda: path.write_text("{}")))
-        elif fault.kind in ("cut", "cut one way"):
-            cut = both if fault.kind == "cut" else self._random.choice((forth, back))
-            self._wires.set(cut, Mode(fault.how))
-            # What was lost leaves streams that make no sense: they end by a reset.
+        KEEPER_FAULTS[fault.kind](self, fault, keepers)
+
+    def _keepers_of(self, fault: Fault) -> list[str]:
+        return [self._names[number] for number in fault.keepers if number < len(self._names)]
+
+    # ---- faults of candidates, by their numbers
+
+    def _kill_candidates(self, fault: Fault, numbers: list[int]) -> None:
+        for number in numbers:
+            self._end(self._candidates[number])
+            self._wires.drop(self._candidates[number].name)
+            self._candidates[number] = self._start_candidate()
+
+    def _step_clocks(self, fault: Fault, numbers: list[int]) -> None:
+        """As of a machine that was suspended for so long."""
+        for number in numbers:
+            path = self._steps(self._candidates[number].name)
+            before = float(path.read_text()) if path.exists() else 0.0
+            partial = path.with_suffix(".new")
+            partial.write_text(str(before + fault.length_s))
+            os.replace(partial, path)
+
+    def _stop_candidates(self, fault: Fault, numbers: list[int]) -> None:
+        some = [self._candidates[number] for number in numbers]
+        for one in some:
+            self._signal(one, signal.SIGSTOP)
+        self._later(fault.length_s, lambda: [self._signal(one, signal.SIGCONT) for one in some])
+
+    def _cut_candidates(self, fault: Fault, numbers: list[int]) -> None:
+        names = {self._candidates[number].name for number in numbers}
+        cut = self._wires.between(names, set(self._names)) + self._wires.between(set(self._names), names)
+        self._wires.set(cut, Mode(fault.how))
+        self._later(fault.length_s, lambda: self._mend(cut, fault.how == "lose"))
+
+    # ---- faults of keepers
+
+    def _others(self, keepers: Sequence[str]) -> set[str]:
+        return (set(self._names) | {one.name for one in self._candidates}) - set(keepers)
+
+    def _forth(self, keepers: Sequence[str]) -> list[Any]:
+        return self._wires.between(self._others(keepers), set(keepers))
+
+    def _back(self, keepers: Sequence[str]) -> list[Any]:
+        return self._wires.between(set(keepers), self._others(keepers))
+
+    def _kill_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        for keeper in keepers:
+            self._snapshot(keeper)
+            self._end(self._keepers[keeper])
+        self._later(fault.length_s, lambda: self._return(keepers))
+
+    def _replace_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        for keeper in keepers:
+            self._end(self._keepers[keeper])
+        self._later(fault.length_s, lambda: self._replace(keepers))
+
+    def _pause_and_replace_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        for keeper in keepers:
+            self._signal(self._keepers[keeper], signal.SIGSTOP)
+        peers = sorted(self._others(self._keepers_of(fault)))
+        unaware = set(self._random.sample(peers, len(peers) // 2))
+        for keeper in keepers:
             self._later(
-                fault.length_s, lambda: self._heal(keepers, lambda: self._mend(cut, fault.how == "lose"))
+                fault.length_s, lambda keeper=keeper: self._replace_paused(keeper, unaware, fault.length_s)
             )
-        elif fault.kind == "late":
-            self._wires.set(both, late_s=fault.length_s / 5)
-            self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._wires.set(both)))
-        elif fault.kind == "reset":
-            self._wires.reset(both)
-            self._later(0.1, lambda: self._heal(keepers, lambda: None))
-        elif fault.kind == "refuse":
-            self._wires.refuse(both, True)
-            self._wires.reset(both)
-            self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._wires.refuse(both, False)))
+
+    def _stop_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        for keeper in keepers:
+            self._signal(self._keepers[keeper], signal.SIGSTOP)
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._resume(keepers)))
+
+    def _fault_disk(self, fault: Fault, keepers: list[str]) -> None:
+        order = {"full": True} if fault.kind == "disk full" else {"stall_s": 10.0}
+        path = self._directory / f"disk-{keepers[0]}.json"
+        path.write_text(json.dumps(order))
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: path.write_text("{}")))
+
+    def _cut_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        forth, back = self._forth(keepers), self._back(keepers)
+        cut = forth + back if fault.kind == "cut" else self._random.choice((forth, back))
+        self._wires.set(cut, Mode(fault.how))
+        # What was lost leaves streams that make no sense: they end by a reset.
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._mend(cut, fault.how == "lose")))
+
+    def _delay_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        both = self._forth(keepers) + self._back(keepers)
+        self._wires.set(both, late_s=fault.length_s / 5)
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._wires.set(both)))
+
+    def _reset_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        self._wires.reset(self._forth(keepers) + self._back(keepers))
+        self._later(0.1, lambda: self._heal(keepers, lambda: None))
+
+    def _refuse_keepers(self, fault: Fault, keepers: list[str]) -> None:
+        both = self._forth(keepers) + self._back(keepers)
+        self._wires.refuse(both, True)
+        self._wires.reset(both)
+        self._later(fault.length_s, lambda: self._heal(keepers, lambda: self._wires.refuse(both, False)))
 
     def _mend(self, cut: list[Any], reset: bool) -> None:
         self._wires.set(cut)
@@ -477,34 +464,17 @@
         self._healing.clear()
         if not self.wait_votes():
             told = [self.status(name) for name in self._names]
-            raise DayFailed(f"with all faults over, not all keepers vote: {told}")
+            raise ScenarioError(f"with all faults over, not all keepers vote: {told}")
         self._mark([keeper], 1)
         self._end(self._keepers[keeper])
         state = self._state(keeper)
-        copies = [path for name in COPIES if (path := state / name).exists()]
-        if how == "old" and self._snapshots[keeper]:
-            shutil.rmtree(state)
-            shutil.copytree(self._random.choice(self._snapshots[keeper]), state)
-        elif how == "gone":
-            shutil.rmtree(state)
-        elif how == "flip one copy":
-            _flip(self._random.choice(copies), self._random)
-        elif how == "flip both copies":
-            for path in copies:
-                _flip(path, self._random)
-        elif how == "cut one copy":
-            path = self._random.choice(copies)
-            os.truncate(path, self._random.randrange(path.stat().st_size))
-        elif how == "swap copies" and len(copies) == len(COPIES):
-            one, two = (path.read_bytes() for path in copies)
-            copies[0].write_bytes(two)
-            copies[1].write_bytes(one)
+        damage(state, how, self._random, self._snapshots[keeper])
         if how in ("gone", "flip both copies", "swap copies"):
             self._snapshots[keeper].clear()  # a state from before that is a replaced keeper's
         self._counted[f"lie: {how}"] = self._counted.get(f"lie: {how}", 0) + 1
         self._start_keeper(keeper)
         if not self.wait_votes([keeper]):
-            raise DayFailed(f"{keeper} does not vote after its disk lied ({how}): {self.status(keeper)}")
+            raise ScenarioError(f"{keeper} does not vote after its disk lied ({how}): {self.status(keeper)}")
         if self.status(keeper).get("disk") == "lost":
             self._snapshots[keeper].clear()  # it was found out, and has a life of its own since
         self._mark([keeper], -1)
@@ -543,26 +513,23 @@
             held.close()
 
 
-def _flip(path: pathlib.Path, chance: random.Random) -> None:
-    data = bytearray(path.read_bytes())
-    data[chance.randrange(len(data))] ^= 1 << chance.randrange(8)
-    path.write_bytes(data)
-
-
-def shrink(faults: Sequence[Fault], fails: Any, most: int = 40) -> list[Fault]:
-    """The fewest faults found that still fail, by leaving out halves, quarters, ... (delta debugging)."""
-    left, parts = list(faults), 2
-    tried = 0
-    while len(left) > 1 and tried < most:
-        size = max(1, len(left) // parts)
-        for at in range(0, len(left), size):
-            fewer = left[:at] + left[at + size :]
-            tried += 1
-            if fewer and fails(fewer):
-                left, parts = fewer, max(2, parts - 1)
-                break
-        else:
-            if size == 1:
-                break
-            parts = min(len(left), parts * 2)
-    return left
+DOWN_FAULTS = {"kill keeper", "stop keeper", "replace keeper", "replace paused"}
+CANDIDATE_FAULTS: dict[str, Callable[[LeaseRig, Fault, list[int]], None]] = {
+    "kill candidate": LeaseRig._kill_candidates,
+    "clock steps": LeaseRig._step_clocks,
+    "stop candidate": LeaseRig._stop_candidates,
+    "cut candidates": LeaseRig._cut_candidates,
+}
+KEEPER_FAULTS: dict[str, Callable[[LeaseRig, Fault, list[str]], None]] = {
+    "kill keeper": LeaseRig._kill_keepers,
+    "replace keeper": LeaseRig._replace_keepers,
+    "replace paused": LeaseRig._pause_and_replace_keepers,
+    "stop keeper": LeaseRig._stop_keepers,
+    "disk full": LeaseRig._fault_disk,
+    "disk stalls": LeaseRig._fault_disk,
+    "cut": LeaseRig._cut_keepers,
+    "cut one way": LeaseRig._cut_keepers,
+    "late": LeaseRig._delay_keepers,
+    "reset": LeaseRig._reset_keepers,
+    "refuse": LeaseRig._refuse_keepers,
+}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,7 +15,6 @@
 from saffronstack.client import Client
 from saffronstack.config.fleet import load_fleet
 from saffronstack.config.load import ConfigError
-from saffronstack.day import releases as made
 from saffronstack.fleet.control import releases
 from saffronstack.fleet.control.daemon import Daemon, Entry
 from saffronstack.fleet.control.desired_state import Kept, Wanted
@@ -23,6 +22,7 @@
 from saffronstack.fleet.leases.messages import Written
 from saffronstack.fleet.leases.reading import Reading, Shown, agree
 from saffronstack.fleet.leases.server import LeaseLine
+from saffronstack.harness.rollout import releases as made
 from saffronstack.standin.worker import hold_port
 from tests.support.stack import eventually
 
@@ -44,7 +44,7 @@
     (path / "__pycache__" / "a.pyc").write_text("written by a run")
     assert releases.read(str(path)).release.digest == fourth
     assert releases.find(str(tmp_path), fourth).path == str(path)
-    with pytest.raises(releases.Unusable, match="no release has the digest"):
+    with pytest.raises(releases.UnusableError, match="no release has the digest"):
         releases.find(str(tmp_path), first.release.digest)  # its files were changed since
 
 
@@ -57,7 +57,7 @@
 ) -> None:
     if manifest is not None:
         (tmp_path / "release.json").write_text(manifest)
-    with pytest.raises(releases.Unusable, match=wanted):
+    with pytest.raises(releases.UnusableError, match=wanted):
         releases.read(str(tmp_path))
 
 
