A flood of clients no longer costs the processor: idle connections are ranked once in a while

Cause: Front._evict looked at every connection for each newcomer, sorted them and asked each socket, with some 400 connections open and 370 newcomers a second at each gateway. The test counts the rankings; order and the look before closing are held by it and the tests there were.

--- a/saffronstack/platform/connection.py
+++ b/saffronstack/platform/connection.py
@@ -107,6 +107,14 @@
         """Whether bytes wait in its socket; neither waits nor takes any."""
         return bool(self._peek())
 
+    def evictable(self) -> bool:
+        """Whether it can be closed at no client's cost: nothing is open, half read or unread, or its client
+        has ended it. Looked at right before it is closed."""
+        if self.unanswered:
+            return False
+        waiting = self._peek()
+        return waiting == b"" or (waiting is None and not self._reader.pending)
+
     def has_ended(self) -> bool:
         """Whether its client has closed or reset it, all that came before has been read, and no call is open;
         neither waits nor takes bytes."""
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -20,6 +20,7 @@
 from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.calls import CallMaker
 from saffronstack.platform.connection import ClientConnection, FrontLimits, Services
+from saffronstack.platform.eviction import EvictionOrder
 from saffronstack.platform.identifiers import OpenIds
 from saffronstack.platform.shutdown import Activity, GracefulShutdown, Phase, ShutdownLimits
 
@@ -66,6 +67,7 @@
         self._logged_s = -LOG_EVERY_S
         self._advice_max_s = advice_max_s
         self._connections: dict[int, ClientConnection] = {}  # by descriptor
+        self._eviction = EvictionOrder()
         self._shutdown = GracefulShutdown()
         self._shutdown_limits: ShutdownLimits | None = None  # written by whoever asks for the shutdown
         self._shutdown_asked_s = 0.0
@@ -220,7 +222,7 @@
             if len(self._connections) >= self.limits.connections + self.limits.overflow:
                 if not self._waiting.poll(0):
                     return accepted  # nobody comes: nobody has to make room
-                if not self._evict():
+                if not self._evict(now):
                     self._listen(False)
                     return accepted
             try:
@@ -231,10 +233,10 @@
                 if error.errno not in NO_ROOM:
                     continue  # that client has gone already
                 self._warn("no connection could be taken", now, error=str(error))
-                self._evict()
+                self._evict(now)
                 self._listen(False)
                 return accepted
-            overflow = len(self._connections) >= self.limits.connections and not self._evict()
+            overflow = len(self._connections) >= self.limits.connections and not self._evict(now)
             self._add(sock, now, overflow)
             if len(self._connections) >= self.limits.connections:
                 return accepted + 1  # those that stand are read before another one makes room
@@ -256,29 +258,14 @@
         self._connections[sock.fileno()] = connection
         self.most = max(self.most, len(self._connections))
 
-    def _evict(self) -> bool:
-        """Make room; whether there is some now. Of the idle connections those that never said anything go
-        first, since a client that will say something does so at once; then those that their clients have
-        ended; then the others."""
-        idle = [connection for connection in self._connections.values() if connection.idle]
-        idle.sort(key=lambda connection: connection.active_s)
-        silent = [connection for connection in idle if not connection.spoken]
-        spoken = [connection for connection in idle if connection.spoken]
-        return self._close_longest_idle(silent) or self._close_ended() or self._close_longest_idle(spoken)
-
-    def _close_longest_idle(self, idle: list[ClientConnection]) -> bool:
-        for connection in idle:
-            if not connection.has_unread():  # looked at last, right before it is closed
-                self.evicted += 1
-                self._close(connection)
-                return True
-        return False
-
-    def _close_ended(self) -> bool:
-        ended = [connection for connection in self._connections.values() if connection.has_ended()]
-        for connection in ended:
-            self._close(connection)
-        return bool(ended)
+    def _evict(self, now: float) -> bool:
+        """Make room; whether there is some now."""
+        connection = self._eviction.next(self._connections.values(), now)
+        if connection is None:
+            return False
+        self.evicted += 1
+        self._close(connection)
+        return True
 
     def _close(self, connection: ClientConnection) -> None:
         descriptor = connection.fileno()
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -13,6 +13,7 @@
 import pytest
 
 from saffronstack.choice import Router
+from saffronstack.platform.eviction import RANKING_S, EvictionOrder
 from saffronstack.platform.front import Front
 from saffronstack.platform.service import Service
 from saffronstack.resp.reader import encode
@@ -322,3 +323,20 @@
 
         PausedThread(service, monkeypatch).run(order)
         assert late[0].ask(subject=9)[0] == "OK" and working.ask()[0] == "OK"
+
+
+def test_a_flood_of_newcomers_looks_at_all_connections_once_and_not_for_each() -> None:
+    """Looked at for each newcomer, some hundred of them a second took the whole processor."""
+    host = ScriptedHost()
+    with gateway(Directory(Entry("s-1", host.address)), sockets=SOCKETS) as service:
+        clients = filled(service)
+        connections = list(service.front._connections.values())
+        order = EvictionOrder()
+        first = [order.next(connections, 100.0) for _ in range(10)]
+        assert first == connections[:10] and order.rankings == 1
+        assert clients[10].ask()[0] == "OK"  # one that has spoken since is not the longest idle any more
+        assert order.next(connections, 100.0) is connections[11]
+        clients[12].call(subject=5)
+        eventually(lambda: connections[12].active_s > connections[13].active_s)
+        assert order.next(connections, 100.01) is connections[13] and order.rankings == 1
+        assert order.next(connections, 100.01 + RANKING_S) is connections[0] and order.rankings == 2
