Clients that never said anything make room first, however late they came

Seen: test_silent_connections_do_not_keep_out_clients_or_links failed five times of five, a working client was closed: the ranking that made every 20 ms knew none of the silent connections that came since, and so went on to those that had spoken. Change: two lists in the order of arrival and of last activity, kept up as it goes, in place of a ranking; only connections that their clients have ended are still looked for, every 20 ms at most. A test with three times as many silent newcomers as there is room for.

--- a/saffronstack/platform/eviction.py
+++ b/saffronstack/platform/eviction.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import math
-from collections import deque
-from collections.abc import Collection
+from collections import OrderedDict
 
 from saffronstack.platform.connection import ClientConnection
 
-# How long a ranking is used, and how long an empty one is believed. Ranking looks at every connection: done
-# for each of some hundred newcomers a second it takes the whole processor.
-RANKING_S = 0.02
+# How often all connections are looked at for ones that their clients have ended: done for each of some
+# hundred newcomers a second it takes the whole processor.
+ENDED_EVERY_S = 0.02
 
 
 class EvictionOrder:
@@ -18,26 +17,41 @@
     does so at once; then those that their clients have ended; then the others; longest idle first."""
 
     def __init__(self) -> None:
-        self.rankings = 0  # how often all connections were looked at
-        self._ranked: deque[tuple[ClientConnection, float]] = deque()  # with the time of its last activity
-        self._ranked_s = -math.inf
-
-    def next(self, connections: Collection[ClientConnection], now: float) -> ClientConnection | None:
-        """The next one to close, looked at once more; None where none may be closed."""
-        if now - self._ranked_s >= RANKING_S:
-            self._rank(connections, now)
-        while self._ranked:
-            connection, active_s = self._ranked.popleft()
-            unchanged = connection.fileno() >= 0 and connection.active_s == active_s
-            if unchanged and connection.evictable():
+        self.scans = 0  # how often all connections were looked at
+        self._silent: OrderedDict[ClientConnection, None] = OrderedDict()  # in the order in which they came
+        self._spoken: OrderedDict[ClientConnection, None] = OrderedDict()  # in the order of last activity
+        self._scanned_s = -math.inf
+
+    def add(self, connection: ClientConnection) -> None:
+        """It was accepted."""
+        self._silent[connection] = None
+
+    def touch(self, connection: ClientConnection) -> None:
+        """Something of it was read, or it has something open."""
+        if not connection.spoken:
+            return
+        self._silent.pop(connection, None)
+        self._spoken[connection] = None
+        self._spoken.move_to_end(connection)
+
+    def remove(self, connection: ClientConnection) -> None:
+        """It was closed."""
+        self._silent.pop(connection, None)
+        self._spoken.pop(connection, None)
+
+    def next(self, now: float) -> ClientConnection | None:
+        """The next one to close, looked at right now; None where none may be closed."""
+        for connection in self._silent:
+            if connection.evictable():
+                return connection
+        if now - self._scanned_s >= ENDED_EVERY_S:
+            self.scans += 1
+            self._scanned_s = now
+            for connection in self._spoken:
+                if connection.has_ended():
+                    self._scanned_s = -math.inf  # there may be more of them
+                    return connection
+        for connection in self._spoken:
+            if connection.evictable():
                 return connection
         return None
-
-    def _rank(self, connections: Collection[ClientConnection], now: float) -> None:
-        self.rankings += 1
-        self._ranked_s = now
-        by_activity = sorted(connections, key=lambda connection: connection.active_s)
-        silent = [one for one in by_activity if not one.spoken and one.idle]
-        ended = [one for one in by_activity if one.has_ended()]
-        spoken = [one for one in by_activity if one.spoken and one.idle]
-        self._ranked = deque((one, one.active_s) for one in [*silent, *ended, *spoken])
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -179,7 +179,9 @@
             connection = self._connections.get(descriptor)
             if connection is not None:
                 self._received_s = now
-                if not connection.on_readable(self._buffer, self._view, now):
+                if connection.on_readable(self._buffer, self._view, now):
+                    self._eviction.touch(connection)
+                else:
                     self._close(connection)
             elif descriptor == self._wake:
                 with contextlib.suppress(BlockingIOError):
@@ -202,6 +204,8 @@
             try:
                 if not connection.on_tick(now):
                     self._close(connection)
+                elif connection.active_s == now:  # it has something open
+                    self._eviction.touch(connection)
             except Exception:
                 self._log.exception("step of the clients' thread failed")
                 self._discard(descriptor)
@@ -256,11 +260,12 @@
             connection.close()
             return
         self._connections[sock.fileno()] = connection
+        self._eviction.add(connection)
         self.most = max(self.most, len(self._connections))
 
     def _evict(self, now: float) -> bool:
         """Make room; whether there is some now."""
-        connection = self._eviction.next(self._connections.values(), now)
+        connection = self._eviction.next(now)
         if connection is None:
             return False
         self.evicted += 1
@@ -270,6 +275,7 @@
     def _close(self, connection: ClientConnection) -> None:
         descriptor = connection.fileno()
         self._connections.pop(descriptor, None)
+        self._eviction.remove(connection)
         with contextlib.suppress(OSError, ValueError):
             self._poll.unregister(descriptor)
         connection.close()
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -13,7 +13,7 @@
 import pytest
 
 from saffronstack.choice import Router
-from saffronstack.platform.eviction import RANKING_S, EvictionOrder
+from saffronstack.platform.eviction import ENDED_EVERY_S, EvictionOrder
 from saffronstack.platform.front import Front
 from saffronstack.platform.service import Service
 from saffronstack.resp.reader import encode
@@ -332,11 +332,26 @@
         clients = filled(service)
         connections = list(service.front._connections.values())
         order = EvictionOrder()
-        first = [order.next(connections, 100.0) for _ in range(10)]
-        assert first == connections[:10] and order.rankings == 1
-        assert clients[10].ask()[0] == "OK"  # one that has spoken since is not the longest idle any more
-        assert order.next(connections, 100.0) is connections[11]
-        clients[12].call(subject=5)
-        eventually(lambda: connections[12].active_s > connections[13].active_s)
-        assert order.next(connections, 100.01) is connections[13] and order.rankings == 1
-        assert order.next(connections, 100.01 + RANKING_S) is connections[0] and order.rankings == 2
+        for connection in connections:
+            order.add(connection)
+            order.touch(connection)
+        for expected in connections[:10]:
+            assert order.next(100.0) is expected
+            order.remove(expected)
+        assert order.scans == 1
+        assert clients[10].ask()[0] == "OK"
+        order.touch(connections[10])  # one that has spoken since is not the longest idle any more
+        assert order.next(100.0) is connections[11]
+        assert order.next(100.0 + 2 * ENDED_EVERY_S) is connections[11] and order.scans == 2
+
+
+def test_those_that_never_said_anything_go_first_however_late_they_came() -> None:
+    host = ScriptedHost()
+    with gateway(Directory(Entry("s-1", host.address)), sockets=SOCKETS) as service:
+        clients = filled(service)
+        crowd = [Client(service.front.address) for _ in range(3 * len(clients))]
+        late = Client(service.front.address)
+        assert late.ask(subject=99)[0] == "OK"
+        assert {client.ask()[0] for client in clients[1:]} == {"OK"}
+        assert closed(clients[0]), "the first of the crowd took the place of the longest idle"
+        assert sum(closed(client) for client in crowd) >= len(crowd) - 1
