The HTTP front looks once more before it closes an idle connection

Checked: on draining, `Server.drain` shut the reading side of all idle connections at once. Each thread's read returned without a byte, waited for the interpreter lock among up to 64 others on one processor, and closed. What had reached the socket meanwhile was reset away. With the thread held there, every request is lost (`Server._head`: `reader.feed(stream.receive(...))`, then `stream.close()`). The same line loses a request that crosses the idle time-out. Besides, a request whose head came before the shut and whose body after it read as cut off.

Change: a thread that waits for a request polls for the drain too, so nothing is shut under it; it waits out the grace, looks for bytes a last time and closes, one thread at a time. What lies unread then is answered. And a connection that the accepting thread held as the drain began was not counted as open: the drain waits for that thread first.

A gap of some microseconds between look and close stays, as with every server that closes idle connections.

--- a/saffronstack/invoke/server.py
+++ b/saffronstack/invoke/server.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import os
+import select
 import socket
 import threading
 from collections.abc import Callable
@@ -21,10 +22,12 @@
 
 log = structlog.get_logger("saffronstack.front")
 BACKLOG = 1024
+ACCEPT_LOOK_S = 0.5  # the accepting thread shows that it lives at least so often
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or threads
 LINGER_S = 0.5  # how long bytes of a refused request are still read, so that its answer is not reset away
 LINGER_BYTES = 1 << 20
 IDLE_GRACE_S = 0.5  # idle connections stay this long after no new one is accepted
+IDLE_READ_S = 0.5  # how long an idle connection is read before its thread polls, which costs more
 
 
 class FrontLimits:
@@ -64,10 +67,12 @@
         else:
             listener.listen(BACKLOG)
         self._listener = listener
-        self._listener.settimeout(0.5)
+        self._listener.setblocking(False)
+        self._accepts: threading.Thread | None = None
         self._reserve = _reserve()
         self._lock = threading.Condition()
-        self._idle: set[Stream] = set()
+        self._drain_event = os.eventfd(0)  # readable once it drains: wakes threads of idle connections
+        self._closing_idle = threading.Lock()
         self._open = 0
         self._draining = False
         self.accepted = 0
@@ -91,38 +96,36 @@
 
     def start(self) -> None:
         """Accept connections on a thread of its own."""
-        spawn("accept", self._accept)
+        self._accepts = spawn("accept", self._accept)
 
     def drain(self, timeout_s: float) -> bool:
         """Accept nothing more, end idle connections, let the others finish; whether all ended in time."""
         with self._lock:
             self._draining = True
+        os.eventfd_write(self._drain_event, 1)
+        if self._accepts is not None:
+            self._accepts.join(timeout_s)  # what it has accepted last counts as open from then on
         self._take_rest()
         with contextlib.suppress(OSError):
             self._listener.close()
         with self._lock:
-            # Requests already on their way to an idle connection are answered, with a word that it closes.
-            if self._lock.wait_for(lambda: self._open == 0, IDLE_GRACE_S):
-                return True
-            idle = list(self._idle)  # a copy in one step; threads add and take out themselves alone
-        for stream in idle:
-            stream.abort(socket.SHUT_RD)
-        with self._lock:
-            return self._lock.wait_for(lambda: self._open == 0, timeout_s)
+            return self._lock.wait_for(lambda: self._open == 0, IDLE_GRACE_S + timeout_s)
 
     # ---- accepting
 
     def _accept(self) -> None:
         pause = threading.Event()
+        poll = select.poll()
+        poll.register(self._listener, select.POLLIN)
+        poll.register(self._drain_event, select.POLLIN)
         while not self._draining:
             self._looked_s = self._clock()
+            poll.poll(ACCEPT_LOOK_S * 1000)
             try:
                 sock, _ = self._listener.accept()
-            except TimeoutError:
+            except BlockingIOError:
                 continue
             except OSError as error:
-                if self._draining:
-                    return
                 if error.errno in (errno.EMFILE, errno.ENFILE):
                     self._shed_one()
                 elif error.errno not in (errno.ECONNABORTED, errno.EINTR):
@@ -152,10 +155,8 @@
     def _take_rest(self) -> None:
         """Connections that wait to be accepted: closing would reset them, where nobody else listens here."""
         with contextlib.suppress(OSError):
-            self._listener.settimeout(0)
             for _ in range(BACKLOG):
                 sock, _ = self._listener.accept()
-                sock.setblocking(True)
                 self._admit(sock)
 
     def _shed_one(self) -> None:
@@ -165,15 +166,12 @@
             os.close(self._reserve)
             self._reserve = None
         try:
-            self._listener.settimeout(0)
             sock, _ = self._listener.accept()
         except OSError:
             pass
         else:
             self._turn_away(sock)
         finally:
-            with contextlib.suppress(OSError):
-                self._listener.settimeout(0.5)
             self._reserve = _reserve()
 
     def _turn_away(self, sock: socket.socket) -> None:
@@ -233,14 +231,10 @@
     def _head(self, stream: Stream, reader: MessageReader) -> RequestHead | None:
         """The next head; None where the client has ended, or stays idle for too long."""
         if not reader.pending:
-            self._idle.add(stream)
-            try:
-                # Whoever comes here after `drain` looked at the idle ones saw its word, and stays briefly.
-                reader.feed(stream.receive(IDLE_GRACE_S if self._draining else self._limits.idle_s))
-            except TimeoutError:
+            begun = self._begin(stream)
+            if not begun:
                 return None
-            finally:
-                self._idle.discard(stream)
+            reader.feed(begun)
         try:
             until_s = self._clock() + self._limits.head_s
             return read_until(stream, reader, reader.request, until_s, self._clock)
@@ -249,6 +243,38 @@
         except PeerClosed:
             return None
 
+    def _begin(self, stream: Stream) -> bytes:
+        """The first bytes of the next request; empty where none comes for too long, or until the end of the
+        drain's grace: the connection is closed then. PeerClosed where the client has ended."""
+        begun = b"" if self._draining else self._wait_idle(stream)
+        if not begun and self._draining:
+            # Requests already on their way are answered, with a word that the connection closes.
+            begun = _receive(stream, IDLE_GRACE_S)
+        return begun or self._close_idle(stream)
+
+    def _wait_idle(self, stream: Stream) -> bytes:
+        """What comes on an idle connection; empty where nothing does for too long, or the server drains."""
+        until_s = self._clock() + self._limits.idle_s
+        begun = _receive(stream, min(IDLE_READ_S, self._limits.idle_s))
+        if begun or self._draining:
+            return begun
+        poll = select.poll()
+        poll.register(stream.sock, select.POLLIN)
+        poll.register(self._drain_event, select.POLLIN)
+        left_s = max(0.0, until_s - self._clock())
+        ready = {descriptor for descriptor, _ in poll.poll(left_s * 1000)}
+        return _receive(stream, IDLE_READ_S) if stream.sock.fileno() in ready else b""
+
+    def _close_idle(self, stream: Stream) -> bytes:
+        """Close an idle connection, unless a request came meanwhile: then what has come of it. One at a time:
+        with all of them between the look and the close, that gap grows to milliseconds, in which a request
+        is lost."""
+        with self._closing_idle:
+            begun = stream.receive_now()
+            if not begun:
+                stream.close()
+        return begun
+
     def _body(self, stream: Stream, reader: MessageReader, head: RequestHead) -> bytes:
         limit = self._app.body_limit(head)
         told = head.headers.get("content-length")
@@ -277,6 +303,17 @@
                 left -= len(data)
 
 
+def _receive(stream: Stream, timeout_s: float) -> bytes:
+    """What comes within that time; empty where nothing does. PeerClosed where the client has ended."""
+    try:
+        received = stream.receive(timeout_s)
+    except TimeoutError:
+        return b""
+    if not received:
+        raise PeerClosed("the client ended the connection")
+    return received
+
+
 def _reserve() -> int | None:
     try:
         return os.open(os.devnull, os.O_RDONLY)
--- a/saffronstack/net/stream.py
+++ b/saffronstack/net/stream.py
@@ -58,6 +58,13 @@
         except BlockingIOError as error:
             raise TimeoutError("nothing came in time") from error
 
+    def receive_now(self, most: int = READ_SIZE) -> bytes:
+        """What has come already; empty where nothing has, or the peer has ended its side."""
+        try:
+            return self.sock.recv(most, socket.MSG_DONTWAIT)
+        except OSError:
+            return b""
+
     def send(self, data: bytes, deadline_s: float, clock: Callable[[], float]) -> bool:
         """Write it all by ``deadline_s`` (clock time). False where not one byte was taken, so that the peer
         can't have read any; OSError (TimeoutError among them) once some were."""
--- /dev/null
+++ b/tests/test_http_shutdown.py
@@ -0,0 +1,179 @@
+"""Requests that cross the end of an idle connection of the HTTP front, in the order that loses them."""
+
+from __future__ import annotations
+
+import enum
+import socket
+import threading
+from collections.abc import Callable
+
+import pytest
+
+from saffronstack.core.threads import spawn
+from saffronstack.invoke import server
+from saffronstack.net.stream import READ_SIZE, Stream
+from tests.support.stack import Stack, eventually, read_all, running
+
+WAIT_S = 20.0
+BODY = b'{"isbn": "1"}'
+HEAD = (
+    b"POST /2015-03-31/functions/identify-copy/invocations HTTP/1.1\r\nHost: gateway\r\n"
+    b"Content-Length: %d\r\n\r\n" % len(BODY)
+)
+REQUEST = HEAD + BODY
+
+
+class Held(enum.Enum):
+    """Where the gateway's thread is held."""
+
+    AFTER_READ = enum.auto()  # a read of the idle connection has ended without a byte
+    BEFORE_LAST_LOOK = enum.auto()  # it is about to close the connection
+
+
+class Crossing:
+    """Holds the gateway's thread as its connection is about to end, until a request has come."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, at: Held) -> None:
+        self.saw_end = threading.Event()
+        self.go_on = threading.Event()
+        self.streams: list[Stream] = []
+        crossing = self
+
+        class HeldStream(Stream):
+            """A stream whose read is held after it ended without a byte."""
+
+            def __init__(self, sock: socket.socket) -> None:
+                super().__init__(sock)
+                crossing.streams.append(self)
+
+            def receive(self, timeout_s: float, most: int = READ_SIZE) -> bytes:
+                data = b""
+                try:
+                    data = super().receive(timeout_s, most)
+                    return data
+                finally:
+                    if not data and at is Held.AFTER_READ:
+                        crossing.hold()
+
+            def receive_now(self, most: int = READ_SIZE) -> bytes:
+                if at is Held.BEFORE_LAST_LOOK:
+                    crossing.hold()
+                return super().receive_now(most)
+
+        monkeypatch.setattr(server, "Stream", HeldStream)
+
+    def hold(self) -> None:
+        """Wait until the request has come, once."""
+        if not self.go_on.is_set():
+            self.saw_end.set()
+            assert self.go_on.wait(WAIT_S)
+
+    def send(self, client: socket.socket, data: bytes) -> None:
+        """Send, and see that it has reached the held thread's socket, where it lies unread."""
+        client.sendall(data)
+        eventually(lambda: not self.streams[0].silent(), WAIT_S)
+
+
+def connected(stack: Stack) -> socket.socket:
+    """A connection that has been answered once and is idle."""
+    client = stack.raw()
+    client.settimeout(WAIT_S)
+    client.sendall(REQUEST)
+    head = b""
+    while b'"run"' not in head:
+        head += client.recv(65536)
+    assert head.startswith(b"HTTP/1.1 200 ") and b"onnection: close" not in head
+    return client
+
+
+def draining(stack: Stack) -> Callable[..., bool]:
+    """Drain the gateway's front on a thread; whether it has ended well within so many seconds."""
+    found: list[bool] = []
+    thread = spawn("drain", lambda: found.append(stack.gateway.server.drain(WAIT_S)))
+
+    def ended(within_s: float = WAIT_S) -> bool:
+        thread.join(within_s)
+        return found == [True]
+
+    return ended
+
+
+@pytest.mark.parametrize("at", Held)
+def test_a_request_that_comes_as_its_idle_connection_is_drained_is_answered(
+    monkeypatch: pytest.MonkeyPatch, at: Held
+) -> None:
+    crossing = Crossing(monkeypatch, at)
+    with running(1) as stack:
+        client = connected(stack)
+        ended = draining(stack)
+        assert crossing.saw_end.wait(WAIT_S)
+        crossing.send(client, REQUEST)
+        crossing.go_on.set()
+        answer = read_all(client)
+        assert answer.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in answer, answer
+        assert ended()
+
+
+@pytest.mark.parametrize("at", Held)
+def test_a_request_in_two_pieces_around_the_drain_is_answered(
+    monkeypatch: pytest.MonkeyPatch, at: Held
+) -> None:
+    crossing = Crossing(monkeypatch, at)
+    with running(1) as stack:
+        client = connected(stack)
+        ended = draining(stack)
+        assert crossing.saw_end.wait(WAIT_S)
+        crossing.send(client, HEAD)
+        crossing.go_on.set()
+        eventually(lambda: crossing.streams[0].silent(), WAIT_S)  # the head has been read
+        client.sendall(BODY)
+        answer = read_all(client)
+        assert answer.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in answer, answer
+        assert ended()
+
+
+@pytest.mark.parametrize("at", Held)
+def test_a_request_that_comes_as_its_connection_has_been_idle_for_too_long_is_answered(
+    monkeypatch: pytest.MonkeyPatch, at: Held
+) -> None:
+    crossing = Crossing(monkeypatch, at)
+    with running(1, limits={"idle_timeout_s": 0.3}) as stack:
+        client = connected(stack)
+        assert crossing.saw_end.wait(WAIT_S)
+        crossing.send(client, REQUEST)
+        crossing.go_on.set()
+        answer = client.recv(65536)
+        assert answer.startswith(b"HTTP/1.1 200 "), answer
+
+
+def test_idle_connections_end_soon_after_the_drain_began() -> None:
+    with running(1) as stack:
+        clients = [connected(stack) for _ in range(5)]
+        assert stack.gateway.server.connections == 5
+        assert draining(stack)()
+        assert [read_all(client) for client in clients] == [b""] * 5
+
+
+def test_a_connection_that_is_accepted_as_the_drain_begins_is_waited_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    accepted, go_on = threading.Event(), threading.Event()
+    admit = server.Server._admit
+
+    def held(self: server.Server, sock: socket.socket) -> bool:
+        accepted.set()
+        assert go_on.wait(WAIT_S)
+        return admit(self, sock)
+
+    with running(1) as stack:
+        monkeypatch.setattr(server.Server, "_admit", held)
+        client = stack.raw()
+        client.sendall(REQUEST)
+        assert accepted.wait(WAIT_S)
+        ended = draining(stack)
+        # Nothing is open, but for what was accepted last.
+        assert not ended(2 * server.IDLE_GRACE_S)
+        go_on.set()
+        answer = read_all(client)
+        assert answer.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in answer, answer
+        assert ended()
