The client looks at its kept connection right before it sends

Between the look at a kept connection and the first byte lay the signature and the encoding of the request; a gateway that closed the idle connection meanwhile was sent a call on it. Both come first now. The gap left is that between two system calls. No test forces it: nothing can be handed in between them.

--- a/saffronstack/client/connection.py
+++ b/saffronstack/client/connection.py
@@ -48,16 +48,11 @@
     ) -> Answer:
         """One exchange; OSError (TimeoutError, ConnectionError) or HttpError where no whole answer came."""
         deadline_s = time.monotonic() + self.timeout_s
-        if self._stream is not None and not self._stream.silent():
-            self.close()  # the gateway ended it while it was idle
-        if self._stream is None:
-            host, _, port = self.address.rpartition(":")
-            self._stream = Stream(socket.create_connection((host, int(port)), timeout=self.timeout_s))
-            self._reader = MessageReader(Limits(body=64 * 1024 * 1024))
-        stream = self._stream
+        headers = [("Host", self.address), *extra, *self._signature(method, target, body)]
+        request = writer.request(method, target, headers, body)
+        stream = self._connected()
         try:
-            headers = [("Host", self.address), *extra, *self._signature(method, target, body)]
-            if not stream.send(writer.request(method, target, headers, body), deadline_s, time.monotonic):
+            if not stream.send(request, deadline_s, time.monotonic):
                 raise ConnectionResetError("the gateway took no byte")
             head = read_until(stream, self._reader, self._reader.response, deadline_s, time.monotonic)
             content = read_until(stream, self._reader, self._reader.body, deadline_s, time.monotonic)
@@ -68,6 +63,17 @@
             self.close()
         return Answer(head.status, head.headers, content)
 
+    def _connected(self) -> Stream:
+        """The connection that was kept, looked at right before it is used: the gateway may have ended it
+        while it was idle. Or a new one; OSError where none can be had."""
+        if self._stream is not None and not self._stream.silent():
+            self.close()
+        if self._stream is None:
+            host, _, port = self.address.rpartition(":")
+            self._stream = Stream(socket.create_connection((host, int(port)), timeout=self.timeout_s))
+            self._reader = MessageReader(Limits(body=64 * 1024 * 1024))
+        return self._stream
+
     def invoke(
         self,
         function: str,
