A gateway that follows another serves on when its daemon has died

Checked: a daemon that ends one life has the next one follow it, should the daemon die meanwhile. The next one then starts, takes calls, and says so on its standard output, whose reader was the daemon: `click.echo` in `serve.run` raises BrokenPipeError, the process exits with 1. Calls it has accepted are cut off, those in the socket's queue wait for a life that a new daemon has to start. The test of following kept the reading end open, so it did not see that.

Change: what is announced may find no reader; from then on the output goes nowhere.

test_one_that_follows_serves_on_though_nobody_reads_what_it_says closes both pipes, as a death does: without the change the call gets no answer within 30 s, three times of three.

--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -111,12 +111,21 @@
     spawn("parent", watch)
 
 
+def _announce(line: str) -> None:
+    """Tell whoever started this process, which may have ended meanwhile: what is served goes on without."""
+    try:
+        click.echo(line)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        with open(os.devnull, "wb") as nowhere:  # what is still buffered would fail again at the exit
+            os.dup2(nowhere.fileno(), sys.stdout.fileno())
+
+
 def _told_to_go() -> bool:
     """All is loaded and read, and nothing opened: say so, and wait for the word. Whoever started this process
     may end it instead, or be gone: it ends too then, unless the one that it follows was told to end already.
     From the word on it lives for itself."""
-    click.echo("saffronstack is prepared")
-    sys.stdout.flush()
+    _announce("saffronstack is prepared")
     before = -1
     while line := sys.stdin.readline().split():
         if line == ["go"]:
@@ -206,8 +215,7 @@
         parts.stop(clean=False)
         return 2
     handing = _hand_over(parts.listener)
-    click.echo(f"saffronstack takes calls on http://{host}:{port}")
-    sys.stdout.flush()
+    _announce(f"saffronstack takes calls on http://{host}:{port}")
     if parts.members is not None:
         _end_with_parent(signals)
         spawn("life", lambda: _show_life(gateway, leaving))
@@ -311,8 +319,7 @@
     except (configs.ConfigError, StartError, OSError, ValueError) as error:
         click.echo(f"saffronstack serve: {error}", err=True)
         return 2
-    click.echo(f"saffronstack takes calls on http://{supervisor.host}:{supervisor.port}")
-    sys.stdout.flush()
+    _announce(f"saffronstack takes calls on http://{supervisor.host}:{supervisor.port}")
     number = supervisor.watch(signals)
     log.info("stopping", signal=signal.Signals(number).name)
     longest_s = max(cls.deadline_s for cls in config.classes) + config.limits.write_timeout_s + 15.0
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -89,6 +89,41 @@
     assert [one.why for one in told if one.what == "ended"] == ["status 0", "status 0"]
 
 
+def test_one_that_follows_serves_on_though_nobody_reads_what_it_says(tmp_path: pathlib.Path) -> None:
+    fleet = StandInFleet(1)
+    path = tmp_path / "g1.json5"
+    path.write_text(json.dumps(configuration(fleet)))
+    listening = gateway_process.listener("127.0.0.1:0")
+    command = [*SERVE, "--config", str(path), "--listen-fd", str(listening.fileno()), "--standby"]
+
+    def start() -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, pass_fds=(listening.fileno(),)
+        )
+
+    with start() as first, start() as second, listening:
+        for life in (first, second):
+            assert life.stdout is not None and life.stdout.readline() == b"saffronstack is prepared\n"
+        assert first.stdin is not None and first.stdout is not None
+        first.stdin.write(b"go\n")
+        first.stdin.flush()
+        assert first.stdout.readline().startswith(b"saffronstack takes calls")
+        assert second.stdin is not None and second.stdout is not None
+        second.stdin.write(b"after %d\n" % first.pid)
+        second.stdin.flush()
+        second.stdin.close()  # the daemon has died, and with it both of its ends
+        second.stdout.close()
+        first.send_signal(signal.SIGTERM)
+        assert first.wait(30.0) == 0
+        host, port = listening.getsockname()
+        client = Client(f"{host}:{port}", 30.0)
+        assert client.invoke("identify-copy", b"{}").status == 200
+        client.close()
+        second.send_signal(signal.SIGTERM)
+        assert second.wait(30.0) == 0
+    fleet.stop()
+
+
 def test_one_that_was_only_prepared_ends_with_its_daemon() -> None:
     ran = subprocess.run(
         [*SERVE, "--with-standins", "--listen", "127.0.0.1:0", "--standby"], input="", capture_output=True,
