--- a/saffronstack/core/calls.py
+++ b/saffronstack/core/calls.py
@@ -135,7 +135,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Heard:
+class WorkerSeen:
     """What a worker's answer says of the process behind it; uptime in seconds."""
 
     worker: int
--- a/saffronstack/core/engine.py
+++ b/saffronstack/core/engine.py
@@ -22,9 +22,9 @@
     Ending,
     Final,
     FunctionSpec,
-    Heard,
     OrderEnd,
     Prior,
+    WorkerSeen,
 )
 from saffronstack.core.logs import Log, PlainLog
 from saffronstack.core.roster import Roster, WorkerSpec
@@ -33,7 +33,7 @@
 
 NEVER_RAN = (api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT, api.Result.MISS)
 LIST_PART = 200  # workers of a change that are decided on at once
-FUNCTIONS_MOST = 4096  # functions that orders can name; those called last
+MAX_FUNCTIONS = 4096  # functions that orders can name; those called last
 IDLE_S = 1.0  # the decision thread looks up at least this often
 
 
@@ -63,20 +63,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Told:
+class _WholeList:
     specs: tuple[WorkerSpec, ...]
     wall_s: float
 
 
 @dataclass(frozen=True, slots=True)
-class _Changed:
+class _ListChange:
     specs: tuple[WorkerSpec, ...]
     gone: tuple[int, ...]
     wall_s: float
 
 
 @dataclass(frozen=True, slots=True)
-class _Look:
+class _Inspection:
     look: Callable[[float, Router], None]
 
 
@@ -105,7 +105,7 @@
         clock: Callable[[], float],
         recorder: Recorder | None = None,
         backstop_s: float = 0.05,
-        open_most: int = 20000,
+        max_open_calls: int = 20000,
         log: Log | None = None,
     ) -> None:
         """``clock`` is monotonic, in seconds. ``backstop_s``: how long past a call's deadline the engine
@@ -113,7 +113,7 @@
         self.settings = settings
         self.counts = Counts()
         self.backstop_s = backstop_s
-        self.open_most = open_most
+        self.max_open_calls = max_open_calls
         self._log: Log = log or PlainLog("engine")
         self._router = Router(settings, seed)
         self._clock = clock
@@ -154,7 +154,7 @@
         """Take a call: it gets exactly one final answer. False: too many are open or the engine stops, and
         nothing was taken."""
         with self._submitting:
-            if len(self._open) >= self.open_most or self._stopping:
+            if len(self._open) >= self.max_open_calls or self._stopping:
                 return False
             self._queue.put(call)
             return True
@@ -170,26 +170,26 @@
         self._queue.put(api.ClientGone(call.number))
         return True
 
-    def tell(self, what: AttemptEnd | OrderEnd | Heard) -> None:
+    def tell(self, what: AttemptEnd | OrderEnd | WorkerSeen) -> None:
         """What a worker's thread saw."""
         self._queue.put(what)
 
     def inspect(self, look: Callable[[float, Router], None]) -> None:
         """Have ``look`` see the module between two events, on the decision thread; it must not wait or change
         anything."""
-        self._queue.put(_Look(look))
+        self._queue.put(_Inspection(look))
 
     def update_workers(self, specs: Iterable[WorkerSpec], wall_s: float) -> None:
         """The whole list of workers, told at ``wall_s`` (Unix seconds)."""
-        self._queue.put(_Told(tuple(specs), wall_s))
+        self._queue.put(_WholeList(tuple(specs), wall_s))
 
     def change_workers(self, specs: Iterable[WorkerSpec], gone: Iterable[int], wall_s: float) -> None:
         """Workers that are new or changed, those that drain first, and numbers of those that are gone, told
         at ``wall_s``. A long list goes in parts, so that calls are decided between them."""
         changed, left = tuple(specs), tuple(gone)
-        self._queue.put(_Changed(changed[:LIST_PART], left, wall_s))
+        self._queue.put(_ListChange(changed[:LIST_PART], left, wall_s))
         for at in range(LIST_PART, len(changed), LIST_PART):
-            self._queue.put(_Changed(changed[at : at + LIST_PART], (), wall_s))
+            self._queue.put(_ListChange(changed[at : at + LIST_PART], (), wall_s))
 
     @property
     def open_calls(self) -> int:
@@ -268,16 +268,16 @@
                 self._decide(api.Probed(item.worker, item.result, item.elapsed_s, item.report))
             else:
                 self._decide(api.Loaded(item.worker, item.function, item.copies, item.result, item.elapsed_s))
-        elif isinstance(item, Heard):
-            update = self._roster.heard(self._now, item)
+        elif isinstance(item, WorkerSeen):
+            update = self._roster.worker_seen(self._now, item)
             if update is not None:
                 self._log.info("worker started anew", worker=item.worker, incarnation=item.incarnation)
                 self._decide(update)
-        elif isinstance(item, _Look):
+        elif isinstance(item, _Inspection):
             item.look(self._now, self._router)
-        elif isinstance(item, _Changed):
+        elif isinstance(item, _ListChange):
             self._decide(self._roster.changed(self._now, item.wall_s, item.specs, item.gone))
-        elif isinstance(item, _Told):
+        elif isinstance(item, _WholeList):
             self._decide(self._roster.told(self._now, item.wall_s, item.specs))
 
     def _arrived(self, call: Call) -> None:
@@ -288,7 +288,7 @@
         spec = call.function
         self._functions.pop(spec.number, None)
         self._functions[spec.number] = spec
-        if len(self._functions) > FUNCTIONS_MOST:  # the one that was called longest ago
+        if len(self._functions) > MAX_FUNCTIONS:  # the one that was called longest ago
             del self._functions[next(iter(self._functions))]
         self._open[call.number] = _Open(call, prior=call.prior)
         self._timers.set(call.deadline_s + self.backstop_s, call.number)
--- a/saffronstack/core/record.py
+++ b/saffronstack/core/record.py
@@ -23,8 +23,8 @@
 
 VERSION = 1
 FLUSH_S = 0.5
-QUEUE_MOST = 200_000
-VALUE_MOST = 64 * 1024 * 1024  # bytes
+MAX_QUEUED_RECORDS = 200_000
+MAX_VALUE_BYTES = 64 * 1024 * 1024  # bytes
 _LENGTH = struct.Struct("<I")
 _EVENTS: dict[str, Any] = {
     kind.__name__: kind
@@ -91,7 +91,7 @@
         """One decision. A record with a gap can't be replayed: where the disk can't follow, it ends."""
         if self._broken:
             return
-        if self._queue.qsize() > QUEUE_MOST:
+        if self._queue.qsize() > MAX_QUEUED_RECORDS:
             self._broken = True
             log.error("record ended: the disk does not follow")
             return
@@ -149,8 +149,8 @@
 
     while (head := take(_LENGTH.size)) is not None:
         (length,) = _LENGTH.unpack(head)
-        if length > VALUE_MOST:
-            raise RecordError(f"a value of {length} bytes, {VALUE_MOST} at most")
+        if length > MAX_VALUE_BYTES:
+            raise RecordError(f"a value of {length} bytes, {MAX_VALUE_BYTES} at most")
         value = take(length)
         if value is None:
             return
--- a/saffronstack/core/roster.py
+++ b/saffronstack/core/roster.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from saffronstack.core.calls import Heard
+from saffronstack.core.calls import WorkerSeen
 from saffronstack.interface import ListKind, ListUpdate, WorkerEntry, WorkerState
 
 EARLIEST_S = 1e-6  # a start time of 0 would mean "long ago" to the module
@@ -81,20 +81,20 @@
         state = WorkerState.DRAINING if spec.draining else WorkerState.READY
         return WorkerEntry(spec.number, state, spec.size, spec.kind, spec.zone, spec.cell, since_s)
 
-    def heard(self, now: float, heard: Heard) -> ListUpdate | None:
+    def worker_seen(self, now: float, seen: WorkerSeen) -> ListUpdate | None:
         """A worker named its incarnation; a change where it started anew behind the list's back."""
-        entry = self.entries.get(heard.worker)
-        if entry is None or self._incarnations.get(heard.worker) == heard.incarnation:
+        entry = self.entries.get(seen.worker)
+        if entry is None or self._incarnations.get(seen.worker) == seen.incarnation:
             return None
-        first = heard.worker not in self._incarnations
-        self._incarnations[heard.worker] = heard.incarnation
-        since_s = max(EARLIEST_S, now - heard.uptime_s)
+        first = seen.worker not in self._incarnations
+        self._incarnations[seen.worker] = seen.incarnation
+        since_s = max(EARLIEST_S, now - seen.uptime_s)
         # The first incarnation heard is no news of a start: the list says when workers started. A gateway
         # that starts beside a young fleet would hold back most of its calls (docs/gateway-design.md).
         if first or since_s <= entry.since_s + 0.5:
             return None
         self.version += 1
-        entry = self.entries[heard.worker] = replace(entry, since_s=since_s)
+        entry = self.entries[seen.worker] = replace(entry, since_s=since_s)
         return ListUpdate(ListKind.CHANGE, (entry,), self.version)
 
     def _since(self, now: float, wall: float, started_at: float) -> float:
--- a/saffronstack/core/threads.py
+++ b/saffronstack/core/threads.py
@@ -28,9 +28,9 @@
     """Threads that wait a while for more work after theirs. A thread that has to be started first waits until
     the system lets it run, and on a loaded machine all that start one wait for each other."""
 
-    def __init__(self, name: str, idle_s: float = 5.0, idle_most: int = 32) -> None:
-        """One ends after ``idle_s`` seconds without work; ``idle_most`` wait at one time."""
-        self._name, self._idle_s, self._idle_most = name, idle_s, idle_most
+    def __init__(self, name: str, idle_s: float = 5.0, max_idle: int = 32) -> None:
+        """One ends after ``idle_s`` seconds without work; ``max_idle`` wait at one time."""
+        self._name, self._idle_s, self._max_idle = name, idle_s, max_idle
         self._lock = threading.Lock()
         self._idle = 0  # threads that wait and that no work was handed to
         self._work: queue.SimpleQueue[Callable[[], object]] = queue.SimpleQueue()
@@ -50,7 +50,7 @@
             work()
             del work  # what it held is not kept while the thread waits
             with self._lock:
-                if self._idle >= self._idle_most:
+                if self._idle >= self._max_idle:
                     return
                 self._idle += 1
             try:
--- a/saffronstack/directory/dns.py
+++ b/saffronstack/directory/dns.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 
 A, SOA, TXT, SRV, INTERNET = 1, 6, 16, 33, 1
-NAME_MOST = 255
-JUMPS_MOST = 32
-RECORDS_MOST = 4096
+MAX_NAME_BYTES = 255
+MAX_POINTERS = 32
+MAX_RECORDS = 4096
 _HEADER = struct.Struct(">HHHHHH")
 _QUESTION = struct.Struct(">HH")
 _RECORD = struct.Struct(">HHIH")
@@ -44,7 +44,7 @@
     texts: dict[str, dict[str, str]] = field(default_factory=dict)
 
 
-def query(ident: int, name: str, kind: int = SRV) -> bytes:
+def query_message(ident: int, name: str, kind: int = SRV) -> bytes:
     """A question; ValueError for a name that no message can hold."""
     labels = b"".join(bytes([len(label)]) + label.encode("ascii") for label in name.split("."))
     return _HEADER.pack(ident, _RECURSE, 1, 0, 0, 0) + labels + b"\0" + _QUESTION.pack(kind, INTERNET)
@@ -66,7 +66,7 @@
         raise DnsError("truncated")
     if flags & 15:
         raise DnsError(f"the directory reports failure {flags & 15}")
-    if questions != 1 or sum(sections) > RECORDS_MOST:
+    if questions != 1 or sum(sections) > MAX_RECORDS:
         raise DnsError("counts that no good answer has")
     name, at = _name(message, _HEADER.size)
     kind, _ = _QUESTION.unpack_from(message, at)
@@ -132,7 +132,7 @@
             if after < 0:
                 after = at + 2
             jumps += 1
-            if target >= at or jumps > JUMPS_MOST:  # pointers lead back, or they could lead in circles
+            if target >= at or jumps > MAX_POINTERS:  # pointers lead back, or they could lead in circles
                 raise DnsError("a name that leads nowhere")
             at = target
             continue
@@ -143,7 +143,7 @@
             return ".".join(labels), after if after >= 0 else at
         label = message[at : at + size]
         length += size + 1
-        if len(label) < size or length > NAME_MOST:
+        if len(label) < size or length > MAX_NAME_BYTES:
             raise DnsError("a name that is cut short or too long")
         labels.append(label.decode("ascii").lower())
         at += size
--- a/saffronstack/directory/membership.py
+++ b/saffronstack/directory/membership.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Listed:
+class ListedHost:
     """One host as listed; ``since_ms`` is the Unix millisecond of its start, 0 for long ago."""
 
     name: str
@@ -52,7 +52,7 @@
     def __init__(self, zones: Iterable[str], kinds: Iterable[str]) -> None:
         self._zones = {name: place for place, name in enumerate(zones)}
         self._kinds = {name: place for place, name in enumerate(kinds)}
-        self._held: dict[str, tuple[Listed, WorkerSpec]] = {}
+        self._held: dict[str, tuple[ListedHost, WorkerSpec]] = {}
         self.serial = 0
 
     @property
@@ -60,22 +60,22 @@
         """The hosts that are held."""
         return tuple(spec for _, spec in self._held.values())
 
-    def holds(self, listed: Iterable[Listed]) -> bool:
+    def holds(self, listed: Iterable[ListedHost]) -> bool:
         """Whether the list that is held is this one, in whatever order."""
         return {one.name: one for one in listed} == {name: one for name, (one, _) in self._held.items()}
 
-    def whole(self, serial: int, listed: Iterable[Listed]) -> Change:
+    def replace(self, serial: int, listed: Iterable[ListedHost]) -> Change:
         """A whole list: what is missing is gone."""
         fresh = {one.name: one for one in listed}
         self.serial = serial
         return self._apply(fresh.values(), [name for name in self._held if name not in fresh])
 
-    def part(self, serial: int, listed: Iterable[Listed], gone: Iterable[str]) -> Change:
+    def update(self, serial: int, listed: Iterable[ListedHost], gone: Iterable[str]) -> Change:
         """Changes alone."""
         self.serial = serial
         return self._apply(listed, [name for name in gone if name in self._held])
 
-    def _apply(self, listed: Iterable[Listed], gone: Iterable[str]) -> Change:
+    def _apply(self, listed: Iterable[ListedHost], gone: Iterable[str]) -> Change:
         left = [self._held.pop(name)[1].number for name in gone]
         changed = []
         for one in listed:
@@ -90,7 +90,7 @@
             changed.append(spec)
         return Change(tuple(changed), tuple(left))
 
-    def _spec(self, one: Listed, number: int | None) -> WorkerSpec:
+    def _spec(self, one: ListedHost, number: int | None) -> WorkerSpec:
         if number is None:  # the same at every gateway, so that their ranks agree
             number = worker_number(one.name)
             taken = {spec.number for _, spec in self._held.values()}
@@ -110,7 +110,7 @@
         )
 
 
-def listed_of(answer: Answer, ident: int, name: str) -> tuple[int, list[Listed]]:
+def listed_of(answer: Answer, ident: int, name: str) -> tuple[int, list[ListedHost]]:
     """Serial and list of a good answer to this very question; DnsError."""
     if answer.ident != ident or answer.question != (name, SRV):
         raise DnsError("an answer to another question")
@@ -124,7 +124,7 @@
         labels = service.target.split(".")
         texts = answer.texts.get(service.target, {})
         listed.append(
-            Listed(
+            ListedHost(
                 labels[0],
                 address,
                 service.port,
@@ -150,16 +150,16 @@
     for place, event in enumerate(known.get("notices") or ()):
         serial, listed, gone = _event(event)
         if place == 0 or event["pool"].get("snapshot"):
-            membership.whole(serial, listed)
+            membership.replace(serial, listed)
         else:
-            membership.part(serial, listed, gone)
+            membership.update(serial, listed, gone)
     last = int(known.get("rev", membership.serial))
     if newer(last, membership.serial):
         membership.serial = last
     return Change(membership.specs)
 
 
-def _event(event: Mapping[str, Any]) -> tuple[int, list[Listed], list[str]]:
+def _event(event: Mapping[str, Any]) -> tuple[int, list[ListedHost], list[str]]:
     listed, gone = [], []
     for one in event["pool"].get("endpoints") or ():
         if one["status"] == "Gone":
@@ -167,7 +167,7 @@
             continue
         host, _, port = str(one["address"]).rpartition(":")
         listed.append(
-            Listed(
+            ListedHost(
                 str(one["name"]).lower(),
                 host,
                 int(port),
--- a/saffronstack/directory/resolver.py
+++ b/saffronstack/directory/resolver.py
@@ -12,7 +12,7 @@
 
 from saffronstack.core.logs import Log
 from saffronstack.core.threads import spawn
-from saffronstack.directory.dns import DnsError, answer_of, query
+from saffronstack.directory.dns import DnsError, answer_of, query_message
 from saffronstack.directory.membership import Change, Membership, listed_of, newer
 
 ANSWER_BYTES = 16 * 1024  # more than any answer holds
@@ -52,20 +52,21 @@
         membership: Membership,
         name: str,
         server: tuple[str, int],
-        apply: Callable[[Change], None],
+        on_change: Callable[[Change], None],
         log: Log,
         clock: Callable[[], float] = time.monotonic,
         every_s: float = 0.25,
         timeout_s: float = 0.2,
         seed: int | None = None,
     ) -> None:
-        """``apply`` hears of changes on the resolver's thread. ``every_s`` between queries, and ``timeout_s``
-        after which one is asked again: together well inside a drain's grace, though answers get lost."""
+        """``on_change`` hears of changes, on the resolver's thread. ``every_s`` between queries, and
+        ``timeout_s`` after which one is asked again: together well inside a drain's grace, though answers
+        get lost."""
         self._membership = membership
         self._name = name
         self._server = server
-        self._asked: tuple[str, int] | None = None  # the server that the present socket is connected to
-        self._apply = apply
+        self._connected_to: tuple[str, int] | None = None  # by the present socket
+        self._on_change = on_change
         self._log = log
         self._clock = clock
         self._every_s = every_s
@@ -78,7 +79,7 @@
         self._unanswered = 0  # queries in a row
         self._patience = UNANSWERED_MIN
         self._silent = False
-        self.good_s = clock()
+        self.last_good_s = clock()
         self.counts = Counts()
 
     def start(self) -> None:
@@ -89,7 +90,7 @@
         """Ask no more."""
         self._stopping.set()
 
-    def point(self, server: tuple[str, int]) -> None:
+    def set_server(self, server: tuple[str, int]) -> None:
         """Ask there from the next question on; the numbers of events go on."""
         self._server = server
 
@@ -99,7 +100,7 @@
             begun_s = self._clock()
             try:
                 sock = self._socket(sock)
-                good = self.ask(sock)
+                good = self.query(sock)
             except OSError as error:  # nobody listens there, or no descriptor is to be had
                 self._refused(f"{type(error).__name__}")
                 good = False
@@ -107,7 +108,7 @@
                 self._log.exception("step of the directory's thread failed")
                 good = False
             self._count(good)
-            self._told(good)
+            self._log_silence(good)
             pause_s = self._every_s * self._random.uniform(1 - JITTER, 1 + JITTER)
             self._stopping.wait(max(0.0, pause_s - (self._clock() - begun_s)))
         if sock is not None:
@@ -118,9 +119,9 @@
         has come for long, since the port or the path to it may be dead. It is closed only once there is
         another. OSError where none can be had."""
         server = self._server
-        if sock is not None and self._asked == server and self._unanswered < self._patience:
+        if sock is not None and self._connected_to == server and self._unanswered < self._patience:
             return sock
-        moved = self._asked != server
+        moved = self._connected_to != server
         try:
             fresh = connected(server)
         except OSError:
@@ -132,7 +133,7 @@
         self._patience = UNANSWERED_MIN if moved else min(UNANSWERED_MAX, 2 * self._patience)
         self._unanswered = 0
         self._identifiers.clear()
-        self._asked = server
+        self._connected_to = server
         return fresh
 
     def _count(self, good: bool) -> None:
@@ -142,13 +143,13 @@
         else:
             self._unanswered += 1
 
-    def ask(self, sock: socket.socket) -> bool:
+    def query(self, sock: socket.socket) -> bool:
         """One query on a connected socket, and a good answer within the time-out, to it or to one of those
         before it on this socket; whether one was taken."""
         identifier = self._random.getrandbits(16)
         self._identifiers.append(identifier)
         self.counts.asked += 1
-        sock.send(query(identifier, self._name))
+        sock.send(query_message(identifier, self._name))
         until_s = self._clock() + self._timeout_s
         while (left := until_s - self._clock()) > 0:
             sock.settimeout(left)
@@ -156,15 +157,15 @@
                 message = sock.recv(ANSWER_BYTES)
             except TimeoutError:
                 break
-            if self._asked != self._server:
+            if self._connected_to != self._server:
                 self._refused("an answer from a server that is not asked any more")
                 break
-            if self.take(message, self._identifiers):
+            if self.apply(message, self._identifiers):
                 return True
         self.counts.unanswered += 1
         return False
 
-    def take(self, message: bytes, identifiers: Collection[int]) -> bool:
+    def apply(self, message: bytes, identifiers: Collection[int]) -> bool:
         """Whether it is a good answer to one of these queries; it is taken whole or not at all."""
         identifier = int.from_bytes(message[:2], "big")
         if identifier not in identifiers:
@@ -184,12 +185,12 @@
         if serial == self._last_serial and not self._membership.holds(listed):
             self._refused("another list under the serial of the one that is held")
             return False
-        change = self._membership.whole(serial, listed)
+        change = self._membership.replace(serial, listed)
         self._last = message[2:]
         self._last_serial = serial
         self.counts.good += 1
         if change:
-            self._apply(change)
+            self._on_change(change)
         return True
 
     def _refused(self, why: str) -> None:
@@ -198,14 +199,14 @@
         if why in refused or len(refused) < 32:
             refused[why] = refused.get(why, 0) + 1
 
-    def _told(self, good: bool) -> None:
+    def _log_silence(self, good: bool) -> None:
         now = self._clock()
         if good:
             if self._silent:
-                self._log.info("the directory answers again", after_s=round(now - self.good_s, 1))
+                self._log.info("the directory answers again", after_s=round(now - self.last_good_s, 1))
             self._silent = False
-            self.good_s = now
-        elif not self._silent and now - self.good_s > SILENT_S:
+            self.last_good_s = now
+        elif not self._silent and now - self.last_good_s > SILENT_S:
             self._silent = True
             refused = self.counts.refused
             self._log.warning("no good answer from the directory", for_s=SILENT_S, refused=refused)
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -73,7 +73,7 @@
             clock,
             self._recorder,
             backstop_s=config.answer_margin_s / 2,
-            open_most=limits.open_calls,
+            max_open_calls=limits.open_calls,
             log=structlog.get_logger("saffronstack.engine"),
         )
         self._numbers = PlaceNumbers(config)
--- a/saffronstack/hosts/codec.py
+++ b/saffronstack/hosts/codec.py
@@ -34,9 +34,9 @@
     "qps": "rate",
     "eps": "fail_rate",
 }
-CROWD_MOST = 1_000_000
-COPIES_MOST = 255
-PARTS_MOST = 64
+MAX_CROWD = 1_000_000
+MAX_COPIES = 255
+MAX_LINE_PARTS = 64
 
 
 class HostError(ValueError):
@@ -119,20 +119,20 @@
     fields = read.fields
     if read.what not in RESULTS and read.what != UP:
         raise HostError(f"an unknown word {read.what[:20]!r}")
-    crowd = int(_number(fields, "ahead", CROWD_MOST)) if "ahead" in fields else None
-    copies = int(_number(fields, "units", COPIES_MOST)) if "units" in fields else 0
+    crowd = int(_number(fields, "ahead", MAX_CROWD)) if "ahead" in fields else None
+    copies = int(_number(fields, "units", MAX_COPIES)) if "units" in fields else 0
     found = _FOUND.get(str(fields.get("note", "")), Found.UNTOLD)
     load = fields.get("load")
     report = None if load is None else _report(str(load))
     return HostAnswer(read.what, str(read.tag), read.blob, found, crowd, report, copies)
 
 
-def _number(fields: Mapping[str, str | int | float], name: str, most: float) -> float:
+def _number(fields: Mapping[str, str | int | float], name: str, maximum: float) -> float:
     try:
         value = float(fields[name])
     except (ValueError, OverflowError) as error:
         raise HostError(f"{name} is no number") from error
-    if not 0 <= value <= most:
+    if not 0 <= value <= maximum:
         raise HostError(f"{name} is out of range")
     return value
 
@@ -152,8 +152,8 @@
 class LineReader:
     """Lines out of bytes that come in any pieces."""
 
-    def __init__(self, most: int) -> None:
-        self._most = most
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
         self._parts: list[bytes] = []
         self._bytes = 0
 
@@ -163,16 +163,16 @@
         if len(lines) == 1:
             self._parts.append(data)
             self._bytes += len(data)
-            if len(self._parts) > PARTS_MOST:  # bytes that trickle in must not cost an object each
+            if len(self._parts) > MAX_LINE_PARTS:  # bytes that trickle in must not cost an object each
                 self._parts = [b"".join(self._parts)]
-            if self._bytes > self._most:
-                raise HostError(f"a line over {self._most} bytes")
+            if self._bytes > self._max_bytes:
+                raise HostError(f"a line over {self._max_bytes} bytes")
             return []
         if self._parts:
             lines[0] = b"".join([*self._parts, lines[0]])
         rest = lines.pop()
         self._parts = [rest] if rest else []
         self._bytes = len(rest)
-        if self._bytes > self._most or max(map(len, lines)) > self._most:
-            raise HostError(f"a line over {self._most} bytes")
+        if self._bytes > self._max_bytes or max(map(len, lines)) > self._max_bytes:
+            raise HostError(f"a line over {self._max_bytes} bytes")
         return lines
--- a/saffronstack/hosts/dispatcher.py
+++ b/saffronstack/hosts/dispatcher.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from itertools import count
 
-from saffronstack.core.calls import AttemptEnd, Call, FunctionSpec, Heard, OrderEnd
+from saffronstack.core.calls import AttemptEnd, Call, FunctionSpec, OrderEnd, WorkerSeen
 from saffronstack.core.logs import Log, PlainLog
 from saffronstack.core.roster import WorkerSpec
 from saffronstack.hosts import codec
@@ -80,14 +80,20 @@
                     known = None
                 if known is None:
                     known = HostPool(
-                        spec, self._limits, self._budget, self._writer, self.reader, self._clock, self._spare
+                        spec,
+                        self._limits,
+                        self._budget,
+                        self._writer,
+                        self.reader,
+                        self._clock,
+                        self._close_idle_link,
                     )
                     self._pools[spec.number] = known
                 known.spec = spec
                 known.closed = spec.draining
-            most = max(1, min(self._limits.streams, self._budget.most // max(1, len(self._pools))))
+            max_links = max(1, min(self._limits.streams, self._budget.max_links // max(1, len(self._pools))))
             for pool in self._pools.values():
-                pool.most = most
+                pool.max_links = max_links
         for pool in ended:
             pool.end()
 
@@ -99,14 +105,14 @@
     @property
     def links(self) -> int:
         """Links that are open or closing."""
-        return self._budget.taken
+        return self._budget.in_use
 
-    def passed(self) -> dict[int, HostPool]:
+    def pools(self) -> dict[int, HostPool]:
         """The hosts that are held, with what passed on their links."""
         with self._lock:
             return dict(self._pools)
 
-    def _spare(self) -> None:
+    def _close_idle_link(self) -> None:
         """Close one link that nothing uses, at the host with most links."""
         with self._lock:
             pools = sorted(self._pools.values(), key=lambda pool: -len(pool.links))
@@ -134,11 +140,11 @@
     def _submit(self, key: tuple[int, int], item: Item, pool: HostPool) -> None:
         self._out[key] = item
         if not pool.submit(item):
-            item.broke(Result.MOOT, "no link to the host can be had")
+            item.on_failed(Result.MOOT, "no link to the host can be had")
             return
         self.deadlines.set(item.deadline_s, key)  # once a link has it: one that has none can't be given up
 
-    def _ended(self, what: AttemptEnd | OrderEnd | Heard) -> None:
+    def _ended(self, what: AttemptEnd | OrderEnd | WorkerSeen) -> None:
         if isinstance(what, AttemptEnd):
             self._out.pop((what.call.number, what.outcome.attempt), None)
         self._tell(what)
@@ -178,7 +184,7 @@
         key = ORDER, ticket
         deadline_s = self._clock() + self._order_timeout_s
 
-        def ended(what: AttemptEnd | OrderEnd | Heard) -> None:
+        def ended(what: AttemptEnd | OrderEnd | WorkerSeen) -> None:
             self._out.pop(key, None)
             self._tell(what)
 
--- a/saffronstack/hosts/items.py
+++ b/saffronstack/hosts/items.py
@@ -5,7 +5,16 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from saffronstack.core.calls import Answer, AttemptEnd, Call, Ending, Final, FunctionSpec, Heard, OrderEnd
+from saffronstack.core.calls import (
+    Answer,
+    AttemptEnd,
+    Call,
+    Ending,
+    Final,
+    FunctionSpec,
+    OrderEnd,
+    WorkerSeen,
+)
 from saffronstack.hosts import codec
 from saffronstack.interface import Found, Outcome, Report, Result
 from saffronstack.net.write_buffer import OutgoingMessage, Sent
@@ -13,7 +22,7 @@
 LINE_BYTES = 256  # of a request's line beside its body
 LEAST_WAIT_MS = 1  # the host is told how long the gateway waits, and zero would be no time at all
 
-Tell = Callable[[AttemptEnd | OrderEnd | Heard], None]
+Tell = Callable[[AttemptEnd | OrderEnd | WorkerSeen], None]
 
 
 class Host(Protocol):
@@ -53,7 +62,7 @@
 class Item(OutgoingMessage):
     """Something that goes out on a link under a tag. `Link` calls `ended` exactly once."""
 
-    __slots__ = ("clock", "deadline_s", "host", "leaving", "link", "over", "sent_s", "tag", "tell")
+    __slots__ = ("clock", "deadline_s", "finished", "host", "link", "sent_s", "started", "tag", "tell")
 
     def __init__(
         self,
@@ -73,14 +82,14 @@
         self.clock = clock
         self.sent_s = clock()
         self.link: Carrier | None = None
-        self.over = False  # its end is told, or it is given up: no byte may leave any more
-        self.leaving = False  # its first byte may have left
+        self.finished = False  # its end is told, or it is given up: no byte may leave any more
+        self.started = False  # its first byte may have left
 
     def may_start(self) -> bool:
         """Whether its first byte may leave now."""
-        return not self.host.closed and self.clock() < self.deadline_s and self.claimed()
+        return not self.host.closed and self.clock() < self.deadline_s and self.still_wanted()
 
-    def claimed(self) -> bool:
+    def still_wanted(self) -> bool:
         """Whether nobody gave it up before its first byte; from then on nobody takes it for unsent."""
         return self.link is None or self.link.claim(self)
 
@@ -94,11 +103,11 @@
         if self.link is not None:
             self.link.on_dropped(self)
 
-    def answered(self, answer: codec.HostAnswer) -> None:
+    def on_answer(self, answer: codec.HostAnswer) -> None:
         """The host's answer came."""
         raise NotImplementedError
 
-    def broke(self, result: Result, reason: str) -> None:
+    def on_failed(self, result: Result, reason: str) -> None:
         """It ended without an answer."""
         raise NotImplementedError
 
@@ -138,11 +147,11 @@
         )
         return True
 
-    def answered(self, answer: codec.HostAnswer) -> None:
+    def on_answer(self, answer: codec.HostAnswer) -> None:
         """Served calls are answered here, on the link's thread: the decision thread need not come first."""
         result = codec.RESULTS.get(answer.word)
         if result is None:  # UP, to something that was no PING
-            self.broke(self.lost(), "an answer that belongs to no call")
+            self.on_failed(self.lost(), "an answer that belongs to no call")
             return
         kept = None
         if result is Result.ERROR:
@@ -155,7 +164,7 @@
         crowd = (answer.crowd or 0) if result in (Result.OK, Result.FULL) else None
         self._end(result, answer.found, crowd, answer.report, kept)
 
-    def broke(self, result: Result, reason: str) -> None:
+    def on_failed(self, result: Result, reason: str) -> None:
         """It ended without an answer."""
         self.host.broken += 1
         self._end(result, reason=reason)
@@ -205,14 +214,14 @@
 
     def may_start(self) -> bool:
         """Asking alone is no load: it may go to a host that drains."""
-        return super().may_start() if self.copies else self.claimed()
+        return super().may_start() if self.copies else self.still_wanted()
 
-    def answered(self, answer: codec.HostAnswer) -> None:
+    def on_answer(self, answer: codec.HostAnswer) -> None:
         """Whether the copies stand."""
         result = codec.RESULTS.get(answer.word, Result.OK if answer.word == codec.UP else Result.ERROR)
         self._end(result, answer.copies, answer.report)
 
-    def broke(self, result: Result, reason: str) -> None:
+    def on_failed(self, result: Result, reason: str) -> None:
         """It ended without an answer."""
         self._end(result, 0, None)
 
--- a/saffronstack/hosts/link.py
+++ b/saffronstack/hosts/link.py
@@ -17,8 +17,8 @@
 from saffronstack.net.stream import Stream
 from saffronstack.net.write_buffer import OutgoingMessage, Sent, WriteBuffer, WriteLoop
 
-ANSWERED_MOST = 64  # tags answered last: a second answer may still come, and none is used again meanwhile
-ABANDONED_MOST = 32  # tags given up on a link that may still be answered; then it takes nothing new
+MAX_ANSWERED_TAGS = 64  # tags answered last: a second answer may still come, and none is used again meanwhile
+MAX_ABANDONED_TAGS = 32  # tags given up on a link that may still be answered; then it takes nothing new
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +63,7 @@
         self._closed = False  # takes nothing more
         self._retired = False  # takes nothing more, and closes once nothing is open
         self.reason = ""  # why it ended, where it broke
-        self.heard_s = clock()
+        self.last_received_s = clock()
 
     def start(self) -> None:
         """Connect on a thread of its own; RuntimeError where there is none."""
@@ -75,13 +75,13 @@
         return len(self._open)
 
     @property
-    def waits_since_s(self) -> float:
+    def oldest_sent_s(self) -> float:
         """When its oldest open item was sent (clock time); infinite without one."""
         with self._lock:
             oldest = next(iter(self._open.values()), None)
         return math.inf if oldest is None else oldest.sent_s
 
-    def takes(self, tag: str) -> bool:
+    def accepts(self, tag: str) -> bool:
         """Whether an item under this tag can go out on it."""
         return not (
             self._closed
@@ -90,7 +90,7 @@
             or tag in self._open
             or tag in self._abandoned
             or tag in self._answered
-            or len(self._abandoned) >= ABANDONED_MOST
+            or len(self._abandoned) >= MAX_ABANDONED_TAGS
         )
 
     # ---- from any thread
@@ -98,7 +98,7 @@
     def submit(self, item: Item) -> bool:
         """Send it; it ends exactly once. False: nothing was taken, the link is closed."""
         with self._lock:
-            if not self.takes(item.tag):
+            if not self.accepts(item.tag):
                 return False
             self._open[item.tag] = item
             item.link = self
@@ -110,8 +110,8 @@
         return True
 
     def _write(self, write_buffer: WriteBuffer, item: Item) -> None:
-        if not write_buffer.send(item) and self._take(item):
-            item.broke(item.lost(), "the link takes nothing more")
+        if not write_buffer.send(item) and self._finish(item):
+            item.on_failed(item.lost(), "the link takes nothing more")
 
     def post(self, data: bytes) -> bool:
         """Send bytes that are not answered; False where it takes nothing."""
@@ -120,33 +120,33 @@
 
     def give_up(self, item: Item, result: Result, reason: str) -> None:
         """Stop waiting for it. One that never left never ran; the host is told of one that did."""
-        if not self._take(item, abandon=True):
+        if not self._finish(item, abandon=True):
             return
-        if not item.leaving:
+        if not item.started:
             result = Result.MOOT if result is Result.CANCELLED else Result.CONNECT_FAILED
         elif item.sent is Sent.PART and not self._open:
             self.abort()  # the host takes no bytes: the rest of the line must not follow when it does
         else:
             self.post(codec.cancel_line(item.tag))
-        item.broke(result, reason)
+        item.on_failed(result, reason)
         self._maybe_close()
 
     def claim(self, item: Item) -> bool:
         """Whether its first byte may leave. From here on it counts as one that may have run: giving up and
         leaving are decided under one lock, or a call could be taken for one that never left."""
         with self._lock:
-            item.leaving = not item.over
-            return item.leaving
+            item.started = not item.finished
+            return item.started
 
     def unclaim(self, item: Item) -> None:
         """Not one byte of it was taken after all: it never left."""
         with self._lock:
-            item.leaving = False
+            item.started = False
 
     def on_dropped(self, item: Item) -> None:
         """It no longer stood when its first byte was to leave."""
-        if self._take(item):
-            item.broke(Result.MOOT, "no longer wanted when it was to be sent")
+        if self._finish(item):
+            item.on_failed(Result.MOOT, "no longer wanted when it was to be sent")
             self._maybe_close()
 
     def retire(self) -> None:
@@ -161,19 +161,19 @@
         if stream is not None:
             stream.abort()
 
-    def _take(self, item: Item, abandon: bool = False) -> bool:
+    def _finish(self, item: Item, abandon: bool = False) -> bool:
         """Whether the caller is the one who ends the item."""
         with self._lock:
             if self._open.get(item.tag) is not item:
                 return False
             del self._open[item.tag]
-            item.over = True
-            if abandon and item.leaving:
+            item.finished = True
+            if abandon and item.started:
                 self._abandoned.add(item.tag)
         return True
 
     def _maybe_close(self) -> None:
-        if (self._retired or len(self._abandoned) >= ABANDONED_MOST) and not self._open:
+        if (self._retired or len(self._abandoned) >= MAX_ABANDONED_TAGS) and not self._open:
             self.abort()
 
     # ---- its thread, until it is connected
@@ -200,7 +200,7 @@
         write_buffer = WriteBuffer(
             sock, self._writer, self._limits.outbox_bytes, self._limits.stall_s, self._clock
         )
-        self.heard_s = self._clock()
+        self.last_received_s = self._clock()
         with self._lock:
             self._stream, self._write_buffer = stream, write_buffer
             early, self._early = self._early, []
@@ -225,9 +225,9 @@
             if not came:
                 self.reason = "closed by the host"
                 return False
-            self.heard_s = self._clock()
+            self.last_received_s = self._clock()
             for line in self._lines.feed(bytes(view[:came])):
-                self._heard(codec.answer_of(line))
+                self._on_answer(codec.answer_of(line))
         except BlockingIOError:
             return True
         except codec.HostError as error:
@@ -240,7 +240,7 @@
 
     def on_tick(self, now: float) -> bool:
         """False where nothing has been open for as long as a link may be idle."""
-        return now - self.heard_s < self._limits.idle_s or not self._done()
+        return now - self.last_received_s < self._limits.idle_s or not self._done()
 
     def on_end(self) -> None:
         """The reader has let go of it."""
@@ -252,17 +252,17 @@
             self._closed = self._closed or not self._open
             return self._closed
 
-    def _heard(self, answer: codec.HostAnswer) -> None:
+    def _on_answer(self, answer: codec.HostAnswer) -> None:
         with self._lock:
             item = self._open.pop(answer.tag, None)
             if item is None:  # late, or no one's: dropped
                 self._abandoned.discard(answer.tag)
                 return
-            item.over = True
+            item.finished = True
             self._answered[answer.tag] = None
-            if len(self._answered) > ANSWERED_MOST:
+            if len(self._answered) > MAX_ANSWERED_TAGS:
                 del self._answered[next(iter(self._answered))]
-        item.answered(answer)
+        item.on_answer(answer)
         self._maybe_close()
 
     def _end(self) -> None:
@@ -270,7 +270,7 @@
             self._closed = True
             lost, self._open = list(self._open.values()), {}
             for item in lost:  # from here on no first byte leaves: `claim` asks under the same lock
-                item.over = True
+                item.finished = True
             self._early = []
             self._abandoned = set()
             self._answered = {}
@@ -280,5 +280,5 @@
             self._stream.close()
         for item in lost:
             with contextlib.suppress(Exception):  # the others must end all the same
-                item.broke(item.lost(), self.reason or "the link ended")
+                item.on_failed(item.lost(), self.reason or "the link ended")
         self._on_end(self)
--- a/saffronstack/hosts/pool.py
+++ b/saffronstack/hosts/pool.py
@@ -16,28 +16,28 @@
 class LinkBudget:
     """How many links may be open at all hosts together."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, max_links: int) -> None:
+        self.max_links = max_links
         self._lock = threading.Lock()
-        self._taken = 0
+        self._in_use = 0
 
     @property
-    def taken(self) -> int:
+    def in_use(self) -> int:
         """Links that are open or closing."""
-        return self._taken
+        return self._in_use
 
-    def take(self, at_all_costs: bool = False) -> bool:
+    def acquire(self, at_all_costs: bool = False) -> bool:
         """One more, unless there is no room; a host's first link is had at all costs."""
         with self._lock:
-            if self._taken >= self.most and not at_all_costs:
+            if self._in_use >= self.max_links and not at_all_costs:
                 return False
-            self._taken += 1
+            self._in_use += 1
             return True
 
-    def give(self) -> None:
+    def release(self) -> None:
         """One fewer."""
         with self._lock:
-            self._taken -= 1
+            self._in_use -= 1
 
 
 class HostPool:
@@ -51,20 +51,20 @@
         writer: WriteLoop,
         reader: ReadLoop,
         clock: Callable[[], float],
-        spare: Callable[[], None],
+        close_idle_link: Callable[[], None],
     ) -> None:
-        """``spare`` closes a link somewhere that nothing uses, where the budget is spent."""
+        """``close_idle_link`` closes a link somewhere that nothing uses, where the budget is spent."""
         self.spec = spec
         self.number = spec.number
         self.name = spec.name
         self.closed = spec.draining  # nothing new leaves, whatever was queued
-        self.most = 1
+        self.max_links = 1
         self._limits = limits
         self._budget = budget
         self._writer = writer
         self._reader = reader
         self._clock = clock
-        self._spare = spare
+        self._close_idle_link = close_idle_link
         self._lock = threading.Lock()
         self._links: list[Link] = []
         self.answers = 0  # attempts that were served; written by the reader's thread
@@ -80,9 +80,9 @@
         """How long the host has said nothing on any link, a connection included, though an item waits; 0
         without one."""
         links = self.links
-        waits_s = min((link.waits_since_s for link in links), default=math.inf)
-        heard_s = max((link.heard_s for link in links), default=0.0)
-        return max(0.0, self._clock() - max(waits_s, heard_s))
+        oldest_s = min((link.oldest_sent_s for link in links), default=math.inf)
+        last_received_s = max((link.last_received_s for link in links), default=0.0)
+        return max(0.0, self._clock() - max(oldest_s, last_received_s))
 
     @property
     def links(self) -> list[Link]:
@@ -106,21 +106,21 @@
     def _choose(self, tag: str) -> Link | None:
         best: Link | None = None
         for link in reversed(self.links):
-            if link.takes(tag):
+            if link.accepts(tag):
                 if not link.open:
                     return link
                 if best is None or link.open < best.open:
                     best = link
-        if best is None or len(self._links) < self.most:
+        if best is None or len(self._links) < self.max_links:
             best = self._open(at_all_costs=best is None) or best
         return best
 
     def _open(self, at_all_costs: bool) -> Link | None:
-        if not self._budget.take():
-            self._spare()
+        if not self._budget.acquire():
+            self._close_idle_link()
             if not at_all_costs:
                 return None
-            self._budget.take(at_all_costs=True)
+            self._budget.acquire(at_all_costs=True)
         address = self.spec.host, self.spec.port
         link = Link(address, self._limits, self._writer, self._reader, self._clock, self._link_ended)
         with self._lock:
@@ -136,7 +136,7 @@
         with self._lock:
             if link in self._links:
                 self._links.remove(link)
-        self._budget.give()
+        self._budget.release()
 
     def end(self) -> None:
         """The host is gone: links close once nothing is open on them."""
--- a/saffronstack/net/stream.py
+++ b/saffronstack/net/stream.py
@@ -13,7 +13,7 @@
 
 READ_SIZE = 64 * 1024
 _TIMEVAL = struct.Struct("ll")
-LEAST_S = 0.001  # a zero time-out would mean none
+MIN_TIMEOUT_S = 0.001  # a zero time-out would mean none
 
 
 class PeerClosed(ConnectionError):
@@ -34,7 +34,7 @@
         """Set a time-out unless the one that stands is as good: shorter, and by no more than a hundredth."""
         now = self._set[option]
         if not timeout_s * 0.99 <= now <= timeout_s:
-            timeout_s = max(LEAST_S, timeout_s)
+            timeout_s = max(MIN_TIMEOUT_S, timeout_s)
             whole = int(timeout_s)
             self.sock.setsockopt(
                 socket.SOL_SOCKET, option, _TIMEVAL.pack(whole, int((timeout_s - whole) * 1e6))
@@ -50,18 +50,18 @@
         except BlockingIOError as error:
             raise TimeoutError("nothing came in time") from error
 
-    def receive(self, timeout_s: float, most: int = READ_SIZE) -> bytes:
+    def receive(self, timeout_s: float, max_bytes: int = READ_SIZE) -> bytes:
         """What has come, empty at the peer's end; TimeoutError where nothing comes in time."""
         self._bound(socket.SO_RCVTIMEO, timeout_s)
         try:
-            return self.sock.recv(most)
+            return self.sock.recv(max_bytes)
         except BlockingIOError as error:
             raise TimeoutError("nothing came in time") from error
 
-    def receive_now(self, most: int = READ_SIZE) -> bytes:
+    def receive_now(self, max_bytes: int = READ_SIZE) -> bytes:
         """What has come already; empty where nothing has, or the peer has ended its side."""
         try:
-            return self.sock.recv(most, socket.MSG_DONTWAIT)
+            return self.sock.recv(max_bytes, socket.MSG_DONTWAIT)
         except OSError:
             return b""
 
--- a/saffronstack/net/write_buffer.py
+++ b/saffronstack/net/write_buffer.py
@@ -191,7 +191,7 @@
     def stop(self, timeout_s: float = 2.0) -> bool:
         """End it; whether it ended in time."""
         self._stopping = True
-        self._rouse()
+        self._wake_up()
         if self._runner is None:
             return True
         self._runner.join(timeout_s)
@@ -201,9 +201,9 @@
         """Write for it until its outbox is empty."""
         with self._lock:
             self._new.append(buffer)
-        self._rouse()
+        self._wake_up()
 
-    def _rouse(self) -> None:
+    def _wake_up(self) -> None:
         with self._lock, contextlib.suppress(OSError):
             if self._wake >= 0:  # once closed, its number may be another file's
                 os.eventfd_write(self._wake, 1)
--- a/saffronstack/platform/budget.py
+++ b/saffronstack/platform/budget.py
@@ -19,9 +19,9 @@
     calls: int
 
 
-def divide(sockets: int, memory_mb: float, open_most: int) -> Budget:
+def divide(sockets: int, memory_mb: float, max_open_calls: int) -> Budget:
     """Shares of the descriptors and of the memory, each at least one."""
     free = max(2, sockets - OWN)
     clients = max(1, int(free * CLIENT_PART))
     calls = int(memory_mb * 1024 * 1024 * MEMORY_PART / CALL_BYTES)
-    return Budget(clients, max(1, free - clients), max(32, min(open_most, calls)))
+    return Budget(clients, max(1, free - clients), max(32, min(max_open_calls, calls)))
--- a/saffronstack/platform/calls.py
+++ b/saffronstack/platform/calls.py
@@ -8,9 +8,9 @@
 from saffronstack.core.calls import Call, FunctionSpec
 from saffronstack.resp import frames
 
-TIMEOUT_MOST_MS = 600_000
-MEMORY_MOST_MB = 1e7
-LANES_MOST = 4096
+MAX_TIMEOUT_MS = 600_000
+MAX_MEMORY_MB = 1e7
+MAX_LANES = 4096
 MARGIN_S = 0.03  # the answer leaves this long before the client's time is up: it has a way to go
 
 
@@ -39,12 +39,12 @@
             if place is None:
                 raise frames.FieldError("an unknown owner")
             tenant = place
-        wait_s = frames.number(fields, "timeout", 1, TIMEOUT_MOST_MS, None) / 1000
+        wait_s = frames.number(fields, "timeout", 1, MAX_TIMEOUT_MS, None) / 1000
         wait_s = min(wait_s, self._deadlines[class_index])
         facts = frames.fields_of(fields.get("facts", "").encode(), ";", ":")
-        memory_mb = frames.number(facts, "memory_mb", 0, MEMORY_MOST_MB, 0.0)
-        lanes = frames.number(facts, "lanes", 1, LANES_MOST, 1.0)
-        load_ms = frames.number(facts, "load_ms", 0, TIMEOUT_MOST_MS, 0.0)
+        memory_mb = frames.number(facts, "memory_mb", 0, MAX_MEMORY_MB, 0.0)
+        lanes = frames.number(facts, "lanes", 1, MAX_LANES, 1.0)
+        load_ms = frames.number(facts, "load_ms", 0, MAX_TIMEOUT_MS, 0.0)
         spec = FunctionSpec(
             subject,
             int(subject, 16),
--- a/saffronstack/platform/config.py
+++ b/saffronstack/platform/config.py
@@ -46,7 +46,7 @@
     kinds: tuple[str, ...]
     streams: int  # requests that one connection to a host may carry
     idle_s: float  # idle connections to hosts are closed after this long
-    open_most: int
+    max_open_calls: int
 
     def membership(self) -> tuple[Membership, Change]:
         """The list of the start; ConfigError."""
@@ -59,7 +59,7 @@
 
 # Parts that a running gateway keeps until it is restarted. `known` is the list of the start and `seed` is new
 # with each start: neither concerns one that runs.
-_KEPT = ("name", "listen", "limits", "settings", "zones", "kinds", "streams", "idle_s", "open_most")
+_KEPT = ("name", "listen", "limits", "settings", "zones", "kinds", "streams", "idle_s", "max_open_calls")
 
 
 def needing_restart(in_force: PlatformConfig, fresh: PlatformConfig) -> list[str]:
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -59,7 +59,7 @@
         self.limits = limits
         self.clock = clock
         self.ids = OpenIds()
-        self.most = 0  # connections open at one time
+        self.peak_connections = 0  # connections open at one time
         self.evicted = 0  # idle connections that made room
         self.overflowed = 0  # connections whose calls were refused for want of room
         self._services = Services(engine, maker, writer, self.ids, clock, ready, self._holdoff)
@@ -125,7 +125,7 @@
         if self._shutdown_limits is None:
             self._shutdown_asked_s = self.clock()
             self._shutdown_limits = limits
-            self._rouse()
+            self._wake_up()
 
     def wait_drained(self, timeout_s: float) -> bool:
         """Until no call can be taken any more; whether that came in time."""
@@ -134,13 +134,13 @@
     def settled(self) -> None:
         """Told once every call has its final answer and none can be submitted any more."""
         self._settled = True
-        self._rouse()
+        self._wake_up()
 
     def wait_closed(self, timeout_s: float) -> bool:
         """Until the last answer is written and everything is closed; whether that came in time."""
         return self._closed.wait(timeout_s)
 
-    def _rouse(self) -> None:
+    def _wake_up(self) -> None:
         with contextlib.suppress(OSError, ValueError):  # it has ended
             os.eventfd_write(self._wake, 1)
 
@@ -220,9 +220,9 @@
             self._poll.unregister(self._listener)
         self._listening = wanted
 
-    def _accept(self, now: float, most: int) -> int:
+    def _accept(self, now: float, max_accepted: int) -> int:
         """Accept what has come, up to so many; how many were accepted."""
-        for accepted in range(most):
+        for accepted in range(max_accepted):
             if len(self._connections) >= self.limits.connections + self.limits.overflow:
                 if not self._waiting.poll(0):
                     return accepted  # nobody comes: nobody has to make room
@@ -244,7 +244,7 @@
             self._add(sock, now, overflow)
             if len(self._connections) >= self.limits.connections:
                 return accepted + 1  # those that stand are read before another one makes room
-        return most
+        return max_accepted
 
     def _add(self, sock: socket.socket, now: float, overflow: bool) -> None:
         sock.setblocking(False)
@@ -261,7 +261,7 @@
             return
         self._connections[sock.fileno()] = connection
         self._eviction.add(connection)
-        self.most = max(self.most, len(self._connections))
+        self.peak_connections = max(self.peak_connections, len(self._connections))
 
     def _evict(self, now: float) -> bool:
         """Make room; whether there is some now."""
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -54,14 +54,14 @@
         self._clock, self._wall = clock, wall
         self._log = log or PlainLog(config.name or "gateway")
         settings = config.settings
-        self.budget = divide(config.limits.sockets, config.limits.memory_mb, config.open_most)
+        self.budget = divide(config.limits.sockets, config.limits.memory_mb, config.max_open_calls)
         self.membership, self._start_list = config.membership()
         self.engine = Engine(
             settings,
             config.seed,
             clock,
             backstop_s=MARGIN_S,
-            open_most=self.budget.calls,
+            max_open_calls=self.budget.calls,
             log=self._log,
         )
         self.writer = WriteLoop(clock)
@@ -118,7 +118,7 @@
                 self._log.info("beliefs against links", looks=self.beliefs.looks, **summary)
 
     def _look(self, now: float, router: Router) -> None:
-        self.beliefs.look(now, router.workers, self.hosts.passed())
+        self.beliefs.look(now, router.workers, self.hosts.pools())
 
     def _changed(self, change: Change) -> None:
         """Links first, so that nothing leaves for a host that drains or is gone."""
@@ -135,7 +135,7 @@
         unapplied = needing_restart(self.config, fresh)
         if unapplied:
             self._log.warning("parts of the new configuration need a restart", parts=", ".join(unapplied))
-        self.directory.point(fresh.nameserver)
+        self.directory.set_server(fresh.nameserver)
         self._log.info("configuration read again", nameserver=fresh.nameserver)
         return True
 
@@ -164,7 +164,7 @@
             "repeats": counts.repeats,
             "backstops": counts.backstops,
             "faults": counts.faults,
-            "connections_most": self.front.most,
+            "peak_connections": self.front.peak_connections,
             "evicted": self.front.evicted,
             "overflowed": self.front.overflowed,
             "beliefs": self.beliefs.summary(),
--- a/saffronstack/resp/frames.py
+++ b/saffronstack/resp/frames.py
@@ -6,7 +6,7 @@
 import re
 from dataclasses import dataclass, field
 
-TAG_MOST = 10**15  # larger numbers are no tag: the bound keeps what is remembered of tags small
+TAG_LIMIT = 10**15  # larger numbers are no tag: the bound keeps what is remembered of tags small
 _REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
 _FIELD_NAME = re.compile(r"[a-z_]+\Z")
 
@@ -51,7 +51,7 @@
     if len(words) < 2 or not words[1].isdigit() or len(words[1]) > 16:
         return None
     tag = int(words[1])
-    return tag if 0 < tag < TAG_MOST else None
+    return tag if 0 < tag < TAG_LIMIT else None
 
 
 def frame_of(words: tuple[bytes, ...]) -> Frame:
@@ -114,7 +114,7 @@
     return text
 
 
-def number(fields: dict[str, str], name: str, least: float, most: float, default: float | None) -> float:
+def number(fields: dict[str, str], name: str, minimum: float, maximum: float, default: float | None) -> float:
     """A figure between its bounds; FieldError. None as the default: it must be there."""
     text = fields.get(name)
     if text is None:
@@ -125,8 +125,8 @@
         value = float(text) if len(text) <= 24 and "_" not in text else math.nan
     except ValueError:
         value = math.nan
-    if not least <= value <= most:
-        raise FieldError(f"{name} must be a number from {least:g} to {most:g}")
+    if not minimum <= value <= maximum:
+        raise FieldError(f"{name} must be a number from {minimum:g} to {maximum:g}")
     return value
 
 
--- a/saffronstack/resp/reader.py
+++ b/saffronstack/resp/reader.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-NUMBER_MOST = 16  # characters of a length line
+MAX_LENGTH_DIGITS = 16  # characters of a length line
 
 
 class RespError(ValueError):
@@ -81,13 +81,13 @@
             self._at = 0
         return words
 
-    def _number(self, sign: bytes, most: int) -> int | None:
+    def _number(self, sign: bytes, maximum: int) -> int | None:
         buffer, at = self._buffer, self._at
-        end = buffer.find(b"\r\n", at, at + NUMBER_MOST + 3)
+        end = buffer.find(b"\r\n", at, at + MAX_LENGTH_DIGITS + 3)
         if end < 0:
             if len(buffer) > at and buffer[at : at + 1] != sign:
                 raise RespError(f"{sign.decode()} expected", tuple(self._words))
-            if len(buffer) - at > NUMBER_MOST:
+            if len(buffer) - at > MAX_LENGTH_DIGITS:
                 raise RespError("a length without an end", tuple(self._words))
             return None
         if buffer[at : at + 1] != sign:
@@ -96,8 +96,8 @@
         if not digits.isdigit():
             raise RespError("a length that is no number", tuple(self._words))
         number = int(digits)
-        if number > most:
-            raise RespError(f"a length of {number}, {most} at most", tuple(self._words))
+        if number > maximum:
+            raise RespError(f"a length of {number}, {maximum} at most", tuple(self._words))
         self._at = end + 2
         return number
 
--- a/saffronstack/standin/platform.py
+++ b/saffronstack/standin/platform.py
@@ -174,7 +174,7 @@
         self.reset_calls = 0  # so many of the next calls have their link reset once they have run
         self._store, self._catalog, self._log, self._clock = store, catalog, log, clock
         self._attempts = count()
-        self._crew = Crew("host-call", idle_most=64)
+        self._crew = Crew("host-call", max_idle=64)
         self._free = threading.Event()
         self._free.set()
         self._lock = threading.Lock()
--- a/saffronstack/workers/pool.py
+++ b/saffronstack/workers/pool.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from saffronstack.core.calls import AttemptEnd, Call, Ending, Final, FunctionSpec, Heard, OrderEnd
+from saffronstack.core.calls import AttemptEnd, Call, Ending, Final, FunctionSpec, OrderEnd, WorkerSeen
 from saffronstack.core.roster import WorkerSpec
 from saffronstack.core.threads import spawn
 from saffronstack.http1.messages import HttpError, Limits, ResponseHead
@@ -22,7 +22,7 @@
 
 log = structlog.get_logger("saffronstack.workers")
 USAGE_S = 2.0  # how long a worker may take to answer a question about usage
-Tell = Callable[[AttemptEnd | OrderEnd | Heard], None]
+Tell = Callable[[AttemptEnd | OrderEnd | WorkerSeen], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,7 +282,7 @@
             call.settle(final)
         if judged.incarnation and judged.incarnation != self._incarnation:
             self._incarnation = judged.incarnation
-            self._tell(Heard(self.spec.number, judged.incarnation, judged.uptime_s))
+            self._tell(WorkerSeen(self.spec.number, judged.incarnation, judged.uptime_s))
         outcome = Outcome(
             call.number,
             job.number,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -141,7 +141,7 @@
     def answer(query: bytes, port: int) -> list[bytes]:
         if asked.is_set():
             return []
-        client.resolver.point(second.address)
+        client.resolver.set_server(second.address)
         asked.set()
         return [dns_answer(query, 9, LIST)]
 
@@ -182,7 +182,7 @@
 
 def test_another_list_under_the_same_serial_is_refused_and_any_order_is_the_same() -> None:
     client = offline()
-    take = client.resolver.take
+    take = client.resolver.apply
     query = b"\0\7\1\0\0\1\0\0\0\0\0\0" + dns_query_name()
     assert take(dns_answer(query, 5, LIST), [7]) and len(client.changes) == 1
     assert take(dns_answer(query, 5, LIST[::-1]), [7]) and len(client.changes) == 1
@@ -208,8 +208,8 @@
     assert {spec.name: spec.draining for spec in change.changed} == {"s-1": False, "s-2": True, "s-3": False}
     assert client.membership.serial == 1
     query = b"\0\7\1\0\0\1\0\0\0\0\0\0" + dns_query_name()
-    assert not client.resolver.take(dns_answer(query, 2**32 - 1, LIST), [7])
-    assert client.resolver.take(dns_answer(query, 2, LIST), [7])
+    assert not client.resolver.apply(dns_answer(query, 2**32 - 1, LIST), [7])
+    assert client.resolver.apply(dns_answer(query, 2, LIST), [7])
 
 
 def test_a_drain_that_the_start_told_holds_against_a_list_from_before_it() -> None:
@@ -217,7 +217,7 @@
     pool = {"endpoints": [{"name": "s-1", "address": "127.0.0.1:1001", "status": "Terminating"}]}
     take_known(client.membership, {"rev": 41, "notices": [{"rev": 41, "pool": pool}]})
     query = b"\0\7\1\0\0\1\0\0\0\0\0\0" + dns_query_name()
-    assert not client.resolver.take(dns_answer(query, 40, LIST), [7])
+    assert not client.resolver.apply(dns_answer(query, 40, LIST), [7])
     assert [spec.draining for spec in client.membership.specs] == [True]
 
 
@@ -246,7 +246,7 @@
         return False
 
     monkeypatch.setattr(client.resolver, "_stopping", Waits())
-    monkeypatch.setattr(client.resolver, "ask", ask)
+    monkeypatch.setattr(client.resolver, "query", ask)
     client.resolver._run()
     assert 40 * 0.25 * (1 - JITTER) <= now[0] <= 40 * 0.25 * (1 + JITTER) + 0.2
     assert len({round(pause, 6) for pause in pauses}) > 20
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -17,9 +17,9 @@
     Ending,
     Final,
     FunctionSpec,
-    Heard,
     OrderEnd,
     Prior,
+    WorkerSeen,
 )
 from saffronstack.core.engine import Engine
 from saffronstack.core.record import Recorder, RecordError, replay
@@ -208,7 +208,7 @@
         engine.submit(call)
         call.wait(3)
     engine.tell(OrderEnd(1, Result.OK, 0.1))
-    engine.tell(Heard(2, "x", 0.5))
+    engine.tell(WorkerSeen(2, "x", 0.5))
     eventually(lambda: pathlib.Path(path).stat().st_size > 200)  # as a kill would leave it
     (tmp_path / "cut.rec").write_bytes(pathlib.Path(path).read_bytes())
     assert replay(str(tmp_path / "cut.rec"))[0] >= 60
@@ -230,13 +230,15 @@
 def test_a_worker_heard_anew_is_told_once() -> None:
     roster = Roster()
     roster.told(100.0, 1000.0, WORKERS)
-    assert roster.heard(101.0, Heard(1, "a", 500.0)) is None
-    assert roster.heard(102.0, Heard(1, "a", 501.0)) is None
-    update = roster.heard(110.0, Heard(1, "b", 2.0))
+    assert roster.worker_seen(101.0, WorkerSeen(1, "a", 500.0)) is None
+    assert roster.worker_seen(102.0, WorkerSeen(1, "a", 501.0)) is None
+    update = roster.worker_seen(110.0, WorkerSeen(1, "b", 2.0))
     assert update is not None
     assert update.workers[0].since_s == pytest.approx(108.0)
-    assert roster.heard(111.0, Heard(1, "b", 3.0)) is None
-    assert roster.heard(111.0, Heard(2, "c", 1.0)) is None  # the first heard of it: the list has the word
+    assert roster.worker_seen(111.0, WorkerSeen(1, "b", 3.0)) is None
+    assert (
+        roster.worker_seen(111.0, WorkerSeen(2, "c", 1.0)) is None
+    )  # the first heard of it: the list has the word
     again = roster.told(112.0, 1012.0, WORKERS)
     assert {entry.worker: entry.since_s for entry in again.workers}[1] == pytest.approx(108.0)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -335,7 +335,7 @@
                     service.engine.inspect(look)
                     return
                 looked.extend(worker.in_flight for worker in router.workers.values())
-                beliefs.look(now, router.workers, service.hosts.passed())
+                beliefs.look(now, router.workers, service.hosts.pools())
                 done.set()
 
             service.engine.inspect(look)
@@ -364,8 +364,8 @@
             assert client.ask(subject=place)[0] == "OK"
             client.sock.close()
             directory.entries = [Entry(f"s-{place}", host.address)]
-            service._changed(service.membership.whole(place + 1, []))
-            service._changed(service.membership.part(place + 1, [_listed(directory.entries[0])], []))
+            service._changed(service.membership.replace(place + 1, []))
+            service._changed(service.membership.update(place + 1, [_listed(directory.entries[0])], []))
             if place == 300:
                 early = known()
         assert known() <= early + 3 * many  # functions of the last keep-alives, and their counts
@@ -385,7 +385,7 @@
 
 
 def _listed(entry: Entry) -> Any:
-    from saffronstack.directory.membership import Listed
+    from saffronstack.directory.membership import ListedHost
 
     host, _, port = entry.address.rpartition(":")
-    return Listed(entry.name, host, int(port), "east", "std")
+    return ListedHost(entry.name, host, int(port), "east", "std")
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -12,8 +12,8 @@
 from hypothesis import strategies as st
 
 from saffronstack.core.logs import PlainLog
-from saffronstack.directory.dns import DnsError, answer_of, query
-from saffronstack.directory.membership import Change, Listed, Membership, listed_of, newer
+from saffronstack.directory.dns import DnsError, answer_of, query_message
+from saffronstack.directory.membership import Change, ListedHost, Membership, listed_of, newer
 from saffronstack.directory.resolver import Resolver
 from saffronstack.hosts import codec
 from saffronstack.hosts.codec import HostError, LineReader
@@ -102,18 +102,18 @@
     with pytest.raises(HostError):
         for _ in range(1100):
             reader.feed(b"x")
-    assert len(reader._parts) <= codec.PARTS_MOST + 1
+    assert len(reader._parts) <= codec.MAX_LINE_PARTS + 1
 
 
 def test_a_list_from_the_directory() -> None:
-    asked = query(5, NAME)
+    asked = query_message(5, NAME)
     serial, listed = listed_of(answer_of(dns_answer(asked, 41, LIST)), 5, NAME)
     assert serial == 41 and [one.name for one in listed] == ["s-1", "s-2"]
-    assert listed[1] == Listed("s-2", "127.0.0.2", 200, "east", "std", 0, True, 1.0, 1700000000000)
+    assert listed[1] == ListedHost("s-2", "127.0.0.2", 200, "east", "std", 0, True, 1.0, 1700000000000)
 
 
 def test_an_answer_cut_anywhere_is_refused() -> None:
-    message = dns_answer(query(5, NAME), 41, LIST)
+    message = dns_answer(query_message(5, NAME), 41, LIST)
     for cut in range(len(message)):
         with pytest.raises(DnsError):
             listed_of(answer_of(message[:cut]), 5, NAME)
@@ -127,7 +127,7 @@
 
 @given(st.integers(0, 300), st.binary(min_size=1, max_size=8))
 def test_an_answer_with_noise_inside_is_an_answer_or_an_error(at: int, noise: bytes) -> None:
-    message = dns_answer(query(5, NAME), 41, LIST)
+    message = dns_answer(query_message(5, NAME), 41, LIST)
     with contextlib.suppress(DnsError):
         listed_of(answer_of(message[:at] + noise + message[at + len(noise) :]), 5, NAME)
 
@@ -139,21 +139,21 @@
 def test_only_whole_good_new_answers_are_taken() -> None:
     membership, heard = Membership(["east"], ["std"]), list[Change]()
     told = resolver(membership, heard)
-    good = dns_answer(query(7, NAME), 10, LIST)
-    assert told.take(good, [7]) and len(heard) == 1 and len(heard[0].changed) == 2
-    assert told.take(good, [7]) and len(heard) == 1  # the same again changes nothing
+    good = dns_answer(query_message(7, NAME), 10, LIST)
+    assert told.apply(good, [7]) and len(heard) == 1 and len(heard[0].changed) == 2
+    assert told.apply(good, [7]) and len(heard) == 1  # the same again changes nothing
     refused = [
         good[:-3],  # cut short
         good[:2] + struct.pack(">H", 0x8602) + good[4:],  # truncated by its own word
         good[:2] + struct.pack(">H", 0x8403) + good[4:],  # a failure
-        dns_answer(query(8, NAME), 11, []),  # under another id
-        dns_answer(query(7, "_other._tcp.fleet.local"), 11, []),
-        dns_answer(query(7, NAME), 9, LIST[:1]),  # an older list
+        dns_answer(query_message(8, NAME), 11, []),  # under another id
+        dns_answer(query_message(7, "_other._tcp.fleet.local"), 11, []),
+        dns_answer(query_message(7, NAME), 9, LIST[:1]),  # an older list
     ]
-    assert not any(told.take(message, [7]) for message in refused)
+    assert not any(told.apply(message, [7]) for message in refused)
     assert len(heard) == 1 and len(membership.specs) == 2
     assert sum(told.counts.refused.values()) == len(refused)
-    assert told.take(dns_answer(query(7, NAME), 11, LIST[:1]), [7])
+    assert told.apply(dns_answer(query_message(7, NAME), 11, LIST[:1]), [7])
     assert heard[1].gone and membership.serial == 11
 
 
@@ -163,11 +163,11 @@
 
 def test_a_name_that_returns_at_another_address_is_another_host() -> None:
     membership = Membership(["east"], ["std"])
-    first = Listed("s-1", "127.0.0.1", 100, "east", "std")
-    (old,) = membership.whole(1, [first]).changed
-    change = membership.whole(2, [Listed("s-1", "127.0.0.1", 101, "east", "std")])
+    first = ListedHost("s-1", "127.0.0.1", 100, "east", "std")
+    (old,) = membership.replace(1, [first]).changed
+    change = membership.replace(2, [ListedHost("s-1", "127.0.0.1", 101, "east", "std")])
     assert change.gone == (old.number,) and change.changed[0].port == 101
-    assert not membership.whole(3, [Listed("s-1", "127.0.0.1", 101, "east", "std")])
+    assert not membership.replace(3, [ListedHost("s-1", "127.0.0.1", 101, "east", "std")])
 
 
 class Full:
@@ -248,5 +248,5 @@
 
 def test_stand_in_answers_are_dns(  # the stand-in itself, against the system's own reading of an address
 ) -> None:
-    answer = answer_of(dns_answer(query(5, NAME), 41, LIST))
+    answer = answer_of(dns_answer(query_message(5, NAME), 41, LIST))
     assert answer.addresses["s-1.east.hosts"] == socket.inet_ntoa(b"\x7f\0\0\1")
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -16,7 +16,7 @@
 from saffronstack.hosts import codec
 from saffronstack.hosts.dispatcher import HostDispatcher
 from saffronstack.hosts.items import Item
-from saffronstack.hosts.link import ABANDONED_MOST, ANSWERED_MOST, Link, LinkLimits
+from saffronstack.hosts.link import MAX_ABANDONED_TAGS, MAX_ANSWERED_TAGS, Link, LinkLimits
 from saffronstack.hosts.pool import HostPool, LinkBudget
 from saffronstack.interface import Result
 from saffronstack.net.write_buffer import Sent, WriteBuffer, WriteLoop
@@ -48,7 +48,7 @@
         self.ends.append(what)
 
     def _start(self) -> None:
-        link = self.dispatcher.passed()[7].links[-1]
+        link = self.dispatcher.pools()[7].links[-1]
         sock = Full(self.room)
         write_buffer = WriteBuffer(sock, link._writer, 1_000_000, 3.0, lambda: self.now)  # type: ignore[arg-type]
         link._write_buffer = write_buffer
@@ -116,38 +116,40 @@
     assert fleet.results() == [(1, Result.CANCELLED)]
     assert fleet.sockets[0].taken.endswith(b'{"what":"CANCEL","tag":"0000000000000001"}\n')
     link = fleet.links[0]
-    assert not link.takes("0000000000000001")  # its answer may still come, and would be taken for a new one's
-    link._heard(codec.answer_of(b'{"what":"OK","tag":"0000000000000001","blob":"eA=="}'))
-    assert len(fleet.ends) == 1 and not call.settled and link.takes("0000000000000001")
+    assert not link.accepts(
+        "0000000000000001"
+    )  # its answer may still come, and would be taken for a new one's
+    link._on_answer(codec.answer_of(b'{"what":"OK","tag":"0000000000000001","blob":"eA=="}'))
+    assert len(fleet.ends) == 1 and not call.settled and link.accepts("0000000000000001")
 
 
 def test_a_link_with_many_answers_owed_for_nothing_takes_nothing_new(fleet: Fleet) -> None:
     link = None
-    for number in range(1, ABANDONED_MOST + 1):
+    for number in range(1, MAX_ABANDONED_TAGS + 1):
         call = fleet.call(number)
         link = fleet.links[0]
         fleet.dispatcher.cancel(call, 0)
-    assert link is not None and not link.takes("f" * 16)
+    assert link is not None and not link.accepts("f" * 16)
     assert len(fleet.links) == 1
 
 
 def test_time_outs_and_silence(fleet: Fleet) -> None:
     fleet.call(1)
     fleet.now += 2.0
-    assert fleet.dispatcher.passed()[7].silent_s == pytest.approx(2.0)
+    assert fleet.dispatcher.pools()[7].silent_s == pytest.approx(2.0)
     fleet.now += 1.5
     for key in fleet.dispatcher.deadlines.due(fleet.now):
         fleet.dispatcher.expire(key)
     assert fleet.results() == [(1, Result.TIMEOUT)] and not fleet.dispatcher.out
-    assert fleet.dispatcher.passed()[7].silent_s == 0.0
+    assert fleet.dispatcher.pools()[7].silent_s == 0.0
 
 
 def test_a_number_that_returns_at_another_address_is_another_host(fleet: Fleet) -> None:
     fleet.call(1)
-    before = fleet.dispatcher.passed()[7]
+    before = fleet.dispatcher.pools()[7]
     fleet.dispatcher.changed([WorkerSpec(7, "s-7", "127.0.0.1", 2)], [])
-    after = fleet.dispatcher.passed()[7]
-    assert after is not before and before.closed and not before.links[0].takes("f" * 16)
+    after = fleet.dispatcher.pools()[7]
+    assert after is not before and before.closed and not before.links[0].accepts("f" * 16)
 
 
 @dataclass
@@ -248,15 +250,15 @@
     call = fleet.call(1)
     link = fleet.links[0]
     full = codec.answer_of(b'{"what":"BUSY","tag":"0000000000000001"}')
-    link._heard(full)
+    link._on_answer(full)
     assert fleet.results() == [(1, Result.FULL)]
     fleet.dispatcher.send(call, 1, 7, 0.0)
-    link._heard(full)
+    link._on_answer(full)
     assert fleet.results() == [(1, Result.FULL)] and len(fleet.links) == 2
-    for number in range(2, 2 + ANSWERED_MOST):  # what is remembered of a link is bounded
+    for number in range(2, 2 + MAX_ANSWERED_TAGS):  # what is remembered of a link is bounded
         fleet.call(number)
-        link._heard(codec.answer_of(b'{"what":"OK","tag":"%016x"}' % number))
-    assert len(link._answered) <= ANSWERED_MOST
+        link._on_answer(codec.answer_of(b'{"what":"OK","tag":"%016x"}' % number))
+    assert len(link._answered) <= MAX_ANSWERED_TAGS
 
 
 def test_a_link_that_ends_while_a_first_byte_leaves_says_what_left(
@@ -300,7 +302,7 @@
     fleet.call(1)
     link = fleet.links[0]
     (item,) = link._open.values()
-    item.leaving, item.sent = False, Sent.NOTHING
+    item.started, item.sent = False, Sent.NOTHING
     write_buffer = link._write_buffer
     assert write_buffer is not None
     claims: list[bool] = []
@@ -366,7 +368,7 @@
         client, other = Client(service.front.address), Client(service.front.address)
         tag = client.call(cls=b"sell")
         assert slow.begun.acquire(timeout=WAIT_S)
-        (link,) = service.hosts.passed().popitem()[1].links
+        (link,) = service.hosts.pools().popitem()[1].links
         eventually(lambda: link.open)  # the call waits for it
         decided = threading.Event()
         if change == "client leaves":  # and nobody has decided yet what that means for its attempt
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -60,7 +60,7 @@
 
 
 def test_threads_without_work_end_and_only_so_many_wait(started: list[threading.Thread]) -> None:
-    crew, together = Crew("crew", idle_s=0.01, idle_most=3), threading.Barrier(8)
+    crew, together = Crew("crew", idle_s=0.01, max_idle=3), threading.Barrier(8)
     for _ in range(8):
         crew.run(lambda: together.wait(WAIT_S))
     for thread in started:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from saffronstack.core.calls import AttemptEnd, Call, FunctionSpec, Heard, OrderEnd
+from saffronstack.core.calls import AttemptEnd, Call, FunctionSpec, OrderEnd, WorkerSeen
 from saffronstack.core.roster import WorkerSpec
 from saffronstack.interface import Found, Result
 from saffronstack.workers.fleet import Fleet
@@ -251,16 +251,16 @@
 
     worker = Scripted(script)
     fleet = told(worker.port, ends)
-    heard: list[Heard] = []
+    heard: list[WorkerSeen] = []
     for number in range(1, 4):
         fleet.send(call(number), 0, 9, 0.0)
         item = ends.get(timeout=5)
-        if isinstance(item, Heard):
+        if isinstance(item, WorkerSeen):
             heard.append(item)
             item = ends.get(timeout=5)
         assert isinstance(item, AttemptEnd)
         assert (item.outcome.crowd, item.outcome.report) == (None, None)
-    assert heard == [Heard(9, "a", 1.5), Heard(9, "b", 1.5)]
+    assert heard == [WorkerSeen(9, "a", 1.5), WorkerSeen(9, "b", 1.5)]
     fleet.end()
     worker.listener.close()
 
