--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -27,7 +27,7 @@
 from saffronstack.fleet.leases.client import LeaseClient
 from saffronstack.fleet.leases.messages import Bounds
 from saffronstack.harness.leases.explorer import Budget, Explored, explore
-from saffronstack.harness.leases.processes import LeaseRig, Report
+from saffronstack.harness.leases.rig import LeaseRig, Report
 from saffronstack.harness.leases.schedule import Fault, schedule, shrink
 from saffronstack.harness.leases.simulation import World
 from saffronstack.standin.worker import hold_port
--- a/tests/test_lease_processes.py
+++ b/tests/test_lease_processes.py
@@ -13,7 +13,7 @@
 from saffronstack.core.threads import spawn
 from saffronstack.harness.leases.judge import LeaseJudge
 from saffronstack.harness.leases.peer import Steps, until_of
-from saffronstack.harness.leases.processes import LeaseRig
+from saffronstack.harness.leases.rig import LeaseRig
 from saffronstack.harness.leases.schedule import Fault, schedule, shrink
 from saffronstack.harness.links import Mode, Wires
 
