--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -64,7 +64,6 @@
         OSError where the address can't be had, JournalError where the ledger can't be used."""
         self.config = config
         self._clock, self._wall = clock, wall
-        limits = config.limits
         settings = settings_of(config)
         self._recorder = Recorder(record_to, settings, config.seed) if record_to else None
         self.engine = Engine(
@@ -73,37 +72,13 @@
             clock,
             self._recorder,
             backstop_s=config.answer_margin_s / 2,
-            max_open_calls=limits.open_calls,
+            max_open_calls=config.limits.open_calls,
             log=structlog.get_logger("saffronstack.engine"),
         )
         self._numbers = PlaceNumbers(config)
-        self.meter: Meter | None = None
         self.limits: BudgetLimits | None = None
-        if config.metering is not None:
-            budgets = budgets_of(config)
-            lengths = {tenant: budget.window_s for tenant, budget in budgets.items()}
-            journal = open_usage_log(config.metering.directory, config.metering.segment_bytes, files, lengths)
-            offset_s = wall() - clock()
-            windows = journal.state.windows
-            if windows is not None:
-                windows.begin(clock() + offset_s)
-                self.limits = BudgetLimits(budgets, windows, config.instances, config.keep_alive_s, offset_s)
-            every_s = config.metering.ask_every_s
-            self.meter = Meter(
-                journal, self._ask_usage, clock, wall, self._memory_kib, every_s, self.limits, offset_s
-            )
-        self.fleet = Fleet(
-            PoolLimits(
-                limits.worker_connections,
-                config.allow.connect_timeout_s,
-                limits.worker_idle_s,
-                config.order_timeout_s,
-                Limits(body=limits.response_bytes),
-            ),
-            self.engine.tell,
-            clock,
-            self.meter,
-        )
+        self.meter = self._open_meter(files)
+        self.fleet = self._make_fleet()
         self.functions = Functions(config)
         self.ledger: Ledger | None = None
         self.deferred: DeferredCalls | None = None
@@ -118,28 +93,76 @@
         self.members = members or Members(0, 1, "", clock)
         self.slots = self._share_operations()
         self.pages = Pages(self)
-        self.app = App(
-            config,
+        self.app = self._make_app()
+        front = self._front_limits()
+        host, _, port = config.listen.rpartition(":")
+        self.server = Server(host, int(port), self.app, front, clock, self.members.count > 1, listener)
+        self.peers: Server | None = None  # where the other processes ask this one
+        if self.members.count > 1 and self.members.directory:
+            self.peers = Server("127.0.0.1", 0, self.app, front, clock)
+        self.draining = False
+        self.roster = self._open_roster()
+
+    def _open_meter(self, files: Files | None) -> Meter | None:
+        """What usage is counted by, and with it the budgets' limits; None where nothing is metered."""
+        config = self.config.metering
+        if config is None:
+            return None
+        budgets = budgets_of(self.config)
+        lengths = {tenant: budget.window_s for tenant, budget in budgets.items()}
+        journal = open_usage_log(config.directory, config.segment_bytes, files, lengths)
+        offset_s = self._wall() - self._clock()
+        windows = journal.state.windows
+        if windows is not None:
+            windows.begin(self._clock() + offset_s)
+            instances, keep_s = self.config.instances, self.config.keep_alive_s
+            self.limits = BudgetLimits(budgets, windows, instances, keep_s, offset_s)
+        return Meter(
+            journal,
+            self._ask_usage,
+            self._clock,
+            self._wall,
+            self._memory_kib,
+            config.ask_every_s,
+            self.limits,
+            offset_s,
+        )
+
+    def _make_fleet(self) -> Fleet:
+        limits = PoolLimits(
+            self.config.limits.worker_connections,
+            self.config.allow.connect_timeout_s,
+            self.config.limits.worker_idle_s,
+            self.config.order_timeout_s,
+            Limits(body=self.config.limits.response_bytes),
+        )
+        return Fleet(limits, self.engine.tell, self._clock, self.meter)
+
+    def _make_app(self) -> App:
+        return App(
+            self.config,
             self.engine,
             self.functions,
             self.deferred,
-            clock,
-            wall,
+            self._clock,
+            self._wall,
             self.pages.table(),
             self.members,
             self.limits,
             self.meter.journal.state if self.meter is not None else None,
             self.operations,
-            Router(self.slots, clock) if self.slots is not None else None,
+            Router(self.slots, self._clock) if self.slots is not None else None,
         )
-        host, _, port = config.listen.rpartition(":")
+
+    def _front_limits(self) -> FrontLimits:
+        limits = self.config.limits
         messages = Limits(
             limits.line_bytes,
             limits.head_bytes,
             limits.header_fields,
             max(limits.payload_bytes, limits.event_payload_bytes),
         )
-        front = FrontLimits(
+        return FrontLimits(
             messages,
             limits.connections,
             limits.head_timeout_s,
@@ -147,12 +170,6 @@
             limits.write_timeout_s,
             limits.idle_timeout_s,
         )
-        self.server = Server(host, int(port), self.app, front, clock, self.members.count > 1, listener)
-        self.peers: Server | None = None  # where the other processes ask this one
-        if self.members.count > 1 and self.members.directory:
-            self.peers = Server("127.0.0.1", 0, self.app, front, clock)
-        self.draining = False
-        self.roster = self._open_roster()
 
     def _open_operations(self, files: Files | None) -> Operations | None:
         config = self.config.operations
--- /dev/null
+++ b/saffronstack/invoke/metrics.py
@@ -0,0 +1,216 @@
+"""The gateway's counts in Prometheus' form, read when they are asked for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from saffronstack.core.engine import Engine
+from saffronstack.core.roster import WorkerSpec
+from saffronstack.daemon.members import Members
+from saffronstack.deferred.calls import DeferredCalls
+from saffronstack.deferred.ledger import Ledger
+from saffronstack.invoke.app import App
+from saffronstack.invoke.server import Server
+from saffronstack.metering.limits import BudgetLimits
+from saffronstack.metering.meter import Meter
+from saffronstack.operations.service import Operations
+from saffronstack.operations.slots import Slots
+from saffronstack.roster.service import RosterService
+
+PREFIX = "saffronstack_"
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """One number under a name, with its help text."""
+
+    name: str
+    help: str
+    value: float
+
+
+class Connections(Protocol):
+    """Who holds connections to workers."""
+
+    @property
+    def connections(self) -> int:
+        """How many."""
+        ...
+
+    @property
+    def size(self) -> int:
+        """Workers of the list."""
+        ...
+
+    def passed(self) -> list[tuple[WorkerSpec, int, int]]:
+        """Each worker, the attempts that it was given, and those of them open."""
+        ...
+
+
+class Parts(Protocol):
+    """What the pages tell of: the parts of a gateway, which it makes before anyone asks."""
+
+    engine: Engine
+    app: App
+    server: Server
+    members: Members
+    ledger: Ledger | None
+    deferred: DeferredCalls | None
+    meter: Meter | None
+    limits: BudgetLimits | None
+    operations: Operations | None
+    slots: Slots | None
+    roster: RosterService | None
+    draining: bool
+
+    @property
+    def fleet(self) -> Connections:
+        """The workers' side."""
+        ...
+
+
+def busiest(passed: list[tuple[WorkerSpec, int, int]]) -> float:
+    """The most open attempts that a worker which takes calls has, as a multiple of its share by size; 0
+    where none are open."""
+    taking = [(spec.size, out) for spec, _, out in passed if not spec.draining and spec.size > 0]
+    total, size = sum(out for _, out in taking), sum(size for size, _ in taking)
+    return max(out / (total * own / size) for own, out in taking) if total else 0.0
+
+
+class GatewayCollector(Collector):
+    """Reads the gateway's own counts when asked; nothing is counted twice."""
+
+    def __init__(self, gateway: Parts) -> None:
+        self._gateway = gateway
+
+    def collect(self) -> Iterable[Metric]:
+        """The metrics now."""
+        gateway = self._gateway
+        counts = gateway.engine.counts
+        yield _labelled("calls_ended", "Calls by how they ended", "ending", counts.endings)
+        yield _labelled("attempts_ended", "Attempts by result", "result", counts.results)
+        yield from _worker_metrics(gateway.fleet.passed())
+        for figure in _counters(gateway):
+            yield CounterMetricFamily(PREFIX + figure.name, figure.help, value=figure.value)
+        if gateway.deferred is not None:
+            finished = gateway.deferred.finished
+            yield _labelled("deferred_finished", "Deferred calls finished", "condition", finished)
+        if gateway.operations is not None:
+            sends = gateway.operations.counts
+            yield _labelled("operation_sends", "Sends that name an operation, by what they met", "met", sends)
+        for figure in _gauges(gateway):
+            yield GaugeMetricFamily(PREFIX + figure.name, figure.help, value=figure.value)
+
+
+def _labelled(name: str, help_: str, label: str, values: Mapping[str, float]) -> CounterMetricFamily:
+    family = CounterMetricFamily(PREFIX + name, help_, labels=[label])
+    for value_of, value in values.items():
+        family.add_metric([value_of], value)
+    return family
+
+
+def _worker_metrics(passed: list[tuple[WorkerSpec, int, int]]) -> Iterator[Metric]:
+    given = CounterMetricFamily(PREFIX + "worker_attempts", "Attempts given to a worker", labels=["worker"])
+    out = GaugeMetricFamily(PREFIX + "worker_out", "Open attempts at a worker", labels=["worker"])
+    for spec, attempts, open_ in passed:
+        given.add_metric([spec.name], attempts)
+        out.add_metric([spec.name], open_)
+    yield given
+    yield out
+
+
+def _counters(gateway: Parts) -> Iterator[Figure]:
+    counts, server = gateway.engine.counts, gateway.server
+    yield Figure("calls", "Calls taken by the engine", counts.calls)
+    yield Figure("sends", "Attempts begun", counts.sends)
+    yield Figure("repeats", "Attempts after a call's first", counts.repeats)
+    yield Figure("orders", "Orders to load or unload", counts.orders)
+    yield Figure("events", "Events decided on", counts.events)
+    yield Figure("backstops", "Calls that the engine itself answered", counts.backstops)
+    yield Figure("decision_faults", "Events on which the decision failed", counts.faults)
+    yield Figure("connections_accepted", "Client connections accepted", server.accepted)
+    yield Figure("connections_turned_away", "Client connections turned away", server.turned_away)
+    if gateway.deferred is not None:
+        yield Figure("deferred_taken", "Deferred calls taken", gateway.deferred.taken)
+    if gateway.meter is not None:
+        yield from _usage_counters(gateway.meter, gateway.limits)
+    if gateway.operations is not None:
+        help_ = "Ended operations that memory had no room for until their window ended"
+        yield Figure("operations_dropped_early", help_, gateway.operations.table.dropped_early)
+
+
+def _gauges(gateway: Parts) -> Iterator[Figure]:
+    passed = gateway.fleet.passed()
+    yield Figure("open_calls", "Calls open in the engine", gateway.engine.open_calls)
+    yield Figure("queued_events", "Events waiting for the decision thread", gateway.engine.queued)
+    yield Figure("client_connections", "Client connections open", gateway.server.connections)
+    yield Figure("worker_connections", "Worker connections at most", gateway.fleet.connections)
+    yield Figure("worker_spread", "Open attempts of the busiest worker over its share", busiest(passed))
+    if gateway.deferred is not None and gateway.ledger is not None:
+        ledger = gateway.ledger
+        yield Figure("deferred_open", "Deferred calls open", gateway.deferred.open_calls)
+        yield Figure("ledger_failing", "1 while the ledger can't write", float(bool(ledger.failing)))
+        yield Figure("ledger_stalled_seconds", "For how long its disk answers nothing", ledger.stalled_s)
+    if gateway.meter is not None:
+        yield from _usage_gauges(gateway.meter)
+    if gateway.operations is not None:
+        yield from _operation_gauges(gateway.operations)
+    if gateway.slots is not None:
+        yield Figure("operation_slots", "Slots whose operations this process runs", gateway.slots.held)
+    if gateway.roster is not None:
+        yield from _roster_gauges(gateway.roster)
+
+
+def _usage_gauges(meter: Meter) -> Iterator[Figure]:
+    account, journal = meter.journal.state, meter.journal
+    yield Figure("usage_sums", "Sums of usage held in memory", len(account.totals))
+    yield Figure("usage_runs", "Runs of sums that left memory", account.runs)
+    yield Figure("usage_unconfirmed", "Usage records that no worker has confirmed", len(account.unconfirmed))
+    yield Figure("usage_provisional", "Charges of lost calls that are not settled", len(account.provisional))
+    yield Figure("usage_log_failing", "1 while the usage log can't write", float(bool(journal.failing)))
+    yield Figure("usage_in_doubt", "1 where records of the usage log are lost", float(account.in_doubt))
+
+
+def _operation_gauges(operations: Operations) -> Iterator[Figure]:
+    for name, count in operations.table.counts():
+        yield Figure(f"operations_{name}", f"Operations remembered as {name.replace('_', ' ')}", count)
+    recent = operations.recent
+    yield Figure("operations_safe", "Safe operations remembered", len(recent))
+    yield Figure("operations_bytes", "Memory reckoned for operations", operations.table.bytes + recent.bytes)
+    if operations.spool is not None:
+        yield Figure("operations_spooled_bytes", "Answers on disk", operations.spool.bytes)
+    if operations.notes is not None:
+        failing = float(bool(operations.notes.failing))
+        yield Figure("operations_notes_failing", "1 while notes can't be written", failing)
+
+
+def _roster_gauges(roster: RosterService) -> Iterator[Figure]:
+    status, state = roster.status(), roster.state
+    yield Figure("roster_workers", "Workers of the list", status["workers"])
+    yield Figure("roster_draining", "Workers that are told as draining", status["draining"])
+    yield Figure("roster_generation", "Generation of the list in force", status["generation"] or 0)
+    yield Figure("roster_refused", "1 while the file can't be used", float(bool(state.refused)))
+    yield Figure("roster_held", "1 while a version waits for an operator", float(bool(state.held)))
+    copy = float(state.from_copy)
+    yield Figure("roster_from_copy", "1 while the last good copy stands for the file", copy)
+    yield Figure("roster_conflicts", "Contradictions between sources", len(state.conflicts))
+    yield Figure("roster_versions", "Versions applied since the start", state.counts["applied"])
+
+
+def _usage_counters(meter: Meter, limits: BudgetLimits | None) -> Iterator[Figure]:
+    lost = meter.lost_at_workers()
+    yield Figure("usage_records", "Usage records taken", meter.taken)
+    yield Figure("usage_refused", "Usage records that can't be believed", meter.refused)
+    yield Figure("usage_postponed", "Answers whose usage was left with the worker for later", meter.dropped)
+    yield Figure("usage_lost_at_workers", "Usage records that workers' own bounds cost", lost)
+    yield Figure("usage_log_bytes", "Bytes written to the usage log", meter.journal.written_bytes)
+    if limits is not None:
+        refused = "Calls refused or held back for their tenant's budget"
+        yield Figure("budget_refused", refused, limits.refused)
+        marked = "Calls taken at the worth of what lies over a share"
+        yield Figure("budget_marked", marked, limits.marked)
--- a/tests/test_invoke_api.py
+++ b/tests/test_invoke_api.py
@@ -19,7 +19,7 @@
 from saffronstack.http1.messages import Headers
 from saffronstack.invoke import names, sigv4
 from saffronstack.invoke.errors import InvokeError
-from saffronstack.invoke.pages import busiest
+from saffronstack.invoke.metrics import busiest
 from tests.support.stack import AMPLE_DEADLINE_S, Stack, eventually, read_all, running
 
 KEYS = [
