--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -33,7 +33,9 @@
 from saffronstack.operations.names import token_of
 from saffronstack.operations.service import ClientLeftError, NotHeldError, Operations
 
-CONTEXT_MOST = 3583  # bytes of X-Amz-Client-Context, by the API's page
+KINDS = ("RequestResponse", "Event", "DryRun")
+LOG_TYPES = ("None", "Tail")
+MAX_CONTEXT_BYTES = 3583  # bytes of X-Amz-Client-Context, by the API's page
 
 
 class Page(Protocol):
@@ -185,20 +187,11 @@
     ) -> Response:
         tenant = self._tenant(head, body)
         known = self._known(target)
-        kind = head.headers.get("x-amz-invocation-type", "RequestResponse")
-        if kind not in ("RequestResponse", "Event", "DryRun"):
-            raise errors.bad_parameter(
-                f"Value '{kind[:64]}' at 'invocationType' is none of RequestResponse, Event, DryRun."
-            )
-        log_type = head.headers.get("x-amz-log-type", "None")
-        if log_type not in ("None", "Tail"):
-            raise errors.bad_parameter(f"Value '{log_type[:64]}' at 'logType' is none of None, Tail.")
+        kind = _choice(head, "x-amz-invocation-type", "invocationType", KINDS)
+        log_type = _choice(head, "x-amz-log-type", "logType", LOG_TYPES)
         payload = self._payload(body)
         context = self._context(head.headers.get("x-amz-client-context"))
-        try:
-            token = token_of(head.headers)
-        except ValueError as error:
-            raise errors.bad_parameter(str(error)) from error
+        token = _token(head)
         if kind == "DryRun":
             version = ("X-Amz-Executed-Version", target.qualifier)
             return Response(204, (("x-amzn-RequestId", request_id), version))
@@ -208,18 +201,9 @@
         asked = Asked(
             request_id, tenant, known, target.qualifier, payload, context, token, until_s, wants_log
         )
-        perform = self._caller.defer if kind == "Event" else self._caller.call
 
         def here() -> Response:
-            began_s, ended = self._clock(), self.figures.note
-            try:
-                answer = perform(asked, client_there)
-            except InvokeError as error:
-                if ending := ending_of_error(error):
-                    ended(known.config.call_class, ending, 0.0)
-                raise
-            ended(known.config.call_class, ending_of(answer), self._clock() - began_s)
-            return answer
+            return self._perform(asked, kind, client_there)
 
         rule = self._caller.rule(asked)
         if self._router is None or not token or not (rule.owned or kind == "Event"):
@@ -235,6 +219,20 @@
             Sent(head, body, digest, until_s, noted, lambda: self._caller.unknown(asked)), here
         )
 
+    def _perform(self, asked: Asked, kind: str, client_there: Callable[[], bool]) -> Response:
+        """Run a checked call in this process, and note how it ended and how long it took."""
+        call_class, note = asked.known.config.call_class, self.figures.note
+        perform = self._caller.defer if kind == "Event" else self._caller.call
+        began_s = self._clock()
+        try:
+            answer = perform(asked, client_there)
+        except InvokeError as error:
+            if ending := ending_of_error(error):
+                note(call_class, ending, 0.0)
+            raise
+        note(call_class, ending_of(answer), self._clock() - began_s)
+        return answer
+
     def _known(self, target: names.Target) -> Known:
         known = self._functions.get(target.name)
         if known is None or target.qualifier not in (LATEST, *known.config.qualifiers):
@@ -259,8 +257,8 @@
     def _context(self, text: str) -> str:
         if not text:
             return ""
-        if len(text) > CONTEXT_MOST:
-            raise errors.bad_content(f"Client context must be no more than {CONTEXT_MOST} bytes.")
+        if len(text) > MAX_CONTEXT_BYTES:
+            raise errors.bad_content(f"Client context must be no more than {MAX_CONTEXT_BYTES} bytes.")
         try:
             self._validate(base64.b64decode(text, validate=True))
         except (binascii.Error, ValueError) as error:
@@ -340,6 +338,23 @@
         return Response(200, headers, msgspec.json.encode(found))
 
 
+def _choice(head: RequestHead, header: str, parameter: str, choices: tuple[str, ...]) -> str:
+    """A header's value, the first choice where it is missing; InvokeError where it is none of them."""
+    value = head.headers.get(header, choices[0])
+    if value not in choices:
+        listed = ", ".join(choices)
+        raise errors.bad_parameter(f"Value '{value[:64]}' at '{parameter}' is none of {listed}.")
+    return value
+
+
+def _token(head: RequestHead) -> str:
+    """The operation's name, empty where the client gave none; InvokeError where it can't be one."""
+    try:
+        return token_of(head.headers)
+    except ValueError as error:
+        raise errors.bad_parameter(str(error)) from error
+
+
 def _until(head: RequestHead) -> float:
     """Until when a send that another process passed on may be begun; what is no number says nothing."""
     if FORWARDED not in head.headers:
--- a/saffronstack/standin/worker.py
+++ b/saffronstack/standin/worker.py
@@ -50,6 +50,19 @@
         return ""
 
 
+def _identity(head: RequestHead, body: bytes) -> Entry:
+    """Which call and attempt this is, as every note about it says."""
+    get = head.headers.get
+    return {
+        "id": get("x-amzn-requestid"),
+        "attempt": int(get("x-saffron-attempt", "0")),
+        "key": get("idempotency-key"),
+        "function": get("x-saffron-function"),
+        "tenant": get("x-saffron-tenant"),
+        "op": _op(body),
+    }
+
+
 def hold_port(host: str, port: int = 0) -> socket.socket:
     """A bound socket that never listens; a listener with SO_REUSEADDR may take the port beside it."""
     sock = socket.socket()
@@ -242,14 +255,7 @@
         late_s: float,
     ) -> bool:
         get = head.headers.get
-        who: Entry = {
-            "id": get("x-amzn-requestid"),
-            "attempt": int(get("x-saffron-attempt", "0")),
-            "key": get("idempotency-key"),
-            "function": get("x-saffron-function"),
-            "tenant": get("x-saffron-tenant"),
-            "op": _op(body),
-        }
+        who = _identity(head, body)
         self._note("arrive", late=late_s, **who)  # ``late``: how long it may have lain in the socket
         faults = self.faults
         if faults.silent:
@@ -287,32 +293,40 @@
         if self._random.random() < faults.lose_answers:
             self._note("lost", **who)
             return False
-        payload = msgspec.json.encode(
-            {
-                "input": msgspec.Raw(body or b"null"),
-                "run": run_id,
-                "function": who["function"],
-                "worker": self.name,
-            }
-        )
-        log_tail: tuple[tuple[str, str], ...] = (("X-Saffron-Held", str(self.outbox.held(str(who["id"])))),)
+        fields = self._fields(head, who, run_id, found, crowd)
+        open_ = stream.open()
+        self._note("answer", status=200, open=open_, run=run_id, **who)
+        return self._answer(stream, model, incarnation, 200, fields, self._payload(who, run_id, body))
+
+    def _payload(self, who: Entry, run_id: str, body: bytes) -> bytes:
+        """What the function answers: what it was given, and which run of it this was."""
+        content = {
+            "input": msgspec.Raw(body or b"null"),
+            "run": run_id,
+            "function": who["function"],
+            "worker": self.name,
+        }
+        return msgspec.json.encode(content)
+
+    def _fields(
+        self, head: RequestHead, who: Entry, run_id: str, found: str, crowd: int
+    ) -> tuple[tuple[str, str], ...]:
+        """The header fields of a good answer: instance, waiting calls, usage, and the log where it is asked
+        for."""
+        get = head.headers.get
+        fields = [
+            ("X-Saffron-Found", found),
+            ("X-Saffron-Crowd", str(min(30, crowd))),
+            ("X-Saffron-Held", str(self.outbox.held(str(who["id"])))),
+        ]
         if get("x-amz-log-type") == "Tail":
             text = f"START RequestId: {who['id']}\nrun {run_id}\nEND RequestId: {who['id']}\n"
-            log_tail += (("X-Amz-Log-Result", base64.b64encode(text.encode()).decode()),)
+            fields.append(("X-Amz-Log-Result", base64.b64encode(text.encode()).decode()))
         if get("x-saffron-gateway"):
             asked = Asked(get("x-saffron-gateway"), limit=USAGE_IN_ANSWER)
             offered = msgspec.msgpack.encode(self.outbox.answer(asked, self._clock()))
-            log_tail += (("X-Saffron-Usage", base64.b64encode(offered).decode()),)
-        open_ = stream.open()
-        self._note("answer", status=200, open=open_, run=run_id, **who)
-        return self._answer(
-            stream,
-            model,
-            incarnation,
-            200,
-            (("X-Saffron-Found", found), ("X-Saffron-Crowd", str(min(30, crowd))), *log_tail),
-            payload,
-        )
+            fields.append(("X-Saffron-Usage", base64.b64encode(offered).decode()))
+        return tuple(fields)
 
     def _usage(self, stream: Stream, model: Model, incarnation: str, body: bytes) -> bool:
         try:
