--- a/saffronstack/audit/rules.py
+++ b/saffronstack/audit/rules.py
@@ -68,49 +68,62 @@
     tries: dict[str, list[Try]] = defaultdict(list)
     for t in traffic.tries:
         tries[t.op].append(t)
-    unanswerable = traffic.lost | traffic.untaken
     for t in traffic.tries:
-        where = f"{t.op} at gateway {t.gateway} ({t.function})"
         if t.end in ("", "broken"):
-            if (t.op, t.attempt) in unanswerable:
-                continue  # the gateway answered, and the answer was lost behind it; or none was there
-            stop = _stop_of(traffic, t)
-            # A gateway that ends may close an idle connection onto which a request is on its way: it was
-            # not taken, if no worker ever saw it.
-            ended = t.ended_s + figures.slack_s
-            untaken = stop is not None and not t.deferred
-            untaken = untaken and not any(t.sent_s <= at <= ended for at in reached.get(t.op, ()))
-            if stop is None or not (stop.killed or untaken):
-                how = f"{t.end} after {t.ended_s - t.sent_s:.3f} s" if t.end else "nothing came"
-                breaches.append(Breach(1, f"{where}: no answer ({how}), and its gateway was not killed"))
-            continue
-        if t.end == "left":
-            continue  # a gateway may read of both, the call and its end, only later
-        if t.end != "not_taken" and t.ended_s > t.deadline_s + figures.slack_s:
-            breaches.append(
-                Breach(1, f"{where}: answered {t.ended_s - t.deadline_s:.3f} s past its deadline")
-            )
-        if t.extra_bytes:
-            breaches.append(Breach(1, f"{where}: {t.extra_bytes} bytes followed its answer"))
-        if t.id and not t.deferred:
-            later = [other for other in tries[t.op] if other.sent_s > t.sent_s]
-            late = [
-                a
-                for a in arrivals.get(t.id, ())
-                if a.t - a.late > t.ended_s + figures.slack_s
-                and not any(_under_way(other, a.t - a.late, figures) for other in later)
-            ]
-            breaches.extend(
-                Breach(
-                    1,
-                    f"{where}: sent to {a.worker} {a.t - a.late - t.ended_s:.3f} s after it was {t.end}",
-                )
-                for a in late
-            )
-        if t.deferred and t.end == "accepted":
-            finals = traffic.finals.get(t.id, [])
-            if len(finals) != 1:
-                breaches.append(Breach(1, f"{where}: {len(finals)} final records: {finals}"))
+            breaches += _without_answer(traffic, t, reached[t.op], figures)
+        elif t.end != "left":  # a gateway may read of both, the call and its end, only later
+            breaches += _answered_wrongly(traffic, t, figures)
+            if t.id and not t.deferred:
+                later = [other for other in tries[t.op] if other.sent_s > t.sent_s]
+                breaches += _sent_after_answer(t, later, arrivals.get(t.id, []), figures)
+    return breaches
+
+
+def _where(t: Try) -> str:
+    return f"{t.op} at gateway {t.gateway} ({t.function})"
+
+
+def _without_answer(traffic: Traffic, t: Try, reached: list[float], figures: Figures) -> list[Breach]:
+    """A try that got no answer, unless its gateway was killed or never took it."""
+    sent = t.op, t.attempt
+    if sent in traffic.lost or sent in traffic.untaken:
+        return []  # the gateway answered, and the answer was lost behind it; or none was there
+    stop = _stop_of(traffic, t)
+    # A gateway that ends may close an idle connection onto which a request is on its way: it was
+    # not taken, if no worker ever saw it.
+    ended = t.ended_s + figures.slack_s
+    untaken = stop is not None and not t.deferred
+    untaken = untaken and not any(t.sent_s <= at <= ended for at in reached)
+    if stop is not None and (stop.killed or untaken):
+        return []
+    how = f"{t.end} after {t.ended_s - t.sent_s:.3f} s" if t.end else "nothing came"
+    return [Breach(1, f"{_where(t)}: no answer ({how}), and its gateway was not killed")]
+
+
+def _answered_wrongly(traffic: Traffic, t: Try, figures: Figures) -> list[Breach]:
+    """An answer past the deadline, more than one, or an accepted call without its one record."""
+    breaches = []
+    if t.end != "not_taken" and t.ended_s > t.deadline_s + figures.slack_s:
+        late_s = t.ended_s - t.deadline_s
+        breaches.append(Breach(1, f"{_where(t)}: answered {late_s:.3f} s past its deadline"))
+    if t.extra_bytes:
+        breaches.append(Breach(1, f"{_where(t)}: {t.extra_bytes} bytes followed its answer"))
+    if t.deferred and t.end == "accepted":
+        finals = traffic.finals.get(t.id, [])
+        if len(finals) != 1:
+            breaches.append(Breach(1, f"{_where(t)}: {len(finals)} final records: {finals}"))
+    return breaches
+
+
+def _sent_after_answer(t: Try, later: list[Try], arrivals: list[Seen], figures: Figures) -> list[Breach]:
+    """Attempts that reached a worker after the answer, and that no later try of the client asked for."""
+    breaches = []
+    for arrival in arrivals:
+        sent_s = arrival.t - arrival.late
+        after_s = sent_s - t.ended_s
+        if after_s > figures.slack_s and not any(_under_way(other, sent_s, figures) for other in later):
+            text = f"{_where(t)}: sent to {arrival.worker} {after_s:.3f} s after it was {t.end}"
+            breaches.append(Breach(1, text))
     return breaches
 
 
