The writer's test waits until the loop holds the buffer it stalls

Seen: one of 50 runs of the races' tests failed, "it did not come about in time": the test had moved its clock before the loop wrote to the stalled buffer for the first time, which then counted as taken just now.

--- a/tests/test_write_loop.py
+++ b/tests/test_write_loop.py
@@ -82,6 +82,8 @@
     clock = Clock()
     with running(clock) as loop:
         stuck, _, deaf = full(loop, clock)
+        _, _, other = full(loop, clock)
+        read(other, MESSAGE_BYTES)  # the loop holds the one before it, and has written what it could
         clock.now += STALL_S
         _, _, reader = full(loop, clock)  # still in time
         clock.now += 2 * LOOK_S
