--- a/saffronstack/hosts/deadlines.py
+++ b/saffronstack/hosts/deadlines.py
@@ -4,6 +4,7 @@
 
 import heapq
 import threading
+import traceback
 from collections.abc import Callable
 from itertools import count
 from typing import Protocol
@@ -78,4 +79,11 @@
                 if self._stopping:
                     return
             for key in self.due(self._clock()):
-                self._owner.expire(key)
+                self._expire(key)
+
+    def _expire(self, key: tuple[int, int]) -> None:
+        """Give one up; whatever goes wrong with it, the time-outs of all others go on."""
+        try:
+            self._owner.expire(key)
+        except Exception:
+            traceback.print_exc()
