A successor process serves once its predecessor ends, though its daemon is stopped

Callers saw: no answer for 3 s and more from one gateway during a change of release, while that gateway's process had ended and the next one stood by.

Cause: the successor waited for the daemon's word `go`. It knew its predecessor (`after PID`), but looked at it only once the daemon's pipe had closed. A stopped daemon holds its pipes open.

The predecessor logged `stopped` 0.51 s after `stopping`; the daemon logged its end 5.5 s later, with status 0.

Why this works: from `after PID` on the successor watches the process's end itself (daemon/standby.py), beside the daemon's words. It may hold calls from then on, so the reconciler no longer kills it at a new command (phase FOLLOWING). A daemon that wakes late does not kill a process that has ended; a kill is logged.

The stored format's test feeds its lines by a pipe instead of a replaced sys.stdin; lines and verdicts are the same.

--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -5,7 +5,6 @@
 import json
 import os
 import queue
-import select
 import signal
 import socket
 import sys
@@ -28,6 +27,7 @@
 from saffronstack.daemon.heartbeat_monitor import HEARTBEAT_INTERVAL_S, STOPPED_TIMEOUT_S
 from saffronstack.daemon.listener_handover import MARK_VARIABLE, ListenerHandover
 from saffronstack.daemon.process_group import ProcessGroup
+from saffronstack.daemon.standby import wait_until_allowed
 from saffronstack.daemon.state_directories import find_stranded_ledgers, process_directory
 from saffronstack.daemon.supervisor import Supervisor, gateway_command
 from saffronstack.durable.errors import JournalError
@@ -37,7 +37,6 @@
 
 log = structlog.get_logger("saffronstack.serve")
 FINISH_LOOK_S = 0.1
-FOLLOW_S = 300.0  # longer than any drain
 ACCEPTS_S = 2.0  # the accepting thread looks up every half second without anything to accept
 
 
@@ -127,19 +126,10 @@
             os.dup2(nowhere.fileno(), sys.stdout.fileno())
 
 
-def _told_to_go() -> bool:
-    """All is loaded and read, and nothing opened: say so, and wait for the word. Whoever started this process
-    may end it instead, or be gone: it ends too then, unless the one that it follows was told to end already.
-    From the word on it lives for itself.
-    """
+def _wait_in_standby() -> bool:
+    """Report that all is loaded and nothing opened, and wait; whether this process may serve."""
     _announce("saffronstack is prepared")
-    before = -1
-    while line := sys.stdin.readline().split():
-        if line == ["go"]:
-            return True
-        if line[0] == "after" and len(line) == 2 and line[1].isdigit():
-            before = int(line[1])
-    return before > 0 and _has_ended(before)
+    return wait_until_allowed(sys.stdin.fileno())
 
 
 def _hand_over(listener: socket.socket | None) -> ListenerHandover | None:
@@ -154,20 +144,6 @@
         return None
 
 
-def _has_ended(pid: int) -> bool:
-    """Wait for another process's end, for as long as one may take."""
-    try:
-        descriptor = os.pidfd_open(pid)
-    except OSError:
-        return True
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    try:
-        return bool(poll.poll(FOLLOW_S * 1000))
-    finally:
-        os.close(descriptor)
-
-
 def _show_life(gateway: Gateway, leaving: threading.Event) -> None:
     """A line for the supervisor while the threads that matter come round: accepting and decisions. One that
     was told to end has its own bounds for that.
@@ -254,7 +230,7 @@
         _pin(options.cpus, parts.members.index if parts.members is not None else os.getpid())
     if options.listen_fd >= 0:
         parts.listener = socket.socket(fileno=options.listen_fd)
-    if options.standby and not _told_to_go():
+    if options.standby and not _wait_in_standby():
         return None
     parts.ownership = own_ledger(
         options.fleet, options.name, options.ledger_home, options.ledger_token, config
--- a/saffronstack/fleet/control/gateway_actions.py
+++ b/saffronstack/fleet/control/gateway_actions.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServeAfter:
-    """Let a prepared incarnation serve once another has ended, even if the daemon is gone by then."""
+    """Let a prepared incarnation serve once another has ended, even if the daemon is stopped or gone then."""
 
     incarnation: int
     predecessor: int
--- a/saffronstack/fleet/control/gateway_process.py
+++ b/saffronstack/fleet/control/gateway_process.py
@@ -53,6 +53,14 @@
         """Let a prepared process serve."""
         self._write_command(b"go\n")
 
+    def has_ended(self) -> bool:
+        """Return whether the process has ended, known or not; does not wait."""
+        if self._pidfd < 0:
+            return True
+        poll = select.poll()
+        poll.register(self._pidfd, select.POLLIN)
+        return bool(poll.poll(0))
+
     def serve_after(self, predecessor: GatewayProcess) -> None:
         """Let a prepared process serve once another has ended, even without a daemon to say so."""
         self._write_command(b"after %d\n" % predecessor.pid)
--- a/saffronstack/fleet/control/gateway_reconciler.py
+++ b/saffronstack/fleet/control/gateway_reconciler.py
@@ -3,8 +3,9 @@
 A change of release never leaves the address without a listener: the listening socket belongs to the daemon,
 and connections wait in its queue meanwhile. The successor is *prepared* first (program loaded, configuration
 read, nothing opened) while the present incarnation serves; a release that fails at that costs no call. Then
-the present one is terminated, and only once it has ended is the successor allowed to serve: two incarnations
-never own one ledger. All times are seconds of one clock.
+the present one is terminated, and the successor is told to serve once that has ended: two incarnations never
+own one ledger. It watches for that end itself, so that callers do not wait for a daemon that is stopped; from
+then on it may serve at any moment, and is not dropped any more. All times are seconds of one clock.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
 
     PREPARING = "preparing"  # loads its program and configuration
     PREPARED = "prepared"  # waits until it may serve
+    FOLLOWING = "following"  # serves once its predecessor has ended, which may not be known here yet
     ACTIVATING = "activating"  # may serve and has not reported yet that it does
     SERVING = "serving"
     DRAINING = "draining"
@@ -120,7 +122,7 @@
 
     def on_prepared(self, now_s: float, number: int) -> list[ProcessAction]:
         """Record that an incarnation has loaded its program and configuration."""
-        successor = self._successor_in(IncarnationPhase.PREPARING, number)
+        successor = self._successor_in((IncarnationPhase.PREPARING,), number)
         if successor is None:
             return []
         successor.phase, successor.deadline_s = IncarnationPhase.PREPARED, math.inf
@@ -128,7 +130,7 @@
 
     def on_serving(self, now_s: float, number: int) -> list[ProcessAction]:
         """Record that an incarnation serves."""
-        successor = self._successor_in(IncarnationPhase.ACTIVATING, number)
+        successor = self._successor_in((IncarnationPhase.FOLLOWING, IncarnationPhase.ACTIVATING), number)
         if successor is None:
             return []
         successor.phase, successor.deadline_s = IncarnationPhase.SERVING, math.inf
@@ -171,9 +173,9 @@
             return GatewayPhase.SERVING if is_serving else GatewayPhase.DRAINING
         return GatewayPhase.DOWN if self._target() else GatewayPhase.STOPPED
 
-    def _successor_in(self, phase: IncarnationPhase, number: int) -> Incarnation | None:
+    def _successor_in(self, phases: tuple[IncarnationPhase, ...], number: int) -> Incarnation | None:
         one = self.successor
-        return one if one is not None and one.number == number and one.phase is phase else None
+        return one if one is not None and one.number == number and one.phase in phases else None
 
     def _target(self) -> str:
         """Return what is to run: the desired release, or the previous one where that was given up."""
@@ -199,14 +201,15 @@
         if successor.release != self._target() and waits:
             self.successor = None
             return [Kill(successor.number)]
-        if successor.phase is not IncarnationPhase.PREPARED:
+        if successor.phase not in (IncarnationPhase.PREPARED, IncarnationPhase.FOLLOWING):
             return []
         if self.current is None:
             successor.phase = IncarnationPhase.ACTIVATING
             successor.deadline_s = now_s + self.start_timeout_s
             return [AllowServing(successor.number)]
-        if self.current.phase is not IncarnationPhase.SERVING:
+        if not _is_serving(self.current):
             return []
+        successor.phase = IncarnationPhase.FOLLOWING
         return [ServeAfter(successor.number, self.current.number), *self._terminate_current(now_s)]
 
     def _start_successor(self, now_s: float) -> list[ProcessAction]:
--- a/saffronstack/fleet/control/managed_gateway.py
+++ b/saffronstack/fleet/control/managed_gateway.py
@@ -186,7 +186,8 @@
                 with contextlib.suppress(OSError):
                     self._listener.listen(process_launcher.LISTEN_BACKLOG)
                 process.send_signal(signal.SIGTERM)
-            case Kill():
+            case Kill() if not process.has_ended():  # its end may not have been handled yet
+                log.warning("gateway process killed", gateway=self.spec.name, incarnation=action.incarnation)
                 process.send_signal(signal.SIGKILL)
 
     def _start(self, action: StartProcess) -> None:
--- a/saffronstack/harness/rollout/simulated_daemon.py
+++ b/saffronstack/harness/rollout/simulated_daemon.py
@@ -11,6 +11,7 @@
     AllowServing,
     Kill,
     ProcessAction,
+    ServeAfter,
     StartProcess,
     Terminate,
 )
@@ -131,6 +132,8 @@
                     processes[incarnation] = IncarnationPhase.PREPARING
                 case AllowServing(incarnation):
                     processes[incarnation] = IncarnationPhase.ACTIVATING
+                case ServeAfter(incarnation=incarnation):
+                    processes[incarnation] = IncarnationPhase.FOLLOWING
                 case Terminate(incarnation) | Kill(incarnation) if incarnation in processes:
                     processes[incarnation] = IncarnationPhase.DRAINING
                 case _:
--- a/tests/daemon/test_graceful_takeover.py
+++ b/tests/daemon/test_graceful_takeover.py
@@ -138,6 +138,37 @@
         assert second.wait(30.0) == 0
 
 
+def test_a_successor_serves_once_its_predecessor_has_ended_though_its_daemon_is_stopped(
+    config_path: pathlib.Path,
+) -> None:
+    """Callers waited for a daemon that was stopped between one end and the next start."""
+    listener = bind_listener("127.0.0.1:0")
+    command = [*SERVE, "--config", str(config_path), "--listen-fd", str(listener.fileno()), "--standby"]
+
+    def start() -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, pass_fds=(listener.fileno(),)
+        )
+
+    with start() as first, start() as second, listener:
+        for process in (first, second):
+            assert read_line(process) == b"saffronstack is prepared\n"
+        write_line(first, b"go\n")
+        assert read_line(first).startswith(b"saffronstack takes calls")
+        write_line(second, b"after %d\n" % first.pid)
+        first.send_signal(signal.SIGTERM)  # and from here on no word of the daemon's: it holds both pipes
+        try:
+            host, port = listener.getsockname()
+            client = Client(f"{host}:{port}", 30.0)
+            assert client.invoke("identify-copy", b"{}").status == 200
+            client.close()
+            assert first.wait(30.0) == 0
+        finally:
+            for process in (first, second):
+                process.send_signal(signal.SIGTERM)
+        assert second.wait(30.0) == 0
+
+
 def test_a_gateway_that_was_only_prepared_ends_with_its_daemon() -> None:
     ran = subprocess.run(
         [*SERVE, "--with-standins", "--listen", "127.0.0.1:0", "--standby"], input="", capture_output=True,
--- a/tests/fleet/control/test_gateway_reconciler.py
+++ b/tests/fleet/control/test_gateway_reconciler.py
@@ -115,3 +115,20 @@
     assert serving.observe().running_release == "old"
     assert serving.observe().phase is GatewayPhase.SERVING
     assert serving.on_ended(1.3, 2, "status -9") == []
+
+
+def test_a_successor_that_may_serve_already_is_not_dropped_by_a_command(draining: GatewayReconciler) -> None:
+    """It watches for its predecessor's end itself, and may hold calls before that end is known here."""
+    assert draining.set_desired(2.0, "old") == []
+    assert draining.on_serving(2.1, 2) == [StartProcess(3, "old")]
+    assert draining.observe().running_release == "new"
+    assert draining.on_ended(2.2, 1, "status 0") == []  # told late: this daemon was stopped
+    assert draining.on_prepared(2.5, 3) == [ServeAfter(3, 2), Terminate(2)]
+
+
+def test_a_successor_that_never_serves_after_its_predecessors_end_is_killed(
+    draining: GatewayReconciler,
+) -> None:
+    assert draining.on_ended(2.0, 1, "status 0") == [AllowServing(2)]
+    assert draining.next_deadline_s() == 12.0
+    assert draining.reconcile(12.0) == [Kill(2)]
--- a/tests/stored_formats/test_address_process_formats.py
+++ b/tests/stored_formats/test_address_process_formats.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import fcntl
-import io
 import json
 import os
 import pathlib
@@ -282,8 +281,12 @@
 def test_a_gateway_that_stands_by_understands_its_daemon(
     said: str, goes: bool, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    monkeypatch.setattr("sys.stdin", io.StringIO(said))
-    assert serve._told_to_go() is goes
+    reading, writing = os.pipe()
+    os.write(writing, said.encode())
+    os.close(writing)
+    with os.fdopen(reading) as commands:
+        monkeypatch.setattr("sys.stdin", commands)
+        assert serve._wait_in_standby() is goes
     assert capsys.readouterr().out == "saffronstack is prepared\n"
 
 
