A drain empties its accept queue once: clients that connect again no longer prolong it

Callers saw: a gateway under load took 2 to 5 s from `stopping` to `stopped`, and 30 to 40 requests were reset at its end. In a change of release the others waited meanwhile.

Cause: the drain accepted until the queue was empty, bounded by the backlog's 1,024. Every answer says `Connection: close`, its client connects again at once, so the queue never was empty; at the 1,024th the listener closed upon those that had just come.

Evidence: 40 clients in closed loops, two gateways at a time, 8 busy processes on 6 cores: 14 of 16 shutdowns took 3.2 to 5.5 s, resets within the last 0.2 s of each.

Why this works: a packet filter on the listening socket drops new handshakes before the queue is emptied, so it only shrinks and nothing is in it when the listener closes. What waits is served for 0.5 s, the rest turned away with 429, unread. A listener handed over keeps its queue for the successor.

The test failed before: clients that connect as one is admitted were admitted too, until 1,024.

--- a/saffronstack/http1/sockets.py
+++ b/saffronstack/http1/sockets.py
@@ -6,9 +6,10 @@
 from typing import TypeVar
 
 from saffronstack.http1.reader import MessageReader
+from saffronstack.net.accept_queue import stop_handshakes
 from saffronstack.net.stream import PeerClosed, Stream
 
-__all__ = ["PeerClosed", "Stream", "read_until"]
+__all__ = ["PeerClosed", "Stream", "read_until", "stop_handshakes"]
 T = TypeVar("T")
 
 
--- a/saffronstack/invoke/server.py
+++ b/saffronstack/invoke/server.py
@@ -15,17 +15,19 @@
 from saffronstack.http1 import writer
 from saffronstack.http1.messages import HttpError, Limits, RequestHead
 from saffronstack.http1.reader import MessageReader
-from saffronstack.http1.sockets import PeerClosed, Stream, read_until
+from saffronstack.http1.sockets import PeerClosed, Stream, read_until, stop_handshakes
 from saffronstack.invoke import errors
 from saffronstack.invoke.app import App, ClientDisconnectedError, response_id
 from saffronstack.runtime.threads import start_thread
 
 log = structlog.get_logger("saffronstack.front")
 BACKLOG = 1024
+MAX_QUEUED = BACKLOG + 1  # the system lets one more wait
 ACCEPT_LOOK_S = 0.5  # the accepting thread shows that it lives at least so often
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or threads
 LINGER_S = 0.5  # how long bytes of a refused request are still read, so that its answer is not reset away
 LINGER_BYTES = 1 << 20
+QUEUE_SERVE_S = 0.5  # how long a drain serves connections that wait to be accepted; then it turns them away
 IDLE_GRACE_S = 0.5  # idle connections stay this long after no new one is accepted
 IDLE_READ_S = 0.1  # how long an idle connection is read before its thread polls, which costs more
 
@@ -60,6 +62,7 @@
         """``shared``: other processes listen on the address as well. ``listener``: a bound socket in place of
         an own one, whose queue outlives this process. OSError where the address can't be had.
         """
+        self._owns_queue = listener is None
         self._app = app
         self._limits = limits
         self._clock = clock
@@ -100,13 +103,18 @@
         self._accepts = start_thread("accept", self._accept)
 
     def drain(self, timeout_s: float) -> bool:
-        """Accept nothing more, end idle connections, let the others finish; whether all ended in time."""
+        """Accept nothing more, end idle connections, let the others finish; whether all ended in time.
+
+        Connections that wait in the listener's queue are served, or turned away where there are many; in a
+        queue that outlives this process they wait for the next one.
+        """
         with self._lock:
             self._draining = True
         os.eventfd_write(self._drain_event, 1)
         if self._accepts is not None:
             self._accepts.join(timeout_s)  # what it has accepted last counts as open from then on
-        self._take_rest()
+        if self._owns_queue:
+            self._empty_queue()
         with contextlib.suppress(OSError):
             self._listener.close()
         with self._lock:
@@ -153,12 +161,17 @@
             return False
         return True
 
-    def _take_rest(self) -> None:
-        """Connections that wait to be accepted: closing would reset them, where nobody else listens here."""
+    def _empty_queue(self) -> None:
+        """Accept what waits to be accepted: closing the listener would reset it."""
+        stop_handshakes(self._listener)
+        serve_until_s = self._clock() + QUEUE_SERVE_S
         with contextlib.suppress(OSError):
-            for _ in range(BACKLOG):
+            for _ in range(MAX_QUEUED):
                 sock, _ = self._listener.accept()
-                self._admit(sock)
+                if self._clock() < serve_until_s:
+                    self._admit(sock)
+                else:
+                    self._turn_away(sock)
 
     def _shed_one(self) -> None:
         """Out of descriptors: a kept one is given up for a moment, so that one client is told."""
--- a/tests/test_http_shutdown.py
+++ b/tests/test_http_shutdown.py
@@ -173,3 +173,84 @@
         go_on.set()
         assert_last_answer(client)
         assert ended()
+
+
+def in_accept_queue_of_a_drain(
+    monkeypatch: pytest.MonkeyPatch, stack: Stack, admit: Callable[[server.Server, socket.socket], bool]
+) -> tuple[list[socket.socket], Callable[..., bool]]:
+    """Two clients, the second of which waits to be accepted as the drain begins; and the drain's end.
+
+    ``admit`` then takes the place of the server's own.
+    """
+    accepted, go_on = threading.Event(), threading.Event()
+    own = server.Server._admit
+
+    def held(self: server.Server, sock: socket.socket) -> bool:
+        accepted.set()
+        assert go_on.wait(WAIT_S)
+        return own(self, sock)
+
+    monkeypatch.setattr(server.Server, "_admit", held)
+    first = stack.raw()
+    assert accepted.wait(WAIT_S)
+    ended = draining(stack)
+    eventually(lambda: stack.gateway.server._draining, WAIT_S)
+    second = stack.raw()
+    for client in (first, second):
+        client.settimeout(WAIT_S)
+        client.sendall(REQUEST)
+    monkeypatch.setattr(server.Server, "_admit", admit)
+    go_on.set()
+    return [first, second], ended
+
+
+def test_a_drain_accepts_no_clients_that_connect_again_and_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A busy gateway went on accepting for seconds, until as many had come as the backlog holds."""
+    admitted: list[socket.socket] = []
+    again: list[socket.socket] = []
+    own = server.Server._admit
+
+    with running(1, deadline_s=AMPLE_DEADLINE_S) as stack:
+        host, _, port = stack.address.rpartition(":")
+
+        def admit(self: server.Server, sock: socket.socket) -> bool:
+            admitted.append(sock)
+            client = socket.socket()
+            client.setblocking(False)
+            client.connect_ex((host, int(port)))  # in the queue at once, where connections are let in
+            again.append(client)
+            return own(self, sock)
+
+        clients, ended = in_accept_queue_of_a_drain(monkeypatch, stack, admit)
+        for client in clients:
+            assert_last_answer(client)
+        assert ended()
+        assert len(admitted) == 1
+        for client in again:
+            client.close()
+
+
+def test_a_drain_turns_away_what_it_has_no_time_to_serve(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "QUEUE_SERVE_S", 0.0)
+    with running(1, deadline_s=AMPLE_DEADLINE_S) as stack:
+        clients, ended = in_accept_queue_of_a_drain(monkeypatch, stack, server.Server._admit)
+        assert_last_answer(clients[0])
+        assert clients[1].recv(65536).startswith(b"HTTP/1.1 429 ")
+        assert ended()
+
+
+def test_connections_in_a_queue_that_outlives_the_process_wait_for_its_successor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with running(1, deadline_s=AMPLE_DEADLINE_S) as stack:
+        serving = stack.gateway.server
+        monkeypatch.setattr(serving, "_owns_queue", False)
+        kept = serving._listener.dup()
+        clients, ended = in_accept_queue_of_a_drain(monkeypatch, stack, server.Server._admit)
+        assert_last_answer(clients[0])
+        assert ended()
+        monkeypatch.undo()
+        successor = server.Server("", 0, serving._app, serving._limits, serving._clock, listener=kept)
+        successor.start()
+        assert clients[1].recv(65536).startswith(b"HTTP/1.1 200 ")
+        assert successor.drain(WAIT_S)
