A gateway that lost its ledger to another sends no idempotent deferred call when it wakes

Callers saw: an idempotent deferred call that ran once more, after another gateway had finished it, when its stopped gateway woke.

Cause: the woken gateway learns of the takeover from a thread that looks every 0.1 s. Attempts of other calls are recorded first, and the record is fenced off; attempts of idempotent calls had no check.

Why this works: their attempts ask for the ledger's owner right before the first byte.

Its set-up is put right: workers are slow while the calls are opened. Its assertions are the same.

--- a/saffronstack/cli/ledger_ownership.py
+++ b/saffronstack/cli/ledger_ownership.py
@@ -71,6 +71,13 @@
                 os._exit(TAKEN_OVER_STATUS)
             self._renew_expired_lease()
 
+    def is_current(self) -> bool:
+        """Return whether no later owner has entered, as far as the directory can be read; any thread."""
+        try:
+            return not self._directory.has_later_owner(self._token)
+        except OSError:
+            return False
+
     def _renew_expired_lease(self) -> None:
         if self._client is None or self._held is None or self._held.remaining_s() > 0:
             return
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -246,6 +246,7 @@
         record_to=options.record_to,
         members=parts.members,
         files=parts.ownership.files if parts.ownership is not None else None,
+        owns_ledger=parts.ownership.is_current if parts.ownership is not None else None,
         listener=parts.listener,
     )
 
--- a/saffronstack/deferred/attempt_log.py
+++ b/saffronstack/deferred/attempt_log.py
@@ -1,7 +1,9 @@
-"""Durable records of attempts, written before the first byte of an attempt is sent."""
+"""Checks before the first byte of an attempt: durable records, and the ownership of the ledger."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from saffronstack.deferred.ledger import Ledger
 from saffronstack.deferred.records import AttemptStarted
 from saffronstack.deferred.steady_clock import SteadyClock
@@ -40,3 +42,18 @@
     def may_send(self, attempt: int, worker_id: int) -> bool:
         """Store the attempt; return whether it may be sent."""
         return self._attempt_log.store(self._call, worker_id)
+
+
+class OwnershipGuard:
+    """The guard of attempts that need no record: those of idempotent calls.
+
+    A gateway that was stopped while another one took its ledger over must send nothing when it wakes.
+    """
+
+    def __init__(self, owns_ledger: Callable[[], bool]) -> None:
+        """``owns_ledger``: whether this process still owns its ledger; any thread."""
+        self._owns_ledger = owns_ledger
+
+    def may_send(self, attempt: int, worker_id: int) -> bool:
+        """Return whether the attempt may be sent."""
+        return self._owns_ledger()
--- a/saffronstack/deferred/call_submitter.py
+++ b/saffronstack/deferred/call_submitter.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from saffronstack.config.schema import Config
-from saffronstack.deferred.attempt_log import AttemptLog, AttemptLogGuard
+from saffronstack.deferred.attempt_log import AttemptLog, AttemptLogGuard, OwnershipGuard
 from saffronstack.deferred.function_policies import FunctionPolicy
 from saffronstack.deferred.steady_clock import SteadyClock
 from saffronstack.deferred.tracked_call import TrackedCall
@@ -40,8 +40,10 @@
         attempt_log: AttemptLog,
         clock: SteadyClock,
         budgets: BudgetEnforcer | None,
+        owns_ledger: Callable[[], bool] | None,
     ) -> None:
-        """Submit to ``engine``; ``budgets`` of None admits every call."""
+        """Submit to ``engine``; `None` for ``budgets`` admits every call, for ``owns_ledger`` too."""
+        self._ownership_guard = OwnershipGuard(owns_ledger) if owns_ledger is not None else None
         self._engine = engine
         self._attempt_log = attempt_log
         self._clock = clock
@@ -108,7 +110,7 @@
             accepted.idempotency_key,
             accepted.client_context,
             prior_attempt=self._prior_attempt(call),
-            guard=None if is_idempotent else AttemptLogGuard(self._attempt_log, call),
+            guard=self._ownership_guard if is_idempotent else AttemptLogGuard(self._attempt_log, call),
             on_final_answer=lambda _, answer: on_answer(call, answer),
             class_name=function.known.config.call_class,
         )
--- a/saffronstack/deferred/deferred_calls.py
+++ b/saffronstack/deferred/deferred_calls.py
@@ -59,6 +59,7 @@
         clock: Callable[[], float],
         wall: Callable[[], float],
         budgets: BudgetEnforcer | None = None,
+        owns_ledger: Callable[[], bool] | None = None,
     ) -> None:
         """Prepare the service; nothing runs before `start`.
 
@@ -70,6 +71,7 @@
             clock: Monotonic seconds.
             wall: Unix seconds; read once.
             budgets: Asked before each attempt; a call over its tenant's hard limit waits.
+            owns_ledger: Asked before each attempt where another process may take the ledger over; any thread.
         """
         assert config.ledger is not None
         self._ledger = ledger
@@ -79,7 +81,7 @@
         self._dispatcher = CallDispatcher(
             ledger,
             FunctionPolicies(config, functions),
-            CallSubmitter(config, engine, attempt_log, self._clock, budgets),
+            CallSubmitter(config, engine, attempt_log, self._clock, budgets, owns_ledger),
             FinalRecordWriter(config, ledger, functions),
             self._clock,
             config.ledger.in_flight,
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -62,9 +62,11 @@
         files: FileOperations | None = None,
         members: ProcessGroup | None = None,
         listener: socket.socket | None = None,
+        owns_ledger: Callable[[], bool] | None = None,
     ) -> None:
         """``members``: it is one process of several on one address, and ``config`` its own. ``listener``: a
-        bound socket in place of the configuration's address.
+        bound socket in place of the configuration's address. ``owns_ledger``: asked before each attempt of a
+        deferred call, where another gateway may take the ledger over.
 
         OSError where the address can't be had, JournalError where the ledger can't be used.
         """
@@ -93,7 +95,7 @@
                 config.ledger.directory, config.ledger.history, config.ledger.segment_bytes, files
             )
             self.deferred = DeferredCalls(
-                config, self.ledger, self.engine, self.functions, clock, wall, self.limits
+                config, self.ledger, self.engine, self.functions, clock, wall, self.limits, owns_ledger
             )
         self.operations = self._open_operations(files)
         self.members = members or ProcessGroup(0, 1, "", clock)
--- a/tests/deferred/test_deferred_calls.py
+++ b/tests/deferred/test_deferred_calls.py
@@ -127,6 +127,23 @@
     assert not guard.may_send(0, WORKER_ID)
 
 
+def test_a_gateway_that_lost_its_ledger_sends_no_attempt_of_an_idempotent_call(
+    config: Config, ledger: Ledger, engine: ScriptedEngine
+) -> None:
+    """One that woke after a takeover ran such calls again until it looked who owns the ledger."""
+    owners = iter((True, False))
+    deferred = DeferredCalls(
+        config, ledger, engine, Functions(config), time.monotonic, time.time, owns_ledger=lambda: next(owners)
+    )
+    deferred.start()
+    deferred.accept(submission("id-1", "identify-copy"))
+    guard = engine.wait_for_call(1).guard
+    assert guard is not None
+    assert guard.may_send(0, WORKER_ID)
+    assert not guard.may_send(1, WORKER_ID)
+    deferred.stop(0.0)
+
+
 def test_a_final_record_is_written_again_until_the_disk_takes_it(
     deferred: DeferredCalls, engine: ScriptedEngine, disk: FaultyDisk, ledger: Ledger
 ) -> None:
--- a/tests/fleet/tasks/test_orphan_takeover.py
+++ b/tests/fleet/tasks/test_orphan_takeover.py
@@ -20,11 +20,12 @@
 from saffronstack.durable.journal_recovery import recover_journal
 from saffronstack.fleet.tasks.ledger_directory import LedgerDirectory
 from saffronstack.standin.fleet import StandInFleet
-from saffronstack.standin.model import Profile
+from saffronstack.standin.model import Faults, Profile
 from tests.support.lease_servers import lease_servers
 from tests.support.stack import Stack, configuration, eventually
 
 SAFFRON = [sys.executable, "-m", "saffronstack.cli.main"]
+SLOW_WHILE_OPENING = 20.0  # times as long
 TAKEN_OVER = 3  # exit status of a gateway that lost its ledger to a later owner
 OPEN_CALLS = int(os.environ.get("SAFFRONSTACK_OPEN", "150"))
 
@@ -76,12 +77,19 @@
 
 
 def open_deferred_calls(stack: Stack) -> list[str]:
-    """Have the gateway accept `OPEN_CALLS` deferred calls; their ids. One in four is idempotent."""
+    """Have the gateway accept `OPEN_CALLS` deferred calls; their ids. One in four is idempotent.
+
+    The workers take long meanwhile: on a busy machine they ran all before the last was accepted.
+    """
+    for worker in stack.fleet.workers:
+        worker.faults = Faults(slow=SLOW_WHILE_OPENING)
     kinds = ("record-sale", "identify-copy")
     ids = [
         stack.call(kinds[n % 4 == 3], kind="Event").headers.get("x-amzn-requestid") for n in range(OPEN_CALLS)
     ]
     assert stack.runs("record-sale") + stack.runs("identify-copy") < OPEN_CALLS  # most are open
+    for worker in stack.fleet.workers:
+        worker.faults = Faults()
     return ids
 
 
