A platform gateway whose clients go on stays until it is killed, and answers to the last

Callers saw, at every planned restart under clients that keep their connections: 16 to 72 requests without an answer 0.2 s before the earliest kill, and 19 to 31 answered FAILED whose hosts would have answered within 0.3 s.

Cause: platform/shutdown.py bounded the drain by the kill, so the gateway closed upon clients at work; and calls were sent to hosts up to that close.

Why this works: only quiet ends a shutdown. From 0.1 s before the earliest kill on, open calls have their answers and what is read is refused at once (phase REFUSING), until clients fall quiet or the kill. Before that, calls that would not end in time, by what calls of their class took since SIGTERM, are refused without being sent (platform/drain_admission.py), and none is given longer than that time.

test_it_ends_before_the_platform_kills_whatever_the_deadlines held the old rule. In its place: open calls are answered before the kill, whatever the deadlines; the phases under a minute of requests; every order of what is seen, with exact conditions of each step where it had implications; and the soak on a real process: no request that arrived more than 50 ms before the kill is without an answer.

Its judge finds a gateway that ends before the kill, one that drops an answer and one that runs a call twice.

--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,64 @@
+"""Restarts of a real gateway under clients that keep their connections until the kill, over many seeds.
+
+    python benchmarks/soak.py                          # seeds 1 to 50
+    python benchmarks/soak.py --seeds 17 --log         # one again, with the gateway's log
+    python benchmarks/soak.py --seeds 1-5 --defect "ends before the kill"
+
+Prints a line for each seed, and for a failing one its schedule and its breaches. Ends with 1 where a rule was
+broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import sys
+import tempfile
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from seeds import seeds_of
+
+from saffronstack.harness.soak.defects import DEFECTS
+from saffronstack.harness.soak.platform_play import PlatformPlay, PlayedSchedule
+from saffronstack.harness.soak.schedule import Schedule, draw
+
+MAX_BREACHES_SHOWN = 5
+
+
+def play(schedule: Schedule, folder: pathlib.Path, options: argparse.Namespace) -> PlayedSchedule:
+    """Play one schedule and print its line."""
+    played = PlatformPlay(schedule, folder, DEFECTS[options.defect] if options.defect else "").play()
+    verdict = played.verdict
+    ended = f"ended +{verdict.ended_after_s:.2f}" if verdict.ended_after_s is not None else "killed"
+    text = f"{schedule.seed:>5} {len(verdict.breaches):>4} breaches  {ended:<12} {dict(verdict.answers)}"
+    text += f" in the margin {verdict.within_margin}, crossed {verdict.crossed}"
+    if verdict.breaches:
+        text += f"\n      {schedule.describe()}"
+        text += "".join(f"\n      {breach}" for breach in verdict.breaches[:MAX_BREACHES_SHOWN])
+    if options.log:
+        text += f"\n{played.log}"
+    print(text, flush=True)
+    return played
+
+
+def main() -> int:
+    """See above."""
+    plain = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=plain)
+    parser.add_argument("--seeds", type=seeds_of, default=seeds_of("1-50"), help="as in 1-10,42")
+    parser.add_argument("--jobs", type=int, default=3, help="plays at one time")
+    parser.add_argument("--defect", choices=sorted(DEFECTS), default="", help="play a broken variant")
+    parser.add_argument("--log", action="store_true", help="print the gateway's log")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(options.jobs) as pool:
+        schedules = [draw(seed) for seed in options.seeds]
+        played = list(pool.map(lambda one: play(one, pathlib.Path(folder), options), schedules))
+    answers = sum((one.verdict.answers for one in played), Counter[str]())
+    failed = sum(bool(one.verdict.breaches) for one in played)
+    print(f"{len(played)} seeds, {failed} with breaches; answers {dict(answers)}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/saffronstack/harness/soak/defects.py
@@ -0,0 +1,38 @@
+"""Broken variants of the platform's gateway that a judge must find: code that runs before the program."""
+
+from __future__ import annotations
+
+_MAIN = "\nimport sys\nfrom saffronstack.platform.__main__ import main\nsys.exit(main())\n"
+_ENDS_BEFORE_THE_KILL = """
+from saffronstack.platform import shutdown
+def drained(self, now, activity):
+    return now - self._begun_s >= self._limits.run_until_s - 0.1
+shutdown.GracefulShutdown._drained = drained
+shutdown.GracefulShutdown._quiet = lambda self, now, activity: True
+"""
+_DROPS_AN_ANSWER = """
+from saffronstack.platform.connection import ClientConnection
+write, answers = ClientConnection._answer, []
+def answer(self, tag, final):
+    if self._services.admission.active:
+        answers.append(tag)
+        if len(answers) % 10 == 5:
+            return
+    write(self, tag, final)
+ClientConnection._answer = answer
+"""
+_RUNS_TWICE = """
+from saffronstack.net.write_buffer import OutgoingMessage, WriteBuffer
+send = WriteBuffer.send
+def twice(self, message):
+    sent = send(self, message)
+    if message.data.startswith(b'{') and b'"sell"' in message.data:
+        send(self, OutgoingMessage(message.data))
+    return sent
+WriteBuffer.send = twice
+"""
+DEFECTS = {
+    "ends before the kill": _ENDS_BEFORE_THE_KILL + _MAIN,
+    "drops an answer": _DROPS_AN_ANSWER + _MAIN,
+    "runs a call twice": _RUNS_TWICE + _MAIN,
+}
--- /dev/null
+++ b/saffronstack/harness/soak/hosts.py
@@ -0,0 +1,121 @@
+"""Hosts of the platform's protocol for a play: they answer soon, slowly or never, and count calls."""
+
+from __future__ import annotations
+
+import contextlib
+import heapq
+import random
+import socket
+import threading
+import time
+from collections import Counter
+from itertools import count
+
+import msgspec
+
+from saffronstack.harness.soak.schedule import HostBehaviour
+from saffronstack.runtime.threads import start_thread
+
+IDLE_S = 0.5
+SLOW_SHARE = 0.6  # of the longest deadline
+
+
+class DelayedWrites:
+    """One thread that writes to sockets at given times."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()  # guards what is below
+        self._due: list[tuple[float, int, socket.socket, bytes]] = []
+        self._numbers = count()
+        self._is_closed = False
+        start_thread("host-answers", self._run)
+
+    def add(self, at_s: float, sock: socket.socket, data: bytes) -> None:
+        """Write at ``at_s`` (monotonic)."""
+        with self._changed:
+            heapq.heappush(self._due, (at_s, next(self._numbers), sock, data))
+            self._changed.notify()
+
+    def close(self) -> None:
+        """Write nothing more."""
+        with self._changed:
+            self._is_closed = True
+            self._changed.notify()
+
+    def _run(self) -> None:
+        while (write := self._next()) is not None:
+            sock, data = write
+            with contextlib.suppress(OSError):  # the gateway has gone
+                sock.sendall(data)
+
+    def _next(self) -> tuple[socket.socket, bytes] | None:
+        with self._changed:
+            while not self._is_closed:
+                wait_s = self._due[0][0] - time.monotonic() if self._due else IDLE_S
+                if wait_s <= 0:
+                    _, _, sock, data = heapq.heappop(self._due)
+                    return sock, data
+                self._changed.wait(min(wait_s, IDLE_S))
+        return None
+
+
+class SoakHost:
+    """One host. ``calls`` counts by request id how often a call arrived, which is when it takes effect."""
+
+    def __init__(
+        self, behaviour: HostBehaviour, delay_s: float, deadline_s: float, writes: DelayedWrites, seed: int
+    ) -> None:
+        self.calls: Counter[str] = Counter()
+        self._behaviour = behaviour
+        self._delay_s = delay_s
+        self._slow_s = SLOW_SHARE * deadline_s
+        self._writes = writes
+        self._chance = random.Random(seed)
+        self._lock = threading.Lock()  # guards `calls` and the random numbers
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        start_thread("host", self._accept)
+
+    def close(self) -> None:
+        """Accept no more connections; those that stand end with the gateway."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                self._start(sock)
+
+    def _start(self, sock: socket.socket) -> None:
+        start_thread("host-connection", lambda: self._serve(sock))
+
+    def _serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError, msgspec.MsgspecError), sock, sock.makefile("rb") as lines:
+            for line in lines:
+                self._handle(sock, msgspec.json.decode(line))
+
+    def _handle(self, sock: socket.socket, message: dict[str, object]) -> None:
+        fields: dict[str, object] = {}
+        match message["what"]:
+            case "CALL":
+                delay_s = self._take(str(message["tag"]))
+                if self._behaviour is HostBehaviour.HANGING:
+                    return
+                fields["note"] = "up"
+            case "LOAD":
+                delay_s = 0.0
+                fields["units"] = 1
+            case _:
+                return
+        answer = {"what": "OK", "tag": message["tag"], "with": fields, "blob": message.get("blob", "")}
+        self._writes.add(time.monotonic() + delay_s, sock, msgspec.json.encode(answer) + b"\n")
+
+    def _take(self, request_id: str) -> float:
+        """Count a call; how long it takes."""
+        with self._lock:
+            self.calls[request_id] += 1
+            if self._behaviour is HostBehaviour.SLOW:
+                return self._slow_s
+            return self._chance.uniform(0.0, self._delay_s)
--- /dev/null
+++ b/saffronstack/harness/soak/judge.py
@@ -0,0 +1,97 @@
+"""Judges a play: one whole answer for each request, no effect twice. No I/O."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+from saffronstack.harness.soak.traffic import ObservedPlay, SentRequest
+
+KILL_MARGIN_S = 0.05  # a request that arrives later before the kill may be without an answer
+CROSSING_S = 0.05  # by the protocol's page: a request may cross the end of a connection with nothing open
+LATE_S = 0.5  # after its time a request counts as lost
+SERVED, REFUSED = "OK", "BUSY"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a play came to.
+
+    Attributes:
+        breaches: What broke a rule, one line each.
+        answers: How many requests got which word.
+        within_margin: Requests without an answer that arrived right before the kill.
+        crossed: Requests without an answer that crossed the end of an idle connection.
+        ended_after_s: When the gateway ended by itself, relative to SIGTERM; None where it was killed.
+    """
+
+    breaches: tuple[str, ...]
+    answers: Counter[str]
+    within_margin: int
+    crossed: int
+    ended_after_s: float | None = None
+
+
+def judge(play: ObservedPlay) -> Verdict:
+    """Find every breach."""
+    breaches: list[str] = []
+    answers: Counter[str] = Counter()
+    within_margin = crossed = 0
+    if play.exit_status not in (None, 0):
+        breaches.append(f"the gateway ended with status {play.exit_status}")
+    for request in play.requests:
+        breaches += _effects(request, play.calls[request.request_id])
+        if request.answers:
+            answers[request.answers[0].word] += 1
+            breaches += _answers(request, play)
+        elif play.killed_s is not None and request.sent_s > play.killed_s - KILL_MARGIN_S:
+            within_margin += 1
+        elif _has_crossed(request, play):
+            crossed += 1
+        else:
+            breaches.append(f"{_when(request, play)}: no answer{_end(request, play)}")
+    return Verdict(tuple(breaches), answers, within_margin, crossed)
+
+
+def _effects(request: SentRequest, calls: int) -> list[str]:
+    if not request.is_unsafe:
+        return []
+    if calls > 1:
+        return [f"{request.request_id}: an unsafe call reached hosts {calls} times"]
+    if calls and request.answers and request.answers[0].word == REFUSED:
+        return [f"{request.request_id}: an unsafe call was refused, and reached a host"]
+    return []
+
+
+def _answers(request: SentRequest, play: ObservedPlay) -> list[str]:
+    first = request.answers[0]
+    breaches = []
+    if len(request.answers) > 1:
+        breaches.append(f"{_when(request, play)}: {len(request.answers)} answers")
+    if first.word == SERVED and first.body != request.body:
+        breaches.append(f"{_when(request, play)}: served with a body that no host sent")
+    late_s = first.at_s - request.sent_s - request.timeout_s
+    if late_s > LATE_S:
+        breaches.append(f"{_when(request, play)}: answered {late_s:.3f} s after its time")
+    return breaches
+
+
+def _has_crossed(request: SentRequest, play: ObservedPlay) -> bool:
+    """Whether it crossed the end of an idle connection at a gateway that goes on: it is sent again."""
+    ended_s = request.connection_ended_s
+    if play.killed_s is None or ended_s is None or ended_s > play.killed_s - KILL_MARGIN_S:
+        return False
+    return request.on_idle_connection and ended_s - request.sent_s <= CROSSING_S
+
+
+def _when(request: SentRequest, play: ObservedPlay) -> str:
+    text = f"{request.request_id} at {request.sent_s - play.terminated_s:+.3f} s of SIGTERM"
+    if play.killed_s is not None:
+        text += f", {play.killed_s - request.sent_s:.3f} s before the kill"
+    return text
+
+
+def _end(request: SentRequest, play: ObservedPlay) -> str:
+    if request.connection_ended_s is None:
+        return ""
+    return f" (connection ended at {request.connection_ended_s - play.terminated_s:+.3f} s)"
--- /dev/null
+++ b/saffronstack/harness/soak/platform_play.py
@@ -0,0 +1,184 @@
+"""Plays one schedule on a real process of the platform's gateway, among hosts and a directory on loopback."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass, replace
+
+from saffronstack.harness.soak.clients import SoakClients
+from saffronstack.harness.soak.hosts import DelayedWrites, SoakHost
+from saffronstack.harness.soak.judge import Verdict, judge
+from saffronstack.harness.soak.platform_config import write_config
+from saffronstack.harness.soak.schedule import HostBehaviour, Schedule, SignalAt
+from saffronstack.harness.soak.traffic import ObservedPlay
+from saffronstack.runtime.threads import start_thread
+from saffronstack.standin.platform import Directory, Entry
+from saffronstack.standin.worker import hold_port
+
+START_TIMEOUT_S = 30.0
+KILLED_TIMEOUT_S = 10.0
+AFTER_END_S = 0.1  # for clients to see the end of their connections
+READY_LINE = "takes calls"
+
+
+class PlayError(Exception):
+    """The gateway of a play did not start."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlayedSchedule:
+    """A verdict, and the gateway's log."""
+
+    verdict: Verdict
+    log: str
+
+
+class _Gateway:
+    """The gateway's process and its log."""
+
+    def __init__(self, config_path: pathlib.Path, program: str) -> None:
+        command = ["-c", program] if program else ["-m", "saffronstack.platform"]
+        environment = {**os.environ, "LB_CONFIG": str(config_path), "LB_NAME": "soak"}
+        self.process = subprocess.Popen(
+            [sys.executable, *command], env=environment, stderr=subprocess.PIPE, text=True
+        )
+        self.lines: list[str] = []
+        self._is_ready = threading.Event()
+        self._reader = start_thread("gateway-log", self._read)
+
+    def wait_ready(self) -> None:
+        """PlayError where it does not get there."""
+        if not self._is_ready.wait(START_TIMEOUT_S) or self.process.poll() is not None:
+            self.process.kill()
+            raise PlayError("".join(self.lines))
+
+    def send_signal(self, name: str) -> None:
+        """Send a signal, unless it has ended."""
+        self.process.send_signal(signal.Signals[name])
+
+    def end(self) -> str:
+        """Kill it, if it has not ended; its log."""
+        self.process.kill()
+        self.process.wait(KILLED_TIMEOUT_S)
+        self._reader.join(KILLED_TIMEOUT_S)
+        return "".join(self.lines)
+
+    def _read(self) -> None:
+        assert self.process.stderr is not None
+        with self.process.stderr as stream:
+            for line in stream:
+                self.lines.append(line)
+                if READY_LINE in line:
+                    self._is_ready.set()
+        self._is_ready.set()
+
+
+class PlatformPlay:
+    """One play; use it once."""
+
+    def __init__(self, schedule: Schedule, folder: pathlib.Path, program: str = "") -> None:
+        """``program``: code to run in place of the gateway, for broken variants."""
+        self._schedule = schedule
+        self._folder = folder
+        self._program = program
+        self._writes = DelayedWrites()
+        self._hosts = [self._make_host(behaviour, number) for number, behaviour in enumerate(schedule.hosts)]
+        self._entries = [Entry(f"s-{number}", host.address) for number, host in enumerate(self._hosts)]
+        self._directory = Directory(*self._entries)
+
+    def play(self) -> PlayedSchedule:
+        """Play it, and judge it.
+
+        Raises:
+            PlayError: The gateway did not start.
+        """
+        try:
+            with hold_port("127.0.0.1") as holder:
+                return self._play_on(f"127.0.0.1:{holder.getsockname()[1]}")
+        finally:
+            self._directory.close()
+            self._writes.close()
+            for host in self._hosts:
+                host.close()
+
+    def _play_on(self, listen: str) -> PlayedSchedule:
+        schedule = self._schedule
+        gateway = _Gateway(self._write_config(listen), self._program)
+        try:
+            gateway.wait_ready()
+            host, _, port = listen.rpartition(":")
+            timeout_s = schedule.longest_deadline_s
+            clients = SoakClients((host, int(port)), schedule.clients, schedule.seed, timeout_s)
+            time.sleep(schedule.before_s)
+            terminated_s, killed_s = self._shut_down(gateway)
+            time.sleep(AFTER_END_S)
+            requests = clients.stop()
+        finally:
+            log = gateway.end()
+        calls = sum((played.calls for played in self._hosts), Counter[str]())
+        exit_status = gateway.process.returncode if killed_s is None else None
+        observed = ObservedPlay(requests, calls, terminated_s, killed_s, exit_status)
+        ended_after_s = self._ended_s - terminated_s if killed_s is None else None
+        return PlayedSchedule(replace(judge(observed), ended_after_s=ended_after_s), log)
+
+    def _shut_down(self, gateway: _Gateway) -> tuple[float, float | None]:
+        """Send the signals, and kill; when SIGTERM and the kill came, None where it had ended."""
+        schedule = self._schedule
+        first_s = min([0.0, *(one.at_s for one in schedule.signals)])
+        terminate_s = time.monotonic() - first_s
+        steps = [*schedule.signals, SignalAt("SIGTERM", 0.0), SignalAt("SIGKILL", schedule.kill_s)]
+        if schedule.discovery_moves_at_s is not None:
+            timer = threading.Timer(max(0.0, schedule.discovery_moves_at_s - first_s), self._move_discovery)
+            timer.daemon = True
+            timer.start()
+        for step in sorted(steps, key=lambda one: one.at_s):
+            if self._has_ended_before(gateway, terminate_s + step.at_s):
+                return terminate_s, None
+            at_s = time.monotonic()
+            if step.name == "SIGTERM" and step.at_s == 0.0:
+                terminate_s = at_s  # the kill counts from when it was sent
+            gateway.send_signal(step.name)
+        return terminate_s, at_s
+
+    def _has_ended_before(self, gateway: _Gateway, until_s: float) -> bool:
+        try:
+            gateway.process.wait(max(0.0, until_s - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            return False
+        self._ended_s = time.monotonic()
+        return True
+
+    def _move_discovery(self) -> None:
+        """The last host leaves the list, and a new one takes its place."""
+        gone = self._entries[-1]
+        fresh = self._make_host(HostBehaviour.QUICK, len(self._hosts))
+        self._hosts.append(fresh)
+        draining = replace(gone, draining=True)
+        self._directory.put(*self._entries[:-1], draining, Entry("s-new", fresh.address))
+
+    def _make_host(self, behaviour: HostBehaviour, number: int) -> SoakHost:
+        schedule = self._schedule
+        return SoakHost(
+            behaviour,
+            schedule.host_delay_s,
+            schedule.longest_deadline_s,
+            self._writes,
+            schedule.seed * 100 + number,
+        )
+
+    def _write_config(self, listen: str) -> pathlib.Path:
+        schedule = self._schedule
+        path = self._folder / f"soak-{schedule.seed}.json"
+        nameserver = self._directory.address
+        content = write_config(
+            listen, nameserver, self._entries, schedule.sockets, schedule.longest_deadline_s
+        )
+        path.write_bytes(content)
+        return path
--- /dev/null
+++ b/saffronstack/harness/soak/schedule.py
@@ -0,0 +1,127 @@
+"""What happens in one play, drawn from its seed. No I/O; all times in seconds."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+LONGEST_DEADLINES_S = (0.3, 1.0, 3.0, 8.0)
+COUNTED_DEADLINE_MAX_S = 3.0  # by the protocol's page
+KILL_AFTER_S = 0.7  # the earliest kill: this long after SIGTERM and the counted deadline
+CLIENTS, MANY_CLIENTS = 16, 60
+MANY_EVERY = 3  # one in so many seeds has many clients
+SOCKET_LIMITS = (256, 1024)
+CLIENT_SHARE = 3  # clients use at most one in so many of the gateway's descriptors
+
+
+class HostBehaviour(Enum):
+    """How a host treats calls."""
+
+    QUICK = "quick"
+    SLOW = "slow"  # takes a large part of the deadline
+    HANGING = "hanging"  # reads calls and never answers
+
+
+class ClientKind(Enum):
+    """How a client sends on its connection."""
+
+    CLOSED_LOOP = "closed loop"  # the next request once the last is answered
+    OPEN_LOOP = "open loop"  # at a rate of its own
+    PIPELINED = "pipelined"  # several requests in one write
+    IN_PIECES = "in pieces"  # each request in two writes with a pause between them
+    CROWD = "crowd"  # one request, and then the connection is kept
+
+
+@dataclass(frozen=True, slots=True)
+class SignalAt:
+    """A signal to the gateway, at a time relative to SIGTERM."""
+
+    name: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """One play. It ends at the kill, or once the gateway has ended by itself.
+
+    Attributes:
+        seed: It was drawn from.
+        longest_deadline_s: Of the gateway's request classes.
+        host_delay_s: The longest delay of a quick host.
+        hosts: One behaviour each.
+        clients: One kind each.
+        sockets: The gateway's limit of descriptors.
+        before_s: Of load before SIGTERM.
+        signals: Beside the one SIGTERM at 0.
+        discovery_moves_at_s: When a host is replaced, relative to SIGTERM; None for never.
+    """
+
+    seed: int
+    longest_deadline_s: float
+    host_delay_s: float
+    hosts: tuple[HostBehaviour, ...]
+    clients: tuple[ClientKind, ...]
+    sockets: int
+    before_s: float
+    signals: tuple[SignalAt, ...]
+    discovery_moves_at_s: float | None
+
+    @property
+    def kill_s(self) -> float:
+        """When the gateway is killed, relative to SIGTERM."""
+        return min(self.longest_deadline_s, COUNTED_DEADLINE_MAX_S) + KILL_AFTER_S
+
+    def describe(self) -> str:
+        """Return a line for a person."""
+        kinds = {kind.value: self.clients.count(kind) for kind in ClientKind if kind in self.clients}
+        signals = [f"{signal.name} {signal.at_s:+.2f}" for signal in self.signals]
+        return (
+            f"seed {self.seed}: deadline {self.longest_deadline_s:g} s, kill +{self.kill_s:.1f} s, "
+            f"hosts {[host.value for host in self.hosts]}, clients {kinds}, {self.sockets} descriptors, "
+            f"signals {signals}, discovery {self.discovery_moves_at_s}"
+        )
+
+
+def draw(seed: int) -> Schedule:
+    """Draw the play of a seed; the same one each time."""
+    chance = random.Random(seed)
+    longest_s = LONGEST_DEADLINES_S[seed % len(LONGEST_DEADLINES_S)]
+    sockets = chance.choice(SOCKET_LIMITS)
+    kill_s = min(longest_s, COUNTED_DEADLINE_MAX_S) + KILL_AFTER_S
+    return Schedule(
+        seed=seed,
+        longest_deadline_s=longest_s,
+        host_delay_s=min(0.3, longest_s / 4),
+        hosts=_draw_hosts(chance),
+        clients=_draw_clients(seed, chance, sockets),
+        sockets=sockets,
+        before_s=chance.uniform(1.1, 1.6),
+        signals=_draw_signals(chance, kill_s),
+        discovery_moves_at_s=chance.choice((None, chance.uniform(-0.5, kill_s))),
+    )
+
+
+def _draw_hosts(chance: random.Random) -> tuple[HostBehaviour, ...]:
+    odd = chance.choice((HostBehaviour.QUICK, HostBehaviour.QUICK, HostBehaviour.SLOW, HostBehaviour.HANGING))
+    return (HostBehaviour.QUICK, HostBehaviour.QUICK, odd)
+
+
+def _draw_clients(seed: int, chance: random.Random, sockets: int) -> tuple[ClientKind, ...]:
+    many = seed % MANY_EVERY == 0
+    clients = [ClientKind.CLOSED_LOOP] * (MANY_CLIENTS if many else CLIENTS)
+    others = (ClientKind.OPEN_LOOP, ClientKind.PIPELINED, ClientKind.IN_PIECES)
+    clients += [kind for kind in others for _ in range(chance.randrange(4))]
+    if chance.random() < 0.3:
+        most = sockets // CLIENT_SHARE
+        clients += [ClientKind.CROWD] * max(0, most - len(clients))
+    return tuple(clients)
+
+
+def _draw_signals(chance: random.Random, kill_s: float) -> tuple[SignalAt, ...]:
+    early = [SignalAt("SIGHUP", -chance.choice((0.001, 0.05, 0.3))) for _ in range(chance.randrange(3))]
+    late = [
+        SignalAt(chance.choice(("SIGHUP", "SIGTERM")), chance.uniform(0.0, kill_s))
+        for _ in range(chance.randrange(3))
+    ]
+    return tuple(sorted([*early, *late], key=lambda signal: signal.at_s))
--- /dev/null
+++ b/saffronstack/harness/soak/traffic.py
@@ -0,0 +1,59 @@
+"""What a play's clients saw, request by request. All times are monotonic seconds."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedAnswer:
+    """One answer as it came."""
+
+    at_s: float
+    word: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class SentRequest:
+    """One request, written whole.
+
+    Attributes:
+        request_id: 16 hexadecimal digits.
+        is_unsafe: Whether its class must not run twice.
+        body: As sent.
+        sent_s: When its last byte was written.
+        timeout_s: How long its client waits.
+        on_idle_connection: Whether its connection had no other request open.
+        answers: In the order in which they came.
+        connection_ended_s: When its connection ended before an answer; None where it did not.
+    """
+
+    request_id: str
+    is_unsafe: bool
+    body: bytes
+    sent_s: float
+    timeout_s: float
+    on_idle_connection: bool
+    answers: list[ReceivedAnswer] = field(default_factory=list)
+    connection_ended_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedPlay:
+    """One play as seen from clients and hosts.
+
+    Attributes:
+        requests: All that were written whole.
+        calls: How often each request id arrived at a host.
+        terminated_s: When SIGTERM was sent.
+        killed_s: When the gateway was killed; None where it had ended by itself.
+        exit_status: Of a gateway that ended by itself.
+    """
+
+    requests: list[SentRequest]
+    calls: Counter[str]
+    terminated_s: float
+    killed_s: float | None
+    exit_status: int | None
--- a/saffronstack/platform/connection.py
+++ b/saffronstack/platform/connection.py
@@ -13,6 +13,7 @@
 from saffronstack.engine.engine import Engine
 from saffronstack.net.write_buffer import OutgoingMessage, WriteBuffer, WriteLoop
 from saffronstack.platform.calls import CallMaker
+from saffronstack.platform.drain_admission import DrainAdmission
 from saffronstack.platform.identifiers import OpenIds, Tags
 from saffronstack.resp import frames
 from saffronstack.resp.reader import RespError, RespReader, encode
@@ -58,6 +59,7 @@
     clock: Callable[[], float]
     ready: Callable[[], bool]
     holdoff: Callable[[float], bytes]  # seconds to keep away, as a field
+    admission: DrainAdmission
 
 
 class ClientConnection:
@@ -68,6 +70,7 @@
     ) -> None:
         """``overflow``: it is beyond the number of connections, and its calls are refused."""
         self.refuses = overflow
+        self._overflow = overflow
         self.accepted_s = now
         self.active_s = now  # when it was accepted, read from, or last seen with something open
         self.spoken = False
@@ -184,7 +187,7 @@
         return now - self.active_s <= self._idle_limit_s() or self.has_unread()
 
     def _idle_limit_s(self) -> float:
-        if self.refuses:
+        if self._overflow:
             return self._limits.overflow_s
         return self._limits.idle_s if self.spoken else self._limits.silent_s
 
@@ -246,6 +249,9 @@
         except frames.FieldError:
             self._write(frame.tag, FAILED)
             return
+        if services.admission.active and not services.admission.admit(call, now):
+            self._write(frame.tag, REFUSED, services.holdoff(limits.busy_holdoff_s))
+            return
         if not services.ids.add(call.request_id):
             self._write(frame.tag, FAILED)
             return
@@ -276,6 +282,8 @@
                 self._open.pop(tag, None)
                 self._answering += 1
         self._services.ids.remove(call.request_id)
+        if self._services.admission.active:
+            self._services.admission.finished(call, final.status, self._services.clock())
         if tag is None:
             return
         try:
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -19,6 +19,7 @@
 from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.calls import CallMaker
 from saffronstack.platform.connection import ClientConnection, FrontLimits, Services
+from saffronstack.platform.drain_admission import DrainAdmission
 from saffronstack.platform.eviction import EvictionOrder
 from saffronstack.platform.identifiers import OpenIds
 from saffronstack.platform.shutdown import Activity, GracefulShutdown, Phase, ShutdownLimits
@@ -55,6 +56,7 @@
         log: Logger,
         ready: Callable[[], bool],
         advice_max_s: float,
+        admission: DrainAdmission,
     ) -> None:
         """OSError where the address can't be had. ``advice_max_s``: clients are never asked to stay away
         longer; 0: clients are given no such advice.
@@ -65,7 +67,7 @@
         self.peak_connections = 0  # connections open at one time
         self.evicted = 0  # idle connections that made room
         self.overflowed = 0  # connections whose calls were refused for want of room
-        self._services = Services(engine, maker, writer, self.ids, clock, ready, self._holdoff)
+        self._services = Services(engine, maker, writer, self.ids, clock, ready, self._holdoff, admission)
         self._log = log
         self._logged_s = -LOG_EVERY_S
         self._advice_max_s = advice_max_s
@@ -127,6 +129,7 @@
         """Drain: connections and requests are still taken until it is quiet; asked again, nothing changes."""
         if self._shutdown_limits is None:
             self._shutdown_asked_s = self.clock()
+            self._services.admission.begin(self._shutdown_asked_s + limits.run_until_s)
             self._shutdown_limits = limits
             self._wake_up()
 
@@ -212,7 +215,7 @@
             except Exception:  # noqa: BLE001 - a fault costs its own connection alone
                 self._log.exception("step of the clients' thread failed")
                 self._discard(descriptor)
-        if self._shutdown.phase in (Phase.ACCEPTING, Phase.DRAINING):
+        if self._shutdown.phase in (Phase.ACCEPTING, Phase.DRAINING, Phase.REFUSING):
             self._listen(True)
 
     def _listen(self, wanted: bool) -> None:
@@ -256,6 +259,7 @@
         self._received_s = now
         self.overflowed += overflow
         connection = ClientConnection(sock, self._services, self.limits, now, overflow)
+        connection.refuses = overflow or self._shutdown.phase.value >= Phase.REFUSING.value
         try:
             self._poll.register(sock, EPOLL_READABLE)
         except OSError as error:
@@ -296,15 +300,22 @@
         shutdown.begin(self._shutdown_limits, self._shutdown_asked_s)
         before = shutdown.phase
         phase = shutdown.step(now, self._activity())
-        if before is Phase.DRAINING and phase is Phase.FLUSHING:
-            self._take_last(now)
+        if before is Phase.DRAINING and phase is Phase.REFUSING:
+            self._refuse_calls()
             self._drained.set()
+        elif before is Phase.REFUSING and phase is Phase.FLUSHING:
+            self._take_last(now)
         return phase
 
     def _activity(self) -> Activity:
-        unanswered = any(connection.unanswered for connection in self._connections.values())
+        unanswered = any(not connection.idle for connection in self._connections.values())
         return Activity(self._received_s, unanswered, self._settled)
 
+    def _refuse_calls(self) -> None:
+        """Refuse what is read from here on: sent now, it would be cut off by the engine's end."""
+        for connection in self._connections.values():
+            connection.refuses = True
+
     def _take_last(self, now: float) -> None:
         """What has come to the machine by now is read and refused; the listener closes."""
         self.limits = replace(self.limits, connections=len(self._connections) + BACKLOG + 1)
@@ -312,16 +323,20 @@
             pass
         self._listen(False)
         self._listener.close()
+        self._read_last()
+
+    def _read_last(self) -> None:
         for descriptor, connection in list(self._connections.items()):
-            connection.refuses = True  # sent now, their calls would be cut off by the engine's end
             for _ in range(LAST_READS):
                 if descriptor not in self._connections or not connection.has_unread():
                     break
                 self._on_event(descriptor)
 
     def _end(self) -> None:
-        for connection in list(self._connections.values()):
-            self._close(connection)
+        for descriptor, connection in list(self._connections.items()):
+            if connection.has_unread():
+                self._on_event(descriptor)
+            self._discard(descriptor)
         with contextlib.suppress(OSError):
             self._listener.close()
         self._poll.close()
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -15,6 +15,7 @@
 from saffronstack.platform.calls import MARGIN_S, CallMaker
 from saffronstack.platform.config import ConfigError, PlatformConfig, needing_restart, read
 from saffronstack.platform.connection import FrontLimits
+from saffronstack.platform.drain_admission import DrainAdmission
 from saffronstack.platform.front import Front
 from saffronstack.platform.shutdown import limits_for
 from saffronstack.routing.router import Router
@@ -94,6 +95,7 @@
             self._log,
             lambda: self._ready,
             advice_s,
+            DrainAdmission(len(settings.classes)),
         )
 
     def start(self) -> None:
@@ -141,18 +143,23 @@
         return True
 
     def stop(self, min_drain_s: float = MIN_DRAIN_S, quiet_s: float = QUIET_S) -> bool:
-        """Shut down gracefully: take and answer what still comes until it is quiet, then answer what is left,
-        write it out and end. Whether every call had its final answer by itself and all threads ended.
+        """Shut down gracefully: take and answer what still comes until it is quiet, then write out what is
+        left and end. While clients go on it stays, until the platform kills the process: calls that can't be
+        answered before that are refused.
+
+        Returns:
+            Whether every call had its final answer by itself and all threads ended.
         """
         longest_s = max(cls.deadline_s for cls in self.config.settings.classes)
         limits = limits_for(longest_s, min_drain_s, quiet_s)
         self.front.begin_shutdown(limits)
-        clean = self.front.wait_drained(limits.max_drain_s + THREAD_END_S)
+        clean = self.front.wait_drained(limits.run_until_s + THREAD_END_S)
         clean = clean and not self.front.open_calls
         self._stopping.set()
         clean = self.engine.stop(THREAD_END_S) and clean
         self.front.settled()
-        clean = self.front.wait_closed(limits.max_flush_s + THREAD_END_S) and clean
+        while not self.front.wait_closed(LOOK_S):
+            continue
         self.directory.stop()
         self.hosts.stop()
         return self.writer.stop() and clean
--- a/saffronstack/platform/shutdown.py
+++ b/saffronstack/platform/shutdown.py
@@ -1,4 +1,8 @@
-"""When a graceful shutdown moves on: decided from evidence of quiet and from deadlines. No I/O."""
+"""When a graceful shutdown moves on: decided from evidence of quiet and from deadlines. No I/O.
+
+The platform kills the process some time after it asked for the shutdown. A gateway whose clients fall quiet
+ends before; one whose clients go on stays until it is killed, and answers to the last.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +12,7 @@
 # The platform kills a process this long after the longest deadline that it counts, which is capped.
 KILL_AFTER_S = 0.7
 COUNTED_DEADLINE_MAX_S = 3.0
-KILL_MARGIN_S = 0.15  # of that, kept free for the last answers and the exit
+ANSWER_MARGIN_S = 0.1  # of that, kept free to write out the last answers
 FLUSH_MAX_S = 0.1
 
 
@@ -17,6 +21,7 @@
 
     ACCEPTING = auto()  # in service
     DRAINING = auto()  # asked to stop: connections and requests are still taken and answered
+    REFUSING = auto()  # connections are still taken, and requests refused; what is open is answered
     FLUSHING = auto()  # nothing new is taken; what was taken is answered and written out
     CLOSED = auto()
 
@@ -27,16 +32,15 @@
 
     min_drain_s: float  # clients may not know yet, and go on sending
     quiet_s: float  # then it ends once no bytes and no connection came for this long
-    max_drain_s: float
+    run_until_s: float  # calls that are open then are answered; later ones are refused
     max_flush_s: float = FLUSH_MAX_S
 
 
 def limits_for(longest_deadline_s: float, min_drain_s: float, quiet_s: float) -> ShutdownLimits:
-    """Bounds that end before the platform kills the process."""
+    """Bounds by which everything is answered when the platform kills the process, at the earliest."""
     counted_s = min(longest_deadline_s, COUNTED_DEADLINE_MAX_S)
-    killed_s = counted_s + KILL_AFTER_S
-    max_drain_s = killed_s - KILL_MARGIN_S - FLUSH_MAX_S
-    return ShutdownLimits(min(min_drain_s, max_drain_s), quiet_s, max_drain_s)
+    run_until_s = counted_s + KILL_AFTER_S - ANSWER_MARGIN_S
+    return ShutdownLimits(min(min_drain_s, run_until_s), quiet_s, run_until_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +48,7 @@
     """What the front sees at one moment."""
 
     last_received_s: float  # when a connection or bytes of a request came last (clock time)
-    unanswered: bool  # a request was read whose answer has not gone to the kernel, and whose client is there
+    unanswered: bool  # a request was read, or a part of it, whose answer has not gone to the kernel
     settled: bool  # every call has its final answer, and none can be submitted any more
 
 
@@ -67,6 +71,8 @@
     def step(self, now: float, activity: Activity) -> Phase:
         """Move on by at most one phase; the phase from here on."""
         if self.phase is Phase.DRAINING and self._drained(now, activity):
+            self.phase = Phase.REFUSING
+        elif self.phase is Phase.REFUSING and activity.settled and self._quiet(now, activity):
             self.phase = Phase.FLUSHING
             self._flushing_s = now
         elif self.phase is Phase.FLUSHING and self._flushed(now, activity):
@@ -75,14 +81,13 @@
 
     def _drained(self, now: float, activity: Activity) -> bool:
         since_s = now - self._begun_s
-        if since_s >= self._limits.max_drain_s:
+        if since_s >= self._limits.run_until_s:
             return True
-        quiet = now - activity.last_received_s >= self._limits.quiet_s
-        return since_s >= self._limits.min_drain_s and quiet and not activity.unanswered
+        return since_s >= self._limits.min_drain_s and self._quiet(now, activity)
+
+    def _quiet(self, now: float, activity: Activity) -> bool:
+        """Whether nothing comes and nothing is owed. While clients go on, closing would cross a request."""
+        return now - activity.last_received_s >= self._limits.quiet_s and not activity.unanswered
 
     def _flushed(self, now: float, activity: Activity) -> bool:
-        """The time for writing counts from when everything is settled: settling has a time-out of its own."""
-        if not activity.settled:
-            self._flushing_s = now
-            return False
         return not activity.unanswered or now - self._flushing_s >= self._limits.max_flush_s
--- /dev/null
+++ b/tests/harness/test_soak.py
@@ -0,0 +1,88 @@
+"""Restarts of real gateways under clients that keep their connections; and the judge of those plays."""
+
+from __future__ import annotations
+
+import pathlib
+from collections import Counter
+
+import pytest
+
+from saffronstack.harness.soak.defects import DEFECTS
+from saffronstack.harness.soak.judge import KILL_MARGIN_S, Verdict, judge
+from saffronstack.harness.soak.platform_play import PlatformPlay
+from saffronstack.harness.soak.schedule import KILL_AFTER_S, draw
+from saffronstack.harness.soak.traffic import ObservedPlay, ReceivedAnswer, SentRequest
+
+SEEDS = range(1, 11)
+TERMINATED_S, KILLED_S = 100.0, 103.7
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_request_is_unanswered_until_the_kill(tmp_path: pathlib.Path, seed: int) -> None:
+    """A gateway used to end before the kill with its clients at work, and lost what crossed its close."""
+    played = PlatformPlay(draw(seed), tmp_path).play()
+    assert played.verdict.breaches == (), f"{draw(seed).describe()}\n{played.log}"
+    assert played.verdict.answers["OK"] > 0
+
+
+@pytest.mark.parametrize("defect", DEFECTS)
+def test_the_judge_finds_a_broken_gateway(tmp_path: pathlib.Path, defect: str) -> None:
+    assert PlatformPlay(draw(1), tmp_path, DEFECTS[defect]).play().verdict.breaches
+
+
+def test_a_seed_draws_one_schedule_and_the_kill_is_the_earliest_allowed() -> None:
+    schedules = [draw(seed) for seed in range(1, 200)]
+    assert schedules == [draw(seed) for seed in range(1, 200)]
+    assert {one.kill_s for one in schedules} == {0.3 + KILL_AFTER_S, 1.0 + KILL_AFTER_S, 3.0 + KILL_AFTER_S}
+    assert {len(one.signals) for one in schedules} == set(range(5))
+
+
+def request(sent_s: float, *words: str, unsafe: bool = False, ended_s: float | None = None) -> SentRequest:
+    answers = [ReceivedAnswer(sent_s + 0.1, word, b"x") for word in words]
+    return SentRequest("0" * 16, unsafe, b"x", sent_s, 1.0, True, answers, ended_s)
+
+
+def verdict(*requests: SentRequest, calls: int = 1, killed_s: float | None = KILLED_S) -> Verdict:
+    exit_status = 0 if killed_s is None else None
+    return judge(
+        ObservedPlay(list(requests), Counter({"0" * 16: calls}), TERMINATED_S, killed_s, exit_status)
+    )
+
+
+def test_one_whole_answer_is_no_breach() -> None:
+    found = verdict(request(101.0, "OK"), request(101.0, "BUSY"), request(101.0, "FAILED"))
+    assert found.breaches == ()
+    assert found.answers == {"OK": 1, "BUSY": 1, "FAILED": 1}
+
+
+def test_a_request_without_an_answer_is_excused_only_right_before_the_kill() -> None:
+    late = verdict(request(KILLED_S - KILL_MARGIN_S / 2))
+    assert (late.breaches, late.within_margin) == ((), 1)
+    assert len(verdict(request(KILLED_S - KILL_MARGIN_S * 2)).breaches) == 1
+
+
+def test_a_request_that_crosses_an_idle_close_is_excused_only_where_the_gateway_goes_on() -> None:
+    crossing = request(101.0, ended_s=101.01)
+    assert verdict(crossing).crossed == 1
+    assert len(verdict(crossing, killed_s=None).breaches) == 1
+    assert len(verdict(request(101.0, ended_s=101.2)).breaches) == 1
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        verdict(request(101.0, "OK", "OK")),
+        verdict(request(101.0, "OK", unsafe=True), calls=2),
+        verdict(request(101.0, "BUSY", unsafe=True)),
+        judge(ObservedPlay([], Counter(), TERMINATED_S, None, 1)),
+    ],
+    ids=["two answers", "two effects", "refused with an effect", "exit status"],
+)
+def test_each_breach_is_found(broken: Verdict) -> None:
+    assert len(broken.breaches) == 1
+
+
+def test_a_late_answer_and_a_foreign_body_are_found() -> None:
+    late = request(101.0)
+    late.answers.append(ReceivedAnswer(102.6, "OK", b"y"))
+    assert len(verdict(late).breaches) == 2
--- /dev/null
+++ b/tests/platform/test_drain_admission.py
@@ -0,0 +1,60 @@
+"""Which calls a draining gateway still runs."""
+
+from __future__ import annotations
+
+import pytest
+
+from saffronstack.engine.calls import Call, FinalStatus, FunctionSpec
+from saffronstack.platform.drain_admission import DrainAdmission
+
+UNTIL_S = 10.0
+
+
+@pytest.fixture
+def admission() -> DrainAdmission:
+    admission = DrainAdmission(classes=2)
+    admission.begin(UNTIL_S)
+    return admission
+
+
+def call(number: int, class_index: int = 0, deadline_s: float = 8.0) -> Call:
+    return Call(number, f"{number:016x}", FunctionSpec("f", 1, class_index, 100.0), b"", deadline_s)
+
+
+def serve(
+    admission: DrainAdmission, durations_s: list[float], status: FinalStatus = FinalStatus.SERVED
+) -> None:
+    for number, duration_s in enumerate(durations_s):
+        one = call(number)
+        assert admission.admit(one, 1.0)
+        admission.finished(one, status, 1.0 + duration_s)
+
+
+def test_it_does_nothing_before_the_drain() -> None:
+    assert not DrainAdmission(classes=1).active
+
+
+def test_a_call_is_refused_once_those_of_its_class_would_not_end_in_time(admission: DrainAdmission) -> None:
+    serve(admission, [0.1] * 8 + [0.5, 2.0])
+    assert admission.admit(call(20), 7.9)
+    assert not admission.admit(call(21), 8.1)
+    assert admission.admit(call(22, class_index=1), 8.1)
+
+
+def test_only_calls_that_were_served_tell_what_calls_take(admission: DrainAdmission) -> None:
+    serve(admission, [0.1] * 9)
+    serve(admission, [5.0] * 9, FinalStatus.FAILED)
+    assert admission.admit(call(20), 9.8)
+
+
+def test_while_none_was_served_the_oldest_that_is_open_tells(admission: DrainAdmission) -> None:
+    assert admission.admit(call(1), 1.0)
+    assert admission.admit(call(2), 5.0)
+    assert not admission.admit(call(3), 5.6)
+
+
+def test_a_deadline_is_no_later_than_the_end(admission: DrainAdmission) -> None:
+    early, late = call(1, deadline_s=8.0), call(2, deadline_s=80.0)
+    assert admission.admit(early, 1.0)
+    assert admission.admit(late, 1.0)
+    assert (early.deadline_s, late.deadline_s) == (8.0, UNTIL_S)
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -24,19 +24,33 @@
 from tests.support.platform import WAIT_S, Client, HostConnection, ScriptedHost, config_text, echo, gateway
 from tests.support.stack import eventually
 
-LIMITS = ShutdownLimits(min_drain_s=1.0, quiet_s=0.3, max_drain_s=3.0, max_flush_s=0.2)
+LIMITS = ShutdownLimits(min_drain_s=1.0, quiet_s=0.3, run_until_s=3.0, max_flush_s=0.2)
 
 
-def test_it_ends_before_the_platform_kills_whatever_the_deadlines() -> None:
+def test_open_calls_are_answered_before_the_platform_kills_whatever_the_deadlines() -> None:
     for longest_s in (0.1, 0.5, 2.0, 3.0, 8.0, 60.0):
         limits = limits_for(longest_s, 1.0, 0.3)
         killed_s = min(longest_s, 3.0) + 0.7
-        assert limits.min_drain_s <= limits.max_drain_s
-        assert limits.max_drain_s + limits.max_flush_s < killed_s
+        assert limits.min_drain_s <= limits.run_until_s
+        assert limits.run_until_s < killed_s
+
+
+def test_it_stays_while_clients_go_on_and_ends_once_they_fall_quiet() -> None:
+    """It used to end before the platform kills, and requests crossed the close."""
+    shutdown = GracefulShutdown()
+    shutdown.begin(LIMITS, 100.0)
+    for tenths in range(1, 601):  # a minute of requests
+        now = 100.0 + tenths / 10
+        phase = shutdown.step(now, Activity(now - 0.1, False, settled=now > 103.5))
+        assert phase is (Phase.DRAINING if now < 103.0 else Phase.REFUSING)
+    assert shutdown.step(160.2, Activity(159.95, False, True)) is Phase.REFUSING
+    assert shutdown.step(160.3, Activity(159.95, True, True)) is Phase.REFUSING
+    assert shutdown.step(160.4, Activity(159.95, False, True)) is Phase.FLUSHING
+    assert shutdown.step(160.5, Activity(160.5, False, True)) is Phase.CLOSED
 
 
 def test_every_order_of_what_is_seen_ends_once_and_never_early() -> None:
-    """Five looks, 0.25 s to 2.5 s apart, at any mix of arrivals, open calls and a settled engine."""
+    """Four looks, 0.25 s to 2.5 s apart, at any mix of arrivals, open calls and a settled engine."""
     steps = list(itertools.product((0.25, 2.5), (False, True), (False, True), (False, True)))
     looked = 0
     for order in itertools.product(steps, repeat=4):
@@ -49,14 +63,14 @@
             shutdown.begin(ShutdownLimits(0.0, 0.0, 0.0, 0.0), now)  # a second signal
             after = shutdown.step(now, Activity(received_s, unanswered, settled))
             looked += 1
+            quiet = now - received_s >= 0.3 and not unanswered
             assert after.value in (phase.value, phase.value + 1)
-            if phase is Phase.DRAINING and after is Phase.FLUSHING:
-                quiet = now - received_s >= 0.3 and not unanswered and now >= 101.0
-                assert quiet or now >= 103.0
-            if phase is Phase.DRAINING and now >= 103.0:
-                assert after is Phase.FLUSHING
+            if phase is Phase.DRAINING:
+                assert (after is Phase.REFUSING) is (now >= 103.0 or (quiet and now >= 101.0))
+            if phase is Phase.REFUSING:
+                assert (after is Phase.FLUSHING) is (quiet and settled)
             if after is Phase.CLOSED and phase is Phase.FLUSHING:
-                assert settled
+                assert not unanswered or passed_s >= LIMITS.max_flush_s
             phase = after
     assert looked == 4 * 16**4
 
@@ -160,7 +174,7 @@
         def decided(self: GracefulShutdown, now: float, activity: Activity) -> Phase:
             before = self.phase
             phase = step(self, now, activity)
-            if before is Phase.DRAINING and phase is Phase.FLUSHING:
+            if before is Phase.REFUSING and phase is Phase.FLUSHING:
                 late.append(Client(service.front.address))
                 late[0].call(subject=2)
                 client.call(subject=3)
@@ -324,7 +338,7 @@
         thread, ended = stopping(service)  # nor does the shutdown count with 0.2 s
         eventually(lambda: service.front.phase is Phase.DRAINING)
         assert service.front._shutdown_limits is not None
-        assert service.front._shutdown_limits.max_drain_s > 3.0
+        assert service.front._shutdown_limits.run_until_s > 3.0
         release.set()
         answers = [client.read()[:2] for _ in range(2)]
         assert sorted(answers) == sorted([(before, "OK"), (after, "OK")])
