`saffronstack serve` is split by concern and named in the field's terms

Now serve (the gateway), supervise (--processes), serve_options, parent_process, process_signals, cpu_affinity. No line, option or behaviour changes.

--- a/saffronstack/cli/main.py
+++ b/saffronstack/cli/main.py
@@ -74,7 +74,9 @@
     log_level: str,
 ) -> None:
     """Run a gateway in the foreground until SIGTERM or SIGINT; SIGHUP rereads keys and workers."""
-    from saffronstack.cli.serve import Options, run, supervise
+    from saffronstack.cli.serve import run
+    from saffronstack.cli.serve_options import Options
+    from saffronstack.cli.supervise import supervise
     from saffronstack.runtime.process_exit import exit_process
 
     if (path is None) == (not with_standins):
--- /dev/null
+++ b/saffronstack/cli/parent_process.py
@@ -0,0 +1,80 @@
+"""What a gateway process and the process that started it tell each other: a supervisor or a daemon."""
+
+from __future__ import annotations
+
+import os
+import queue
+import signal
+import socket
+import sys
+import threading
+
+import click
+import structlog
+
+from saffronstack.daemon.heartbeat_monitor import HEARTBEAT_INTERVAL_S
+from saffronstack.daemon.listener_handover import MARK_VARIABLE, ListenerHandover
+from saffronstack.daemon.standby import wait_until_allowed
+from saffronstack.gateway import Gateway
+from saffronstack.runtime.threads import start_thread
+
+log = structlog.get_logger("saffronstack.serve")
+ACCEPT_TIMEOUT_S = 2.0  # the accepting thread looks up every half second without anything to accept
+DECISION_POLL_S = 0.2
+
+
+def announce(line: str) -> None:
+    """Write a line for the parent, which may have ended meanwhile: the gateway goes on without it."""
+    try:
+        click.echo(line)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        with open(os.devnull, "wb") as null_device:  # what is still buffered would fail again at the exit
+            os.dup2(null_device.fileno(), sys.stdout.fileno())
+
+
+def wait_in_standby() -> bool:
+    """Report that all is loaded and nothing opened, and wait; whether this process may serve."""
+    announce("saffronstack is prepared")
+    return wait_until_allowed(sys.stdin.fileno())
+
+
+def offer_listener(listener: socket.socket | None) -> ListenerHandover | None:
+    """Offer the listening socket to the next daemon: the one that created it may be replaced."""
+    mark = os.environ.get(MARK_VARIABLE, "")
+    if listener is None or not mark:
+        return None
+    try:
+        return ListenerHandover(mark, listener)
+    except OSError as error:
+        log.warning("a daemon that comes anew gets no socket from this gateway", error=str(error))
+        return None
+
+
+def terminate_with_parent(signals: queue.SimpleQueue[int]) -> None:
+    """Queue a SIGTERM once the supervisor has ended: standard input is a pipe that closes then."""
+
+    def watch() -> None:
+        while os.read(0, 1024):
+            continue
+        signals.put(signal.SIGTERM)
+
+    start_thread("parent", watch)
+
+
+def send_heartbeats(gateway: Gateway, stopping: threading.Event) -> None:
+    """Write a line for the supervisor while the accepting and the deciding thread make progress, or while the
+    gateway stops, which has bounds of its own. Returns once the supervisor is gone.
+    """
+    pause = threading.Event()
+    while True:
+        decided = threading.Event()
+        gateway.engine.inspect(lambda now, router, decided=decided: decided.set())  # type: ignore[misc]
+        while not decided.wait(DECISION_POLL_S) and not stopping.is_set():
+            continue
+        if gateway.server.accepting(ACCEPT_TIMEOUT_S) or stopping.is_set():
+            try:
+                os.write(1, b"alive\n")
+            except OSError:
+                return
+        pause.wait(HEARTBEAT_INTERVAL_S)
--- /dev/null
+++ b/saffronstack/cli/supervise.py
@@ -0,0 +1,68 @@
+"""`saffronstack serve --processes N`: several gateway processes on one address."""
+
+from __future__ import annotations
+
+import signal
+
+import click
+import structlog
+
+from saffronstack import config as configs
+from saffronstack.cli.logs import set_up_logs
+from saffronstack.cli.parent_process import announce
+from saffronstack.cli.process_signals import ignore_signals, receive_signals
+from saffronstack.cli.serve_options import Options, override
+from saffronstack.config.schema import Config
+from saffronstack.daemon.errors import StartupError
+from saffronstack.daemon.state_directories import find_stranded_ledgers
+from saffronstack.daemon.supervisor import Supervisor, gateway_command
+
+log = structlog.get_logger("saffronstack.serve")
+STOP_MARGIN_S = 15.0  # for the supervisor to wait beyond the bounds of its processes
+
+
+def supervise(options: Options, count: int) -> int:
+    """Serve with several processes on one address until a signal says stop.
+
+    Returns:
+        The exit status: 0 after a clean end, 1 after an unclean one, 2 where it can't start.
+    """
+    set_up_logs(options.log_form, options.log_level)
+    signals = receive_signals()
+    assert options.path is not None
+    try:
+        config = override(configs.load(options.path), options)
+        _check_ledgers(config, count)
+        host, _, port = config.listen.rpartition(":")
+        command = gateway_command(_gateway_arguments(options, options.path))
+        supervisor = Supervisor(command, count, host, int(port), stopped_timeout_s=options.stopped_s)
+        supervisor.start()
+    except (configs.ConfigError, StartupError, OSError, ValueError) as error:
+        click.echo(f"saffronstack serve: {error}", err=True)
+        return 2
+    announce(f"saffronstack takes calls on http://{supervisor.host}:{supervisor.port}")
+    number = supervisor.run_until_signal(signals)
+    log.info("stopping", signal=signal.Signals(number).name)
+    longest_s = max(cls.deadline_s for cls in config.classes) + config.limits.write_timeout_s
+    status = supervisor.stop(longest_s + STOP_MARGIN_S)
+    ignore_signals()
+    return 0 if status == 0 else 1
+
+
+def _check_ledgers(config: Config, count: int) -> None:
+    """ValueError where open calls may lie in a ledger that none of so many processes would read."""
+    if config.ledger is None:
+        return
+    stranded = find_stranded_ledgers(config.ledger.directory, count)
+    if stranded:
+        raise ValueError(
+            f"deferred calls may be open in {', '.join(stranded)}: start as many processes as before, "
+            "or let a gateway of its own finish them (--ledger)"
+        )
+
+
+def _gateway_arguments(options: Options, path: str) -> list[str]:
+    """The command line of each process, but for its index and its address."""
+    arguments = ["serve", "--config", path, "--cpus", options.cpus]
+    arguments += ["--log", options.log_form, "--log-level", options.log_level]
+    return [*arguments, "--ledger", options.ledger] if options.ledger else arguments
--- a/tests/stored_formats/test_address_process_formats.py
+++ b/tests/stored_formats/test_address_process_formats.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 
-from saffronstack.cli import serve
+from saffronstack.cli import parent_process
 from saffronstack.daemon import listener_handover
 from saffronstack.daemon.process_group import ProcessGroup
 from saffronstack.daemon.state_directories import process_directory
@@ -286,7 +286,7 @@
     os.close(writing)
     with os.fdopen(reading) as commands:
         monkeypatch.setattr("sys.stdin", commands)
-        assert serve._wait_in_standby() is goes
+        assert parent_process.wait_in_standby() is goes
     assert capsys.readouterr().out == "saffronstack is prepared\n"
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from saffronstack.cli.serve import choose_cpus
+from saffronstack.cli.cpu_affinity import choose_cpus
 from saffronstack.config import ConfigError
 from saffronstack.harness.scenario import plan
 
