--- a/saffronstack/harness/soak/clients.py
+++ b/saffronstack/harness/soak/clients.py
@@ -134,27 +134,38 @@
     def __init__(
         self, address: tuple[str, int], kinds: tuple[ClientKind, ...], seed: int, timeout_s: float
     ) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
         self._chance = random.Random(seed)
         self._selector = selectors.DefaultSelector()
         self._connections: set[ClientConnection] = set()
         self._requests: list[list[SentRequest]] = []
         self._stopping = threading.Event()
+        self._terminated = threading.Event()
         for kind in kinds:
-            sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setblocking(False)
-            connection = ClientConnection(kind, sock, self._chance, timeout_s)
-            self._connections.add(connection)
-            self._requests.append(connection.sent)
-            self._selector.register(sock, selectors.EVENT_READ, connection)
+            self._connect(kind)
         self._thread = start_thread("soak-clients", self._run)
 
+    def gateway_terminated(self) -> None:
+        """From now on a client whose connection ends does not connect again."""
+        self._terminated.set()
+
     def stop(self) -> list[SentRequest]:
         """End all connections; the requests that were written."""
         self._stopping.set()
         self._thread.join()
         return [request for sent in self._requests for request in sent]
 
+    def _connect(self, kind: ClientKind) -> None:
+        """OSError where it is not let in."""
+        sock = socket.create_connection(self._address, CONNECT_TIMEOUT_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setblocking(False)
+        connection = ClientConnection(kind, sock, self._chance, self._timeout_s)
+        self._connections.add(connection)
+        self._requests.append(connection.sent)
+        self._selector.register(sock, selectors.EVENT_READ, connection)
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             for key, _ in self._selector.select(POLL_S):
@@ -184,3 +195,6 @@
             self._connections.discard(connection)
             self._selector.unregister(connection.sock)
             connection.end(now)
+            if connection.kind is not ClientKind.CROWD and not self._terminated.is_set():
+                with contextlib.suppress(OSError):
+                    self._connect(connection.kind)
--- a/saffronstack/harness/soak/platform_play.py
+++ b/saffronstack/harness/soak/platform_play.py
@@ -120,6 +120,7 @@
             timeout_s = schedule.longest_deadline_s
             clients = SoakClients((host, int(port)), schedule.clients, schedule.seed, timeout_s)
             time.sleep(schedule.before_s)
+            clients.gateway_terminated()
             terminated_s, killed_s = self._shut_down(gateway)
             time.sleep(AFTER_END_S)
             requests = clients.stop()
