A gateway that gets no time on its one processor is let on all by whoever started it

Callers saw: no answer for 3 s and more from one gateway, for 20 s; it logged `stopped` and did not exit although it was killed, or logged `stopping` 20 s after its SIGTERM.

Cause: a gateway keeps to one processor, chosen by its process id. Where something else takes that up, its threads are ready and do not run, and the kernel does not finish its exit, though other processors are free.

In the next freeze a watcher of /proc found four gateways for up to 19.8 s, all allowed on processor 0 alone, threads in state R with unchanged run time, one of them exiting. No memory pressure, no swap.

Why this works: the daemon and the supervisor, which keep to no processor, look every 0.5 s; a thread that is ready at two looks and had no time between them lets its process run on all. A gateway that runs alone stays as it was: its own threads can't look (docs/incidents/starved-processor.md).

The test of what is read and released uses real processes; the decision is tested by a given clock and samples.

--- a/saffronstack/cli/cpu_affinity.py
+++ b/saffronstack/cli/cpu_affinity.py
@@ -4,6 +4,8 @@
 
 import os
 
+DEFAULT_CPUS = "one"
+
 
 def choose_cpus(selection: str, allowed: set[int], turn: int) -> set[int]:
     """Return the processors to run on.
@@ -21,7 +23,7 @@
     """
     if selection == "all":
         return allowed
-    if selection == "one":
+    if selection == DEFAULT_CPUS:
         return {sorted(allowed)[turn % len(allowed)]}
     chosen = {int(part) for part in selection.split(",")}
     if not chosen <= allowed:
--- a/saffronstack/cli/supervise.py
+++ b/saffronstack/cli/supervise.py
@@ -8,6 +8,7 @@
 import structlog
 
 from saffronstack import config as configs
+from saffronstack.cli.cpu_affinity import DEFAULT_CPUS
 from saffronstack.cli.logs import set_up_logs
 from saffronstack.cli.parent_process import announce
 from saffronstack.cli.process_signals import ignore_signals, receive_signals
@@ -63,6 +64,8 @@
 
 def _gateway_arguments(options: Options, path: str) -> list[str]:
     """The command line of each process, but for its index and its address."""
-    arguments = ["serve", "--config", path, "--cpus", options.cpus]
+    arguments = ["serve", "--config", path]
+    if options.cpus != DEFAULT_CPUS:  # the supervisor changes processors that were not chosen by an operator
+        arguments += ["--cpus", options.cpus]
     arguments += ["--log", options.log_form, "--log-level", options.log_level]
     return [*arguments, "--ledger", options.ledger] if options.ledger else arguments
--- /dev/null
+++ b/saffronstack/daemon/processor_starvation.py
@@ -0,0 +1,94 @@
+"""Finds processes whose threads are ready to run and get no processor, and lets them run on any other.
+
+A gateway keeps to one processor, which is chosen without a look at what else runs there. Where that is taken
+up for long, the gateway neither serves nor ends, though others are free. It can't see that itself: the thread
+that would look does not run either.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import pathlib
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+SAMPLE_INTERVAL_S = 0.5  # a thread that is ready to run for as long and does not run is starved
+_RUNNABLE = "R"
+_CPUS_OPTION = b"--cpus"
+
+
+@dataclass(frozen=True, slots=True)
+class ThreadSample:
+    """One thread at one moment: whether it is ready to run, and the processor time that it has had."""
+
+    is_runnable: bool
+    run_ns: int
+
+
+ThreadSamples = Mapping[int, ThreadSample]  # by thread id
+
+
+def read_threads(pid: int) -> dict[int, ThreadSample]:
+    """Return the threads of a process; none where it has ended, or the system does not tell."""
+    samples: dict[int, ThreadSample] = {}
+    with contextlib.suppress(OSError):
+        for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
+            with contextlib.suppress(OSError, ValueError, IndexError):  # the thread has ended
+                state = (task / "stat").read_text().rpartition(")")[2].split()[0]
+                run_ns = int((task / "schedstat").read_text().split()[0])
+                samples[int(task.name)] = ThreadSample(state == _RUNNABLE, run_ns)
+    return samples
+
+
+def is_starved(before: ThreadSamples, after: ThreadSamples) -> bool:
+    """Return whether a thread was ready to run at both moments, and had no processor time between them."""
+    return any(
+        sample.is_runnable and before.get(thread) == sample for thread, sample in after.items()
+    )  # fmt: skip
+
+
+def allow_all_processors(pid: int) -> bool:
+    """Let all threads of a process run wherever this process may; return whether that changes anything.
+
+    A process whose command line names its processors keeps them.
+    """
+    processors = os.sched_getaffinity(0)
+    changed = False
+    with contextlib.suppress(OSError):
+        if _CPUS_OPTION in pathlib.Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\0"):
+            return False
+        for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
+            with contextlib.suppress(OSError):  # the thread has ended
+                thread = int(task.name)
+                if os.sched_getaffinity(thread) != processors:
+                    os.sched_setaffinity(thread, processors)
+                    changed = True
+    return changed
+
+
+class StarvationMonitor:
+    """Looks at processes now and then; one thread uses it."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        read: Callable[[int], ThreadSamples] = read_threads,
+        release: Callable[[int], bool] = allow_all_processors,
+    ) -> None:
+        """``clock``: monotonic seconds; ``read`` and ``release`` stand for the system in tests."""
+        self._clock = clock
+        self._read = read
+        self._release = release
+        self._sampled_s = clock()
+        self._samples: dict[int, ThreadSamples] = {}  # by process id
+
+    def check(self, pids: Iterable[int]) -> list[int]:
+        """Sample processes if it is time; return those that were starved and may run anywhere from now on."""
+        now_s = self._clock()
+        if now_s - self._sampled_s < SAMPLE_INTERVAL_S:
+            return []
+        self._sampled_s = now_s
+        before, self._samples = self._samples, {pid: self._read(pid) for pid in pids}
+        starved = [pid for pid, after in self._samples.items() if is_starved(before.get(pid, {}), after)]
+        return [pid for pid in starved if self._release(pid)]
--- a/saffronstack/daemon/supervisor.py
+++ b/saffronstack/daemon/supervisor.py
@@ -15,6 +15,7 @@
 
 from saffronstack.daemon.errors import StartupError
 from saffronstack.daemon.heartbeat_monitor import STOPPED_TIMEOUT_S, HeartbeatMonitor
+from saffronstack.daemon.processor_starvation import StarvationMonitor, allow_all_processors
 from saffronstack.daemon.restart_backoff import RestartBackoff
 from saffronstack.runtime.threads import start_thread
 
@@ -66,6 +67,7 @@
             OSError: The address is not available.
         """
         self._monitor = HeartbeatMonitor(count, stopped_timeout_s)
+        self._starvation_monitor = StarvationMonitor(clock)
         self._command = list(command)
         self._clock = clock
         self._processes = [_SupervisedProcess(index) for index in range(count)]
@@ -105,6 +107,7 @@
             try:
                 number = signals.get(timeout=POLL_INTERVAL_S)
             except queue.Empty:
+                self._release_starved()
                 self._kill_unresponsive()
                 self._restart_exited()
                 continue
@@ -121,6 +124,7 @@
         """
         running = [one.process for one in self._processes if one.process is not None and one.is_running()]
         for process in running:
+            allow_all_processors(process.pid)  # nothing releases one that is starved while it ends
             process.send_signal(signal.SIGTERM)
         deadline_s = self._clock() + timeout_s
         worst = 0
@@ -179,6 +183,12 @@
                     self._monitor.heartbeat_received(supervised.index, self._clock())
         lines.put(b"")
 
+    def _release_starved(self) -> None:
+        """Let processes that get no processor run on any, before they count as unresponsive."""
+        pids = [one.process.pid for one in self._processes if one.process is not None and one.is_running()]
+        for pid in self._starvation_monitor.check(pids):
+            log.warning("gateway process got no processor, it may use all from now on", pid=pid)
+
     def _kill_unresponsive(self) -> None:
         """Kill processes that send no heartbeats; `_restart_exited` restarts them as after any other exit."""
         for unresponsive in self._monitor.check(self._clock(), self._is_stopped):
--- a/saffronstack/fleet/control/daemon.py
+++ b/saffronstack/fleet/control/daemon.py
@@ -12,6 +12,7 @@
 import msgspec
 import structlog
 
+from saffronstack.daemon.processor_starvation import StarvationMonitor
 from saffronstack.fleet.control.command_fence import CommandFence
 from saffronstack.fleet.control.control_endpoint import ControlEndpoint, PendingRequest
 from saffronstack.fleet.control.daemon_options import DaemonOptions
@@ -75,6 +76,7 @@
         self._stopping = threading.Event()
         self._thread: threading.Thread | None = None
         self._lease_observer = LeaseObserver(read_leases, self._queue.put)
+        self._starvation_monitor = StarvationMonitor(clock)
         self._gateways: dict[str, ManagedGateway] = {}
         try:
             for spec in options.gateways:
@@ -135,6 +137,7 @@
         longest_s = max((gateway.spec.drain_timeout_s for gateway in gateways), default=0.0)
         deadline_s = self._clock() + longest_s + DRAIN_MARGIN_S
         while any(gateway.has_processes for gateway in gateways) and self._clock() < deadline_s:
+            self._release_starved()
             try:
                 event = self._queue.get(timeout=EVENT_POLL_S)
             except queue.Empty:
@@ -181,9 +184,15 @@
                 self._handle(item)
                 for gateway in self._gateways.values():
                     gateway.reconcile_if_due()
+                self._release_starved()
             except Exception:
                 log.exception("daemon step failed")
 
+    def _release_starved(self) -> None:
+        pids = [pid for gateway in self._gateways.values() for pid in gateway.pids()]
+        for pid in self._starvation_monitor.check(pids):
+            log.warning("gateway process got no processor, it may use all from now on", pid=pid)
+
     def _handle(self, item: PendingRequest | ProcessEvent | QuorumRead | None) -> None:
         match item:
             case PendingRequest():
--- a/saffronstack/fleet/control/managed_gateway.py
+++ b/saffronstack/fleet/control/managed_gateway.py
@@ -156,6 +156,10 @@
         for process in self._processes.values():
             process.send_signal(number)
 
+    def pids(self) -> list[int]:
+        """Return the ids of its processes."""
+        return [process.pid for process in self._processes.values()]
+
     def forget(self, incarnation: int) -> None:
         """Drop a process that has ended."""
         self._processes.pop(incarnation, None)
--- /dev/null
+++ b/tests/daemon/test_processor_starvation.py
@@ -0,0 +1,87 @@
+"""Processes that are ready to run and get no processor."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from saffronstack.daemon.processor_starvation import (
+    SAMPLE_INTERVAL_S,
+    StarvationMonitor,
+    ThreadSample,
+    ThreadSamples,
+    allow_all_processors,
+    is_starved,
+    read_threads,
+)
+
+WAITS = "import sys, threading; threading.Thread(target=sys.stdin.read).start(); print(1, flush=True)"
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "starved"),
+    [
+        (ThreadSample(True, 5), ThreadSample(True, 5), True),
+        (ThreadSample(True, 5), ThreadSample(True, 6), False),  # it ran
+        (ThreadSample(False, 5), ThreadSample(True, 5), False),  # ready only now
+        (ThreadSample(False, 5), ThreadSample(False, 5), False),  # nothing to do
+    ],
+)
+def test_a_thread_is_starved_that_is_ready_all_the_time_and_does_not_run(
+    before: ThreadSample, after: ThreadSample, starved: bool
+) -> None:
+    assert is_starved({1: before}, {1: after, 2: ThreadSample(True, 0)}) is starved
+
+
+def test_a_starved_process_is_released_once_and_others_are_left() -> None:
+    """A gateway on a processor that a benchmark took up did not exit for 20 s, and nobody noticed."""
+    now_s = 100.0
+    samples: dict[int, ThreadSamples] = {1: {1: ThreadSample(True, 7)}, 2: {2: ThreadSample(False, 7)}}
+    pinned = {1, 2}
+
+    def release(pid: int) -> bool:
+        was_pinned = pid in pinned
+        pinned.discard(pid)
+        return was_pinned
+
+    monitor = StarvationMonitor(lambda: now_s, lambda pid: samples[pid], release)
+    found = []
+    for _ in range(8):
+        now_s += SAMPLE_INTERVAL_S / 2
+        found.append(monitor.check([1, 2]))
+    assert found == [[], [], [], [1], [], [], [], []]
+    assert pinned == {2}
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+@pytest.mark.parametrize(("arguments", "released"), [([], True), (["--cpus", "0"], False)])
+def test_all_threads_of_a_process_are_released_unless_its_command_names_processors(
+    arguments: list[str], released: bool
+) -> None:
+    command = [sys.executable, "-c", WAITS, *arguments]
+    with subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as process:
+        assert process.stdout is not None
+        assert process.stdout.readline() == b"1\n"
+        threads = list(read_threads(process.pid))
+        assert len(threads) == 2
+        one = {min(os.sched_getaffinity(0))}
+        for thread in threads:
+            os.sched_setaffinity(thread, one)
+        assert allow_all_processors(process.pid) is released
+        allowed = os.sched_getaffinity(0) if released else one
+        assert [os.sched_getaffinity(thread) for thread in threads] == [allowed, allowed]
+        assert not allow_all_processors(process.pid)
+        assert process.stdin is not None
+        process.stdin.close()
+
+
+def test_a_process_that_has_ended_has_no_threads_and_is_not_released() -> None:
+    ended = subprocess.run(
+        [sys.executable, "-c", "import os; print(os.getpid())"], capture_output=True, check=True
+    )
+    pid = int(ended.stdout)
+    assert read_threads(pid) == {}
+    assert not allow_all_processors(pid)
