--- a/tests/daemon/test_graceful_takeover.py
+++ b/tests/daemon/test_graceful_takeover.py
@@ -5,9 +5,11 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
 
@@ -109,7 +111,11 @@
     assert log.end_reasons() == ["status 0", "status 0"]
 
 
-def test_a_successor_serves_though_nobody_reads_its_output(config_path: pathlib.Path) -> None:
+@contextmanager
+def serving_with_successor(
+    config_path: pathlib.Path,
+) -> Iterator[tuple[subprocess.Popen[bytes], subprocess.Popen[bytes], socket.socket]]:
+    """A process that serves, a prepared one that is to follow it, and their listening socket."""
     listener = bind_listener("127.0.0.1:0")
     command = [*SERVE, "--config", str(config_path), "--listen-fd", str(listener.fileno()), "--standby"]
 
@@ -124,6 +130,11 @@
         write_line(first, b"go\n")
         assert read_line(first).startswith(b"saffronstack takes calls")
         write_line(second, b"after %d\n" % first.pid)
+        yield first, second, listener
+
+
+def test_a_successor_serves_though_nobody_reads_its_output(config_path: pathlib.Path) -> None:
+    with serving_with_successor(config_path) as (first, second, listener):
         assert second.stdin is not None
         assert second.stdout is not None
         second.stdin.close()  # the daemon has died, and with it both of its ends
@@ -142,20 +153,7 @@
     config_path: pathlib.Path,
 ) -> None:
     """Callers waited for a daemon that was stopped between one end and the next start."""
-    listener = bind_listener("127.0.0.1:0")
-    command = [*SERVE, "--config", str(config_path), "--listen-fd", str(listener.fileno()), "--standby"]
-
-    def start() -> subprocess.Popen[bytes]:
-        return subprocess.Popen(
-            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, pass_fds=(listener.fileno(),)
-        )
-
-    with start() as first, start() as second, listener:
-        for process in (first, second):
-            assert read_line(process) == b"saffronstack is prepared\n"
-        write_line(first, b"go\n")
-        assert read_line(first).startswith(b"saffronstack takes calls")
-        write_line(second, b"after %d\n" % first.pid)
+    with serving_with_successor(config_path) as (first, second, listener):
         first.send_signal(signal.SIGTERM)  # and from here on no word of the daemon's: it holds both pipes
         try:
             host, port = listener.getsockname()
