Daemon: a prepared process of the old release follows one that dies as it begins

Cause: the old process had ended by then; the daemon loaded the failing release a second time and only then the old one, two program starts in a row with nobody serving.

Change: a fallback with the present release is prepared before the present process is terminated, and is allowed to serve at once where the successor fails. One that can't be prepared is done without; one that isn't needed is ended (Discard).

--- a/saffronstack/fleet/control/gateway_actions.py
+++ b/saffronstack/fleet/control/gateway_actions.py
@@ -42,4 +42,11 @@
     incarnation: int
 
 
-ProcessAction = StartProcess | AllowServing | ServeAfter | Terminate | Kill
+@dataclass(frozen=True, slots=True)
+class Discard:
+    """End a standby that is not needed; it holds nothing."""
+
+    incarnation: int
+
+
+ProcessAction = StartProcess | AllowServing | ServeAfter | Terminate | Kill | Discard
--- a/saffronstack/fleet/control/gateway_reconciler.py
+++ b/saffronstack/fleet/control/gateway_reconciler.py
@@ -2,27 +2,30 @@
 
 A change of release never leaves the address without a listener: the listening socket belongs to the daemon,
 and connections wait in its queue meanwhile. The successor is *prepared* first (program loaded, configuration
-read, nothing opened) while the present incarnation serves; a release that fails at that costs no call. Then
-the present one is terminated, and the successor is told to serve once that has ended: two incarnations never
-own one ledger. It watches for that end itself, so that callers do not wait for a daemon that is stopped; from
-then on it may serve at any moment, and is not dropped any more. All times are seconds of one clock.
+read, nothing opened) while the present incarnation serves; a release that fails at that costs no call. A
+*fallback* with the present release is prepared next: should the successor fail when it begins to serve, the
+fallback takes its place, and callers do not wait until a program is loaded. Then the present incarnation is
+terminated, and the successor is told to serve once that has ended: two incarnations never own one ledger. It
+watches for that end itself, so that callers do not wait for a daemon that is stopped; from then on it may
+serve at any moment, and is not dropped any more. All times are seconds of one clock.
 """
 
 from __future__ import annotations
 
-import enum
 import math
 from dataclasses import dataclass, field
 
 from saffronstack.daemon.restart_backoff import RestartBackoff
 from saffronstack.fleet.control.gateway_actions import (
     AllowServing,
+    Discard,
     Kill,
     ProcessAction,
     ServeAfter,
     StartProcess,
     Terminate,
 )
+from saffronstack.fleet.control.incarnation import Incarnation, IncarnationPhase
 from saffronstack.fleet.control.observed_gateway import GatewayPhase, ObservedGateway
 
 START_TIMEOUT_S = 30.0  # for each of preparing and beginning to serve; an incarnation that is later is killed
@@ -31,28 +34,6 @@
 KILL_GRACE_S = 1.0  # the end of a killed process is reported within this
 
 
-class IncarnationPhase(enum.Enum):
-    """How far one process of a gateway is."""
-
-    PREPARING = "preparing"  # loads its program and configuration
-    PREPARED = "prepared"  # waits until it may serve
-    FOLLOWING = "following"  # serves once its predecessor has ended, which may not be known here yet
-    ACTIVATING = "activating"  # may serve and has not reported yet that it does
-    SERVING = "serving"
-    DRAINING = "draining"
-
-
-@dataclass(slots=True)
-class Incarnation:
-    """One process of the gateway; past ``deadline_s`` in its phase it is killed."""
-
-    number: int
-    release: str
-    started_s: float
-    phase: IncarnationPhase = IncarnationPhase.PREPARING
-    deadline_s: float = math.inf
-
-
 @dataclass(slots=True)
 class GatewayReconciler:
     """The desired and the present state of one gateway.
@@ -69,6 +50,7 @@
         restarts: Unplanned ends of incarnations that served.
         current: The incarnation that serves or drains.
         successor: The incarnation that is to take its place.
+        fallback: A standby with the release of ``current``, which takes the place of a successor that fails.
     """
 
     drain_timeout_s: float
@@ -80,6 +62,8 @@
     restarts: int = 0
     current: Incarnation | None = None
     successor: Incarnation | None = None
+    fallback: Incarnation | None = None
+    _has_tried_fallback: bool = False  # for the present successor
     _retry_at_s: float = 0.0
     _failed_starts: int = 0  # of the target release in a row
     _restart_backoff: RestartBackoff = field(default_factory=RestartBackoff)
@@ -109,7 +93,7 @@
     def observe(self) -> ObservedGateway:
         """Return the observed state."""
         current = self.current
-        is_serving = current is not None and current.phase is IncarnationPhase.SERVING
+        is_serving = current is not None and current.is_serving
         return ObservedGateway(
             desired_release=self.desired_release,
             running_release=current.release if current is not None and is_serving else "",
@@ -122,31 +106,37 @@
 
     def on_prepared(self, now_s: float, number: int) -> list[ProcessAction]:
         """Record that an incarnation has loaded its program and configuration."""
-        successor = self._successor_in((IncarnationPhase.PREPARING,), number)
-        if successor is None:
-            return []
-        successor.phase, successor.deadline_s = IncarnationPhase.PREPARED, math.inf
-        return self.reconcile(now_s)
+        for incarnation in (self.successor, self.fallback):
+            is_meant = incarnation is not None and incarnation.number == number
+            if incarnation is not None and is_meant and incarnation.phase is IncarnationPhase.PREPARING:
+                incarnation.enter(IncarnationPhase.PREPARED)
+                return self.reconcile(now_s)
+        return []
 
     def on_serving(self, now_s: float, number: int) -> list[ProcessAction]:
         """Record that an incarnation serves."""
-        successor = self._successor_in((IncarnationPhase.FOLLOWING, IncarnationPhase.ACTIVATING), number)
-        if successor is None:
+        successor = self.successor
+        if successor is None or successor.number != number or successor.is_standby:
             return []
-        successor.phase, successor.deadline_s = IncarnationPhase.SERVING, math.inf
+        successor.enter(IncarnationPhase.SERVING)
         successor.started_s = now_s
-        self.current, self.successor, self._failed_starts = successor, None, 0
-        return self.reconcile(now_s)
+        self.current, self.successor = successor, None
+        if successor.release == self._target():
+            self._failed_starts = 0
+        return self._drop_fallback() + self.reconcile(now_s)
 
     def on_ended(self, now_s: float, number: int, reason: str) -> list[ProcessAction]:
         """Record that an incarnation has ended, whether that was planned or not."""
+        if self.fallback is not None and self.fallback.number == number:
+            self.fallback = None
+            return self.reconcile(now_s)
         if self.successor is not None and self.successor.number == number:
             return self._record_failed_start(now_s, self.successor, reason)
         ended = self.current
         if ended is None or ended.number != number:
             return []
         self.current = None
-        if ended.phase is IncarnationPhase.SERVING:
+        if ended.is_serving:
             self._record_crash(now_s, ended, reason)
         return self.reconcile(now_s)
 
@@ -161,11 +151,14 @@
 
     def next_deadline_s(self) -> float:
         """Return by when ``reconcile`` is due again; infinity for never."""
-        deadlines = [one.deadline_s for one in (self.successor, self.current) if one is not None]
+        deadlines = [one.deadline_s for one in self._incarnations()]
         if self.successor is None and self._target() and self._retry_at_s > 0:
             deadlines.append(self._retry_at_s)
         return min(deadlines, default=math.inf)
 
+    def _incarnations(self) -> list[Incarnation]:
+        return [one for one in (self.successor, self.fallback, self.current) if one is not None]
+
     def _phase(self, is_serving: bool) -> GatewayPhase:
         if self.successor is not None:
             return GatewayPhase.STARTING if self.current is None else GatewayPhase.CHANGING
@@ -173,10 +166,6 @@
             return GatewayPhase.SERVING if is_serving else GatewayPhase.DRAINING
         return GatewayPhase.DOWN if self._target() else GatewayPhase.STOPPED
 
-    def _successor_in(self, phases: tuple[IncarnationPhase, ...], number: int) -> Incarnation | None:
-        one = self.successor
-        return one if one is not None and one.number == number and one.phase in phases else None
-
     def _target(self) -> str:
         """Return what is to run: the desired release, or the previous one where that was given up."""
         is_given_up = self.failed_release != "" and self.failed_release == self.desired_release
@@ -184,8 +173,8 @@
 
     def _kill_overdue(self, now_s: float) -> list[ProcessAction]:
         actions: list[ProcessAction] = []
-        for incarnation in (self.successor, self.current):
-            if incarnation is not None and now_s >= incarnation.deadline_s:
+        for incarnation in self._incarnations():
+            if now_s >= incarnation.deadline_s:
                 text = f"{incarnation.release} {incarnation.phase.value} for too long and was killed"
                 self.last_error = self.last_error or text
                 incarnation.deadline_s = now_s + KILL_GRACE_S
@@ -197,19 +186,22 @@
         successor = self.successor
         if successor is None:
             return []
-        waits = successor.phase in (IncarnationPhase.PREPARING, IncarnationPhase.PREPARED)
-        if successor.release != self._target() and waits:
+        if successor.release != self._target() and successor.is_standby:
             self.successor = None
-            return [Kill(successor.number)]
+            return [Kill(successor.number), *self._drop_fallback()]
         if successor.phase not in (IncarnationPhase.PREPARED, IncarnationPhase.FOLLOWING):
             return []
         if self.current is None:
-            successor.phase = IncarnationPhase.ACTIVATING
-            successor.deadline_s = now_s + self.start_timeout_s
+            successor.enter(IncarnationPhase.ACTIVATING, now_s + self.start_timeout_s)
             return [AllowServing(successor.number)]
-        if not _is_serving(self.current):
+        if not self.current.is_serving:
             return []
-        successor.phase = IncarnationPhase.FOLLOWING
+        if not self._has_tried_fallback:
+            return self._prepare_fallback(now_s, self.current.release)
+        if self.fallback is not None and self.fallback.phase is IncarnationPhase.PREPARING:
+            return []
+        self.previous_release = self.current.release
+        successor.enter(IncarnationPhase.FOLLOWING)
         return [ServeAfter(successor.number, self.current.number), *self._terminate_current(now_s)]
 
     def _start_successor(self, now_s: float) -> list[ProcessAction]:
@@ -217,20 +209,47 @@
         if self.successor is not None or not target or now_s < self._retry_at_s:
             return []
         current = self.current
-        if current is not None and (not _is_serving(current) or current.release == target):
+        if current is not None and (not current.is_serving or current.release == target):
             return []
+        self._has_tried_fallback = False
+        self.successor = self._create_incarnation(now_s, target)
+        return [StartProcess(self.successor.number, target)]
+
+    def _create_incarnation(self, now_s: float, release: str) -> Incarnation:
         self._last_number += 1
-        self.successor = Incarnation(
-            self._last_number, target, now_s, deadline_s=now_s + self.start_timeout_s
-        )  # fmt: skip
-        return [StartProcess(self._last_number, target)]
+        return Incarnation(self._last_number, release, now_s, deadline_s=now_s + self.start_timeout_s)
 
     def _terminate_current(self, now_s: float) -> list[ProcessAction]:
         assert self.current is not None
-        self.current.phase = IncarnationPhase.DRAINING
-        self.current.deadline_s = now_s + self.drain_timeout_s
+        self.current.enter(IncarnationPhase.DRAINING, now_s + self.drain_timeout_s)
         return [Terminate(self.current.number)]
 
+    # ---- the fallback
+
+    def _prepare_fallback(self, now_s: float, release: str) -> list[ProcessAction]:
+        self._has_tried_fallback = True
+        self.fallback = self._create_incarnation(now_s, release)
+        return [StartProcess(self.fallback.number, release)]
+
+    def _drop_fallback(self) -> list[ProcessAction]:
+        dropped, self.fallback = self.fallback, None
+        return [] if dropped is None else [Discard(dropped.number)]
+
+    def _promote_fallback(self, now_s: float) -> list[ProcessAction]:
+        """Let the fallback take the place of a successor that failed; drop one not needed or not ready."""
+        fallback, predecessor = self.fallback, self.current
+        is_needed = self._target() != "" and not _is_serving(predecessor)
+        if fallback is None or not is_needed or fallback.phase is not IncarnationPhase.PREPARED:
+            return self._drop_fallback()
+        self.successor, self.fallback = fallback, None
+        if predecessor is None:
+            fallback.enter(IncarnationPhase.ACTIVATING, now_s + self.start_timeout_s)
+            return [AllowServing(fallback.number)]
+        fallback.enter(IncarnationPhase.FOLLOWING)
+        return [ServeAfter(fallback.number, predecessor.number)]
+
+    # ---- failures
+
     def _record_failed_start(self, now_s: float, failed: Incarnation, reason: str) -> list[ProcessAction]:
         self.successor = None
         if failed.release == self._target():
@@ -239,7 +258,7 @@
             self._retry_at_s = self._restart_backoff.process_exited(now_s, now_s)
             if self._failed_starts >= MAX_FAILED_STARTS:
                 self._give_up(failed.release)
-        return self.reconcile(now_s)
+        return self._promote_fallback(now_s) + self.reconcile(now_s)
 
     def _record_crash(self, now_s: float, crashed: Incarnation, reason: str) -> None:
         self.restarts += 1
@@ -260,4 +279,4 @@
 
 
 def _is_serving(incarnation: Incarnation | None) -> bool:
-    return incarnation is not None and incarnation.phase is IncarnationPhase.SERVING
+    return incarnation is not None and incarnation.is_serving
--- a/saffronstack/fleet/control/managed_gateway.py
+++ b/saffronstack/fleet/control/managed_gateway.py
@@ -16,6 +16,7 @@
 from saffronstack.fleet.control.errors import UnusableReleaseError
 from saffronstack.fleet.control.gateway_actions import (
     AllowServing,
+    Discard,
     Kill,
     ProcessAction,
     ServeAfter,
@@ -177,7 +178,9 @@
             if process is not None:
                 self._act_on(process, action)
 
-    def _act_on(self, process: GatewayProcess, action: AllowServing | ServeAfter | Terminate | Kill) -> None:
+    def _act_on(
+        self, process: GatewayProcess, action: AllowServing | ServeAfter | Terminate | Kill | Discard
+    ) -> None:
         match action:
             case AllowServing():
                 process.allow_serving()
@@ -190,6 +193,8 @@
                 with contextlib.suppress(OSError):
                     self._listener.listen(process_launcher.LISTEN_BACKLOG)
                 process.send_signal(signal.SIGTERM)
+            case Discard():
+                process.send_signal(signal.SIGKILL)
             case Kill() if not process.has_ended():  # its end may not have been handled yet
                 log.warning("gateway process killed", gateway=self.spec.name, incarnation=action.incarnation)
                 process.send_signal(signal.SIGKILL)
--- a/saffronstack/harness/rollout/exploration.py
+++ b/saffronstack/harness/rollout/exploration.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from saffronstack.fleet.control.gateway_reconciler import IncarnationPhase
+from saffronstack.fleet.control.incarnation import IncarnationPhase
 from saffronstack.fleet.control.observed_gateway import ObservedGateway
 from saffronstack.fleet.rollout.operator_requests import OperatorAction
 from saffronstack.harness.rollout.defects import Defect
--- a/saffronstack/harness/rollout/sample_releases.py
+++ b/saffronstack/harness/rollout/sample_releases.py
@@ -15,6 +15,7 @@
         "def start(self):\n    raise OSError('nothing can be opened')\n"
         "Gateway.start = start"
     ),
+    "loads slowly": "import time\ntime.sleep(3.0)",
     "dies": "import os, threading\nthreading.Timer(2.5, lambda: os._exit(9)).start()",
     "fails one class": (
         "import random\n"
--- a/saffronstack/harness/rollout/simulated_daemon.py
+++ b/saffronstack/harness/rollout/simulated_daemon.py
@@ -9,13 +9,15 @@
 from saffronstack.fleet.control.errors import RejectedRequestError
 from saffronstack.fleet.control.gateway_actions import (
     AllowServing,
+    Discard,
     Kill,
     ProcessAction,
     ServeAfter,
     StartProcess,
     Terminate,
 )
-from saffronstack.fleet.control.gateway_reconciler import GatewayReconciler, IncarnationPhase
+from saffronstack.fleet.control.gateway_reconciler import GatewayReconciler
+from saffronstack.fleet.control.incarnation import IncarnationPhase
 
 DRAIN_TIMEOUT_S = 5.0
 
@@ -73,8 +75,7 @@
         for number, phase in sorted(processes.items()):
             match phase:
                 case IncarnationPhase.PREPARING if not fails:
-                    processes[number] = IncarnationPhase.PREPARED
-                    self._carry_out(gateway, reconciler.on_prepared(now_s, number))
+                    self._prepare(now_s, gateway, number)
                 case IncarnationPhase.ACTIVATING if not fails and not _starts(reconciler, unusable_release):
                     processes[number] = IncarnationPhase.SERVING
                     self._carry_out(gateway, reconciler.on_serving(now_s, number))
@@ -86,6 +87,15 @@
             return True
         return False
 
+    def _prepare(self, now_s: float, gateway: str, number: int) -> None:
+        """Prepare a process, and the fallback that is started then: its program has run before."""
+        reconciler = self.reconcilers[gateway]
+        self.processes[gateway][number] = IncarnationPhase.PREPARED
+        self._carry_out(gateway, reconciler.on_prepared(now_s, number))
+        fallback = reconciler.fallback
+        if fallback is not None and fallback.phase is IncarnationPhase.PREPARING:
+            self._prepare(now_s, gateway, fallback.number)
+
     def reconcile(self, now_s: float, gateway: str) -> None:
         """Have a gateway reconciled."""
         self._carry_out(gateway, self.reconcilers[gateway].reconcile(now_s))
@@ -136,6 +146,8 @@
                     processes[incarnation] = IncarnationPhase.FOLLOWING
                 case Terminate(incarnation) | Kill(incarnation) if incarnation in processes:
                     processes[incarnation] = IncarnationPhase.DRAINING
+                case Discard(incarnation):
+                    processes.pop(incarnation, None)
                 case _:
                     pass  # the process has ended, or only the end of a daemon makes a difference
 
--- a/tests/fleet/rollout/test_processes.py
+++ b/tests/fleet/rollout/test_processes.py
@@ -20,6 +20,7 @@
 
 HEAVY = pytest.mark.xdist_group("rollout")  # one at a time
 SIZES = RigSizes(gateways=8, daemons=4, workers=4, rate=60.0, clients=32)
+SMALL_SIZES = RigSizes(gateways=2, daemons=1, workers=2, rate=30.0, clients=16)
 TIMEOUT_S = 90.0
 LONGER_THAN_A_POLL_S = 4.0
 
@@ -87,6 +88,22 @@
         assert len({status.running_release for status in rig.statuses().values()}) == 1
 
 
+@HEAVY
+def test_a_release_that_dies_when_it_begins_keeps_no_caller_waiting_for_a_program_start(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Callers give up after 3 s; the old release takes longer than that to load."""
+    with RolloutRig(tmp_path, SMALL_SIZES) as rig:
+        old, new = rig.make_release("1", "loads slowly"), rig.make_release("2", "dies when it begins")
+        rig.deploy(old)
+        stages = [{"count": 1, "bake_s": 2.0}, {"share": 1.0, "bake_s": 2.0}]
+        plan = rig.write_plan(old, stages=stages, unavailable_most=1)
+        outcome = RolloutRun(rig, old, new, plan, RunOptions(timeout_s=90.0)).play()
+        assert outcome.phase is RolloutPhase.ROLLED_BACK, outcome.summary()
+        assert outcome.breaches == [], outcome.breaches[:10]
+        assert outcome.harmed_share == 0.0, outcome.summary()
+
+
 @HEAVY
 def test_an_abort_rolls_back_also_on_a_daemon_that_was_stopped(tmp_path: pathlib.Path) -> None:
     with RolloutRig(tmp_path, SIZES) as rig:
