Daemon: a command to a process that has just ended no longer drops the step

Seen beside twelve busy processes in a play of a failing release: 'daemon step failed', ValueError: write to closed file. The thread that waits for a process closes its command pipe before the daemon's thread has handled the end; what else that step had to do (the report of the end, the other gateways' reconciliation) was left out.

Change: GatewayProcess ignores such a command, as it does one to a broken pipe; the end is reported on its own.

--- a/saffronstack/fleet/control/gateway_process.py
+++ b/saffronstack/fleet/control/gateway_process.py
@@ -67,7 +67,8 @@
 
     def _write_command(self, line: bytes) -> None:
         if self._child is not None and self._child.stdin is not None:
-            with contextlib.suppress(OSError):  # the process has ended, which is reported elsewhere
+            # The process has ended, which is reported elsewhere; ValueError: `wait` closed the pipe.
+            with contextlib.suppress(OSError, ValueError):
                 self._child.stdin.write(line)
                 self._child.stdin.flush()
 
