Daemon: its end in the midst of a change no longer waits for standbys

Seen by reading, after the fallback made standbys more frequent: a prepared process queues SIGTERM and awaits a command, so a daemon that was told to end (SIGINT) waited for its longest drain and 5 s more, killed the standby and exited as unclean.

Change: standbys, which hold nothing, are killed at once; the others are terminated as before. The new test (two standbys) failed before: stop() returned False after 10 s; it passes in 0.1 s.

--- a/saffronstack/fleet/control/daemon.py
+++ b/saffronstack/fleet/control/daemon.py
@@ -4,7 +4,6 @@
 
 import queue
 import secrets
-import signal
 import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -133,7 +132,7 @@
         """Terminate all gateways; return whether they ended in time."""
         gateways = self._gateways.values()
         for gateway in gateways:
-            gateway.signal_all(signal.SIGTERM)
+            gateway.terminate_all()
         longest_s = max((gateway.spec.drain_timeout_s for gateway in gateways), default=0.0)
         deadline_s = self._clock() + longest_s + DRAIN_MARGIN_S
         while any(gateway.has_processes for gateway in gateways) and self._clock() < deadline_s:
@@ -146,7 +145,7 @@
                 self._gateways[event.gateway].forget(event.incarnation)
         late = [gateway for gateway in gateways if gateway.has_processes]
         for gateway in late:
-            gateway.signal_all(signal.SIGKILL)
+            gateway.kill_all()
         return not late
 
     def _close_gateways(self) -> None:
@@ -188,9 +187,12 @@
             except Exception:
                 log.exception("daemon step failed")
 
+    def pids(self) -> list[int]:
+        """Return the ids of all gateway processes that are known to run; may be called from any thread."""
+        return [pid for gateway in self._gateways.values() for pid in gateway.pids()]
+
     def _release_starved(self) -> None:
-        pids = [pid for gateway in self._gateways.values() for pid in gateway.pids()]
-        for pid in self._starvation_monitor.check(pids):
+        for pid in self._starvation_monitor.check(self.pids()):
             log.warning("gateway process got no processor, it may use all from now on", pid=pid)
 
     def _handle(self, item: PendingRequest | ProcessEvent | QuorumRead | None) -> None:
--- a/saffronstack/fleet/control/gateway_reconciler.py
+++ b/saffronstack/fleet/control/gateway_reconciler.py
@@ -140,6 +140,10 @@
             self._record_crash(now_s, ended, reason)
         return self.reconcile(now_s)
 
+    def is_standby(self, number: int) -> bool:
+        """Return whether an incarnation has opened nothing and may not serve yet."""
+        return any(one.number == number and one.is_standby for one in self._incarnations())
+
     def reconcile(self, now_s: float) -> list[ProcessAction]:
         """Compare the desired with the present state, and find what is overdue."""
         actions = self._kill_overdue(now_s)
--- a/saffronstack/fleet/control/managed_gateway.py
+++ b/saffronstack/fleet/control/managed_gateway.py
@@ -152,14 +152,20 @@
             metrics=self._metrics_poller.latest(observed.incarnation),
         )
 
-    def signal_all(self, number: signal.Signals) -> None:
-        """Send a signal to each of its processes."""
+    def terminate_all(self) -> None:
+        """Terminate each of its processes; standbys hold nothing and are killed, as they await a command."""
+        for incarnation, process in self._processes.items():
+            is_standby = self._reconciler.is_standby(incarnation)
+            process.send_signal(signal.SIGKILL if is_standby else signal.SIGTERM)
+
+    def kill_all(self) -> None:
+        """Kill each of its processes."""
         for process in self._processes.values():
-            process.send_signal(number)
+            process.send_signal(signal.SIGKILL)
 
     def pids(self) -> list[int]:
-        """Return the ids of its processes."""
-        return [process.pid for process in self._processes.values()]
+        """Return the ids of its processes; may be called from any thread."""
+        return [process.pid for process in list(self._processes.values())]
 
     def forget(self, incarnation: int) -> None:
         """Drop a process that has ended."""
--- a/tests/fleet/control/test_daemon.py
+++ b/tests/fleet/control/test_daemon.py
@@ -32,7 +32,22 @@
 
 EMPTY = QuorumRead(True, {})
 LEADER = LeaseStatus(LEADER_LEASE, "p", 9, 3, 5.0, LeaseValue())
-UNUSABLE = "does not start"  # the fault of all releases here
+UNUSABLE = "does not start"  # the fault of most releases here
+# A standby that has signals queued, as a gateway has; started a second time it is never prepared.
+STANDBY_PROGRAM = """
+import pathlib, signal, sys, time
+signal.signal(signal.SIGTERM, lambda *_: None)
+release = pathlib.Path(__file__).parent
+marker = release.parent.with_name(f"{release.name}-started")
+if marker.exists():
+    time.sleep(3600)
+marker.touch()
+print("saffronstack is prepared", flush=True)
+sys.stdin.readline()
+signal.signal(signal.SIGTERM, signal.SIG_DFL)
+print("saffronstack takes calls", flush=True)
+time.sleep(3600)
+"""
 
 
 class DaemonRig:
@@ -57,12 +72,23 @@
         directory = write_release(self._folder / "releases", version, UNUSABLE)
         return read_release(directory).release.digest
 
+    def write_standby_release(self, version: str) -> str:
+        """Install a release whose second process is never prepared; return its digest."""
+        directory = write_release(self._folder / "releases", version, UNUSABLE)
+        (pathlib.Path(directory) / "gateway.py").write_text(STANDBY_PROGRAM)
+        return read_release(directory).release.digest
+
     def start(self, read: QuorumRead = EMPTY, **more: Any) -> None:
         """Start a daemon, after the end of the one before."""
         self.stop()
         self._daemon = Daemon(self._options, lambda: read, **more)
         self._daemon.start()
 
+    def processes(self) -> list[int]:
+        """Return the ids of the gateway's processes."""
+        assert self._daemon is not None
+        return self._daemon.pids()
+
     def stop(self) -> None:
         """End the daemon and its gateway."""
         if self._daemon is not None:
@@ -187,3 +213,16 @@
     stored = rig.state_file.read()
     assert stored is not None
     assert stored.releases == {"g1": old}
+
+
+def test_a_daemon_that_ends_in_the_midst_of_a_change_ends_its_standbys_too(rig: DaemonRig) -> None:
+    """They hold nothing and await a command: SIGTERM alone would let it wait for its longest drain."""
+    old, new = rig.write_standby_release("old"), rig.write_standby_release("new")
+    rig.state_file.write(DesiredState("f", "d1", 3, {"g1": old}))
+    rig.start()
+    eventually(lambda: rig.poll(4).gateways["g1"].running_release == old)
+    incarnation = rig.poll(4).incarnation
+    commands = (GatewayCommand("g1", new),)
+    assert rig.post(ControlRequest("f", 4, next(rig.sequences), incarnation, commands))[0] == 200
+    eventually(lambda: len(rig.processes()) == 3)
+    rig.stop()
