Daemon: a signal can't reach a process that got a closed descriptor's number

The new test holds the close open, puts another process's descriptor in its place and sends SIGKILL; that process died before, and does not now.

--- a/saffronstack/fleet/control/gateway_process.py
+++ b/saffronstack/fleet/control/gateway_process.py
@@ -9,6 +9,7 @@
 import select
 import signal
 import subprocess
+import threading
 from dataclasses import dataclass
 
 WAIT_POLL_MS = 1000
@@ -35,19 +36,22 @@
 class GatewayProcess:
     """One process by its descriptor (pidfd), so that no signal reaches another one that got its number.
 
-    A process that this daemon started has a pipe for commands; one that an earlier daemon left has none.
+    A process that this daemon started has a pipe for commands; one that an earlier daemon left has none. The
+    daemon's thread signals; the thread that waits for the end closes the descriptor.
     """
 
     def __init__(self, pid: int, release: str, pidfd: int, child: subprocess.Popen[bytes] | None) -> None:
         """Take over ``pidfd``; ``child`` is None for a process of an earlier daemon."""
         self.pid, self.release = pid, release
         self._pidfd = pidfd
+        self._descriptor_lock = threading.Lock()  # a closed descriptor's number may soon be another process's
         self._child = child
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal, unless the process has ended."""
-        with contextlib.suppress(ProcessLookupError, OSError):
-            signal.pidfd_send_signal(self._pidfd, number)
+        with self._descriptor_lock, contextlib.suppress(OSError):  # it has ended
+            if self._pidfd >= 0:
+                signal.pidfd_send_signal(self._pidfd, number)
 
     def allow_serving(self) -> None:
         """Let a prepared process serve."""
@@ -55,11 +59,12 @@
 
     def has_ended(self) -> bool:
         """Return whether the process has ended, known or not; does not wait."""
-        if self._pidfd < 0:
-            return True
-        poll = select.poll()
-        poll.register(self._pidfd, select.POLLIN)
-        return bool(poll.poll(0))
+        with self._descriptor_lock:
+            if self._pidfd < 0:
+                return True
+            poll = select.poll()
+            poll.register(self._pidfd, select.POLLIN)
+            return bool(poll.poll(0))
 
     def serve_after(self, predecessor: GatewayProcess) -> None:
         """Let a prepared process serve once another has ended, even without a daemon to say so."""
@@ -87,9 +92,10 @@
 
     def close(self) -> None:
         """Release the descriptor; the process goes on."""
-        if self._pidfd >= 0:
-            os.close(self._pidfd)
-            self._pidfd = -1
+        with self._descriptor_lock:
+            if self._pidfd >= 0:
+                os.close(self._pidfd)
+                self._pidfd = -1
 
     def memory_mb(self) -> float:
         """Return the resident memory in megabytes; 0 where the process is gone."""
--- a/tests/fleet/control/test_gateway_process.py
+++ b/tests/fleet/control/test_gateway_process.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import os
+import signal
 import subprocess
 import sys
+import threading
+
+import pytest
 
 from saffronstack.fleet.control.gateway_process import GatewayProcess
 
@@ -17,3 +21,38 @@
     process.allow_serving()
     process.serve_after(process)
     assert process.has_ended()
+
+
+def test_a_signal_does_not_reach_a_process_that_got_the_descriptor_number(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The daemon signals while the thread that waited for the end is between its close and its note of it."""
+    ended, other = (subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE) for _ in "ab")
+    descriptor = os.pidfd_open(ended.pid)
+    process = GatewayProcess(ended.pid, "r", descriptor, ended)
+    is_closed, has_signalled = threading.Event(), threading.Event()
+    close = os.close
+
+    def close_and_reuse(number: int) -> None:
+        close(number)
+        os.dup2(other_descriptor, descriptor)
+        is_closed.set()
+        has_signalled.wait(0.2)  # without a lock it comes in this time
+
+    def kill() -> None:
+        is_closed.wait()
+        process.send_signal(signal.SIGKILL)
+        has_signalled.set()
+
+    other_descriptor = os.pidfd_open(other.pid)
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "close", close_and_reuse)
+        killer = threading.Thread(target=kill)
+        killer.start()
+        process.close()
+        killer.join()
+    close(descriptor)
+    close(other_descriptor)
+    for child in (ended, other):
+        child.communicate(b"\n", timeout=10.0)
+    assert other.returncode == 0
