Lease servers and daemons: requests that were taken are answered at the end

Callers saw: the end of the connection in place of an answer, though the handler had run (a daemon's command stored, a lease's proposal persisted).

Cause: HttpServer.stop shut down both sides of all connections and waited for nobody.

Change: the end accepts nothing more, shuts the reading sides down, so that what has come is still read and idle connections end, answers with Connection: close, and waits 3 s at most.

--- a/saffronstack/fleet/http_server.py
+++ b/saffronstack/fleet/http_server.py
@@ -25,6 +25,7 @@
 ACCEPT_POLL_S = 0.5
 ACCEPT_RETRY_S = 0.05
 JOIN_TIMEOUT_S = 1.0
+DRAIN_TIMEOUT_S = 3.0  # longer than a lease server waits for its disk
 LIMITS = Limits(body=4 * 1024 * 1024)
 JSON_FIELDS = [("Content-Type", "application/json")]
 RequestHandler = Callable[[RequestHead, bytes], tuple[int, bytes]]
@@ -34,7 +35,13 @@
     """Accepts connections, and has a handler answer each request on its connection's thread."""
 
     def __init__(
-        self, name: str, host: str, port: int, handler: RequestHandler, clock: Callable[[], float]
+        self,
+        name: str,
+        host: str,
+        port: int,
+        handler: RequestHandler,
+        clock: Callable[[], float],
+        drain_timeout_s: float = DRAIN_TIMEOUT_S,
     ) -> None:
         """Listen; connections are accepted after ``start``.
 
@@ -44,6 +51,7 @@
             port: To listen on; 0 for any.
             handler: Returns status and JSON body for a request; runs on the connection's thread.
             clock: Seconds.
+            drain_timeout_s: How long `stop` waits for handlers.
 
         Raises:
             OSError: The address can't be bound.
@@ -53,7 +61,8 @@
         self._clock = clock
         self._listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self._listener.settimeout(ACCEPT_POLL_S)
-        self._lock = threading.Lock()  # guards _open and _stopping
+        self._drain_timeout_s = drain_timeout_s
+        self._lock = threading.Condition()  # guards _open and _stopping
         self._open: set[Stream] = set()
         self._stopping = False
         self._accept_thread: threading.Thread | None = None
@@ -74,17 +83,29 @@
         self._accept_thread = start_thread(f"{self._name}-accept", self._accept_all)
 
     def stop(self) -> None:
-        """Close the listening socket and all connections."""
+        """Accept nothing more, answer the requests that have come, and close all connections.
+
+        A connection whose handler takes longer than the drain timeout is closed without its answer.
+        """
         with self._lock:
             self._stopping = True
-            streams = list(self._open)
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)  # its port is held while a thread waits on it
         if self._accept_thread is not None:
             self._accept_thread.join(JOIN_TIMEOUT_S)
         with contextlib.suppress(OSError):
             self._listener.close()
+        self._drain()
+
+    def _drain(self) -> None:
+        with self._lock:
+            streams = list(self._open)
         for stream in streams:
+            stream.abort(socket.SHUT_RD)  # what has come is still read; an idle connection ends
+        with self._lock:
+            self._lock.wait_for(lambda: not self._open, self._drain_timeout_s)
+            late = list(self._open)
+        for stream in late:
             stream.abort()
 
     def _accept_all(self) -> None:
@@ -119,6 +140,7 @@
     def _close(self, stream: Stream) -> None:
         with self._lock:
             self._open.discard(stream)
+            self._lock.notify_all()
         stream.close()
 
     def _serve(self, stream: Stream) -> None:
@@ -135,16 +157,17 @@
 
     def _answer_requests(self, stream: Stream) -> None:
         reader = MessageReader(LIMITS)
-        while not self._stopping:
+        while True:
             if not reader.pending:
                 reader.feed(stream.receive(IDLE_TIMEOUT_S))
             deadline_s = self._clock() + MESSAGE_TIMEOUT_S
             head = read_until(stream, reader, reader.request, deadline_s, self._clock)
             body = read_until(stream, reader, reader.body, deadline_s, self._clock)
             status, content = self._handler(head, body)
-            answer = writer.response(status, JSON_FIELDS, content, close=not head.keep_alive)
+            is_last = self._stopping or not head.keep_alive
+            answer = writer.response(status, JSON_FIELDS, content, close=is_last)
             is_sent = stream.send(answer, self._clock() + MESSAGE_TIMEOUT_S, self._clock)
-            if not is_sent or not head.keep_alive:
+            if not is_sent or is_last:
                 return
 
     def _answer_error(self, stream: Stream, error: HttpError) -> None:
--- a/saffronstack/fleet/leases/acceptor_service.py
+++ b/saffronstack/fleet/leases/acceptor_service.py
@@ -74,6 +74,7 @@
         self._pending_answers = 0
         self.mailboxes = Mailboxes()
         self._timer_s: float | None = None
+        self._has_ended_polls = False
         self._is_stopping = False
         self._disk_error = ""  # of the last write; empty where it succeeded
         self._writer: threading.Thread | None = None
@@ -83,13 +84,19 @@
         self._writer = start_thread("acceptor-disk", self._write_states)
         start_thread("acceptor-timer", self._run_timers)
 
+    def end_polls(self) -> None:
+        """Answer all long polls at once, those that wait and those that come; serve other requests on."""
+        with self._lock:
+            self._has_ended_polls = True
+            self._lock.notify_all()
+
     def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
         """Answer nobody any more, and end a write in progress, so that another server may use the directory.
 
         A disk that takes longer than ``timeout_s`` is logged and left alone.
         """
         with self._lock:
-            self._is_stopping = True
+            self._is_stopping = self._has_ended_polls = True
             self._lock.notify_all()
         if self._writer is None:
             return
@@ -152,7 +159,7 @@
             if mailbox is None:
                 return []
             try:
-                self._lock.wait_for(lambda: bool(mailbox.messages) or self._is_stopping, timeout_s)
+                self._lock.wait_for(lambda: bool(mailbox.messages) or self._has_ended_polls, timeout_s)
                 return mailbox.take_messages()
             finally:
                 mailbox.end_poll(self._clock())
--- a/saffronstack/fleet/leases/lease_server.py
+++ b/saffronstack/fleet/leases/lease_server.py
@@ -70,7 +70,8 @@
         return self.endpoint.address
 
     def stop(self) -> None:
-        """Stop to serve."""
+        """Stop to serve; requests that have come are answered first."""
+        self.service.end_polls()
         self.endpoint.stop()
         self.service.stop()
         for link in self._links.values():
--- a/tests/fleet/leases/test_lease_server.py
+++ b/tests/fleet/leases/test_lease_server.py
@@ -8,10 +8,11 @@
 
 import pytest
 
-from saffronstack.client import Client
+from saffronstack.client import Answer, Client
 from saffronstack.fleet.leases import codec
 from saffronstack.fleet.leases.codec import Envelope
 from saffronstack.fleet.leases.disk import COPIES
+from saffronstack.fleet.leases.http_endpoint import MAX_POLL_S
 from saffronstack.fleet.leases.messages import DiskState, PrepareRequest
 from saffronstack.fleet.leases.store import HeldLease
 from saffronstack.runtime.threads import start_thread
@@ -124,3 +125,23 @@
         lines = json.loads(client.request("GET", "/leases").body)
         assert [line["lease"] for line in lines] == ["l"]
         client.close()
+
+
+def test_a_long_poll_that_stands_open_at_a_servers_end_is_answered_at_once(tmp_path: pathlib.Path) -> None:
+    with lease_servers(tmp_path) as fleet:
+        client = Client(fleet.addresses["k0"], 2 * MAX_POLL_S)
+        poll = codec.encode(Envelope("f", "p9", poll_s=MAX_POLL_S))
+        answers: list[Answer] = []
+        poller = start_thread(
+            "poll", lambda: answers.append(client.request("POST", "/lease/messages", poll))
+        )  # fmt: skip
+        server = fleet.servers.pop("k0")
+        eventually(lambda: "p9" in server.service.mailboxes)
+        began_s = time.monotonic()
+        server.stop()
+        assert time.monotonic() - began_s < MAX_POLL_S
+        poller.join(2 * MAX_POLL_S)
+        (answer,) = answers
+        assert answer.status == 200
+        assert codec.decode(answer.body) == Envelope("f", "")
+        client.close()
