Task runners: waits for leases end at once when the process ends

Callers saw: a gateway with tasks of the fleet took up to 5 s for each task to end where another process holds the lease; its successor serves only after that end.

Cause: TaskRunner.stop waited for LeaseStore.acquire (5 s), one runner after the other, and only after the gateway's drain.

Change: request_stop and cancel_acquires end runs and waits while calls drain; a run that begins just then is cancelled too.

--- a/saffronstack/cli/fleet_services.py
+++ b/saffronstack/cli/fleet_services.py
@@ -37,8 +37,16 @@
             for runner in self._runners:
                 runner.start()
 
+    def request_stop(self) -> None:
+        """Cancel all runs and waits for leases, without waiting for that; the lease server goes on."""
+        for runner in self._runners:
+            runner.request_stop()
+        if self._client is not None:
+            self._client.cancel_acquires()
+
     def stop(self) -> bool:
         """Stop the services; return whether the runs of all tasks ended in time."""
+        self.request_stop()
         ended_in_time = [runner.stop() for runner in self._runners]
         if self._client is not None:
             self._client.close()
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -93,6 +93,8 @@
     number = _wait_for_signal(gateway, options, signals)
     log.info("stopping", signal=signal.Signals(number).name)
     stopping.set()
+    if parts.fleet is not None:
+        parts.fleet.request_stop()  # while calls drain: a successor waits for the end of this process
     is_clean = gateway.stop()
     if listener_handover is not None:
         listener_handover.stop()
--- a/saffronstack/fleet/leases/client.py
+++ b/saffronstack/fleet/leases/client.py
@@ -113,6 +113,7 @@
         self._timers: list[_Timer] = []  # a heap
         self._serial = 0
         self._lost_callbacks: list[tuple[Callable[[str], None], str]] = []
+        self._grants_nothing = False
         self._is_stopping = False
         self._links = {
             server: LeaseServerLink(
@@ -135,13 +136,13 @@
             LeaseAlreadyRequestedError: This process waits for the lease or holds it already.
         """
         with self._lock:
-            if self._is_stopping:
+            if self._grants_nothing:
                 return None
             if lease in self._requested:
                 raise LeaseAlreadyRequestedError(f"lease {lease!r} is wanted by this process already")
             requested = self._requested[lease] = _RequestedLease(self._new_candidate(lease), on_lost)
             self._apply(lease, requested.candidate.acquire(self._clock()))
-            self._lock.wait_for(lambda: requested.held is not None or self._is_stopping, wait_s)
+            self._lock.wait_for(lambda: requested.held is not None or self._grants_nothing, wait_s)
             if requested.held is None:
                 self._drop(lease)
             return requested.held
@@ -186,6 +187,12 @@
             if requested is not None and requested.held is held:
                 self._drop(held.lease)
 
+    def cancel_acquires(self) -> None:
+        """See `store.LeaseStore`."""
+        with self._lock:
+            self._grants_nothing = True
+            self._lock.notify_all()
+
     def close(self) -> None:
         """Release all leases; waits at most `FLUSH_S` until the releases were sent."""
         with self._lock:
@@ -195,7 +202,7 @@
         for link in self._links.values():
             link.stop(max(MIN_FLUSH_S, deadline_s - time.monotonic()))
         with self._lock:
-            self._is_stopping = True
+            self._is_stopping = self._grants_nothing = True
             self._lock.notify_all()
 
     def link_errors(self) -> dict[str, str]:
--- a/saffronstack/fleet/leases/store.py
+++ b/saffronstack/fleet/leases/store.py
@@ -60,6 +60,10 @@
         """
         ...
 
+    def cancel_acquires(self) -> None:
+        """Have calls of ``acquire``, those that wait and all that come, return None; held leases stay."""
+        ...
+
     def close(self) -> None:
         """Release all leases."""
         ...
--- a/saffronstack/fleet/tasks/runner.py
+++ b/saffronstack/fleet/tasks/runner.py
@@ -24,6 +24,7 @@
 log = structlog.get_logger("saffronstack.tasks")
 LEASE_WAIT_S = 5.0  # for one attempt to acquire the lease
 POLL_INTERVAL_S = 0.1
+STOP_TIMEOUT_S = 10.0
 
 
 class _LeasedRun:
@@ -97,7 +98,15 @@
         """Start the deciding thread."""
         self._thread = start_thread(f"task-{self.name}", self._run_loop)
 
-    def stop(self, timeout_s: float = 10.0) -> bool:
+    def request_stop(self) -> None:
+        """Cancel the run and have the lease released after it, without waiting."""
+        with self._reported:
+            self._is_stopping = True
+            if self._current_run is not None:
+                self._current_run.cancel()
+            self._reported.notify_all()
+
+    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> bool:
         """Cancel the run, release the lease and wait for both.
 
         Args:
@@ -106,11 +115,7 @@
         Returns:
             Whether the run ended in time.
         """
-        with self._reported:
-            self._is_stopping = True
-            if self._current_run is not None:
-                self._current_run.cancel()
-            self._reported.notify_all()
+        self.request_stop()
         self._thread.join(timeout_s)
         return not self._thread.is_alive()
 
@@ -170,6 +175,8 @@
         run = _LeasedRun(action.run_number, action.token, self._lease)
         with self._reported:
             self._current_run = run
+            if self._is_stopping:
+                run.cancel()
         start_thread(f"run-{self.name}", lambda: self._execute(run))
 
     def _cancel_run(self, reason: str) -> None:
--- a/tests/fleet/tasks/fakes.py
+++ b/tests/fleet/tasks/fakes.py
@@ -38,6 +38,9 @@
         self.lost_callbacks.append(on_lost)
         return self.granted[-1]
 
+    def cancel_acquires(self) -> None:
+        pass
+
     def close(self) -> None:
         pass
 
