Supervisor: SIGHUP waits until a restarted process is ready; its early end is clean

Cause: both were sent to a process that still loads its program and handles no signals.

Change: a process reports readiness by its first line, as before; SIGHUP is passed on after that, and one that SIGTERM ends before that has taken nothing and does not count.

--- a/saffronstack/daemon/supervisor.py
+++ b/saffronstack/daemon/supervisor.py
@@ -28,12 +28,24 @@
 
 @dataclass(eq=False, slots=True)
 class _SupervisedProcess:
-    """One place among the gateway's processes, and the process that has it now."""
+    """One place among the gateway's processes, and the process that has it now.
+
+    Attributes:
+        index: Of the place.
+        process: The present process; None before the first.
+        is_ready: Whether it has written its first line; set on the thread that reads its lines.
+        needs_reload: Whether it is to read its configuration again once it is ready.
+        started_s: When it was started.
+        restart_at_s: When to restart it; None while it runs, or where its exit has not been noticed.
+        backoff: Of restarts.
+    """
 
     index: int
     process: subprocess.Popen[bytes] | None = None
+    is_ready: bool = False
+    needs_reload: bool = False
     started_s: float = 0.0
-    restart_at_s: float | None = None  # None: it runs, or its exit has not been noticed
+    restart_at_s: float | None = None
     backoff: RestartBackoff = field(default_factory=RestartBackoff)
 
     def is_running(self) -> bool:
@@ -110,37 +122,49 @@
                 self._release_starved()
                 self._kill_unresponsive()
                 self._restart_exited()
+                self._reload_ready()
                 continue
             if number != signal.SIGHUP:
                 return number
-            self._forward_hangup()
+            for supervised in self._processes:
+                supervised.needs_reload = True
+            self._reload_ready()
 
     def stop(self, timeout_s: float) -> int:
         """Stop all processes gracefully, and kill those that take longer than ``timeout_s``.
 
         Returns:
             The worst of their exit statuses, 1 for one that was killed. One that exited before does not
-            count.
+            count, nor does one that was not ready and ended by the signal: it has taken nothing.
         """
-        running = [one.process for one in self._processes if one.process is not None and one.is_running()]
-        for process in running:
-            allow_all_processors(process.pid)  # nothing releases one that is starved while it ends
-            process.send_signal(signal.SIGTERM)
+        running = [one for one in self._processes if one.is_running()]
+        for supervised in running:
+            assert supervised.process is not None
+            allow_all_processors(supervised.process.pid)  # nothing releases one that is starved while it ends
+            supervised.process.send_signal(signal.SIGTERM)
         deadline_s = self._clock() + timeout_s
-        worst = 0
-        for process in running:
-            try:
-                status = process.wait(max(MIN_EXIT_WAIT_S, deadline_s - self._clock()))
-            except subprocess.TimeoutExpired:
-                process.kill()
-                status = 1
-            worst = max(worst, abs(status))
+        worst = max((self._wait_for_exit(supervised, deadline_s) for supervised in running), default=0)
         self._placeholder.close()
         return worst
 
-    def _forward_hangup(self) -> None:
+    def _wait_for_exit(self, supervised: _SupervisedProcess, deadline_s: float) -> int:
+        """Wait for the end of a terminated process, and kill one that is late; the status that counts."""
+        assert supervised.process is not None
+        try:
+            status = supervised.process.wait(max(MIN_EXIT_WAIT_S, deadline_s - self._clock()))
+        except subprocess.TimeoutExpired:
+            supervised.process.kill()
+            return 1
+        if status == -signal.SIGTERM and not supervised.is_ready:
+            return 0
+        return abs(status)
+
+    def _reload_ready(self) -> None:
+        """Have processes reload that are to; the signal would end one that is not ready."""
         for supervised in self._processes:
-            if supervised.process is not None and supervised.is_running():
+            if supervised.needs_reload and supervised.is_ready and supervised.is_running():
+                assert supervised.process is not None
+                supervised.needs_reload = False
                 supervised.process.send_signal(signal.SIGHUP)
 
     def _spawn(self, supervised: _SupervisedProcess) -> queue.SimpleQueue[bytes]:
@@ -158,6 +182,7 @@
         ]
         process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         supervised.process = process
+        supervised.is_ready = supervised.needs_reload = False
         supervised.started_s = self._clock()
         supervised.restart_at_s = None
         self._monitor.process_started(supervised.index)
@@ -180,6 +205,7 @@
                     lines.put(line)
                     is_first = False
                 if supervised.process is process:
+                    supervised.is_ready = True
                     self._monitor.heartbeat_received(supervised.index, self._clock())
         lines.put(b"")
 
