Daemon: a reload in the midst of a change of release reaches the successor too

Operators saw: fleet reload accepted while a gateway changes its release; the new process, prepared before, served with the configuration as it was then.

Change: a reload is sent to the present process at once, and to each one that had been started by then once it serves. The new test failed before.

--- a/saffronstack/fleet/control/managed_gateway.py
+++ b/saffronstack/fleet/control/managed_gateway.py
@@ -61,6 +61,9 @@
         self._log_path = pathlib.Path(options.state_directory) / f"{spec.name}.log"
         self._reconciler = GatewayReconciler(spec.drain_timeout_s, options.start_timeout_s)
         self._processes: dict[int, GatewayProcess] = {}  # by incarnation
+        self._to_reload: set[int] = (
+            set()
+        )  # incarnations that were started before a reload and do not serve yet
         self._listener = process_launcher.bind_listener(spec.listen)
         self._metrics_poller = MetricsPoller(spec.listen, clock)
 
@@ -106,8 +109,10 @@
         self._carry_out(self._reconciler.set_desired(self._clock(), release))
 
     def reload_settings(self) -> None:
-        """Have the present process reload its settings."""
-        process = self._processes.get(self._reconciler.observe().incarnation)
+        """Have the present process reload its settings, and those that are to follow once they serve."""
+        present = self._reconciler.observe().incarnation
+        self._to_reload = set(self._processes) - {present}
+        process = self._processes.get(present)
         if process is not None:
             process.send_signal(signal.SIGHUP)
 
@@ -122,6 +127,9 @@
                 process = self._processes.get(event.incarnation)
                 if process is not None:
                     self._metrics_poller.watch(event.incarnation, process)
+                    if event.incarnation in self._to_reload:
+                        process.send_signal(signal.SIGHUP)
+                    self._to_reload.discard(event.incarnation)
             case ProcessEventKind.ENDED:
                 self.forget(event.incarnation)
                 self._carry_out(self._reconciler.on_ended(now_s, event.incarnation, event.reason))
@@ -170,6 +178,7 @@
     def forget(self, incarnation: int) -> None:
         """Drop a process that has ended."""
         self._processes.pop(incarnation, None)
+        self._to_reload.discard(incarnation)
 
     def close(self) -> None:
         """Close the listening socket."""
--- a/tests/fleet/control/test_daemon.py
+++ b/tests/fleet/control/test_daemon.py
@@ -33,20 +33,23 @@
 EMPTY = QuorumRead(True, {})
 LEADER = LeaseStatus(LEADER_LEASE, "p", 9, 3, 5.0, LeaseValue())
 UNUSABLE = "does not start"  # the fault of most releases here
-# A standby that has signals queued, as a gateway has; started a second time it is never prepared.
+# A standby that has signals queued, as a gateway has; started a second time it is prepared only once a file
+# says so.
 STANDBY_PROGRAM = """
 import pathlib, signal, sys, time
 signal.signal(signal.SIGTERM, lambda *_: None)
+signal.signal(signal.SIGHUP, lambda *_: pathlib.Path(f"{marker}-reloaded").touch())
 release = pathlib.Path(__file__).parent
 marker = release.parent.with_name(f"{release.name}-started")
-if marker.exists():
-    time.sleep(3600)
+while marker.exists() and not pathlib.Path(f"{marker}-again").exists():
+    time.sleep(0.01)
 marker.touch()
 print("saffronstack is prepared", flush=True)
 sys.stdin.readline()
 signal.signal(signal.SIGTERM, signal.SIG_DFL)
 print("saffronstack takes calls", flush=True)
-time.sleep(3600)
+while True:
+    time.sleep(3600)
 """
 
 
@@ -73,11 +76,19 @@
         return read_release(directory).release.digest
 
     def write_standby_release(self, version: str) -> str:
-        """Install a release whose second process is never prepared; return its digest."""
+        """Install a release whose second process is prepared after `let_prepare`; return its digest."""
         directory = write_release(self._folder / "releases", version, UNUSABLE)
         (pathlib.Path(directory) / "gateway.py").write_text(STANDBY_PROGRAM)
         return read_release(directory).release.digest
 
+    def let_prepare(self, version: str) -> None:
+        """Let the second process of a standby release be prepared."""
+        (self._folder / f"{version}-started-again").touch()
+
+    def has_reloaded(self, version: str) -> bool:
+        """Return whether a process of a standby release got SIGHUP while or after it was prepared."""
+        return (self._folder / f"{version}-started-reloaded").exists()
+
     def start(self, read: QuorumRead = EMPTY, **more: Any) -> None:
         """Start a daemon, after the end of the one before."""
         self.stop()
@@ -108,6 +119,11 @@
             return answer.status, json.loads(answer.body)["message"]
         return 200, msgspec.json.decode(answer.body, type=DaemonStatus)
 
+    def command(self, command: GatewayCommand) -> int:
+        """Send a command under token 4; return the answer's status."""
+        incarnation = self.poll(4).incarnation
+        return self.post(ControlRequest("f", 4, next(self.sequences), incarnation, (command,)))[0]
+
     def poll(self, token: int) -> DaemonStatus:
         """Poll the daemon's status under a token, until it accepts a request."""
 
@@ -215,14 +231,27 @@
     assert stored.releases == {"g1": old}
 
 
-def test_a_daemon_that_ends_in_the_midst_of_a_change_ends_its_standbys_too(rig: DaemonRig) -> None:
-    """They hold nothing and await a command: SIGTERM alone would let it wait for its longest drain."""
+@pytest.fixture
+def changing(rig: DaemonRig) -> DaemonRig:
+    """A gateway between two releases: `new` is prepared, and the fallback with `old` is not."""
     old, new = rig.write_standby_release("old"), rig.write_standby_release("new")
     rig.state_file.write(DesiredState("f", "d1", 3, {"g1": old}))
     rig.start()
     eventually(lambda: rig.poll(4).gateways["g1"].running_release == old)
-    incarnation = rig.poll(4).incarnation
-    commands = (GatewayCommand("g1", new),)
-    assert rig.post(ControlRequest("f", 4, next(rig.sequences), incarnation, commands))[0] == 200
+    assert rig.command(GatewayCommand("g1", new)) == 200
     eventually(lambda: len(rig.processes()) == 3)
-    rig.stop()
+    return rig
+
+
+def test_a_daemon_that_ends_in_the_midst_of_a_change_ends_its_standbys_too(changing: DaemonRig) -> None:
+    """They hold nothing and await a command: SIGTERM alone would let it wait for its longest drain."""
+    changing.stop()
+
+
+def test_a_reload_in_the_midst_of_a_change_reaches_the_successor_once_it_serves(changing: DaemonRig) -> None:
+    """It has read its configuration already, perhaps an older one."""
+    assert changing.command(GatewayCommand("g1", reload=True)) == 200
+    eventually(lambda: changing.has_reloaded("old"))
+    assert not changing.has_reloaded("new")
+    changing.let_prepare("old")
+    eventually(lambda: changing.has_reloaded("new"))
