Daemon: a crash while a process drains is reported and counted as an unplanned end

By the logs the process had SIGTERM 0.18 s before it ended itself with status 9.

Change: an end with a status other than 0 and 1, and not by the daemon's own kill, counts among restarts and stands in last_error.

--- a/saffronstack/fleet/control/gateway_process.py
+++ b/saffronstack/fleet/control/gateway_process.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 WAIT_POLL_MS = 1000
+NOT_CLEAN_STATUS = 1  # `serve` ended by itself, with calls that it had to give up
 
 
 class ProcessEventKind(enum.Enum):
@@ -25,12 +26,42 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessEvent:
-    """Something that happened to an incarnation of a gateway; ``reason`` says why it ended."""
+    """Something that happened to an incarnation of a gateway.
+
+    Attributes:
+        gateway: Its name.
+        incarnation: Its number.
+        kind: What happened.
+        reason: Why it ended.
+        has_crashed: Whether it ended without having stopped by itself.
+    """
 
     gateway: str
     incarnation: int
     kind: ProcessEventKind
     reason: str = ""
+    has_crashed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessEnd:
+    """How a process ended.
+
+    Attributes:
+        status: Its exit status, negative for a signal; None where another daemon had started it.
+    """
+
+    status: int | None
+
+    @property
+    def reason(self) -> str:
+        """A phrase for the log."""
+        return "status unknown" if self.status is None else f"status {self.status}"
+
+    @property
+    def has_crashed(self) -> bool:
+        """Whether it ended without having stopped by itself, as far as that is known."""
+        return self.status not in (None, 0, NOT_CLEAN_STATUS)
 
 
 class GatewayProcess:
@@ -77,7 +108,7 @@
                 self._child.stdin.write(line)
                 self._child.stdin.flush()
 
-    def wait(self) -> str:
+    def wait(self) -> ProcessEnd:
         """Wait for the end of the process, release its descriptors, and return how it ended."""
         poll = select.poll()
         poll.register(self._pidfd, select.POLLIN)
@@ -88,7 +119,7 @@
             with contextlib.suppress(OSError):  # what was not flushed is of no use any more
                 self._child.stdin.close()
         self.close()
-        return "status unknown" if status is None else f"status {status}"
+        return ProcessEnd(status)
 
     def close(self) -> None:
         """Release the descriptor; the process goes on."""
--- a/saffronstack/fleet/control/gateway_reconciler.py
+++ b/saffronstack/fleet/control/gateway_reconciler.py
@@ -47,7 +47,7 @@
         previous_release: The release that ran before the desired one.
         failed_release: The desired release, where it was given up.
         last_error: What went wrong last.
-        restarts: Unplanned ends of incarnations that served.
+        restarts: Unplanned ends of incarnations that served or drained.
         current: The incarnation that serves or drains.
         successor: The incarnation that is to take its place.
         fallback: A standby with the release of ``current``, which takes the place of a successor that fails.
@@ -125,8 +125,17 @@
             self._failed_starts = 0
         return self._drop_fallback() + self.reconcile(now_s)
 
-    def on_ended(self, now_s: float, number: int, reason: str) -> list[ProcessAction]:
-        """Record that an incarnation has ended, whether that was planned or not."""
+    def on_ended(
+        self, now_s: float, number: int, reason: str, has_crashed: bool = False
+    ) -> list[ProcessAction]:
+        """Record that an incarnation has ended, whether that was planned or not.
+
+        Args:
+            now_s: The time.
+            number: Of the incarnation.
+            reason: How it ended.
+            has_crashed: Whether it ended without having stopped by itself.
+        """
         if self.fallback is not None and self.fallback.number == number:
             self.fallback = None
             return self.reconcile(now_s)
@@ -138,6 +147,8 @@
         self.current = None
         if ended.is_serving:
             self._record_crash(now_s, ended, reason)
+        elif has_crashed and not ended.is_killed:
+            self._record_crash_in_drain(ended, reason)
         return self.reconcile(now_s)
 
     def is_standby(self, number: int) -> bool:
@@ -182,6 +193,7 @@
                 text = f"{incarnation.release} {incarnation.phase.value} for too long and was killed"
                 self.last_error = self.last_error or text
                 incarnation.deadline_s = now_s + KILL_GRACE_S
+                incarnation.is_killed = True
                 actions.append(Kill(incarnation.number))
         return actions
 
@@ -271,6 +283,11 @@
         if self._restart_backoff.exits >= MAX_CRASHES and crashed.release == self._target():
             self._give_up(crashed.release)
 
+    def _record_crash_in_drain(self, crashed: Incarnation, reason: str) -> None:
+        """Report it; its successor follows as planned."""
+        self.restarts += 1
+        self.last_error = f"{crashed.release} ended while it drained: {reason}"
+
     def _give_up(self, release: str) -> None:
         """Fall back to the previous release, where there is one; the leader sees it in the observed state."""
         has_fallback = self.previous_release not in ("", release)
--- a/saffronstack/fleet/control/incarnation.py
+++ b/saffronstack/fleet/control/incarnation.py
@@ -23,13 +23,23 @@
 
 @dataclass(slots=True)
 class Incarnation:
-    """One process of the gateway; past ``deadline_s`` in its phase it is killed."""
+    """One process of the gateway.
+
+    Attributes:
+        number: Its number; each process has a greater one.
+        release: The digest that it runs.
+        started_s: When it was started, or began to serve.
+        phase: How far it is.
+        deadline_s: Past this in its phase it is killed.
+        is_killed: Whether it was, for that.
+    """
 
     number: int
     release: str
     started_s: float
     phase: IncarnationPhase = IncarnationPhase.PREPARING
     deadline_s: float = math.inf
+    is_killed: bool = False
 
     @property
     def is_standby(self) -> bool:
--- a/saffronstack/fleet/control/managed_gateway.py
+++ b/saffronstack/fleet/control/managed_gateway.py
@@ -132,7 +132,9 @@
                     self._to_reload.discard(event.incarnation)
             case ProcessEventKind.ENDED:
                 self.forget(event.incarnation)
-                self._carry_out(self._reconciler.on_ended(now_s, event.incarnation, event.reason))
+                self._carry_out(
+                    self._reconciler.on_ended(now_s, event.incarnation, event.reason, event.has_crashed)
+                )
                 log.info(
                     "gateway process ended", gateway=self.spec.name, incarnation=event.incarnation,
                     reason=event.reason,
--- a/saffronstack/fleet/control/process_launcher.py
+++ b/saffronstack/fleet/control/process_launcher.py
@@ -95,7 +95,8 @@
     gateway: str, incarnation: int, process: GatewayProcess, report: Callable[[ProcessEvent], None]
 ) -> None:
     """Wait for the end of a process and report it."""
-    report(ProcessEvent(gateway, incarnation, ProcessEventKind.ENDED, process.wait()))
+    end = process.wait()
+    report(ProcessEvent(gateway, incarnation, ProcessEventKind.ENDED, end.reason, end.has_crashed))
 
 
 def _rotate_log(path: pathlib.Path) -> None:
--- a/tests/fleet/control/test_gateway_process.py
+++ b/tests/fleet/control/test_gateway_process.py
@@ -10,14 +10,14 @@
 
 import pytest
 
-from saffronstack.fleet.control.gateway_process import GatewayProcess
+from saffronstack.fleet.control.gateway_process import GatewayProcess, ProcessEnd
 
 
 def test_a_command_to_a_process_whose_end_was_awaited_meanwhile_is_without_effect() -> None:
     """The daemon's thread acts before it has handled that end; an error would drop its further actions."""
     child = subprocess.Popen([sys.executable, "-c", ""], stdin=subprocess.PIPE)
     process = GatewayProcess(child.pid, "r", os.pidfd_open(child.pid), child)
-    assert process.wait() == "status 0"
+    assert process.wait() == ProcessEnd(0)
     process.allow_serving()
     process.serve_after(process)
     assert process.has_ended()
@@ -56,3 +56,10 @@
     for child in (ended, other):
         child.communicate(b"\n", timeout=10.0)
     assert other.returncode == 0
+
+
+@pytest.mark.parametrize(
+    ("status", "has_crashed"), [(0, False), (1, False), (None, False), (9, True), (-9, True), (-11, True)]
+)
+def test_a_process_has_crashed_unless_it_stopped_by_itself(status: int | None, has_crashed: bool) -> None:
+    assert ProcessEnd(status).has_crashed is has_crashed
--- a/tests/fleet/control/test_gateway_reconciler.py
+++ b/tests/fleet/control/test_gateway_reconciler.py
@@ -201,3 +201,19 @@
     assert draining.on_ended(2.0, 1, "status 0") == [AllowServing(2)]
     assert draining.next_deadline_s() == 12.0
     assert draining.reconcile(12.0) == [Kill(2)]
+
+
+def test_a_crash_while_an_incarnation_drains_is_reported_and_its_successor_follows(
+    draining: GatewayReconciler,
+) -> None:
+    assert draining.on_ended(2.0, 1, "status 9", has_crashed=True) == [AllowServing(2)]
+    observed = draining.observe()
+    assert observed.restarts == 1
+    assert observed.last_error == "old ended while it drained: status 9"
+
+
+def test_an_incarnation_that_was_killed_for_its_drain_has_not_crashed(draining: GatewayReconciler) -> None:
+    assert draining.reconcile(6.5) == [Kill(1)]
+    assert draining.on_ended(6.6, 1, "status -9", has_crashed=True) == [AllowServing(2)]
+    assert draining.observe().restarts == 0
+    assert "killed" in draining.observe().last_error
