--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -4,6 +4,7 @@
     python benchmarks/soak.py --seeds 17 --log         # one again, with the gateway's log
     python benchmarks/soak.py --seeds 1-5 --defect "ends before the kill"
     python benchmarks/soak.py --http 1                 # `saffronstack serve`, one process; --http 3: three
+    python benchmarks/soak.py --restart                # `serve` starts again on its ledger
 
 Prints a line for each seed, and for a failing one its schedule and its breaches. Ends with 1 where a rule was
 broken.
@@ -20,7 +21,7 @@
 
 from seeds import seeds_of
 
-from saffronstack.harness.soak import http_play
+from saffronstack.harness.soak import http_play, restart_play
 from saffronstack.harness.soak.defects import DEFECTS
 from saffronstack.harness.soak.platform_play import PlatformPlay, PlayedSchedule
 from saffronstack.harness.soak.schedule import Schedule, draw
@@ -67,6 +68,27 @@
     return 1 if failed else 0
 
 
+def play_restart(seed: int, folder: pathlib.Path) -> restart_play.RestartVerdict:
+    """Play one restart on a ledger and print its line."""
+    schedule = restart_play.draw(seed)
+    verdict = restart_play.RestartPlay(schedule, folder / f"restart-{seed}").play()
+    end = "killed" if schedule.is_killed else "ended "
+    text = f"{seed:>5} {len(verdict.breaches):>4} breaches  {end} {dict(verdict.ends)}"
+    text += f" final records {dict(verdict.conditions)}"
+    text += "".join(f"\n      {breach}" for breach in verdict.breaches[:MAX_BREACHES_SHOWN])
+    print(text, flush=True)
+    return verdict
+
+
+def main_restart(options: argparse.Namespace, folder: pathlib.Path, pool: ThreadPoolExecutor) -> int:
+    """Play all seeds of restarts on a ledger."""
+    verdicts = list(pool.map(lambda seed: play_restart(seed, folder), options.seeds))
+    failed = sum(bool(one.breaches) for one in verdicts)
+    conditions = sum((one.conditions for one in verdicts), Counter[str]())
+    print(f"{len(verdicts)} seeds, {failed} with breaches; final records {dict(conditions)}")
+    return 1 if failed else 0
+
+
 def main() -> int:
     """See above."""
     plain = argparse.RawDescriptionHelpFormatter
@@ -76,8 +98,11 @@
     parser.add_argument("--defect", choices=sorted(DEFECTS), default="", help="play a broken variant")
     parser.add_argument("--log", action="store_true", help="print the gateway's log")
     parser.add_argument("--http", type=int, default=0, metavar="N", help="`serve` with so many processes")
+    parser.add_argument("--restart", action="store_true", help="`serve`, started again on its ledger")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(options.jobs) as pool:
+        if options.restart:
+            return main_restart(options, pathlib.Path(folder), pool)
         if options.http:
             return main_http(options, pathlib.Path(folder), pool)
         schedules = [draw(seed) for seed in options.seeds]
--- /dev/null
+++ b/saffronstack/harness/scenario/final_records.py
@@ -0,0 +1,62 @@
+"""Reads the final records of deferred calls from their gateways."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from saffronstack.audit.traffic import Try
+from saffronstack.client import Client
+from saffronstack.http1.messages import HttpError
+
+POLL_INTERVAL_S = 0.1
+REQUEST_TIMEOUT_S = 5.0
+
+
+def read_final_records(
+    tries: Iterable[Try], addresses: Mapping[int, str], timeout_s: float
+) -> dict[str, list[str]]:
+    """Wait for the final records of all accepted calls.
+
+    Each is asked for again once all are there: one that changed would show as two.
+
+    Args:
+        tries: Of clients; those that were accepted count.
+        addresses: Of the gateways, by number.
+        timeout_s: How long to wait for the last.
+
+    Returns:
+        The distinct conditions of each call; none where it has no final record in time.
+    """
+    clients = {number: Client(address, REQUEST_TIMEOUT_S) for number, address in addresses.items()}
+    client_of = {one.id: clients[one.gateway] for one in tries if one.end == "accepted"}
+    finals: dict[str, list[str]] = {request_id: [] for request_id in client_of}
+    missing = set(finals)
+    deadline_s = time.monotonic() + timeout_s
+    while missing and time.monotonic() < deadline_s:
+        for request_id in sorted(missing):
+            condition = _read_condition(client_of[request_id], request_id)
+            if condition is not None:
+                finals[request_id].append(condition)
+                missing.discard(request_id)
+        time.sleep(POLL_INTERVAL_S)
+    for request_id, conditions in finals.items():
+        again = _read_condition(client_of[request_id], request_id)
+        if again is not None and again not in conditions:
+            conditions.append(again)
+    for client in clients.values():
+        client.close()
+    return finals
+
+
+def _read_condition(client: Client, request_id: str) -> str | None:
+    try:
+        answer = client.request("GET", f"/deferred/{request_id}")
+        if answer.status != 200:
+            return None
+        condition: str = msgspec.json.decode(answer.body)["requestContext"]["condition"]
+        return condition
+    except (OSError, HttpError, ValueError, KeyError):
+        return None
--- a/saffronstack/harness/scenario/processes.py
+++ b/saffronstack/harness/scenario/processes.py
@@ -66,14 +66,17 @@
         partial.write_text(json.dumps({"generation": self._generation, "workers": workers}, indent=1))
         os.replace(partial, self.roster)
 
-    def start(self) -> None:
-        """Start it and wait until it takes calls; ScenarioError where it does not."""
+    def start(self, program: str = "") -> None:
+        """Start it and wait until it takes calls; ``program``: code to run in place of the gateway's.
+
+        Raises:
+            ScenarioError: It does not.
+        """
         with open(self.errors, "ab") as errors:
             self.process = subprocess.Popen(
                 [
                     sys.executable,
-                    "-m",
-                    "saffronstack.cli.main",
+                    *(("-c", program) if program else ("-m", "saffronstack.cli.main")),
                     "serve",
                     "--config",
                     str(self.path),
--- a/saffronstack/harness/scenario/runner.py
+++ b/saffronstack/harness/scenario/runner.py
@@ -17,15 +17,14 @@
 
 from saffronstack.audit.rules import Breach, judge
 from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic, Try
-from saffronstack.client import Client
 from saffronstack.config import ConfigError
 from saffronstack.harness.scenario import plan as plans
 from saffronstack.harness.scenario.clients import Clients
 from saffronstack.harness.scenario.director import Director
+from saffronstack.harness.scenario.final_records import read_final_records
 from saffronstack.harness.scenario.plan import Plan
 from saffronstack.harness.scenario.processes import GatewayProcess, ScenarioError, StandInHost
 from saffronstack.harness.scenario.relay import Relay
-from saffronstack.http1.messages import HttpError
 from saffronstack.metering.merged_accounts import merge_accounts
 from saffronstack.metering.usage_log import read_usage_log
 from saffronstack.metering.usage_report import MB_S
@@ -141,7 +140,8 @@
                 problems.append("clients did not end")
             for relay in relays:
                 relay.close()
-            finals = self._finals(clients.tries)
+            addresses = {gateway.number: gateway.address for gateway in self.gateways}
+            finals = read_final_records(clients.tries, addresses, FINALS_S)
             for gateway in self.gateways:
                 status = gateway.ask_to_end()
                 if status != 0:
@@ -191,29 +191,6 @@
             for gateway in self.gateways
         ]
 
-    def _finals(self, tries: list[Try]) -> dict[str, list[str]]:
-        """The final records of the deferred calls, each asked for again once all are there: one that changed
-        would show as two.
-        """
-        clients = {g.number: Client(g.address, 5.0) for g in self.gateways}
-        finals: dict[str, list[str]] = {t.id: [] for t in tries if t.end == "accepted"}
-        gateway_of = {t.id: t.gateway for t in tries if t.end == "accepted"}
-        end_s = time.monotonic() + FINALS_S
-        left = set(finals)
-        while left and time.monotonic() < end_s:
-            for id_ in sorted(left):
-                if (condition := _condition(clients[gateway_of[id_]], id_)) is not None:
-                    finals[id_].append(condition)
-                    left.discard(id_)
-            time.sleep(0.1)
-        for id_, conditions in finals.items():
-            again = _condition(clients[gateway_of[id_]], id_)
-            if again is not None and again not in conditions:
-                conditions.append(again)
-        for client in clients.values():
-            client.close()
-        return finals
-
     def _unbalanced(self) -> list[str]:
         """What is wrong with the usage that the gateways metered, over all their lives."""
         accounts = []
@@ -293,14 +270,3 @@
         for problem in problems:
             click.echo(f"  problem: {problem}")
         return 1 if breaches or problems else 0
-
-
-def _condition(client: Client, id_: str) -> str | None:
-    try:
-        answer = client.request("GET", f"/deferred/{id_}")
-        if answer.status != 200:
-            return None
-        condition: str = msgspec.json.decode(answer.body)["requestContext"]["condition"]
-        return condition
-    except (OSError, HttpError, ValueError, KeyError):
-        return None
--- a/saffronstack/harness/soak/defects.py
+++ b/saffronstack/harness/soak/defects.py
@@ -1,4 +1,4 @@
-"""Broken variants of the platform's gateway that a judge must find: code that runs before the program."""
+"""Broken variants of the gateways that a judge must find: code that runs before the program."""
 
 from __future__ import annotations
 
@@ -31,6 +31,14 @@
     return sent
 WriteBuffer.send = twice
 """
+# Of `serve`, in the place of the process that follows a restart: it forgets which calls may have run.
+RUNS_AGAIN_AFTER_RESTART = """
+from saffronstack.deferred import deferred_calls
+from saffronstack.deferred.tracked_call import track_accepted
+deferred_calls.track_recovered = lambda call: track_accepted(call.accepted)
+from saffronstack.cli.main import main
+main()
+"""
 DEFECTS = {
     "ends before the kill": _ENDS_BEFORE_THE_KILL + _MAIN,
     "drops an answer": _DROPS_AN_ANSWER + _MAIN,
--- /dev/null
+++ b/saffronstack/harness/soak/restart_play.py
@@ -0,0 +1,137 @@
+"""Plays an end and a restart of a real `saffronstack serve` under deferred calls, and judges it.
+
+The calls that are open at the end, or at the kill, are in the ledger; the next process finishes them.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+
+from saffronstack.audit.rules import judge
+from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Stopped, Traffic
+from saffronstack.harness.scenario.clients import Clients
+from saffronstack.harness.scenario.final_records import read_final_records
+from saffronstack.harness.scenario.plan import Mix
+from saffronstack.harness.scenario.processes import GatewayProcess
+from saffronstack.runtime.threads import start_thread
+from saffronstack.standin.fleet import StandInFleet, sample
+from saffronstack.standin.model import Profile
+
+RULES = {
+    "identify-copy": FunctionRule("safe"),
+    "adjust-setting": FunctionRule("keyed", "all", 10.0),
+    "record-sale": FunctionRule("unsafe"),
+}
+TENANTS = ("corner-books", "campus-app")
+MIX = Mix(
+    rate=60.0, deferred_share=0.7, tries=1, clients=32,
+    functions={"identify-copy": 0.3, "adjust-setting": 0.2, "record-sale": 0.5},
+)  # fmt: skip
+WORK_S = 0.2  # so that calls are open at any moment
+AFTER_RESTART_S = 0.5
+CLIENTS_END_S = 20.0
+FINAL_RECORDS_S = 20.0
+JUDGE_SLACK_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class RestartSchedule:
+    """One play, drawn from its seed.
+
+    Attributes:
+        seed: It was drawn from.
+        is_killed: Whether the first process is killed, or asked to end.
+        before_s: Of load before that.
+    """
+
+    seed: int
+    is_killed: bool
+    before_s: float
+
+
+def draw(seed: int) -> RestartSchedule:
+    """Draw the play of a seed; the same one each time."""
+    chance = random.Random(seed)
+    return RestartSchedule(seed, seed % 2 == 1, chance.uniform(0.8, 1.4))
+
+
+@dataclass(frozen=True, slots=True)
+class RestartVerdict:
+    """What a play came to: breaches, how tries ended, and the conditions of final records."""
+
+    breaches: tuple[str, ...]
+    ends: Counter[str]
+    conditions: Counter[str]
+
+
+class RestartPlay:
+    """One play; use it once."""
+
+    def __init__(self, schedule: RestartSchedule, folder: pathlib.Path, program: str = "") -> None:
+        """``program``: code to run in place of the second process, for a broken variant."""
+        self._schedule, self._program = schedule, program
+        self._worker_log: list[Seen] = []
+        profile = Profile(work_s=WORK_S, load_s=0.05, cores=16, queue=256)
+        self._workers = StandInFleet(
+            3, lambda number: profile, seed=schedule.seed,
+            log=lambda entry: self._worker_log.append(msgspec.convert(entry, Seen, strict=False)),
+        )  # fmt: skip
+        folder.mkdir(exist_ok=True)
+        self._gateway = GatewayProcess(0, folder)
+
+    def play(self) -> RestartVerdict:
+        """Play it, and judge it.
+
+        Raises:
+            ScenarioError: A process did not start.
+        """
+        gateway = self._gateway
+        gateway.write(sample(self._workers.entries(), gateway.address, str(gateway.ledger)))
+        try:
+            return self._play()
+        finally:
+            if gateway.process is not None and gateway.process.poll() is None:
+                gateway.kill()
+            self._workers.stop()
+
+    def _play(self) -> RestartVerdict:
+        schedule, gateway = self._schedule, self._gateway
+        gateway.start()
+        clients = Clients(
+            [gateway.address], MIX, schedule.seed, lambda at: MIX.rate, lambda name: name, TENANTS
+        )  # fmt: skip
+        load = start_thread("load", lambda: clients.play(schedule.before_s + AFTER_RESTART_S))
+        time.sleep(schedule.before_s)
+        ended_s, problems = time.monotonic(), []
+        if schedule.is_killed:
+            gateway.kill()
+        elif status := gateway.ask_to_end():
+            problems.append(f"the first process ended with status {status}")
+        gateway.start(self._program)
+        stop = Stopped(0, ended_s, schedule.is_killed, time.monotonic())
+        load.join(CLIENTS_END_S)
+        if not clients.end(CLIENTS_END_S):
+            problems.append("clients did not end")
+        finals = read_final_records(clients.tries, {0: gateway.address}, FINAL_RECORDS_S)
+        if status := gateway.ask_to_end():
+            problems.append(f"the second process ended with status {status}")
+        return self._judge(clients, stop, finals, problems)
+
+    def _judge(
+        self, clients: Clients, stop: Stopped, finals: dict[str, list[str]], problems: list[str]
+    ) -> RestartVerdict:
+        seen = sorted(self._worker_log, key=lambda entry: entry.t)
+        traffic = Traffic(RULES, tries=clients.tries, seen=seen, stopped=[stop])
+        traffic.finals.update(finals)
+        found = judge(traffic, Figures(slack_s=JUDGE_SLACK_S))
+        breaches = [f"rule {breach.rule}: {breach.text}" for breach in found]
+        conditions = Counter(condition for conditions in finals.values() for condition in conditions)
+        return RestartVerdict(
+            tuple(breaches + problems), Counter(one.end for one in clients.tries), conditions
+        )
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from saffronstack.harness.soak import http_play
-from saffronstack.harness.soak.defects import DEFECTS
+from saffronstack.harness.soak import http_play, restart_play
+from saffronstack.harness.soak.defects import DEFECTS, RUNS_AGAIN_AFTER_RESTART
 from saffronstack.harness.soak.judge import KILL_MARGIN_S, Verdict, judge
 from saffronstack.harness.soak.platform_play import PlatformPlay
 from saffronstack.harness.soak.run_queue import longest_wait_s, read_waits_s
@@ -18,6 +18,8 @@
 
 SEEDS = range(1, 11)
 HTTP_SEEDS = range(1, 4)
+RESTART_SEEDS = range(1, 5)
+KILLED_SEED = 1
 TERMINATED_S, KILLED_S = 100.0, 103.7
 
 
@@ -43,6 +45,19 @@
     assert verdict.ends["served"] > 0
 
 
+@pytest.mark.parametrize("seed", RESTART_SEEDS)
+def test_a_restart_loses_no_deferred_call_and_runs_none_again(tmp_path: pathlib.Path, seed: int) -> None:
+    verdict = restart_play.RestartPlay(restart_play.draw(seed), tmp_path).play()
+    assert verdict.breaches == ()
+    assert verdict.ends["accepted"] > 0
+
+
+def test_the_judge_finds_an_unsafe_call_that_runs_again_after_a_restart(tmp_path: pathlib.Path) -> None:
+    schedule = restart_play.draw(KILLED_SEED)
+    verdict = restart_play.RestartPlay(schedule, tmp_path, RUNS_AGAIN_AFTER_RESTART).play()
+    assert any("of unsafe record-sale ran 2 times" in breach for breach in verdict.breaches)
+
+
 def test_a_seed_draws_one_schedule_and_the_kill_is_the_earliest_allowed() -> None:
     schedules = [draw(seed) for seed in range(1, 200)]
     assert schedules == [draw(seed) for seed in range(1, 200)]
