invoke/calling: split into seven modules by what happens to an invocation

Now: the checked invocation, running it on the engine, coalesced idempotent operations, operations that are performed once, submission to the ledger, the responses of final answers, and the class that chooses between them; names are those of the operations package.

--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -22,9 +22,10 @@
 from saffronstack.engine.identifiers import LATEST
 from saffronstack.http1.messages import HttpError, RequestHead
 from saffronstack.invoke import errors, names, sigv4, usage
-from saffronstack.invoke.calling import Asked, Caller
+from saffronstack.invoke.calling import Caller
 from saffronstack.invoke.errors import InvokeError
 from saffronstack.invoke.figures import ByClass, ending_of, ending_of_error
+from saffronstack.invoke.invocation import Invocation
 from saffronstack.invoke.response import Response
 from saffronstack.invoke.routing import UNTIL, Router, Sent, misdirected
 from saffronstack.metering.account import Account
@@ -203,14 +204,14 @@
         wants_log = log_type == "Tail"
         until_s = self._clock() + known.deadline_s - self._config.answer_margin_s * 0.2
         until_s = min(until_s, _until(head))
-        asked = Asked(
+        invocation = Invocation(
             request_id, tenant, known, target.qualifier, payload, context, token, until_s, wants_log
         )
 
         def here() -> Response:
-            return self._perform(asked, kind, client_there)
+            return self._perform(invocation, kind, client_there)
 
-        policy = self._caller.policy(asked)
+        policy = self._caller.policy(invocation)
         if self._router is None or not token or not (policy.requires_slot or kind == "Event"):
             return here()
         if FORWARDED_HEADER in head.headers:
@@ -218,19 +219,19 @@
                 return here()
             except SlotNotHeldError:
                 raise misdirected() from None
-        digest = asked.identity(kind).digest()
+        digest = invocation.identity(kind).digest()
         noted = policy.is_logged or kind == "Event"
         return self._router.run(
-            Sent(head, body, digest, until_s, noted, lambda: self._caller.unknown(asked)), here
+            Sent(head, body, digest, until_s, noted, lambda: self._caller.unknown(invocation)), here
         )
 
-    def _perform(self, asked: Asked, kind: str, client_there: Callable[[], bool]) -> Response:
+    def _perform(self, invocation: Invocation, kind: str, client_there: Callable[[], bool]) -> Response:
         """Run a checked call in this process, and note how it ended and how long it took."""
-        call_class, note = asked.known.config.call_class, self.figures.note
+        call_class, note = invocation.known.config.call_class, self.figures.note
         perform = self._caller.defer if kind == "Event" else self._caller.call
         began_s = self._clock()
         try:
-            answer = perform(asked, client_there)
+            answer = perform(invocation, client_there)
         except InvokeError as error:
             if ending := ending_of_error(error):
                 note(call_class, ending, 0.0)
--- /dev/null
+++ b/saffronstack/invoke/coalesced_calls.py
@@ -0,0 +1,111 @@
+"""Sends of one idempotent operation: joined while it runs, answered again while it is remembered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from saffronstack.engine.calls import FinalStatus
+from saffronstack.invoke import errors
+from saffronstack.invoke.engine_calls import EngineCalls
+from saffronstack.invoke.final_responses import rejection_of, replayed, response_of
+from saffronstack.invoke.invocation import Invocation, IsClientConnected
+from saffronstack.invoke.response import Response
+from saffronstack.operations.errors import ClientDisconnectedError
+from saffronstack.operations.execution import CLIENT_CHECK_INTERVAL_S
+from saffronstack.operations.operation_service import OperationService
+from saffronstack.operations.request_coalescing import CacheableResponse, CacheEntry, CacheKey
+
+
+class CoalescedCalls:
+    """Used by every connection's thread."""
+
+    def __init__(self, calls: EngineCalls, operations: OperationService, clock: Callable[[], float]) -> None:
+        """Run operations by ``calls``, and remember their responses in the cache of ``operations``."""
+        self._calls = calls
+        self._cache = operations.coalescing_cache
+        self._counts = operations.request_counts
+        self._max_cached_bytes = operations.max_inline_response_bytes
+        self._clock = clock
+
+    def call(
+        self, invocation: Invocation, window_s: float, is_client_connected: IsClientConnected
+    ) -> Response:
+        """Return the operation's response; run it where no other send of it has.
+
+        Args:
+            invocation: One send.
+            window_s: How long its response is remembered.
+            is_client_connected: Of this send.
+
+        Raises:
+            InvokeError: It is rejected, or another operation has its name.
+            ClientDisconnectedError: Nobody waits for it any more.
+        """
+        key = CacheKey(invocation.tenant, invocation.known.spec.name, invocation.qualifier, invocation.token)
+        payload_hash = hash((invocation.payload, invocation.context))
+        now_s = self._clock()
+        while True:
+            entry, is_own = self._cache.join_or_start(key, payload_hash, invocation.request_id, now_s)
+            if is_own:
+                return self._run(invocation, entry, now_s, window_s, is_client_connected)
+            if entry.payload_hash != payload_hash:
+                self._counts["mismatched"] += 1
+                raise errors.mismatched(entry.request_id)
+            response = self._response_of_other(invocation, entry, is_client_connected)
+            if response is not None:  # else it was rejected, or nobody waited any more: this send's turn
+                return replayed(response)
+
+    def _response_of_other(
+        self,
+        invocation: Invocation,
+        entry: CacheEntry[CacheableResponse],
+        is_client_connected: IsClientConnected,
+    ) -> CacheableResponse | None:
+        """Return the response of the send that started the operation; None where it got none."""
+        if entry.response is not None:
+            self._counts["repeated"] += 1
+            return entry.response
+        self._counts["joined"] += 1
+        assert entry.done is not None
+        try:
+            while not entry.done.wait(self._pause_s(invocation)):
+                if self._clock() >= invocation.until_s:
+                    raise errors.too_many("The operation is still under way.", 1.0)
+                if not is_client_connected():
+                    raise ClientDisconnectedError
+        finally:
+            self._cache.leave(entry)
+        return entry.response
+
+    def _pause_s(self, invocation: Invocation) -> float:
+        return min(CLIENT_CHECK_INTERVAL_S, max(0.0, invocation.until_s - self._clock()))
+
+    def _run(
+        self,
+        invocation: Invocation,
+        entry: CacheEntry[CacheableResponse],
+        started_s: float,
+        window_s: float,
+        is_client_connected: IsClientConnected,
+    ) -> Response:
+        self._counts["begun"] += 1
+        cached: Response | None = None
+        try:
+            final = self._calls.run(
+                invocation,
+                invocation.request_id,
+                is_client_connected,
+                is_alone=lambda: not entry.waiters,
+            )
+            if final.status is FinalStatus.CLIENT_DISCONNECTED:
+                raise ClientDisconnectedError
+            if final.status is FinalStatus.REJECTED:
+                raise rejection_of(final)
+            headers = invocation.response_headers(invocation.request_id)
+            response = response_of(final, headers, invocation.wants_log)
+            if final.status is FinalStatus.SERVED and len(response.body) <= self._max_cached_bytes:
+                cached = response
+            return response
+        finally:
+            size_bytes = len(cached.body) if cached is not None else 0
+            self._cache.complete(entry, cached, size_bytes, started_s + window_s, started_s)
--- /dev/null
+++ b/saffronstack/invoke/engine_calls.py
@@ -0,0 +1,138 @@
+"""Runs invocations on the engine, on the threads of their connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from saffronstack.config.schema import Config
+from saffronstack.engine.calls import AttemptGuard, Call, FinalAnswer, FinalStatus
+from saffronstack.engine.engine import Engine
+from saffronstack.invoke import errors
+from saffronstack.invoke.invocation import Invocation, IsClientConnected
+from saffronstack.metering.budgets import BudgetEnforcer
+from saffronstack.operations.execution import CLIENT_CHECK_INTERVAL_S, Execution
+from saffronstack.operations.idempotency_keys import worker_idempotency_key
+from saffronstack.operations.operation_service import OperationService
+from saffronstack.routing.events import PriorAttempt
+from saffronstack.routing.settings import Idempotency
+
+DECISION_MARGIN_SHARE = 0.8  # of the answer margin: the engine decides by then, and is waited for so long
+
+
+def always_alone() -> bool:
+    """No other send waits for the call."""
+    return True
+
+
+class EngineCalls:
+    """Used by every connection's thread."""
+
+    def __init__(
+        self,
+        config: Config,
+        engine: Engine,
+        clock: Callable[[], float],
+        budgets: BudgetEnforcer | None,
+        operations: OperationService | None,
+    ) -> None:
+        """Take the budgets and operations where they are configured; ``clock`` in seconds."""
+        self._engine = engine
+        self._clock = clock
+        self._budgets = budgets
+        self._operations = operations
+        self._decision_margin_s = config.answer_margin_s * DECISION_MARGIN_SHARE
+        self._tenant_indexes = {tenant.name: index for index, tenant in enumerate(config.tenants)}
+
+    def run(
+        self,
+        invocation: Invocation,
+        request_id: str,
+        is_client_connected: IsClientConnected,
+        prior: PriorAttempt | None = None,
+        execution: Execution | None = None,
+        is_alone: Callable[[], bool] = always_alone,
+    ) -> FinalAnswer:
+        """Run an invocation and wait for its final answer, watching the client meanwhile.
+
+        Args:
+            invocation: What to run.
+            request_id: Under which; of the operation's first send.
+            is_client_connected: A client that left takes the call along where it is alone and nothing of it
+                can have had an effect.
+            prior: An earlier attempt of the operation, which may have had an effect.
+            execution: Of the operation; None for a call that is none, or an idempotent one.
+            is_alone: Whether no other send waits for it.
+
+        Raises:
+            InvokeError: It can't be begun now.
+        """
+        call = self._create(invocation, request_id, prior, execution)
+        if not self._engine.submit(call):
+            raise errors.too_many("Too many calls are open.", 1.0)
+        return self._wait(call, is_client_connected, execution, is_alone)
+
+    def _create(
+        self,
+        invocation: Invocation,
+        request_id: str,
+        prior: PriorAttempt | None,
+        execution: Execution | None,
+    ) -> Call:
+        tenant_index = self._admit(invocation)
+        deadline_s = invocation.until_s - self._decision_margin_s
+        if deadline_s <= self._clock():
+            raise errors.too_many("It came too late to be begun.", 1.0)
+        return Call(
+            self._engine.next_call_number(),
+            request_id,
+            invocation.known.spec,
+            invocation.payload,
+            deadline_s,
+            tenant_index,
+            invocation.tenant,
+            worker_idempotency_key(invocation.tenant, invocation.token, request_id),
+            invocation.context,
+            invocation.wants_log,
+            prior,
+            self._attempt_guard(execution),
+            class_name=invocation.known.config.call_class,
+        )
+
+    def _attempt_guard(self, execution: Execution | None) -> AttemptGuard | None:
+        if execution is None or self._operations is None:
+            return None
+        if execution.policy.idempotency is Idempotency.IDEMPOTENT:
+            return None
+        return self._operations.attempt_guard(execution)
+
+    def _wait(
+        self,
+        call: Call,
+        is_client_connected: IsClientConnected,
+        execution: Execution | None,
+        is_alone: Callable[[], bool],
+    ) -> FinalAnswer:
+        latest_s = call.deadline_s + self._decision_margin_s
+        while True:
+            final = call.wait(min(CLIENT_CHECK_INTERVAL_S, max(0.0, latest_s - self._clock())))
+            if final is not None:
+                return final
+            if self._clock() >= latest_s:  # the engine itself is stuck: an answer all the same
+                call.finish(FinalAnswer(FinalStatus.FAILED, reason="the gateway did not decide in time"))
+            elif not is_client_connected() and is_alone() and (execution is None or execution.try_abandon()):
+                self._engine.disconnect(call)
+
+    def _admit(self, invocation: Invocation) -> int:
+        """Return the tenant's index among the router's.
+
+        Raises:
+            InvokeError: Its budget allows no load that the call needs.
+        """
+        index = self._tenant_indexes.get(invocation.tenant, 0)
+        if self._budgets is None:
+            return index
+        admission = self._budgets.admit(invocation.tenant, invocation.known.spec.name, self._clock())
+        if not admission.is_admitted:
+            text = f"The memory budget of {invocation.tenant} is used up."
+            raise errors.too_many(text, admission.retry_after_s)
+        return len(self._tenant_indexes) if admission.is_over_soft_limit else index
