cli: the commands of each group stand in a module of their own

main.py had 440 lines with all groups but two; the option that names a fleet's file stood twice, with two help texts (that of 'fleet' and 'rollout' is now the longer one). Commands, options and all other help texts are as before (--help of 23 commands compared).

--- a/saffronstack/cli/groups.py
+++ b/saffronstack/cli/fleet_commands.py
@@ -7,10 +7,7 @@
 
 import click
 
-
-def _fleet_file(command: Callable[..., None]) -> Callable[..., None]:
-    text = "The fleet's file."
-    return click.option("--fleet", "path", required=True, type=click.Path(dir_okay=False), help=text)(command)
+from saffronstack.cli.fleet_option import fleet_option
 
 
 @click.group("fleet")
@@ -19,7 +16,7 @@
 
 
 @fleet_group.command("daemon")
-@_fleet_file
+@fleet_option
 @click.option("--name", required=True, help="This machine's daemon in it.")
 @click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console")
 def fleet_daemon(path: str, name: str, log_form: str) -> None:
@@ -30,7 +27,7 @@
 
 
 @fleet_group.command("status")
-@_fleet_file
+@fleet_option
 @click.option("--json", "as_json", is_flag=True, help="One JSON line for each gateway.")
 def fleet_status(path: str, as_json: bool) -> None:
     """How each gateway stands; 1 where a daemon is silent or a gateway not as wanted."""
@@ -44,7 +41,7 @@
     command = click.option(
         "--wait", "wait_s", type=click.FloatRange(min=0), default=60.0, show_default=True, help="Seconds."
     )(command)
-    return click.argument("names", nargs=-1)(_fleet_file(command))
+    return click.argument("names", nargs=-1)(fleet_option(command))
 
 
 @fleet_group.command("start")
@@ -97,7 +94,7 @@
     was, to = "The release that runs.", "The release to come."
     command = click.option("--from", "old", required=True, type=directory, help=was)(command)
     command = click.option("--to", "new", required=True, type=directory, help=to)(command)
-    return click.argument("plan", type=click.Path(dir_okay=False))(_fleet_file(command))
+    return click.argument("plan", type=click.Path(dir_okay=False))(fleet_option(command))
 
 
 @rollout_group.command("check")
@@ -121,7 +118,7 @@
 
 
 @rollout_group.command("lead")
-@_fleet_file
+@fleet_option
 @click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console")
 def rollout_lead(path: str, log_form: str) -> None:
     """Stand by to go on with a rollout whose leader is gone."""
@@ -131,7 +128,7 @@
 
 
 @rollout_group.command("status")
-@_fleet_file
+@fleet_option
 @click.option("--json", "as_json", is_flag=True, help="The record as it is stored.")
 def rollout_status(path: str, as_json: bool) -> None:
     """The rollout as it is recorded, and its history."""
@@ -142,7 +139,7 @@
 
 def _add_request_command(name: str, text: str) -> None:
     @rollout_group.command(name, help=text)
-    @_fleet_file
+    @fleet_option
     def command(path: str) -> None:
         from saffronstack.cli.rollout import send_request
         from saffronstack.fleet.rollout.operator_requests import OperatorAction
--- /dev/null
+++ b/saffronstack/cli/usage_commands.py
@@ -0,0 +1,46 @@
+"""`saffronstack usage`: the commands, on click."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.group("usage", invoke_without_command=True)
+@click.pass_context
+def usage_group(context: click.Context) -> None:
+    """What tenants' functions held in memory, from the usage logs of one or more gateways."""
+    if context.invoked_subcommand is None:
+        click.echo(context.get_help())
+
+
+@usage_group.command("show")
+@click.argument("directories", nargs=-1, required=True, type=click.Path())
+@click.option("--by", default="tenant", show_default=True, help="tenant,function,class,worker,day,hour")
+@click.option("--format", "form", type=click.Choice(["table", "jsonl", "csv"]), default="table")
+@click.option("--tenant", default=None, help="This tenant's alone.")
+def usage_show(directories: tuple[str, ...], by: str, form: str, tenant: str | None) -> None:
+    """Sums in MB s. The same log given twice counts once."""
+    from saffronstack.cli.usage import show
+
+    sys.exit(show(directories, tuple(part.strip() for part in by.split(",")), form, tenant))
+
+
+@usage_group.command("report")
+@click.argument("directories", nargs=-1, required=True, type=click.Path())
+@click.option("--output", default="usage.html", show_default=True, type=click.Path(dir_okay=False))
+def usage_report(directories: tuple[str, ...], output: str) -> None:
+    """Write a page with charts and tables."""
+    from saffronstack.cli.usage import report
+
+    sys.exit(report(directories, output))
+
+
+@usage_group.command("verify")
+@click.argument("directories", nargs=-1, required=True, type=click.Path())
+def usage_verify(directories: tuple[str, ...]) -> None:
+    """Check that the logs are whole and that shares sum up to what was held; 1 where not."""
+    from saffronstack.cli.usage import verify
+
+    sys.exit(verify(directories))
