--- a/saffronstack/harness/scenario/runner.py
+++ b/saffronstack/harness/scenario/runner.py
@@ -8,14 +8,12 @@
 import re
 import tempfile
 import time
-from collections import Counter
 from typing import Any
 
 import click
 import msgspec
-from hdrh.histogram import HdrHistogram
 
-from saffronstack.audit.rules import Breach, judge
+from saffronstack.audit.rules import judge
 from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic, Try
 from saffronstack.config import ConfigError
 from saffronstack.harness.scenario import plan as plans
@@ -25,6 +23,7 @@
 from saffronstack.harness.scenario.plan import Plan
 from saffronstack.harness.scenario.processes import GatewayProcess, ScenarioError, StandInHost
 from saffronstack.harness.scenario.relay import Relay
+from saffronstack.harness.scenario.report import Report, print_report
 from saffronstack.metering.merged_accounts import merge_accounts
 from saffronstack.metering.usage_log import read_usage_log
 from saffronstack.metering.usage_report import MB_S
@@ -32,10 +31,8 @@
 
 ANSWER_MARGIN_S = 0.3  # the machine runs gateways, workers and clients at once
 FINALS_S = 40.0  # how long deferred calls may take to end after the last was sent
-WANTED_S = 0.5
 _NAMED = re.compile(rb"\r\namz-sdk-invocation-id: ([^\r]+)\r\n", re.I)
 _ATTEMPT = re.compile(rb"\r\namz-sdk-request: attempt=(\d+);", re.I)
-RULES = ("no call lost", "no effect twice", "drains kept", "cold workers not pushed over", "loads rationed")
 
 
 def run(path: str, seed: int, seconds: float | None, keep: str | None, membership: str | None = None) -> int:
@@ -66,7 +63,7 @@
         self.seed = seed
         self.log = directory / "workers.jsonl"
         self.log.unlink(missing_ok=True)
-        self.usage = 0.0
+        self._memory_mb_s = 0.0
         self.gateways = [GatewayProcess(n, directory) for n in range(plan.gateways)]
 
     def content(self, gateway: GatewayProcess, workers: list[dict[str, Any]]) -> dict[str, Any]:
@@ -164,7 +161,10 @@
             capacity_rps={w["id"]: workers.cores / workers.work_s for w in host.workers},
             gateways=plan.gateways,
         )
-        return self._report(traffic, judge(traffic, figures), problems, clients.dropped)
+        breaches = judge(traffic, figures)
+        title = f"{plan.name}, seed {self.seed}, membership by {plan.membership}"
+        print_report(Report(title, plan, traffic, breaches, problems, clients.dropped, self._memory_mb_s))
+        return 1 if breaches or problems else 0
 
     def _relays(
         self, director: Director, lost: set[tuple[str, int]], untaken: set[tuple[str, int]]
@@ -200,7 +200,7 @@
             problems += [f"usage of gateway {gateway.number}: {line}" for line in lines if "cut" not in line]
             accounts.append(account)
         whole = merge_accounts(accounts)
-        self.usage = sum(amount for _, amounts in whole.sums() for amount in amounts[:2]) / MB_S
+        self._memory_mb_s = sum(amount for _, amounts in whole.sums() for amount in amounts[:2]) / MB_S
         return problems + [f"usage out of balance: {line}" for line in whole.unbalanced()]
 
     def _traffic(
@@ -220,53 +220,3 @@
         traffic = Traffic(functions, zones, tries, seen, director.told, director.stopped)
         traffic.finals.update(finals)
         return traffic
-
-    def _report(self, traffic: Traffic, breaches: list[Breach], problems: list[str], dropped: int) -> int:
-        broken = Counter(breach.rule for breach in breaches)
-        click.echo(
-            f"{self.plan.name}, seed {self.seed}, membership by {self.plan.membership}: "
-            f"{len(traffic.tries)} tries, {self.plan.gateways} gateways "
-            f"before {self.plan.workers.count} emulated workers, {len(traffic.stopped)} gateway stops, "
-            f"{dropped} calls not sent for want of clients, {len(traffic.lost)} answers lost behind gateways"
-        )
-        click.echo(
-            f"{'function':<16}{'calls':>7}{'served':>8}{'in time':>9}{'refused':>9}{'failed':>8}{'broken':>8}"
-            f"{'p50 ms':>9}{'p99 ms':>9}"
-        )
-        for function in [*self.plan.traffic.functions, "scan"]:
-            tries = [
-                t
-                for t in traffic.tries
-                if not t.deferred
-                and t.end != "not_taken"
-                and (t.function == function or (function == "scan" and t.function.startswith("scan-")))
-            ]
-            if not tries:
-                continue
-            ends = Counter(t.end for t in tries)
-            times = HdrHistogram(1, 60_000_000, 3)
-            served = [t for t in tries if t.end == "served"]
-            for t in served:
-                times.record_value(max(1, int((t.ended_s - t.sent_s) * 1e6)))
-            in_time = sum(t.ended_s - t.sent_s <= WANTED_S for t in served)
-            click.echo(
-                f"{function:<16}{len(tries):>7}{ends['served']:>8}{in_time / len(tries):>9.1%}"
-                f"{ends['refused']:>9}{ends['failed']:>8}{ends['broken']:>8}"
-                f"{times.get_value_at_percentile(50) / 1000:>9.1f}"
-                f"{times.get_value_at_percentile(99) / 1000:>9.1f}"
-            )
-        conditions = Counter(c for found in traffic.finals.values() for c in found)
-        click.echo(
-            f"deferred: {len(traffic.finals)} accepted, "
-            + (", ".join(f"{count} {name}" for name, count in sorted(conditions.items())) or "none ended")
-        )
-        click.echo(f"usage: {self.usage:.0f} MB s of loading and running metered")
-        for number, name in enumerate(RULES, 1):
-            click.echo(
-                f"rule {number}, {name}: {'kept' if not broken[number] else f'BROKEN {broken[number]} times'}"
-            )
-        for breach in breaches[:20]:
-            click.echo(f"  rule {breach.rule}: {breach.text}")
-        for problem in problems:
-            click.echo(f"  problem: {problem}")
-        return 1 if breaches or problems else 0
