Leaders, daemons, lease servers, task runners: exit without the interpreter's end

Seen once beside a compiler and a benchmark (load 28): the bad releases' test, status -9 in place of 1: its rig kills a leader that has not ended 5 s after its rollout.

Cause: the interpreter collects the heap at its end, as it did in serve. Evidence: eleven leaders' ends at load 24 to 31 took 1.0 to 4.84 s; stacks taken 1, 2 and 4 s after the record was final: Garbage-collecting, no Python frame, in each.

Change: the commands that run a process of the fleet end by exit_process, as serve does. The four new tests failed before.

--- a/saffronstack/cli/fleet_commands.py
+++ b/saffronstack/cli/fleet_commands.py
@@ -22,8 +22,9 @@
 def fleet_daemon(path: str, name: str, log_form: str) -> None:
     """Keep this machine's gateways as they are wanted. SIGTERM leaves them serving, SIGINT ends them too."""
     from saffronstack.cli.control import run_daemon
+    from saffronstack.runtime.process_exit import exit_process
 
-    sys.exit(run_daemon(path, name, log_form))
+    exit_process(run_daemon(path, name, log_form))
 
 
 @fleet_group.command("status")
@@ -113,8 +114,9 @@
 def rollout_start(path: str, plan: str, new: str, old: str, wait_s: float, log_form: str) -> None:
     """Start a rollout and lead it: 0 done, 1 it went back, 3 held or handed on, 2 it can't be started."""
     from saffronstack.cli.rollout_leader import start
+    from saffronstack.runtime.process_exit import exit_process
 
-    sys.exit(start(path, plan, new, old, log_form, wait_s))
+    exit_process(start(path, plan, new, old, log_form, wait_s))
 
 
 @rollout_group.command("lead")
@@ -123,8 +125,9 @@
 def rollout_lead(path: str, log_form: str) -> None:
     """Stand by to go on with a rollout whose leader is gone."""
     from saffronstack.cli.rollout_leader import lead
+    from saffronstack.runtime.process_exit import exit_process
 
-    sys.exit(lead(path, log_form))
+    exit_process(lead(path, log_form))
 
 
 @rollout_group.command("status")
--- a/saffronstack/cli/lease_commands.py
+++ b/saffronstack/cli/lease_commands.py
@@ -22,8 +22,9 @@
 def keeper_run(path: str, name: str, state: str, log_form: str) -> None:
     """Keep leases in the foreground until SIGTERM or SIGINT."""
     from saffronstack.cli.lease_servers import run_server
+    from saffronstack.runtime.process_exit import exit_process
 
-    sys.exit(run_server(path, name, state, log_form))
+    exit_process(run_server(path, name, state, log_form))
 
 
 @keeper_group.command("establish")
@@ -58,8 +59,9 @@
 def tasks_run(path: str, log_form: str) -> None:
     """Run the file's tasks whose leases this process gets, until SIGTERM or SIGINT."""
     from saffronstack.cli.leases import run_tasks
+    from saffronstack.runtime.process_exit import exit_process
 
-    sys.exit(run_tasks(path, log_form))
+    exit_process(run_tasks(path, log_form))
 
 
 @click.group("lease")
@@ -78,8 +80,9 @@
     Ends as the command does; 69: no majority of keepers, 75: not granted in time, 76: lost while it ran.
     """
     from saffronstack.cli.leases import lease_run as run
+    from saffronstack.runtime.process_exit import exit_process
 
-    sys.exit(run(path, name, wait_s, command))
+    exit_process(run(path, name, wait_s, command))
 
 
 @lease_group.command("list")
--- a/tests/runtime/test_process_exit.py
+++ b/tests/runtime/test_process_exit.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import os
+import pathlib
 import signal
 import subprocess
 import sys
 
+import pytest
+
+from saffronstack.harness.rollout.rig_layout import RigLayout, RigSizes
+
 WAIT_S = 30.0
 # A handler that the interpreter runs at its end, in place of a heap that takes long to collect.
 IMPORT = "from saffronstack.runtime.process_exit import exit_process"
@@ -45,3 +50,32 @@
             assert process.wait(WAIT_S) == 0
         finally:
             process.kill()
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        ("rollout", "lead"),
+        ("tasks", "run"),
+        ("fleet", "daemon", "--name", "d0"),
+        ("keeper", "run", "--name", "k0", "--state", "state"),
+    ],
+    ids=lambda command: " ".join(command[:2]),
+)
+def test_a_process_of_the_fleet_does_not_wait_for_the_interpreters_end(
+    tmp_path: pathlib.Path, command: tuple[str, ...]
+) -> None:
+    """A leader whose rollout was over took 4.8 s to exit on a busy machine."""
+    layout = RigLayout(tmp_path, RigSizes(gateways=1, daemons=1, workers=1, rate=1.0, clients=1))
+    path = layout.write_fleet_file("fleet.json5", layout.daemons)
+    arguments = [*command, "--fleet", str(path)]
+    program = f"{SLOW_END}\nfrom saffronstack.cli.main import main\nmain({arguments!r})"
+    with subprocess.Popen([sys.executable, "-c", program], stdout=subprocess.PIPE, cwd=tmp_path) as process:
+        try:
+            assert process.stdout is not None
+            assert process.stdout.readline()
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(WAIT_S) == 0
+        finally:
+            process.kill()
+    layout.close()
