--- a/saffronstack/fleet/control/daemon.py
+++ b/saffronstack/fleet/control/daemon.py
@@ -193,7 +193,10 @@
 
     def _release_starved(self) -> None:
         for pid in self._starvation_monitor.check(self.pids()):
-            log.warning("gateway process got no processor, it may use all from now on", pid=pid)
+            owner = next((name for name, one in self._gateways.items() if pid in one.pids()), "")
+            log.warning(
+                "gateway process got no processor, it may use all from now on", gateway=owner, pid=pid
+            )
 
     def _handle(self, item: PendingRequest | ProcessEvent | QuorumRead | None) -> None:
         match item:
