serve: a gateway notices by itself that its one processor is taken up

Seen once in 31 plays of the abort's test (load 17): two requests without an answer for 3.08 s while the daemon, the only one that looks, was stopped by the test; on waking it logged a process without processor time over 2.6 s. A gateway that runs alone had nobody.

Change: the main thread runs on any processor and samples a thread that is kept to the one; without time there for 0.5 s the process may use all. Where a starved thread holds the interpreter's lock, this look waits too.

--- a/saffronstack/cli/cpu_affinity.py
+++ b/saffronstack/cli/cpu_affinity.py
@@ -31,7 +31,15 @@
     return chosen
 
 
-def pin_to_cpus(selection: str, turn: int) -> None:
-    """Run this process on the selected processors, where the system can do that; see `choose_cpus`."""
-    if hasattr(os, "sched_setaffinity"):
-        os.sched_setaffinity(0, choose_cpus(selection, set(os.sched_getaffinity(0)), turn))
+def pin_to_cpus(selection: str, turn: int) -> set[int]:
+    """Run this process on the selected processors, where the system can do that; see `choose_cpus`.
+
+    Returns:
+        The processors that it was allowed before and gave up; none where it runs on all of them.
+    """
+    if not hasattr(os, "sched_setaffinity"):
+        return set()
+    allowed = set(os.sched_getaffinity(0))
+    chosen = choose_cpus(selection, allowed, turn)
+    os.sched_setaffinity(0, chosen)
+    return allowed - chosen
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -9,13 +9,13 @@
 import socket
 import tempfile
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import click
 import structlog
 
 from saffronstack import config as configs
-from saffronstack.cli.cpu_affinity import pin_to_cpus
+from saffronstack.cli.cpu_affinity import DEFAULT_CPUS, pin_to_cpus
 from saffronstack.cli.fleet_services import FleetServices
 from saffronstack.cli.ledger_ownership import LedgerOwnership, own_ledger
 from saffronstack.cli.logs import set_up_logs
@@ -28,6 +28,7 @@
 )
 from saffronstack.cli.process_signals import ignore_signals, receive_signals
 from saffronstack.cli.serve_options import Options, member_config, override
+from saffronstack.cli.starvation_guard import StarvationGuard
 from saffronstack.config.schema import Config
 from saffronstack.daemon.process_group import ProcessGroup
 from saffronstack.durable.errors import JournalError
@@ -36,7 +37,7 @@
 from saffronstack.standin.fleet import StandInFleet, sample
 
 log = structlog.get_logger("saffronstack.serve")
-SIGNAL_POLL_S = 1.0
+SIGNAL_POLL_S = 0.5
 FINISH_POLL_S = 0.1
 
 
@@ -49,6 +50,7 @@
     fleet: FleetServices | None = None
     members: ProcessGroup | None = None
     listener: socket.socket | None = None
+    unused_cpus: set[int] = field(default_factory=set)  # that it may use and does not by default
 
     def stop(self, is_clean: bool) -> bool:
         """Stop them after the gateway.
@@ -90,9 +92,12 @@
         start_thread("heartbeats", lambda: send_heartbeats(gateway, stopping))
     if parts.ownership is not None:
         start_thread("ledger-ownership", parts.ownership.watch)
-    number = _wait_for_signal(gateway, options, signals)
+    guard = _guard_processors(parts)
+    number = _wait_for_signal(gateway, options, signals, guard)
     log.info("stopping", signal=signal.Signals(number).name)
     stopping.set()
+    if guard is not None:
+        guard.stop()
     if parts.fleet is not None:
         parts.fleet.request_stop()  # while calls drain: a successor waits for the end of this process
     is_clean = gateway.stop()
@@ -114,7 +119,9 @@
         whole = override(configs.load(options.path), options)
         config, parts.members = member_config(whole, options.member)
         # With stand-ins in the same process there would be more to run.
-        pin_to_cpus(options.cpus, parts.members.index if parts.members is not None else os.getpid())
+        turn = parts.members.index if parts.members is not None else os.getpid()
+        unused_cpus = pin_to_cpus(options.cpus, turn)
+        parts.unused_cpus = unused_cpus if options.cpus == DEFAULT_CPUS else set()
     if options.listen_fd >= 0:
         parts.listener = socket.socket(fileno=options.listen_fd)
     if options.standby and not wait_in_standby():
@@ -146,7 +153,16 @@
     return configs.parse(json.dumps(sample(parts.standins.entries(), listen, directory)), "sample")
 
 
-def _wait_for_signal(gateway: Gateway, options: Options, signals: queue.SimpleQueue[int]) -> int:
+def _guard_processors(parts: GatewayParts) -> StarvationGuard | None:
+    """A guard where the process keeps to one processor by default; processors that an operator chose stay."""
+    if not parts.unused_cpus:
+        return None
+    return StarvationGuard(parts.unused_cpus | os.sched_getaffinity(0))
+
+
+def _wait_for_signal(
+    gateway: Gateway, options: Options, signals: queue.SimpleQueue[int], guard: StarvationGuard | None
+) -> int:
     """The signal to end by; SIGHUP rereads the configuration. One that only finishes what is open ends by
     itself.
     """
@@ -154,6 +170,8 @@
         try:
             number = signals.get(timeout=FINISH_POLL_S if options.finish else SIGNAL_POLL_S)
         except queue.Empty:
+            if guard is not None:
+                guard.check()
             if options.finish and gateway.deferred is not None and not gateway.deferred.open_calls:
                 return signal.SIGTERM
             continue
--- a/saffronstack/daemon/processor_starvation.py
+++ b/saffronstack/daemon/processor_starvation.py
@@ -1,8 +1,8 @@
 """Finds processes whose threads are ready to run and get no processor, and lets them run on any other.
 
 A gateway keeps to one processor, which is chosen without a look at what else runs there. Where that is taken
-up for long, the gateway neither serves nor ends, though others are free. It can't see that itself: the thread
-that would look does not run either.
+up for long, the gateway neither serves nor ends, though others are free. Its own look (`starvation_guard`)
+may wait too, for the interpreter's lock that a starved thread holds.
 """
 
 from __future__ import annotations
@@ -29,16 +29,25 @@
 ThreadSamples = Mapping[int, ThreadSample]  # by thread id
 
 
+def read_thread(pid: int, thread: int) -> ThreadSample | None:
+    """Return a thread of a process; None where it has ended, or the system does not tell."""
+    task = pathlib.Path(f"/proc/{pid}/task/{thread}")
+    try:
+        state = (task / "stat").read_text().rpartition(")")[2].split()[0]
+        run_ns = int((task / "schedstat").read_text().split()[0])
+    except (OSError, ValueError, IndexError):
+        return None
+    return ThreadSample(state == _RUNNABLE, run_ns)
+
+
 def read_threads(pid: int) -> dict[int, ThreadSample]:
     """Return the threads of a process; none where it has ended, or the system does not tell."""
-    samples: dict[int, ThreadSample] = {}
-    with contextlib.suppress(OSError):
-        for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
-            with contextlib.suppress(OSError, ValueError, IndexError):  # the thread has ended
-                state = (task / "stat").read_text().rpartition(")")[2].split()[0]
-                run_ns = int((task / "schedstat").read_text().split()[0])
-                samples[int(task.name)] = ThreadSample(state == _RUNNABLE, run_ns)
-    return samples
+    try:
+        threads = [int(name) for name in os.listdir(f"/proc/{pid}/task")]
+    except OSError:
+        return {}
+    samples = {thread: read_thread(pid, thread) for thread in threads}
+    return {thread: sample for thread, sample in samples.items() if sample is not None}
 
 
 def is_starved(before: ThreadSamples, after: ThreadSamples) -> bool:
