--- a/saffronstack/harness/scenario/runner.py
+++ b/saffronstack/harness/scenario/runner.py
@@ -8,13 +8,14 @@
 import re
 import tempfile
 import time
+from dataclasses import dataclass
 from typing import Any
 
 import click
 import msgspec
 
 from saffronstack.audit.rules import judge
-from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic, Try
+from saffronstack.audit.traffic import Figures, FunctionRule, Seen, Traffic
 from saffronstack.config import ConfigError
 from saffronstack.harness.scenario import plan as plans
 from saffronstack.harness.scenario.clients import Clients
@@ -30,6 +31,9 @@
 from saffronstack.standin.fleet import sample
 
 ANSWER_MARGIN_S = 0.3  # the machine runs gateways, workers and clients at once
+TENANTS = ("corner-books", "campus-app")
+TROUBLES_END_S = 60.0
+CLIENTS_END_S = 30.0
 FINALS_S = 40.0  # how long deferred calls may take to end after the last was sent
 _NAMED = re.compile(rb"\r\namz-sdk-invocation-id: ([^\r]+)\r\n", re.I)
 _ATTEMPT = re.compile(rb"\r\namz-sdk-request: attempt=(\d+);", re.I)
@@ -57,6 +61,27 @@
         return 2
 
 
+@dataclass(frozen=True, slots=True)
+class _PlayedDay:
+    """What is left of a day that was played.
+
+    Attributes:
+        clients: They have ended.
+        director: It has ended.
+        finals: The conditions of deferred calls' final records.
+        lost: Tries whose answers were lost behind gateways: operation and attempt.
+        untaken: Tries that no gateway was there to take.
+        problems: Of the day itself.
+    """
+
+    clients: Clients
+    director: Director
+    finals: dict[str, list[str]]
+    lost: set[tuple[str, int]]
+    untaken: set[tuple[str, int]]
+    problems: list[str]
+
+
 class _Day:
     def __init__(self, plan: Plan, seed: int, directory: pathlib.Path) -> None:
         self.plan = plan
@@ -97,8 +122,25 @@
         }
 
     def play(self) -> int:
-        """Everything, from the first process to the verdict."""
-        plan, workers = self.plan, self.plan.workers
+        """Play it, print the report, and return the exit status."""
+        host = StandInHost(self._host_settings())
+        try:
+            played = self._play(host)
+        finally:
+            for gateway in self.gateways:
+                if gateway.process is not None and gateway.process.poll() is None:
+                    gateway.kill()
+            host.end()
+        problems = played.problems + self._unbalanced()
+        traffic = self._traffic(host, played)
+        breaches = judge(traffic, self._figures(host))
+        title = f"{self.plan.name}, seed {self.seed}, membership by {self.plan.membership}"
+        dropped = played.clients.dropped
+        print_report(Report(title, self.plan, traffic, breaches, problems, dropped, self._memory_mb_s))
+        return 1 if breaches or problems else 0
+
+    def _host_settings(self) -> dict[str, Any]:
+        workers, rules = self.plan.workers, self.plan.rules
         profile = {
             "memory_mb": workers.memory_mb,
             "cores": workers.cores,
@@ -106,65 +148,65 @@
             "load_s": workers.load_s,
             "queue": workers.queue,
             "keep_alive_s": workers.keep_alive_s,
-            "cold_share": plan.rules.cold_share,
-            "cold_s": plan.rules.cold_s,
+            "cold_share": rules.cold_share,
+            "cold_s": rules.cold_s,
         }
-        host = StandInHost(
-            {"count": workers.count, "log": str(self.log), "seed": self.seed, "profiles": [profile]}
+        return {"count": workers.count, "log": str(self.log), "seed": self.seed, "profiles": [profile]}
+
+    def _figures(self, host: StandInHost) -> Figures:
+        workers, rules = self.plan.workers, self.plan.rules
+        return Figures(
+            drain_grace_s=rules.drain_grace_s,
+            tip_multiple=rules.tip_multiple,
+            tip_after_s=rules.tip_after_s,
+            cold_share=rules.cold_share,
+            cold_s=rules.cold_s,
+            capacity_rps={worker["id"]: workers.cores / workers.work_s for worker in host.workers},
+            gateways=self.plan.gateways,
         )
-        try:
-            for gateway in self.gateways:
-                gateway.write(self.content(gateway, host.workers))
-                gateway.write_roster(host.workers)
-                gateway.start()
-            director = Director(plan, self.gateways, host, self.content, self.seed)
-            lost: set[tuple[str, int]] = set()
-            untaken: set[tuple[str, int]] = set()
-            relays = self._relays(director, lost, untaken)
-            clients = Clients(
-                [relay.address for relay in relays],
-                plan.traffic,
-                self.seed,
-                lambda at: plan.traffic.rate * director.rate_factor,
-                director.name_of,
-                ("corner-books", "campus-app"),
-            )
-            director.begin(time.monotonic())
-            clients.play(plan.seconds)
-            director.end(60.0)
-            problems = director.problems
-            if not clients.end(30.0):
-                problems.append("clients did not end")
-            for relay in relays:
-                relay.close()
-            addresses = {gateway.number: gateway.address for gateway in self.gateways}
-            finals = read_final_records(clients.tries, addresses, FINALS_S)
-            for gateway in self.gateways:
-                status = gateway.ask_to_end()
-                if status != 0:
-                    problems.append(f"gateway {gateway.number} ended with status {status} when asked to")
-        finally:
-            for gateway in self.gateways:
-                if gateway.process is not None and gateway.process.poll() is None:
-                    gateway.kill()
-            host.end()
-        problems += self._unbalanced()
-        traffic = self._traffic(host, director, clients.tries, finals)
-        traffic.lost |= lost
-        traffic.untaken |= untaken
-        figures = Figures(
-            drain_grace_s=plan.rules.drain_grace_s,
-            tip_multiple=plan.rules.tip_multiple,
-            tip_after_s=plan.rules.tip_after_s,
-            cold_share=plan.rules.cold_share,
-            cold_s=plan.rules.cold_s,
-            capacity_rps={w["id"]: workers.cores / workers.work_s for w in host.workers},
-            gateways=plan.gateways,
+
+    def _play(self, host: StandInHost) -> _PlayedDay:
+        """Play it from the first process to the end of the last gateway."""
+        plan = self.plan
+        self._start_gateways(host)
+        director = Director(plan, self.gateways, host, self.content, self.seed)
+        lost: set[tuple[str, int]] = set()
+        untaken: set[tuple[str, int]] = set()
+        relays = self._relays(director, lost, untaken)
+        clients = Clients(
+            [relay.address for relay in relays],
+            plan.traffic,
+            self.seed,
+            lambda at: plan.traffic.rate * director.rate_factor,
+            director.name_of,
+            TENANTS,
         )
-        breaches = judge(traffic, figures)
-        title = f"{plan.name}, seed {self.seed}, membership by {plan.membership}"
-        print_report(Report(title, plan, traffic, breaches, problems, clients.dropped, self._memory_mb_s))
-        return 1 if breaches or problems else 0
+        director.begin(time.monotonic())
+        clients.play(plan.seconds)
+        director.end(TROUBLES_END_S)
+        problems = director.problems
+        if not clients.end(CLIENTS_END_S):
+            problems.append("clients did not end")
+        for relay in relays:
+            relay.close()
+        addresses = {gateway.number: gateway.address for gateway in self.gateways}
+        finals = read_final_records(clients.tries, addresses, FINALS_S)
+        problems += self._end_gateways()
+        return _PlayedDay(clients, director, finals, lost, untaken, problems)
+
+    def _start_gateways(self, host: StandInHost) -> None:
+        for gateway in self.gateways:
+            gateway.write(self.content(gateway, host.workers))
+            gateway.write_roster(host.workers)
+            gateway.start()
+
+    def _end_gateways(self) -> list[str]:
+        """Ask all to end; return what went wrong."""
+        statuses = {gateway.number: gateway.ask_to_end() for gateway in self.gateways}
+        return [
+            f"gateway {number} ended with status {status} when asked to"
+            for number, status in statuses.items() if status != 0
+        ]  # fmt: skip
 
     def _relays(
         self, director: Director, lost: set[tuple[str, int]], untaken: set[tuple[str, int]]
@@ -203,9 +245,8 @@
         self._memory_mb_s = sum(amount for _, amounts in whole.sums() for amount in amounts[:2]) / MB_S
         return problems + [f"usage out of balance: {line}" for line in whole.unbalanced()]
 
-    def _traffic(
-        self, host: StandInHost, director: Director, tries: list[Try], finals: dict[str, list[str]]
-    ) -> Traffic:
+    def _traffic(self, host: StandInHost, played: _PlayedDay) -> Traffic:
+        """All that was seen."""
         lines = self.log.read_bytes().splitlines()
         seen = [msgspec.json.decode(line, type=Seen) for line in lines]
         seen.sort(key=lambda entry: entry.t)
@@ -217,6 +258,9 @@
             "adjust-setting": FunctionRule("keyed", "all", 10.0, noted=True),
         }
         zones = {w["id"]: (w["zone"], w["cell"]) for w in host.workers}
-        traffic = Traffic(functions, zones, tries, seen, director.told, director.stopped)
-        traffic.finals.update(finals)
+        told, stopped = played.director.told, played.director.stopped
+        traffic = Traffic(functions, zones, played.clients.tries, seen, told, stopped)
+        traffic.finals.update(played.finals)
+        traffic.lost |= played.lost
+        traffic.untaken |= played.untaken
         return traffic
