Soak: clients read what the gateway wrote to the end before they are judged

An answer that waits in its socket is an answer.

Change: the clients read each connection to its end, for 5 s at most.

--- a/saffronstack/harness/soak/clients.py
+++ b/saffronstack/harness/soak/clients.py
@@ -15,6 +15,7 @@
 from saffronstack.runtime.threads import start_thread
 
 POLL_S = 0.005
+READ_TO_END_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
 PIPELINE_DEPTH = 4
 OPEN_LOOP_INTERVAL_S = (0.02, 0.12)
@@ -151,7 +152,7 @@
         self._terminated.set()
 
     def stop(self) -> list[SentRequest]:
-        """End all connections; the requests that were written."""
+        """Once the gateway has gone, read what it wrote to the end; the requests that were written."""
         self._stopping.set()
         self._thread.join()
         return [request for sent in self._requests for request in sent]
@@ -177,10 +178,18 @@
                         connection.send_due(now)
                     except (BrokenPipeError, ConnectionError):
                         self._end(connection, now)
+        self._read_to_end()
         for connection in self._connections:
             connection.sock.close()
         self._selector.close()
 
+    def _read_to_end(self) -> None:
+        """Read until each connection has ended: an answer may wait unread where this thread was late."""
+        deadline_s = time.monotonic() + READ_TO_END_S
+        while self._connections and time.monotonic() < deadline_s:
+            for key, _ in self._selector.select(POLL_S):
+                self._on_readable(key.data)
+
     def _on_readable(self, connection: ClientConnection) -> None:
         now = time.monotonic()
         try:
