serve: a process keeps to its processor only once it serves

Change: the processors are chosen and checked as before, and the threads are kept to them after the start. tests/daemon and tests/test_cli: 48 passed.

--- a/saffronstack/cli/cpu_affinity.py
+++ b/saffronstack/cli/cpu_affinity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 
 DEFAULT_CPUS = "one"
@@ -31,15 +32,28 @@
     return chosen
 
 
-def pin_to_cpus(selection: str, turn: int) -> set[int]:
-    """Run this process on the selected processors, where the system can do that; see `choose_cpus`.
+def choose_allowed_cpus(selection: str, turn: int) -> set[int]:
+    """Return the processors to run on, of those that this process may use; see `choose_cpus`.
+
+    None where the system has no such choice.
+    """
+    if not hasattr(os, "sched_getaffinity"):
+        return set()
+    return choose_cpus(selection, set(os.sched_getaffinity(0)), turn)
+
+
+def pin_threads(cpus: set[int]) -> set[int]:
+    """Keep all threads of this process, and those that they start, to some processors.
+
+    Called once the process serves: a start on a processor that something else takes up could last for long.
 
     Returns:
-        The processors that it was allowed before and gave up; none where it runs on all of them.
+        The processors that it may use beside these.
     """
-    if not hasattr(os, "sched_setaffinity"):
+    if not cpus:
         return set()
-    allowed = set(os.sched_getaffinity(0))
-    chosen = choose_cpus(selection, allowed, turn)
-    os.sched_setaffinity(0, chosen)
-    return allowed - chosen
+    others = set(os.sched_getaffinity(0)) - cpus
+    for thread in os.listdir("/proc/self/task"):
+        with contextlib.suppress(OSError):  # it has ended
+            os.sched_setaffinity(int(thread), cpus)
+    return others
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -15,7 +15,7 @@
 import structlog
 
 from saffronstack import config as configs
-from saffronstack.cli.cpu_affinity import DEFAULT_CPUS, pin_to_cpus
+from saffronstack.cli.cpu_affinity import DEFAULT_CPUS, choose_allowed_cpus, pin_threads
 from saffronstack.cli.fleet_services import FleetServices
 from saffronstack.cli.ledger_ownership import LedgerOwnership, own_ledger
 from saffronstack.cli.logs import set_up_logs
@@ -50,7 +50,7 @@
     fleet: FleetServices | None = None
     members: ProcessGroup | None = None
     listener: socket.socket | None = None
-    unused_cpus: set[int] = field(default_factory=set)  # that it may use and does not by default
+    cpus: set[int] = field(default_factory=set)  # to keep to once it serves; none for no choice
 
     def stop(self, is_clean: bool) -> bool:
         """Stop them after the gateway.
@@ -81,6 +81,7 @@
         if gateway is None:
             return 0
         host, port = gateway.start()
+        unused_cpus = pin_threads(parts.cpus)
     except (configs.ConfigError, JournalError, OSError, ValueError) as error:
         click.echo(f"saffronstack serve: {error}", err=True)
         parts.stop(is_clean=False)
@@ -92,7 +93,7 @@
         start_thread("heartbeats", lambda: send_heartbeats(gateway, stopping))
     if parts.ownership is not None:
         start_thread("ledger-ownership", parts.ownership.watch)
-    guard = _guard_processors(parts)
+    guard = _guard_processors(options, unused_cpus)
     number = _wait_for_signal(gateway, options, signals, guard)
     log.info("stopping", signal=signal.Signals(number).name)
     stopping.set()
@@ -120,8 +121,7 @@
         config, parts.members = member_config(whole, options.member)
         # With stand-ins in the same process there would be more to run.
         turn = parts.members.index if parts.members is not None else os.getpid()
-        unused_cpus = pin_to_cpus(options.cpus, turn)
-        parts.unused_cpus = unused_cpus if options.cpus == DEFAULT_CPUS else set()
+        parts.cpus = choose_allowed_cpus(options.cpus, turn)
     if options.listen_fd >= 0:
         parts.listener = socket.socket(fileno=options.listen_fd)
     if options.standby and not wait_in_standby():
@@ -153,11 +153,11 @@
     return configs.parse(json.dumps(sample(parts.standins.entries(), listen, directory)), "sample")
 
 
-def _guard_processors(parts: GatewayParts) -> StarvationGuard | None:
+def _guard_processors(options: Options, unused_cpus: set[int]) -> StarvationGuard | None:
     """A guard where the process keeps to one processor by default; processors that an operator chose stay."""
-    if not parts.unused_cpus:
+    if options.cpus != DEFAULT_CPUS or not unused_cpus:
         return None
-    return StarvationGuard(parts.unused_cpus | os.sched_getaffinity(0))
+    return StarvationGuard(unused_cpus | os.sched_getaffinity(0))
 
 
 def _wait_for_signal(
