--- a/saffronstack/harness/soak/restart_play.py
+++ b/saffronstack/harness/soak/restart_play.py
@@ -7,6 +7,7 @@
 
 import pathlib
 import random
+import threading
 import time
 from collections import Counter
 from dataclasses import dataclass
@@ -35,6 +36,9 @@
 )  # fmt: skip
 WORK_S = 0.2  # so that calls are open at any moment
 AFTER_RESTART_S = 0.5
+MIN_ACCEPTED = 10  # deferred calls before the end, so that some are open then
+MAX_LOAD_S = 60.0
+POLL_S = 0.02
 CLIENTS_END_S = 20.0
 FINAL_RECORDS_S = 20.0
 JUDGE_SLACK_S = 0.5
@@ -47,7 +51,7 @@
     Attributes:
         seed: It was drawn from.
         is_killed: Whether the first process is killed, or asked to end.
-        before_s: Of load before that.
+        before_s: Of load before that, at least.
     """
 
     seed: int
@@ -106,8 +110,9 @@
         clients = Clients(
             [gateway.address], MIX, schedule.seed, lambda at: MIX.rate, lambda name: name, TENANTS
         )  # fmt: skip
-        load = start_thread("load", lambda: clients.play(schedule.before_s + AFTER_RESTART_S))
-        time.sleep(schedule.before_s)
+        is_over = threading.Event()
+        load = start_thread("load", lambda: clients.play(MAX_LOAD_S, is_over))
+        _wait_for_load(clients, schedule.before_s)
         ended_s, problems = time.monotonic(), []
         if schedule.is_killed:
             gateway.kill()
@@ -115,6 +120,8 @@
             problems.append(f"the first process ended with status {status}")
         gateway.start(self._program)
         stop = Stopped(0, ended_s, schedule.is_killed, time.monotonic())
+        time.sleep(AFTER_RESTART_S)
+        is_over.set()
         load.join(CLIENTS_END_S)
         if not clients.end(CLIENTS_END_S):
             problems.append("clients did not end")
@@ -135,3 +142,13 @@
         return RestartVerdict(
             tuple(breaches + problems), Counter(one.end for one in clients.tries), conditions
         )
+
+
+def _wait_for_load(clients: Clients, before_s: float) -> None:
+    """Wait for a time, and for as many accepted calls as are wanted, which take longer on a busy machine."""
+    started_s = time.monotonic()
+    while time.monotonic() < started_s + MAX_LOAD_S:
+        accepted = sum(one.end == "accepted" for one in list(clients.tries))
+        if accepted >= MIN_ACCEPTED and time.monotonic() >= started_s + before_s:
+            return
+        time.sleep(POLL_S)
