serve: the look at the own processor does not wait for its probe to start

Found by reading: on a processor that is taken up already when the gateway begins to serve, the probe does not start, and the main thread waited for it without a bound, so that the gateway would neither look nor handle signals. A probe that has not run counts as starved now. The new test (a probe that never starts) would not have ended before. Two waits in a test have bounds.

--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -46,13 +46,16 @@
         """
         self._read = read
         self._stopping = threading.Event()
-        self._has_started = threading.Event()
-        self._probe_thread = 0
+        self._probe_thread = 0  # its id in the system; 0 until it has run
         self._monitor = StarvationMonitor(clock, self._read_probe, release)
         start_thread("processor-probe", self._probe)
-        self._has_started.wait()
         os.sched_setaffinity(0, allowed)
 
+    @property
+    def has_started(self) -> bool:
+        """Whether the probe has run at all."""
+        return self._probe_thread != 0
+
     def check(self) -> None:
         """Let the whole process run anywhere if the probe has been ready to run and did not since a while."""
         for _ in self._monitor.check([os.getpid()]):
@@ -64,10 +67,11 @@
 
     def _probe(self) -> None:
         self._probe_thread = threading.get_native_id()
-        self._has_started.set()
         while not self._stopping.wait(PROBE_INTERVAL_S):
             continue
 
     def _read_probe(self, pid: int) -> Mapping[int, ThreadSample]:
+        if not self.has_started:
+            return {0: ThreadSample(is_runnable=True, run_ns=0)}  # it is to start, and got no time for that
         sample = self._read(pid, self._probe_thread)
         return {} if sample is None else {self._probe_thread: sample}
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from saffronstack.cli import starvation_guard
 from saffronstack.cli.starvation_guard import StarvationGuard
 from saffronstack.daemon.processor_starvation import SAMPLE_INTERVAL_S, ThreadSample, read_threads
 from saffronstack.standin.fleet import StandInFleet, sample
@@ -36,6 +37,7 @@
     guard = StarvationGuard(
         os.sched_getaffinity(0), lambda: now_s, lambda pid, thread: ThreadSample(is_runnable, 7), release
     )
+    eventually(lambda: guard.has_started)
     for _ in range(LOOKS):
         now_s += SAMPLE_INTERVAL_S
         guard.check()
@@ -43,6 +45,22 @@
     assert found == released
 
 
+def test_a_probe_that_does_not_even_start_counts_as_starved(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nor does the gateway wait for it: the processor may be taken up already when it begins to serve."""
+    monkeypatch.setattr(starvation_guard, "start_thread", lambda name, run: None)
+    now_s, found = 100.0, []
+
+    def release(pid: int) -> bool:
+        found.append(pid)
+        return True
+
+    guard = StarvationGuard(os.sched_getaffinity(0), lambda: now_s, release=release)
+    for _ in range(2):
+        now_s += SAMPLE_INTERVAL_S
+        guard.check()
+    assert found == [os.getpid()]
+
+
 @pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
 @pytest.mark.parametrize(("cpus", "main_runs_anywhere"), [((), True), (("--cpus", "0"), False)])
 def test_a_gateway_keeps_to_one_processor_but_for_the_thread_that_looks(
--- a/tests/fleet/control/test_gateway_process.py
+++ b/tests/fleet/control/test_gateway_process.py
@@ -40,7 +40,7 @@
         has_signalled.wait(0.2)  # without a lock it comes in this time
 
     def kill() -> None:
-        is_closed.wait()
+        assert is_closed.wait(10.0)
         process.send_signal(signal.SIGKILL)
         has_signalled.set()
 
@@ -50,7 +50,7 @@
         killer = threading.Thread(target=kill)
         killer.start()
         process.close()
-        killer.join()
+        killer.join(10.0)
     close(descriptor)
     close(other_descriptor)
     for child in (ended, other):
