gateway: what a configuration asks for is built in gateway_components

No behaviour changes: the same parts are opened in the same order, and the watcher of files exists only where workers come from files.

--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -9,41 +9,34 @@
 
 import structlog
 
-from saffronstack.config.build import Functions, PlaceNumbers, budgets_of, settings_of, specs_of, workers_of
+from saffronstack.config.build import Functions, PlaceNumbers, settings_of, specs_of, workers_of
 from saffronstack.config.schema import Config, Worker
 from saffronstack.daemon.process_group import ProcessGroup
 from saffronstack.deferred.deferred_calls import DeferredCalls
 from saffronstack.deferred.ledger import Ledger, open_ledger, read_named_operations
-from saffronstack.discovery.files.change_guards import GuardSettings
 from saffronstack.discovery.files.file_watcher import FileWatcher
-from saffronstack.discovery.files.flap_detection import FlapSettings
 from saffronstack.discovery.files.merging import WorkerChanges
-from saffronstack.discovery.files.service import FileDiscovery, FileDiscoveryOptions
-from saffronstack.discovery.files.state_directory import StateDirectory
 from saffronstack.durable.file_operations import FileOperations
 from saffronstack.engine.decision_recorder import DecisionRecorder
 from saffronstack.engine.engine import Engine
 from saffronstack.engine.identifiers import worker_number
-from saffronstack.engine.worker_registry import WorkerSpec
-from saffronstack.http1.messages import Limits
+from saffronstack.gateway_components import (
+    Clocks,
+    front_limits,
+    make_file_discovery,
+    open_metering,
+    open_operations,
+    pool_limits,
+)
 from saffronstack.invoke.app import Access, App
 from saffronstack.invoke.pages import Pages
 from saffronstack.invoke.routing import Router
-from saffronstack.invoke.server import FrontLimits, Server
-from saffronstack.metering.budgets import BudgetEnforcer
-from saffronstack.metering.meter import Meter
-from saffronstack.metering.metered_workers import MeterClock
-from saffronstack.metering.usage_log import open_usage_log
-from saffronstack.operations.operation_log import open_operation_log
-from saffronstack.operations.operation_service import OperationLimits, OperationService
-from saffronstack.operations.operation_table import OperationTable
-from saffronstack.operations.response_store import ResponseStore
+from saffronstack.invoke.server import Server
 from saffronstack.operations.slot_handover import OperationHandover
 from saffronstack.operations.slot_locks import RecordLocation
 from saffronstack.operations.slot_manager import SlotManager, SlotMember
 from saffronstack.upstream.http.dispatcher import HttpDispatcher
 from saffronstack.upstream.http.jobs import UsageJob
-from saffronstack.upstream.http.worker_context import HttpPoolLimits
 
 log = structlog.get_logger("saffronstack.gateway")
 REREAD = ("keys", "workers")  # what a reread may change; the rest needs a restart
@@ -84,9 +77,11 @@
             log=structlog.get_logger("saffronstack.engine"),
         )
         self._numbers = PlaceNumbers(config)
-        self.limits: BudgetEnforcer | None = None
-        self.meter = self._open_meter(files)
-        self.fleet = self._make_fleet()
+        clocks = Clocks(clock, wall)
+        metering = open_metering(config, clocks, self._ask_usage, files)
+        self.meter = metering.meter if metering is not None else None
+        self.limits = metering.budgets if metering is not None else None
+        self.fleet = HttpDispatcher(pool_limits(config), self.engine.notify, clock, self.meter)
         self.functions = Functions(config)
         self.ledger: Ledger | None = None
         self.deferred: DeferredCalls | None = None
@@ -97,52 +92,22 @@
             self.deferred = DeferredCalls(
                 config, self.ledger, self.engine, self.functions, clock, wall, self.limits, owns_ledger
             )
-        self.operations = self._open_operations(files)
+        self.operations = open_operations(config, clocks, files)
         self.members = members or ProcessGroup(0, 1, "", clock)
         self.slots = self._share_operations()
         self.pages = Pages(self)
         self.app = self._make_app()
-        front = self._front_limits()
+        front = front_limits(config)
         host, _, port = config.listen.rpartition(":")
         self.server = Server(host, int(port), self.app, front, clock, self.members.count > 1, listener)
         self.peers: Server | None = None  # where the other processes ask this one
         if self.members.count > 1 and self.members.directory:
             self.peers = Server("127.0.0.1", 0, self.app, front, clock)
         self.draining = False
-        self.roster = self._open_roster()
-
-    def _open_meter(self, files: FileOperations | None) -> Meter | None:
-        """What usage is counted by, and with it the budgets' limits; None where nothing is metered."""
-        config = self.config.metering
-        if config is None:
-            return None
-        budgets = budgets_of(self.config)
-        lengths = {tenant: budget.window_s for tenant, budget in budgets.items()}
-        journal = open_usage_log(config.directory, config.segment_bytes, files, lengths)
-        offset_s = self._wall() - self._clock()
-        windows = journal.state.windows
-        if windows is not None:
-            windows.begin(self._clock() + offset_s)
-            instances, keep_s = self.config.instances, self.config.keep_alive_s
-            self.limits = BudgetEnforcer(budgets, windows, instances, keep_s, offset_s)
-        return Meter(
-            journal,
-            self._ask_usage,
-            MeterClock(self._clock, self._wall, offset_s),
-            self._memory_kib,
-            config.ask_every_s,
-            self.limits,
-        )
-
-    def _make_fleet(self) -> HttpDispatcher:
-        limits = HttpPoolLimits(
-            self.config.limits.worker_connections,
-            self.config.allow.connect_timeout_s,
-            self.config.limits.worker_idle_s,
-            self.config.order_timeout_s,
-            Limits(body=self.config.limits.response_bytes),
-        )
-        return HttpDispatcher(limits, self.engine.notify, self._clock, self.meter)
+        self.roster = make_file_discovery(config, clocks, self._workers_changed)
+        self._watcher: FileWatcher | None = None
+        if self.roster is not None and config.roster is not None:
+            self._watcher = FileWatcher(pathlib.Path(config.roster.path), self.roster.wake)
 
     def _make_app(self) -> App:
         return App(
@@ -160,63 +125,6 @@
             Router(self.slots, self._clock) if self.slots is not None else None,
         )
 
-    def _front_limits(self) -> FrontLimits:
-        limits = self.config.limits
-        messages = Limits(
-            limits.line_bytes,
-            limits.head_bytes,
-            limits.header_fields,
-            max(limits.payload_bytes, limits.event_payload_bytes),
-        )
-        return FrontLimits(
-            messages,
-            limits.connections,
-            limits.head_timeout_s,
-            limits.body_timeout_s,
-            limits.write_timeout_s,
-            limits.idle_timeout_s,
-        )
-
-    def _open_operations(self, files: FileOperations | None) -> OperationService | None:
-        config = self.config.operations
-        if config is None:
-            return None
-        operation_log = response_store = None
-        if config.directory is not None:
-            operation_log = open_operation_log(config.directory, config.segment_bytes, files)
-            response_store = ResponseStore(config.directory, config.spool_bytes, files)
-        return OperationService(
-            OperationTable(config.memory_bytes * 3 // 4),
-            self._clock,
-            self._wall,
-            operation_log,
-            response_store,
-            OperationLimits(config.answer_bytes, config.memory_bytes // 4, config.commit_timeout_s),
-        )
-
-    def _open_roster(self) -> FileDiscovery | None:
-        config = self.config.roster
-        if config is None:
-            return None
-        guards = GuardSettings(
-            allow_empty=config.allow_empty,
-            max_removed_fraction=config.removed_share,
-            always_removable=config.removed_free,
-            allow_older=config.allow_older,
-            flapping=FlapSettings(config.flaps, config.flap_span_s, config.flap_quiet_s),
-        )
-        kinds = tuple(kind.name for kind in self.config.kinds)
-        service = FileDiscovery(
-            FileDiscoveryOptions(pathlib.Path(config.path), kinds, guards, config.poll_s),
-            StateDirectory(pathlib.Path(config.state_directory)),
-            self.config.workers,
-            self._workers_changed,
-            self._clock,
-            self._wall,
-        )
-        self._watcher = FileWatcher(pathlib.Path(config.path), service.wake)
-        return service
-
     def _workers_changed(self, changes: WorkerChanges, workers: dict[str, Worker]) -> None:
         """On discovery's thread: pools first, so that nothing leaves for a worker that drains or is gone."""
         specs = specs_of(changes.updated, self.config, self._numbers)
@@ -253,9 +161,6 @@
     def _ask_usage(self, worker: int, body: bytes, done: Callable[[bytes | None], None]) -> None:
         self.fleet.poll_usage(worker, UsageJob(body, done))
 
-    def _memory_kib(self, worker: WorkerSpec) -> int:
-        return int(self.config.kinds[worker.kind].memory_mb * 1024)
-
     def start(self) -> tuple[str, int]:
         """Start it; the address on which calls are taken from now on."""
         specs = workers_of(self.config, self._numbers)
@@ -268,7 +173,7 @@
             self.meter.start()
         self.engine.replace_workers(specs, self._wall())
         self.engine.start(self.fleet)
-        if self.roster is not None:
+        if self._watcher is not None:
             self._watcher.start()
         if self.operations is not None:
             names = list(self.ledger.state.operations.values()) if self.ledger is not None else []
@@ -318,8 +223,9 @@
             clean = self.peers.drain(2.0) and clean
         if self.deferred is not None:
             clean = self.deferred.stop(longest_s + 1.0) and clean
-        if self.roster is not None:
+        if self._watcher is not None:
             self._watcher.stop()
+        if self.roster is not None:
             clean = self.roster.stop() and clean
         clean = self.engine.stop() and clean
         if self.operations is not None:
--- /dev/null
+++ b/saffronstack/gateway_components.py
@@ -0,0 +1,168 @@
+"""Builds the components of a gateway that its configuration asks for: bounds, pools, logs and discovery."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from saffronstack.config.build import budgets_of
+from saffronstack.config.schema import Config, Worker
+from saffronstack.discovery.files.change_guards import GuardSettings
+from saffronstack.discovery.files.flap_detection import FlapSettings
+from saffronstack.discovery.files.merging import WorkerChanges
+from saffronstack.discovery.files.service import FileDiscovery, FileDiscoveryOptions
+from saffronstack.discovery.files.state_directory import StateDirectory
+from saffronstack.durable.file_operations import FileOperations
+from saffronstack.engine.worker_registry import WorkerSpec
+from saffronstack.http1.messages import Limits
+from saffronstack.invoke.server import FrontLimits
+from saffronstack.metering.budgets import BudgetEnforcer
+from saffronstack.metering.meter import Meter
+from saffronstack.metering.metered_workers import MeterClock
+from saffronstack.metering.usage_log import open_usage_log
+from saffronstack.metering.usage_poller import WorkerPoller
+from saffronstack.operations.operation_log import open_operation_log
+from saffronstack.operations.operation_service import OperationLimits, OperationService
+from saffronstack.operations.operation_table import OperationTable
+from saffronstack.operations.response_store import ResponseStore
+from saffronstack.upstream.http.worker_context import HttpPoolLimits
+
+KIB_PER_MIB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Clocks:
+    """Where a gateway's time comes from: monotonic seconds, and seconds of the Unix epoch."""
+
+    monotonic: Callable[[], float]
+    wall: Callable[[], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Metering:
+    """What counts usage, and what holds tenants to their budgets."""
+
+    meter: Meter
+    budgets: BudgetEnforcer | None
+
+
+def front_limits(config: Config) -> FrontLimits:
+    """Return the bounds of the HTTP front."""
+    limits = config.limits
+    messages = Limits(
+        limits.line_bytes,
+        limits.head_bytes,
+        limits.header_fields,
+        max(limits.payload_bytes, limits.event_payload_bytes),
+    )
+    return FrontLimits(
+        messages,
+        limits.connections,
+        limits.head_timeout_s,
+        limits.body_timeout_s,
+        limits.write_timeout_s,
+        limits.idle_timeout_s,
+    )
+
+
+def pool_limits(config: Config) -> HttpPoolLimits:
+    """Return the bounds of the connections to workers."""
+    return HttpPoolLimits(
+        config.limits.worker_connections,
+        config.allow.connect_timeout_s,
+        config.limits.worker_idle_s,
+        config.order_timeout_s,
+        Limits(body=config.limits.response_bytes),
+    )
+
+
+def open_metering(
+    config: Config, clocks: Clocks, poll_usage: WorkerPoller, files: FileOperations | None
+) -> Metering | None:
+    """Open the usage log.
+
+    Args:
+        config: The gateway's configuration.
+        clocks: Where time comes from.
+        poll_usage: Asks a worker for its usage records.
+        files: The file layer; tests replace it.
+
+    Returns:
+        None where nothing is metered.
+
+    Raises:
+        JournalError: The log can't be locked or read.
+    """
+    metering = config.metering
+    if metering is None:
+        return None
+    budgets = budgets_of(config)
+    window_lengths_s = {tenant: budget.window_s for tenant, budget in budgets.items()}
+    journal = open_usage_log(metering.directory, metering.segment_bytes, files, window_lengths_s)
+    offset_s = clocks.wall() - clocks.monotonic()
+    windows = journal.state.windows
+    enforcer = None
+    if windows is not None:
+        windows.begin(clocks.monotonic() + offset_s)
+        enforcer = BudgetEnforcer(budgets, windows, config.instances, config.keep_alive_s, offset_s)
+
+    def memory_kib(worker: WorkerSpec) -> int:
+        return int(config.kinds[worker.kind].memory_mb * KIB_PER_MIB)
+
+    clock = MeterClock(clocks.monotonic, clocks.wall, offset_s)
+    meter = Meter(journal, poll_usage, clock, memory_kib, metering.ask_every_s, enforcer)
+    return Metering(meter, enforcer)
+
+
+def open_operations(config: Config, clocks: Clocks, files: FileOperations | None) -> OperationService | None:
+    """Open the log and the responses of idempotent requests, where they are to outlive the process.
+
+    Returns:
+        None where requests are not recognised as retries.
+
+    Raises:
+        JournalError: The log can't be locked or read.
+    """
+    operations = config.operations
+    if operations is None:
+        return None
+    operation_log = response_store = None
+    if operations.directory is not None:
+        operation_log = open_operation_log(operations.directory, operations.segment_bytes, files)
+        response_store = ResponseStore(operations.directory, operations.spool_bytes, files)
+    return OperationService(
+        OperationTable(operations.memory_bytes * 3 // 4),
+        clocks.monotonic,
+        clocks.wall,
+        operation_log,
+        response_store,
+        OperationLimits(operations.answer_bytes, operations.memory_bytes // 4, operations.commit_timeout_s),
+    )
+
+
+def make_file_discovery(
+    config: Config,
+    clocks: Clocks,
+    on_change: Callable[[WorkerChanges, dict[str, Worker]], None],
+) -> FileDiscovery | None:
+    """Return the discovery of workers from files, not started; None where the configuration lists them."""
+    roster = config.roster
+    if roster is None:
+        return None
+    guards = GuardSettings(
+        allow_empty=roster.allow_empty,
+        max_removed_fraction=roster.removed_share,
+        always_removable=roster.removed_free,
+        allow_older=roster.allow_older,
+        flapping=FlapSettings(roster.flaps, roster.flap_span_s, roster.flap_quiet_s),
+    )
+    kinds = tuple(kind.name for kind in config.kinds)
+    return FileDiscovery(
+        FileDiscoveryOptions(pathlib.Path(roster.path), kinds, guards, roster.poll_s),
+        StateDirectory(pathlib.Path(roster.state_directory)),
+        config.workers,
+        on_change,
+        clocks.monotonic,
+        clocks.wall,
+    )
