invoke: forwarding to the holder of a slot, in the field's terms; cli and config names

`invoke/routing.py` was named like the package of decisions and spoke of sends that are passed on. It is `invoke/operation_forwarding.py` now: OperationForwarder forwards a ForwardableRequest to the process that holds the slot, and its loop is two steps (look up the holder, forward) in place of one with nested handlers. The header x-saffron-until and what is forwarded stay to the byte (tests/stored_formats holds them). In `cli/usage.py`, `cli/ask.py` and `config/load.py` closures and variables say what they hold.

--- a/saffronstack/cli/ask.py
+++ b/saffronstack/cli/ask.py
@@ -16,6 +16,7 @@
 
 SECRET = "SAFFRONSTACK_SECRET"
 TIMEOUT_S = 5.0
+TITLE_FIELDS = ("function", "invocationType", "requestId", "state")  # of an operation's record
 
 
 def invoke(
@@ -97,29 +98,31 @@
 def operation(
     token: str, address: str, function: str, qualifier: str, tenant: str, key: str, as_json: bool
 ) -> int:
-    """Print what a gateway knows of an operation; 0 found, 1 not known, 2 no answer."""
-    asked = {name: value for name, value in (("function", function), ("qualifier", qualifier)) if value}
-    target = f"/operations/{quote(token, safe='')}" + (f"?{urlencode(asked)}" if asked else "")
+    """Print what a gateway knows of an operation; 0 known, 1 not known, 2 no answer."""
+    parameters = {"function": function, "qualifier": qualifier}
+    query = urlencode({name: value for name, value in parameters.items() if value})
+    target = f"/operations/{quote(token, safe='')}" + (f"?{query}" if query else "")
     client = Client(address, TIMEOUT_S, key, os.environ.get(SECRET, ""), tenant=tenant)
     try:
         answer = client.request("GET", target)
-        found = msgspec.json.decode(answer.body)
+        content = msgspec.json.decode(answer.body)
     except (OSError, HttpError, msgspec.MsgspecError) as error:
         click.echo(f"{address}: {error}", err=True)
         return 2
     finally:
         client.close()
     if answer.status != 200:
-        click.echo(f"{address}: {found.get('message', answer.status)}", err=True)
+        click.echo(f"{address}: {content.get('message', answer.status)}", err=True)
         return 1
-    for line in found:
-        if as_json:
-            click.echo(msgspec.json.encode(line).decode())
-            continue
-        click.echo(
-            f"{line['function']} {line['invocationType']}, request {line['requestId']}: {line['state']}"
-        )
-        for name, value in line.items():
-            if name not in ("function", "invocationType", "requestId", "state"):
-                click.echo(f"  {name}: {value}")
+    for record in content:
+        click.echo(msgspec.json.encode(record).decode() if as_json else _describe_operation(record))
     return 0
+
+
+def _describe_operation(record: dict[str, object]) -> str:
+    """Return the lines for a person."""
+    title = (
+        f"{record['function']} {record['invocationType']}, request {record['requestId']}: {record['state']}"
+    )
+    details = [f"  {name}: {value}" for name, value in record.items() if name not in TITLE_FIELDS]
+    return "\n".join([title, *details])
--- a/saffronstack/cli/usage.py
+++ b/saffronstack/cli/usage.py
@@ -12,11 +12,11 @@
 from saffronstack.metering.usage_log import read_usage_log
 from saffronstack.metering.usage_report import FORMATTERS, summarize_usage
 
-TRIES = 5  # a gateway that writes the log meanwhile may replace files while they are read
+MAX_ATTEMPTS = 5  # a gateway that writes the log meanwhile may replace files while they are read
 
 
 class ChangedError(Exception):
-    """FileOperations were replaced while they were read."""
+    """Files were replaced while they were read."""
 
 
 def _with_processes(directories: tuple[str, ...]) -> list[str]:
@@ -52,11 +52,15 @@
     return merged, [*lines, *merged.notes]
 
 
-def _steady(look: Callable[[], int]) -> int:
-    """Look, anew where files changed meanwhile; 2 where nothing can be read."""
-    for left in reversed(range(TRIES)):
+def _retry_on_change(read_and_print: Callable[[], int]) -> int:
+    """Read logs, again where files changed meanwhile.
+
+    Returns:
+        The exit status: that of ``read_and_print``, or 2 where nothing can be read.
+    """
+    for left in reversed(range(MAX_ATTEMPTS)):
         try:
-            return look()
+            return read_and_print()
         except (ChangedError, FileNotFoundError) as error:
             if not left:
                 click.echo(f"{error}: the files change faster than they are read", err=True)
@@ -69,7 +73,7 @@
 def show(directories: tuple[str, ...], by: tuple[str, ...], form: str, tenant: str | None = None) -> int:
     """Print sums; 0, or 2 where a log can't be read or a column is unknown."""
 
-    def look() -> int:
+    def read_and_print() -> int:
         merged, lines = _read(directories)
         text = FORMATTERS[form](summarize_usage(merged, by, tenant), by)
         click.echo(text)
@@ -77,7 +81,7 @@
             click.echo(line, err=True)
         return 0
 
-    return _steady(look)
+    return _retry_on_change(read_and_print)
 
 
 def report(directories: tuple[str, ...], output: str) -> int:
@@ -90,20 +94,20 @@
         click.echo(f"charts need matplotlib: {error}; pip install 'saffronstack[charts]'", err=True)
         return 2
 
-    def look() -> int:
+    def read_and_print() -> int:
         merged, lines = _read(directories)
         content = render_html_report(merged, lines)
         pathlib.Path(output).write_text(content)
         click.echo(f"{output}: {len(content)} bytes")
         return 0
 
-    return _steady(look)
+    return _retry_on_change(read_and_print)
 
 
 def verify(directories: tuple[str, ...]) -> int:
     """Check that shares sum up to what was held and that the logs are whole; 0, 1 with reasons, 2 unread."""
 
-    def look() -> int:
+    def read_and_print() -> int:
         damaged = []
         for directory in _with_processes(directories):
             damaged += read_usage_log(pathlib.Path(directory))[0].problems()
@@ -125,4 +129,4 @@
         )
         return 1 if problems else 0
 
-    return _steady(look)
+    return _retry_on_change(read_and_print)
--- a/saffronstack/config/load.py
+++ b/saffronstack/config/load.py
@@ -67,8 +67,8 @@
         text = str(error)
         match = _AT.search(text)
         place = match[1] if match else ""
-        plain = text[: match.start()] if match else text
-        raise ConfigError(f"{name}: {place or 'top level'}: {plain}") from error
+        reason = text[: match.start()] if match else text
+        raise ConfigError(f"{name}: {place or 'top level'}: {reason}") from error
 
 
 def _loads(text: str) -> Any:
@@ -96,7 +96,7 @@
 
 def _unknown(raw: object, kind: Any, place: str) -> list[str]:
     """A line for each key that the schema does not know, the nearest known one named."""
-    kind = _plain(kind)
+    kind = _without_annotations(kind)
     lines: list[str] = []
     if isinstance(kind, type) and issubclass(kind, msgspec.Struct) and isinstance(raw, dict):
         fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
@@ -115,11 +115,11 @@
     return lines
 
 
-def _plain(kind: Any) -> Any:
+def _without_annotations(kind: Any) -> Any:
     """The type without annotations and without None."""
     while typing.get_origin(kind) is typing.Annotated:
         kind = typing.get_args(kind)[0]
     if typing.get_origin(kind) in (typing.Union, types.UnionType):
-        rest = [part for part in typing.get_args(kind) if part is not type(None)]
-        return _plain(rest[0]) if len(rest) == 1 else kind
+        members = [member for member in typing.get_args(kind) if member is not type(None)]
+        return _without_annotations(members[0]) if len(members) == 1 else kind
     return kind
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -29,8 +29,8 @@
     pool_limits,
 )
 from saffronstack.invoke.app import Access, App
+from saffronstack.invoke.operation_forwarding import OperationForwarder
 from saffronstack.invoke.pages import Pages
-from saffronstack.invoke.routing import Router
 from saffronstack.invoke.server import Server
 from saffronstack.operations.slot_handover import OperationHandover
 from saffronstack.operations.slot_locks import RecordLocation
@@ -122,7 +122,7 @@
             self.limits,
             self.meter.journal.state if self.meter is not None else None,
             self.operations,
-            Router(self.slots, self._clock) if self.slots is not None else None,
+            OperationForwarder(self.slots, self._clock) if self.slots is not None else None,
         )
 
     def _workers_changed(self, changes: WorkerChanges, workers: dict[str, Worker]) -> None:
--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -26,8 +26,13 @@
 from saffronstack.invoke.errors import InvokeError
 from saffronstack.invoke.figures import ByClass, ending_of, ending_of_error
 from saffronstack.invoke.invocation import Invocation
+from saffronstack.invoke.operation_forwarding import (
+    DEADLINE_HEADER,
+    ForwardableRequest,
+    OperationForwarder,
+    misdirected,
+)
 from saffronstack.invoke.response import Response
-from saffronstack.invoke.routing import UNTIL, Router, Sent, misdirected
 from saffronstack.metering.account import Account
 from saffronstack.metering.budgets import BudgetEnforcer
 from saffronstack.operations.errors import (
@@ -88,12 +93,12 @@
         limits: BudgetEnforcer | None = None,
         account: Account | None = None,
         operations: OperationService | None = None,
-        router: Router | None = None,
+        forwarder: OperationForwarder | None = None,
     ) -> None:
         self.access = Access.of(config)
         self._config = config
         self._operations = operations
-        self._router = router
+        self._forwarder = forwarder
         self._caller = Caller(config, engine, deferred, clock, limits, operations)
         self._functions = functions
         self._deferred = deferred
@@ -212,7 +217,7 @@
             return self._perform(invocation, kind, client_there)
 
         policy = self._caller.policy(invocation)
-        if self._router is None or not token or not (policy.requires_slot or kind == "Event"):
+        if self._forwarder is None or not token or not (policy.requires_slot or kind == "Event"):
             return here()
         if FORWARDED_HEADER in head.headers:
             try:
@@ -220,10 +225,11 @@
             except SlotNotHeldError:
                 raise misdirected() from None
         digest = invocation.identity(kind).digest()
-        noted = policy.is_logged or kind == "Event"
-        return self._router.run(
-            Sent(head, body, digest, until_s, noted, lambda: self._caller.unknown(invocation)), here
+        is_logged = policy.is_logged or kind == "Event"
+        request = ForwardableRequest(
+            head, body, digest, until_s, is_logged, lambda: self._caller.unknown(invocation)
         )
+        return self._forwarder.execute(request, here)
 
     def _perform(self, invocation: Invocation, kind: str, client_there: Callable[[], bool]) -> Response:
         """Run a checked call in this process, and note how it ended and how long it took."""
@@ -368,7 +374,7 @@
     if FORWARDED_HEADER not in head.headers:
         return math.inf
     try:
-        return float(head.headers.get(UNTIL))
+        return float(head.headers.get(DEADLINE_HEADER))
     except ValueError:
         return math.inf
 
--- /dev/null
+++ b/saffronstack/invoke/operation_forwarding.py
@@ -0,0 +1,133 @@
+"""Forwards a request to the process that holds its operation's slot, with a bound on every wait."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from saffronstack.daemon.errors import NoAnswerError, NotSentError
+from saffronstack.daemon.http_exchange import exchange
+from saffronstack.daemon.process_group import FORWARDED_HEADER
+from saffronstack.http1 import writer
+from saffronstack.http1.messages import RequestHead
+from saffronstack.invoke import errors
+from saffronstack.invoke.errors import InvokeError
+from saffronstack.invoke.response import Response
+from saffronstack.operations.errors import SlotNotHeldError
+from saffronstack.operations.slot_assignment import slot_for
+from saffronstack.operations.slot_manager import SlotManager
+
+DEADLINE_HEADER = "x-saffron-until"  # seconds of the machine's monotonic clock, which its processes share
+RETRY_INTERVAL_S = 0.05
+FORWARDING_TIMEOUT_S = 2.0  # how long a holder is looked for, while none answers
+NOT_FORWARDED = (
+    "connection",
+    "transfer-encoding",
+    "content-length",
+    "expect",
+    FORWARDED_HEADER,
+    DEADLINE_HEADER,
+)
+RETURNED = ("content-type", "retry-after", "x-saffron-repeated")
+MISDIRECTED = 421
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardableRequest:
+    """A request as it was received, and what may be answered where the slot's holder is silent.
+
+    Attributes:
+        head: Its head.
+        body: Its body.
+        digest: Of the operation that it names.
+        deadline_s: Clock time until which it may be begun.
+        is_logged: Whether the next holder of the slot knows what became of it.
+        unknown_outcome: Makes the response where it may have been executed.
+    """
+
+    head: RequestHead
+    body: bytes
+    digest: bytes
+    deadline_s: float
+    is_logged: bool
+    unknown_outcome: Callable[[], Response]
+
+
+def misdirected() -> InvokeError:
+    """Return the error for a request that was forwarded to a process without its slot."""
+    return InvokeError(MISDIRECTED, "MisdirectedRequest", "Another process runs this operation.")
+
+
+class OperationForwarder:
+    """Finds the process that executes an operation, for a process that does not."""
+
+    def __init__(self, slots: SlotManager, clock: Callable[[], float]) -> None:
+        """``clock``: monotonic seconds."""
+        self.slots = slots
+        self._clock = clock
+        self._pause = threading.Event()
+        self.forwarded = 0
+        self.unanswered = 0  # forwarded requests to which the holder gave no answer
+
+    def execute(self, request: ForwardableRequest, execute_here: Callable[[], Response]) -> Response:
+        """Return the response of this process where it holds the slot by now, else of the one that does.
+
+        Args:
+            request: The request.
+            execute_here: Executes it in this process.
+
+        Raises:
+            InvokeError: 429, no holder could be reached: nothing was executed.
+        """
+        retry_until_s = min(self._clock() + FORWARDING_TIMEOUT_S, request.deadline_s)
+        while True:
+            try:
+                return execute_here()
+            except SlotNotHeldError:
+                pass
+            may_have_run = False
+            try:
+                response = self._forward_to_holder(request)
+            except NoAnswerError:
+                self.unanswered += 1
+                may_have_run = not request.is_logged
+            else:
+                if response is not None:
+                    return response
+            now = self._clock()
+            if may_have_run or now >= request.deadline_s:
+                return request.unknown_outcome()
+            if now >= retry_until_s:
+                raise errors.too_many("The process that runs this operation does not answer now.", 1.0)
+            self._pause.wait(RETRY_INTERVAL_S)
+
+    def _forward_to_holder(self, request: ForwardableRequest) -> Response | None:
+        """Return the holder's response; None where there is no other process that holds the slot.
+
+        Raises:
+            NoAnswerError: It was sent and may have been executed.
+        """
+        holder = self.slots.assigned_peer(slot_for(request.digest))
+        if holder is None or holder.member == self.slots.member:
+            return None
+        try:
+            return self._forward(holder.address, request)
+        except NotSentError:
+            return None
+
+    def _forward(self, address: str, request: ForwardableRequest) -> Response | None:
+        """Return the response of the process at an address; None where it does not hold the slot."""
+        fields = [(name, value) for name, value in request.head.headers.items if name not in NOT_FORWARDED]
+        fields += [(FORWARDED_HEADER, self.slots.member), (DEADLINE_HEADER, f"{request.deadline_s:.6f}")]
+        message = writer.request(request.head.method, request.head.target, fields, request.body)
+        self.forwarded += 1
+        head, body = exchange(address, message, request.deadline_s, self._clock)
+        if head.status == MISDIRECTED:
+            return None
+        returned = [
+            (name, value)
+            for name, value in head.headers.items
+            if name in RETURNED or name.startswith("x-amz")
+        ]
+        return Response(head.status, tuple(returned), body)
--- a/tests/stored_formats/test_address_process_formats.py
+++ b/tests/stored_formats/test_address_process_formats.py
@@ -21,8 +21,8 @@
 from saffronstack.daemon.state_directories import process_directory
 from saffronstack.engine.identifiers import function_number, worker_number
 from saffronstack.http1.messages import Headers, RequestHead
+from saffronstack.invoke.operation_forwarding import ForwardableRequest, OperationForwarder
 from saffronstack.invoke.response import Response
-from saffronstack.invoke.routing import Router, Sent
 from saffronstack.operations.errors import SlotNotHeldError
 from saffronstack.operations.idempotency_keys import (
     OperationIdentity,
@@ -186,9 +186,9 @@
         ]
     )
     head = RequestHead("POST", "/2015-03-31/functions/record-sale/invocations", 1, headers, True, False)
-    sent = Sent(head, b'{"op": 1}', b"\x01" * 12, LATEST_S, True, not_held)
-    router = Router(KnownSlots(exchange.address), time.monotonic)  # type: ignore[arg-type]
-    answer = router.run(sent, not_held)
+    request = ForwardableRequest(head, b'{"op": 1}', b"\x01" * 12, LATEST_S, True, not_held)
+    forwarder = OperationForwarder(KnownSlots(exchange.address), time.monotonic)  # type: ignore[arg-type]
+    answer = forwarder.execute(request, not_held)
     assert exchange.request() == (PROCESSES / "forward.http").read_bytes()
     assert (answer.status, answer.body) == (200, b"{}")
     assert dict(answer.headers) == {
