Front: a newcomer takes no connection that is in use; it waits 0.1 s, then is refused

Callers saw: beside a crowd, connections of busy clients were closed between an answer and the next request, which crossed the close. Who was closed connected again and took the place of the next; newcomers that had not spoken yet closed each other, while connections that had said one thing a second ago stayed.

Cause: EvictionOrder.next closed the longest idle connection however short a time that was, and a silent one first, though accepted microseconds ago; Front._accept asked it before it let a newcomer wait or refused it. Idle time counted from the request (active_s), so that a busy connection was the longest idle one right after a long call.

Evidence: tests/platform/test_client_crowd.py forces the order of events on real sockets, the clock passed in.

Change: platform/client_admission.py, free of I/O and clocks, decides: what its client has ended, silent for 0.05 s, or idle for 0.05 s since its answer makes room (the protocol's time for a request that crosses a close). Where there is none, a newcomer waits until one is, 0.1 s at most, and then is one of the four whose calls are refused; these make room for each other after 0.05 s. Usual and refused connections are counted apart. Silent ones hold at most the reserve beyond the third of the descriptors that clients may use. IdleOrder is a heap by the time of the answer, put right where it is looked at, so that no newcomer costs a look at each connection.

Why it works: a connection between answer and next request is closed for a newcomer only where the four are of no use.

The tests of tests/test_client_connections.py are unchanged.

--- a/saffronstack/platform/budget.py
+++ b/saffronstack/platform/budget.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 OWN = 24  # standard streams, listener, directory, writer, configuration file, and some in reserve
-CLIENT_PART = 0.42  # usual clients use at most a third; the rest is room for those that are being closed
+CLIENT_PART = 0.42  # clients use at most a third; the rest is room for those that are being closed
+CLIENTS_USE = 1 / 3
 MEMORY_PART = 0.15  # of the memory that open calls' bodies may take
 CALL_BYTES = 2 * 16384  # a call's body and its line to a host
 
@@ -15,6 +16,7 @@
     """Connections and calls that may be open at once."""
 
     clients: int
+    client_reserve: int  # of those, beyond what clients may use
     links: int
     calls: int
 
@@ -24,4 +26,5 @@
     free = max(2, sockets - OWN)
     clients = max(1, int(free * CLIENT_PART))
     calls = int(memory_mb * 1024 * 1024 * MEMORY_PART / CALL_BYTES)
-    return Budget(clients, max(1, free - clients), max(32, min(max_open_calls, calls)))
+    reserve = max(1, clients - int(sockets * CLIENTS_USE))
+    return Budget(clients, reserve, max(1, free - clients), max(32, min(max_open_calls, calls)))
--- a/saffronstack/platform/connection.py
+++ b/saffronstack/platform/connection.py
@@ -28,6 +28,7 @@
 
     connections: int = 400
     overflow: int = 4  # connections beyond that whose calls are refused at once
+    silent_reserve: int = 1  # connections accepted just now that may stay silent, where there is no room
     open_calls: int = 32  # on one connection
     silent_s: float = 2.0  # until its first byte
     message_s: float = 2.0  # for the whole of a message
@@ -70,9 +71,10 @@
     ) -> None:
         """``overflow``: it is beyond the number of connections, and its calls are refused."""
         self.refuses = overflow
-        self._overflow = overflow
+        self.overflow = overflow
         self.accepted_s = now
         self.active_s = now  # when it was accepted, read from, or last seen with something open
+        self._answered_s = now  # when the last call was answered
         self.spoken = False
         self.state = State.READING
         self._sock = sock
@@ -107,6 +109,10 @@
         """Whether nothing is open, half read or half written."""
         return not self._reader.pending and not self.unanswered
 
+    def idle_since(self, now: float) -> float:
+        """When it became idle: a client is owed time after its answer as well; ``now`` where it is not."""
+        return max(self.active_s, self._answered_s) if self.idle else now
+
     def has_unread(self) -> bool:
         """Whether bytes wait in its socket; neither waits nor takes any."""
         return bool(self._peek())
@@ -187,7 +193,7 @@
         return now - self.active_s <= self._idle_limit_s() or self.has_unread()
 
     def _idle_limit_s(self) -> float:
-        if self._overflow:
+        if self.overflow:
             return self._limits.overflow_s
         return self._limits.idle_s if self.spoken else self._limits.silent_s
 
@@ -291,6 +297,7 @@
                 self._answer(tag, final)
         finally:
             with self._lock:
+                self._answered_s = self._services.clock()
                 self._answering -= 1
 
     def _answer(self, tag: int, final: FinalAnswer) -> None:
--- a/saffronstack/platform/eviction.py
+++ b/saffronstack/platform/eviction.py
@@ -1,58 +1,105 @@
-"""Which client connections make room for new ones."""
+"""In which order client connections make room for new ones. No I/O of its own, and no clock."""
 
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
+from collections import deque
 
-from saffronstack.platform.connection import ClientConnection
+from saffronstack.platform.idle_order import ClientConnectionView, IdleOrder
 
 # How often all connections are looked at for ones that their clients have ended: done for each of some
 # hundred newcomers a second it takes the whole processor.
 ENDED_EVERY_S = 0.02
+# By the protocol a client sends once more what crosses the close of its connection within this time.
+IDLE_MIN_S = 0.05
 
 
 class EvictionOrder:
-    """Of the idle connections those that never said anything go first, since a client that will say something
-    does so at once; then those that their clients have ended; then the others; longest idle first.
+    """Of the connections with nothing open those that their clients have ended go first; then those that
+    never said anything, since a client that will say something does so at once; then the others; longest idle
+    first.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, silent_reserve: int = 1) -> None:
+        """``silent_reserve``: how many connections accepted just now may stay silent at one time."""
         self.scans = 0  # how often all connections were looked at
-        self._silent: OrderedDict[ClientConnection, None] = OrderedDict()  # in the order in which they came
-        self._spoken: OrderedDict[ClientConnection, None] = OrderedDict()  # in the order of last activity
+        self._silent_reserve = silent_reserve
+        self._silent: dict[ClientConnectionView, None] = {}  # in the order they came
+        self._spoken = IdleOrder()
+        self._ended: deque[ClientConnectionView] = deque()
         self._scanned_s = -math.inf
 
-    def add(self, connection: ClientConnection) -> None:
+    def __len__(self) -> int:
+        return len(self._silent) + len(self._spoken)
+
+    def add(self, connection: ClientConnectionView) -> None:
         """It was accepted."""
         self._silent[connection] = None
 
-    def touch(self, connection: ClientConnection) -> None:
-        """Something of it was read, or it has something open."""
-        if not connection.spoken:
-            return
-        self._silent.pop(connection, None)
-        self._spoken[connection] = None
-        self._spoken.move_to_end(connection)
+    def touch(self, connection: ClientConnectionView) -> None:
+        """Something of it was read."""
+        if connection.spoken and connection in self._silent:
+            del self._silent[connection]
+            self._spoken.add(connection)
 
-    def remove(self, connection: ClientConnection) -> None:
+    def remove(self, connection: ClientConnectionView) -> None:
         """It was closed."""
         self._silent.pop(connection, None)
-        self._spoken.pop(connection, None)
+        self._spoken.remove(connection)
+
+    def next(self, now: float) -> ClientConnectionView | None:
+        """The next one to close, however short a time it has been idle; None where none may be closed."""
+        return (
+            self._next_ended(now)
+            or self._oldest_silent(math.inf)
+            or self._spoken.longest_idle(now, math.inf)
+        )  # fmt: skip
+
+    def next_idle(self, now: float, overdue: bool) -> ClientConnectionView | None:
+        """The next one to close of those that are not in use; None where there is none. Silent ones that came
+        just now are left a moment to speak; at the reserve they make room for each other alone, and where the
+        newcomer is ``overdue`` at once.
+        """
+        latest_s = now - IDLE_MIN_S
+        if len(self._silent) < self._silent_reserve:
+            return (
+                self._next_ended(now)
+                or self._oldest_silent(latest_s)
+                or self._spoken.longest_idle(now, latest_s)
+            )
+        return self._next_ended(now) or self._oldest_silent(math.inf if overdue else latest_s)
+
+    def next_answered(self, now: float) -> ClientConnectionView | None:
+        """The longest idle one that has spoken and came some time ago, however recently it was used."""
+        return self._spoken.longest_idle(now, math.inf, now - IDLE_MIN_S)
 
-    def next(self, now: float) -> ClientConnection | None:
-        """The next one to close, looked at right now; None where none may be closed."""
+    def has_idle(self) -> bool:
+        """Whether any has nothing open, however short a time it has been so."""
+        return bool(self._silent) or any(connection.idle for connection in self._spoken)
+
+    def due_s(self, now: float) -> float | None:
+        """When the next connection will have been idle for long enough, unless it is used again; None where
+        none is idle.
+        """
+        since_s = [connection.idle_since(now) for connection in self._spoken if connection.idle]
+        since_s += [connection.accepted_s for connection in self._silent]
+        return min(since_s) + IDLE_MIN_S if since_s else None
+
+    def _oldest_silent(self, latest_s: float) -> ClientConnectionView | None:
         for connection in self._silent:
+            if connection.accepted_s > latest_s:
+                return None
             if connection.evictable():
                 return connection
+        return None
+
+    def _next_ended(self, now: float) -> ClientConnectionView | None:
         if now - self._scanned_s >= ENDED_EVERY_S:
             self.scans += 1
             self._scanned_s = now
-            for connection in self._spoken:
-                if connection.has_ended():
-                    self._scanned_s = -math.inf  # there may be more of them
-                    return connection
-        for connection in self._spoken:
-            if connection.evictable():
+            self._ended = deque(connection for connection in self._spoken if connection.has_ended())
+        while self._ended:
+            connection = self._ended.popleft()
+            if connection in self._spoken and connection.has_ended():
                 return connection
         return None
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -18,10 +18,11 @@
 from saffronstack.engine.engine import Engine
 from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.calls import CallMaker
+from saffronstack.platform.client_admission import ClientAdmission, Verdict
 from saffronstack.platform.connection import ClientConnection, FrontLimits, Services
 from saffronstack.platform.drain_admission import DrainAdmission
-from saffronstack.platform.eviction import EvictionOrder
 from saffronstack.platform.identifiers import OpenIds
+from saffronstack.platform.idle_order import ClientConnectionView
 from saffronstack.platform.shutdown import Activity, GracefulShutdown, Phase, ShutdownLimits
 from saffronstack.runtime.logs import Logger
 from saffronstack.runtime.threads import start_thread
@@ -30,19 +31,20 @@
 ACCEPTS_AT_ONCE = 64  # before connections that stand are read again
 READ_BYTES = 16 * 1024
 TICK_S = 0.25  # how often time-outs are looked at
-SHORT_TICK_S = 0.05  # and the listener, while there is no room
+NO_DESCRIPTOR_PAUSE_S = 0.05  # until a connection is accepted again
 STOPPING_TICK_S = 0.01  # and the shutdown
 LAST_READS = 64  # of one connection at the end of a shutdown
 EPOLL_READABLE = select.EPOLLIN | select.EPOLLHUP | select.EPOLLERR
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 LOG_EVERY_S = 10.0
+ACCEPTING_PHASES = (Phase.ACCEPTING, Phase.DRAINING, Phase.REFUSING)
 
 
 class Front:
     """Listens, and holds client connections within their number.
 
-    Over it, the connection that has been idle longest makes room for a new one; where none is idle, the calls
-    of a few more are refused at once; beyond those, connections wait to be accepted.
+    Over it, one that is not in use makes room for a new one; where there is none, a new one waits to be
+    accepted for a moment, and then the calls of a few more are refused at once: see `ClientAdmission`.
     """
 
     def __init__(
@@ -72,7 +74,7 @@
         self._logged_s = -LOG_EVERY_S
         self._advice_max_s = advice_max_s
         self._connections: dict[int, ClientConnection] = {}  # by descriptor
-        self._eviction = EvictionOrder()
+        self._clients = ClientAdmission(limits.silent_reserve, limits.overflow)
         self._shutdown = GracefulShutdown()
         self._shutdown_limits: ShutdownLimits | None = None  # written by whoever asks for the shutdown
         self._shutdown_asked_s = 0.0
@@ -88,6 +90,7 @@
         self._waiting = select.poll()  # whether a connection waits to be accepted
         self._waiting.register(self._listener, select.POLLIN)
         self._listening = False  # whether the loop waits for the listener
+        self._listen_again_s = 0.0  # when it does, where a client waits for room
         self._wake = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._poll = select.epoll()
         self._buffer = bytearray(READ_BYTES)
@@ -158,13 +161,15 @@
         ticked_s = self.clock()
         try:
             while True:
+                now = self.clock()
                 tick_s = self._tick_s()
                 # New connections come last: what those that stand have sent is read before one makes room.
                 listener = self._listener.fileno()
-                ready = [descriptor for descriptor, _ in self._poll.poll(tick_s)]
+                ready = [descriptor for descriptor, _ in self._poll.poll(self._poll_s(now, tick_s))]
                 for descriptor in sorted(ready, key=listener.__eq__):
                     self._on_event(descriptor)
                 now = self.clock()
+                self._look_for_room(now)
                 if now - ticked_s >= tick_s:
                     ticked_s = now
                     self._tick(now)
@@ -176,7 +181,18 @@
     def _tick_s(self) -> float:
         if self._shutdown.phase is not Phase.ACCEPTING:
             return STOPPING_TICK_S
-        return TICK_S if self._listening else SHORT_TICK_S
+        return TICK_S
+
+    def _poll_s(self, now: float, tick_s: float) -> float:
+        """How long to wait for something to read."""
+        if self._listening:
+            return tick_s
+        return max(0.0, min(tick_s, self._listen_again_s - now))
+
+    def _look_for_room(self, now: float) -> None:
+        """The listener, where there was no room, is tried again."""
+        if now >= self._listen_again_s and self._shutdown.phase in ACCEPTING_PHASES:
+            self._listen(True)
 
     def _on_event(self, descriptor: int) -> None:
         """One thing that is ready. Whatever goes wrong with it, the others go on."""
@@ -186,7 +202,7 @@
             if connection is not None:
                 self._received_s = now
                 if connection.on_readable(self._buffer, self._view, now):
-                    self._eviction.touch(connection)
+                    self._clients.touch(connection)
                 else:
                     self._close(connection)
             elif descriptor == self._wake:
@@ -205,21 +221,17 @@
             self._close(connection)
 
     def _tick(self, now: float) -> None:
-        """Time-outs of all connections; the listener, where there was no room, is tried again."""
+        """Time-outs of all connections."""
         for descriptor, connection in list(self._connections.items()):
             try:
                 if not connection.on_tick(now):
                     self._close(connection)
-                elif connection.active_s == now:  # it has something open
-                    self._eviction.touch(connection)
             except Exception:  # noqa: BLE001 - a fault costs its own connection alone
                 self._log.exception("step of the clients' thread failed")
                 self._discard(descriptor)
-        if self._shutdown.phase in (Phase.ACCEPTING, Phase.DRAINING, Phase.REFUSING):
-            self._listen(True)
 
     def _listen(self, wanted: bool) -> None:
-        """Wait for connections, or leave them to the machine for a tick."""
+        """Wait for connections, or leave them to the machine."""
         if wanted and not self._listening:
             self._poll.register(self._listener, select.EPOLLIN)
         elif self._listening and not wanted:
@@ -229,12 +241,14 @@
     def _accept(self, now: float, max_accepted: int) -> int:
         """Accept what has come, up to so many; how many were accepted."""
         for accepted in range(max_accepted):
-            if len(self._connections) >= self.limits.connections + self.limits.overflow:
-                if not self._waiting.poll(0):
-                    return accepted  # nobody comes: nobody has to make room
-                if not self._evict(now):
-                    self._listen(False)
+            overflow = False
+            if self._clients.is_full(self.limits.connections):
+                if self._queue_is_empty():
+                    return accepted  # nobody has to make room
+                verdict = self._make_room(now)
+                if verdict is Verdict.WAIT:
                     return accepted
+                overflow = verdict is Verdict.OVERFLOW
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
@@ -243,15 +257,41 @@
                 if error.errno not in NO_ROOM:
                     continue  # that client has gone already
                 self._warn("no connection could be taken", now, error=str(error))
-                self._evict(now)
-                self._listen(False)
+                self._free_descriptor(now)
                 return accepted
-            overflow = len(self._connections) >= self.limits.connections and not self._evict(now)
             self._add(sock, now, overflow)
-            if len(self._connections) >= self.limits.connections:
+            if self._clients.is_full(self.limits.connections):
+                self._queue_is_empty()
                 return accepted + 1  # those that stand are read before another one makes room
         return max_accepted
 
+    def _queue_is_empty(self) -> bool:
+        """Whether no client waits to be accepted; then none has waited."""
+        if self._waiting.poll(0):
+            return False
+        self._clients.nobody_waits()
+        return True
+
+    def _make_room(self, now: float) -> Verdict:
+        """For a client that waits to be accepted."""
+        decision = self._clients.decide(now, self.limits.connections, self.limits.overflow)
+        if decision.victim is not None:
+            self._evict(decision.victim)
+        if decision.verdict is Verdict.WAIT:
+            self._wait_for_room(decision.retry_s)
+        return decision.verdict
+
+    def _free_descriptor(self, now: float) -> None:
+        """The system has none left for a client that waits to be accepted."""
+        victim = self._clients.next_for_descriptor(now)
+        if victim is not None:
+            self._evict(victim)
+        self._wait_for_room(now + NO_DESCRIPTOR_PAUSE_S)
+
+    def _wait_for_room(self, until_s: float) -> None:
+        self._listen(False)
+        self._listen_again_s = until_s
+
     def _add(self, sock: socket.socket, now: float, overflow: bool) -> None:
         sock.setblocking(False)
         with contextlib.suppress(OSError):
@@ -267,22 +307,18 @@
             connection.close()
             return
         self._connections[sock.fileno()] = connection
-        self._eviction.add(connection)
+        self._clients.add(connection)
         self.peak_connections = max(self.peak_connections, len(self._connections))
 
-    def _evict(self, now: float) -> bool:
-        """Make room; whether there is some now."""
-        connection = self._eviction.next(now)
-        if connection is None:
-            return False
+    def _evict(self, connection: ClientConnectionView) -> None:
         self.evicted += 1
-        self._close(connection)
-        return True
+        self._close(self._connections[connection.fileno()])
 
     def _close(self, connection: ClientConnection) -> None:
         descriptor = connection.fileno()
         self._connections.pop(descriptor, None)
-        self._eviction.remove(connection)
+        self._clients.remove(connection)
+        self._listen_again_s = 0.0  # there may be room
         with contextlib.suppress(OSError, ValueError):
             self._poll.unregister(descriptor)
         connection.close()
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -90,7 +90,7 @@
             self.engine,
             CallMaker(settings, self.engine.next_call_number),
             self.writer,
-            FrontLimits(connections=self.budget.clients),
+            FrontLimits(connections=self.budget.clients, silent_reserve=self.budget.client_reserve),
             clock,
             self._log,
             lambda: self._ready,
--- /dev/null
+++ b/tests/platform/test_client_crowd.py
@@ -0,0 +1,175 @@
+"""Clients at work beside a crowd, on real sockets in a forced order: none of them loses its connection."""
+
+from __future__ import annotations
+
+import math
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from saffronstack.platform.service import Service
+from saffronstack.standin.platform import Directory, Entry
+from tests.support.platform import WAIT_S, Client, HostConnection, ScriptedHost, echo, gateway
+from tests.support.stack import eventually
+
+SOCKETS = 160  # descriptors: room for 57 client connections, 53 of which clients may use
+BUSY = 7
+NEWCOMERS = 20
+RESERVE = 4  # places beyond those
+STEP_S = 0.04  # a busy client asks again this soon
+STEPS = 3  # until a newcomer that waits has to be let in
+
+
+class ManualClock:
+    """The time of the clients' thread; it passes when a test says so."""
+
+    def __init__(self) -> None:
+        self.now = time.monotonic()
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Crowd:
+    """A gateway's clients: as many as there is room for, and the last of them at work."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self.clock = service.front.clock = ManualClock()
+        service.front.limits = replace(service.front.limits, idle_s=60.0, message_s=60.0)
+        self.clients = [Client(service.front.address) for _ in range(service.budget.clients)]
+        self.busy, self.others = self.clients[-BUSY:], self.clients[:-BUSY]
+        self._kept: list[Client] = []  # a client that nobody refers to would close its connection
+
+    def hang(self, clients: list[Client]) -> None:
+        """Each of them has a call open that no host answers."""
+        for place, client in enumerate(clients):
+            client.call(subject=place)
+        eventually(lambda: self.service.front.open_calls == len(clients))
+
+    def newcomer(self) -> Client:
+        """One more client, right after the gateway has made room for it, or found that it has to wait."""
+        front = self.service.front
+        before = (front.evicted, front.overflowed)
+        client = Client(front.address)
+        self._kept.append(client)
+        eventually(lambda: (front.evicted, front.overflowed) != before or not front._listening)
+        return client
+
+    def pass_time(self) -> int:
+        """Until a newcomer has waited for as long as it may; how many busy clients lost their connections."""
+        lost = 0
+        for _ in range(STEPS):
+            self.clock.now += STEP_S
+            lost += self.work()
+        return lost
+
+    def work(self) -> int:
+        """The busy clients ask, each after the one before; how many found their connections closed. Those
+        connect again at once, and say nothing yet.
+        """
+        lost = 0
+        for place, client in enumerate(self.busy):
+            if not check(client):
+                lost += 1
+                self._kept.append(client)
+                self.busy[place] = self.newcomer()
+        return lost
+
+
+def check(client: Client) -> bool:
+    """Whether a client that uses its connection now is answered on it."""
+    client._tags += 1
+    try:
+        client.send(b"CHECK", b"%d" % client._tags, b"")
+        return client.read()[:2] == (client._tags, "UP")
+    except (EOFError, ConnectionError):
+        return False
+
+
+def answered(clients: list[Client]) -> int:
+    """How many of them are."""
+    return [check(client) for client in clients].count(True)
+
+
+@pytest.fixture
+def crowd() -> Iterator[Crowd]:
+    host = ScriptedHost(lambda connection, message: None)  # it answers no call
+    with gateway(Directory(Entry("s-1", host.address)), sockets=SOCKETS) as service:
+        yield Crowd(service)
+    host.close()
+
+
+def test_beside_hanging_calls_newcomers_close_no_busy_clients_connection(crowd: Crowd) -> None:
+    """Each newcomer used to close one that was between an answer and its next request."""
+    crowd.hang(crowd.others)
+    lost = crowd.work()
+    for _ in range(NEWCOMERS):
+        newcomer = crowd.newcomer()
+        assert not crowd.service.front._listening, "it waits, however long those before it did"
+        lost += crowd.work()
+        lost += crowd.pass_time()
+        assert check(newcomer), "it is answered all the same"
+    assert lost == 0
+
+
+def test_a_connection_is_idle_from_its_answer_on() -> None:
+    """It counted from the request: after a long call it was the longest idle one as soon as that ended."""
+    asked, release = threading.Event(), threading.Event()
+
+    def late(connection: HostConnection, message: dict[str, Any]) -> None:
+        asked.set()
+        release.wait(WAIT_S)
+        echo(connection, message)
+
+    host = ScriptedHost(late)
+    with gateway(Directory(Entry("s-1", host.address))) as service:
+        client = Client(service.front.address)
+        client.call()
+        assert asked.wait(WAIT_S)
+        connection = next(iter(service.front._connections.values()))
+        assert connection.idle_since(math.inf) == math.inf
+        released_s = time.monotonic()
+        release.set()
+        assert client.read()[1] == "OK"
+        assert eventually(lambda: connection.idle)
+        assert released_s <= connection.idle_since(math.inf) <= time.monotonic()
+    host.close()
+
+
+def test_newcomers_that_write_a_moment_later_leave_each_other_their_connections(crowd: Crowd) -> None:
+    """The next one used to close the one before, which had not spoken yet."""
+    assert answered(crowd.clients) == len(crowd.clients)
+    crowd.clock.now += 1.0
+    newcomers = [crowd.newcomer() for _ in range(RESERVE)]
+    assert answered(newcomers) == RESERVE
+    assert crowd.work() == 0
+
+
+def test_a_silent_flood_takes_no_place_of_a_client_within_its_third(crowd: Crowd) -> None:
+    assert answered(crowd.clients) == len(crowd.clients)
+    crowd.clock.now += 1.0
+    assert crowd.work() == 0
+    evicted = crowd.service.front.evicted
+    flood = [crowd.newcomer() for _ in range(100)]
+    assert crowd.pass_time() == 0
+    eventually(lambda: crowd.service.front.evicted == evicted + len(flood))
+    assert len(crowd.others) - answered(crowd.others) <= RESERVE
+    assert answered(flood) <= RESERVE
+
+
+def test_asked_once_hanging_and_silent_newcomers_at_once_close_no_busy_client(crowd: Crowd) -> None:
+    """Those whose connections were closed connected again at once, and closed the next."""
+    assert answered(crowd.clients) == len(crowd.clients)
+    crowd.hang(crowd.others[RESERVE:])
+    crowd.clock.now += 1.0
+    lost = crowd.work()
+    for place in range(NEWCOMERS):
+        crowd.newcomer()
+        crowd.newcomer().call(subject=place)
+        lost += crowd.pass_time()
+    assert lost == 0
