Front: a refused client that goes on is served once there is room

Callers saw: a client let in beyond the number of connections was answered BUSY for as long as it used its connection, though other connections had ended or were idle meanwhile.

Cause: ClientConnection.refuses was set once, as it was accepted, and overflow_s ends such a connection only after it has been idle for 0.5 s.

Change: as such a connection is read, the rule of platform/client_admission.py is asked whether there is room: a place that is free, or a usual connection that is not in use (0.05 s idle, silent or ended), which is closed for it. Then it counts as a usual one and its calls are run. Not while a shutdown refuses; not where its client has just ended it.

--- a/saffronstack/platform/client_admission.py
+++ b/saffronstack/platform/client_admission.py
@@ -61,6 +61,15 @@
         """Whether a newcomer has to be decided on."""
         return len(self._usual) >= connections
 
+    def decide_on_refused(self, now: float, connections: int) -> Decision:
+        """Whether there is room now for a connection beyond the number whose client goes on: ``ACCEPT``, or
+        ``OVERFLOW`` where it stays what it is.
+        """
+        if not self.is_full(connections):
+            return Decision(Verdict.ACCEPT)
+        victim = self._usual.next_idle(now, overdue=False)
+        return Decision(Verdict.OVERFLOW if victim is None else Verdict.ACCEPT, victim)
+
     def decide(self, now: float, connections: int, overflow: int) -> Decision:
         """What is done about a client that waits now; how many connections may be open, and how many beyond
         that number.
--- a/saffronstack/platform/connection.py
+++ b/saffronstack/platform/connection.py
@@ -113,6 +113,11 @@
         """When it became idle: a client is owed time after its answer as well; ``now`` where it is not."""
         return max(self.active_s, self._answered_s) if self.idle else now
 
+    def accept_as_usual(self) -> None:
+        """It was beyond the number of connections and is not any more: its calls are run from here on."""
+        self.overflow = False
+        self.refuses = False
+
     def has_unread(self) -> bool:
         """Whether bytes wait in its socket; neither waits nor takes any."""
         return bool(self._peek())
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -37,6 +37,7 @@
 EPOLL_READABLE = select.EPOLLIN | select.EPOLLHUP | select.EPOLLERR
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 LOG_EVERY_S = 10.0
+RUNNING_PHASES = (Phase.ACCEPTING, Phase.DRAINING)  # in which calls are run
 ACCEPTING_PHASES = (Phase.ACCEPTING, Phase.DRAINING, Phase.REFUSING)
 
 
@@ -201,6 +202,8 @@
             connection = self._connections.get(descriptor)
             if connection is not None:
                 self._received_s = now
+                if connection.overflow and self._shutdown.phase in RUNNING_PHASES:
+                    self._try_as_usual(connection, now)
                 if connection.on_readable(self._buffer, self._view, now):
                     self._clients.touch(connection)
                 else:
@@ -272,6 +275,19 @@
         self._clients.nobody_waits()
         return True
 
+    def _try_as_usual(self, connection: ClientConnection, now: float) -> None:
+        """Its client goes on although it was refused: it is served where there is room by now."""
+        if not connection.has_unread():
+            return  # it has ended it
+        decision = self._clients.decide_on_refused(now, self.limits.connections)
+        if decision.verdict is not Verdict.ACCEPT:
+            return
+        if decision.victim is not None:
+            self._evict(decision.victim)
+        self._clients.remove(connection)
+        connection.accept_as_usual()
+        self._clients.add(connection)
+
     def _make_room(self, now: float) -> Verdict:
         """For a client that waits to be accepted."""
         decision = self._clients.decide(now, self.limits.connections, self.limits.overflow)
--- a/tests/platform/test_client_crowd.py
+++ b/tests/platform/test_client_crowd.py
@@ -141,6 +141,24 @@
     host.close()
 
 
+@pytest.mark.parametrize("is_closed", [True, False])
+def test_a_refused_client_that_goes_on_is_served_once_there_is_room(crowd: Crowd, is_closed: bool) -> None:
+    """It was refused for as long as it went on."""
+    crowd.hang(crowd.clients)
+    refused = crowd.newcomer()
+    refused.call(subject=99)
+    assert refused.read()[1] == "BUSY"
+    leaving = crowd.clients[0]
+    if is_closed:
+        leaving.sock.close()
+    else:
+        leaving.send(b"CANCEL", b"1")
+    eventually(lambda: crowd.service.front.open_calls == len(crowd.clients) - 1)
+    crowd.clock.now += 1.0
+    refused.call(subject=99)
+    eventually(lambda: crowd.service.front.open_calls == len(crowd.clients))
+
+
 def test_newcomers_that_write_a_moment_later_leave_each_other_their_connections(crowd: Crowd) -> None:
     """The next one used to close the one before, which had not spoken yet."""
     assert answered(crowd.clients) == len(crowd.clients)
