Front: the queue of newcomers drains at the speed of the loop once one has waited 0.2 s

Callers saw (by the rule as it stood): beside connections that all have calls open, newcomers beyond the first four were refused at 80 a second, so that the hundredth of a crowd waited 1.3 s in the listener's queue, longer than its deadline. What lies there counts as taken.

Cause: a refused connection stays for 0.05 s, so that its client does not cross its close, however long others wait.

Change: the kernel tells how long each newcomer had waited as it was accepted (platform/queue_wait.py, TCP_INFO). Once one has waited 0.2 s, answered refused connections go however recent, until newcomers have waited less or the queue is empty. The time of the newcomer itself is used, not the time for which the queue has not been empty: clients that come back at once keep it from being empty, though each waits for a moment only.

--- a/saffronstack/platform/client_admission.py
+++ b/saffronstack/platform/client_admission.py
@@ -9,6 +9,8 @@
 from saffronstack.platform.idle_order import ClientConnectionView
 
 NEWCOMER_WAIT_MAX_S = 0.1  # small beside the shortest deadlines of a third of a second
+QUEUE_WAIT_MAX_S = 0.2  # of those behind, who are owed an answer from then on as well
+REFUSED_STAY_S = 0.05  # of a connection beyond the number, for its client to read the answer
 RETRY_MIN_S = 0.005  # between two looks for room
 RETRY_MAX_S = 0.05
 
@@ -40,6 +42,7 @@
         self._usual = EvictionOrder(silent_reserve)
         self._overflow = EvictionOrder(overflow)
         self._waiting_since_s: float | None = None  # when there was first no room for one that waits
+        self._queue_wait_s = 0.0  # of the newcomer that was accepted last
 
     def add(self, connection: ClientConnectionView) -> None:
         """It was accepted."""
@@ -56,6 +59,11 @@
     def nobody_waits(self) -> None:
         """The listener's queue is empty."""
         self._waiting_since_s = None
+        self._queue_wait_s = 0.0
+
+    def accepted_after(self, queue_wait_s: float) -> None:
+        """How long the newcomer that was accepted now had waited in the listener's queue."""
+        self._queue_wait_s = queue_wait_s
 
     def is_full(self, connections: int) -> bool:
         """Whether a newcomer has to be decided on."""
@@ -105,7 +113,8 @@
         """Clients that were refused have been told to keep away: theirs go before any that is in use."""
         victim = self._overflow.next_idle(now, overdue)
         if victim is None and overdue:
-            victim = self._overflow.next_answered(now)
+            stay_s = 0.0 if self._queue_wait_s >= QUEUE_WAIT_MAX_S else REFUSED_STAY_S
+            victim = self._overflow.next_answered(now, now - stay_s)
         return victim
 
     def _wait(self, now: float, due_s: float | None) -> Decision:
--- a/saffronstack/platform/eviction.py
+++ b/saffronstack/platform/eviction.py
@@ -69,9 +69,9 @@
             )
         return self._next_ended(now) or self._oldest_silent(math.inf if overdue else latest_s)
 
-    def next_answered(self, now: float) -> ClientConnectionView | None:
-        """The longest idle one that has spoken and came some time ago, however recently it was used."""
-        return self._spoken.longest_idle(now, math.inf, now - IDLE_MIN_S)
+    def next_answered(self, now: float, accepted_by_s: float) -> ClientConnectionView | None:
+        """The longest idle one that has spoken and was accepted by then, however recently it was used."""
+        return self._spoken.longest_idle(now, math.inf, accepted_by_s)
 
     def has_idle(self) -> bool:
         """Whether any has nothing open, however short a time it has been so."""
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -23,6 +23,7 @@
 from saffronstack.platform.drain_admission import DrainAdmission
 from saffronstack.platform.identifiers import OpenIds
 from saffronstack.platform.idle_order import ClientConnectionView
+from saffronstack.platform.queue_wait import queue_wait_s
 from saffronstack.platform.shutdown import Activity, GracefulShutdown, Phase, ShutdownLimits
 from saffronstack.runtime.logs import Logger
 from saffronstack.runtime.threads import start_thread
@@ -264,6 +265,7 @@
                 return accepted
             self._add(sock, now, overflow)
             if self._clients.is_full(self.limits.connections):
+                self._clients.accepted_after(queue_wait_s(sock))
                 self._queue_is_empty()
                 return accepted + 1  # those that stand are read before another one makes room
         return max_accepted
--- a/tests/platform/test_client_admission.py
+++ b/tests/platform/test_client_admission.py
@@ -9,6 +9,7 @@
 from saffronstack.platform.budget import divide
 from saffronstack.platform.client_admission import (
     NEWCOMER_WAIT_MAX_S,
+    QUEUE_WAIT_MAX_S,
     RETRY_MAX_S,
     ClientAdmission,
     Decision,
@@ -103,6 +104,7 @@
                 if newcomer is None:
                     break
                 waits_s.append(now - arrivals_s[len(waits_s)])
+                self.rule.accepted_after(waits_s[-1])
                 newcomer.spoken = speak
                 self.rule.touch(newcomer)
             else:
@@ -207,6 +209,31 @@
     assert played.held[:CONNECTIONS] == busy
 
 
+@pytest.mark.parametrize("hangs", [True, False])
+def test_many_newcomers_at_once_are_let_in_while_their_requests_have_time(
+    played: Played, hangs: bool
+) -> None:
+    """The hundredth waited for over a second behind the others, longer than its deadline."""
+    clients = played.fill(idle=not hangs)
+    waits_s = played.queue([NOW_S] * 500, speak=True, busy=clients)
+    assert len(waits_s) == 500
+    assert max(waits_s) <= QUEUE_WAIT_MAX_S + IDLE_MIN_S
+    assert played.held[:CONNECTIONS] == clients
+
+
+def test_the_queue_once_empty_newcomers_that_were_refused_are_left_their_time_again(played: Played) -> None:
+    busy = played.fill()
+    played.queue([NOW_S] * 100, speak=True, busy=busy)
+    played.rule.nobody_waits()
+    refused = played.held[CONNECTIONS:]
+    now = NOW_S + 1.0
+    for view in played.held:
+        view.accepted_s = view.active_s = now
+    assert played.decide(now).verdict is Verdict.WAIT
+    assert played.decide(now + WAITED_S / 4).verdict is Verdict.WAIT
+    assert played.held[CONNECTIONS:] == refused
+
+
 def test_a_newcomer_that_left_takes_its_waiting_time_along(played: Played) -> None:
     """The next one that came much later would have been taken for overdue."""
     played.fill(active_s=NOW_S)
