Upstream: a decision does not wait until a new thread is scheduled

Cause: the decision thread starts the thread that connects, and threading.Thread.start returns only once the new thread has run. So all calls waited as long as that one thread waited for a processor. HttpPool started its threads the same way, under the lock that its threads share.

Why it works: start_detached_thread creates the thread and returns. A call whose connection has not been opened yet is queued on it, as before, and ends at its deadline. It does not wait for the lock of the stack size, which a start_thread holds until its thread has run.

Tests: new threads are never scheduled until the call was sent. With the old callers both fail: pytest tests/upstream -k new_thread: 2 failed, now 2 passed. Two tests of test_read_loop.py are changed, since a detached thread has no name: "established connections need no threads" counted threads named upstream-connect in threading.enumerate(); it now counts all threads of the process that threading doesn't list, beyond those there before, with the same bound of one (with connections that keep their threads it fails with 30). "No threads left" refuses detached threads too.

Run: tests/platform, upstream, net, runtime, engine, test_platform_run.py, test_architecture.py, test_log_events.py, routing/test_purity.py, test_http_shutdown.py: 372 passed.

--- a/saffronstack/runtime/threads.py
+++ b/saffronstack/runtime/threads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import _thread
 import queue
 import threading
 from collections.abc import Callable
@@ -30,6 +31,28 @@
     return thread
 
 
+def start_detached_thread(run: Callable[[], object]) -> None:
+    """Start a daemon thread that is never joined, without waiting until it is scheduled.
+
+    `threading.Thread.start` returns once the new thread has run. A creator that others depend on would wait
+    for as long as the new thread waits for a processor.
+
+    Raises:
+        RuntimeError: The system has no more threads.
+    """
+    if not _stack_size_lock.acquire(blocking=False):  # held by a creator that waits: at worst a large stack
+        _thread.start_new_thread(run, ())
+        return
+    try:
+        previous_bytes = threading.stack_size(STACK_BYTES)
+        try:
+            _thread.start_new_thread(run, ())
+        finally:
+            threading.stack_size(previous_bytes)
+    finally:
+        _stack_size_lock.release()
+
+
 class IdleThreadPool:
     """Run each task at once, on an idle thread if there is one and on a new thread otherwise.
 
--- a/saffronstack/upstream/http/connection_pool.py
+++ b/saffronstack/upstream/http/connection_pool.py
@@ -10,7 +10,7 @@
 
 from saffronstack.engine.worker_registry import WorkerSpec
 from saffronstack.routing.events import Result
-from saffronstack.runtime.threads import start_thread
+from saffronstack.runtime.threads import start_detached_thread
 from saffronstack.upstream.events import unsent_attempt, unsent_command
 from saffronstack.upstream.http.attempt_runner import AttemptRunner
 from saffronstack.upstream.http.command_runner import CommandRunner
@@ -78,7 +78,7 @@
         if self._threads >= self._context.limits.connections:
             return Rejection(Result.AT_CAPACITY, "all connections to the worker are in use")
         try:
-            start_thread(f"worker-{self.spec.name}", self._run)
+            start_detached_thread(self._run)
         except RuntimeError:  # the system has no more threads: those that there are may come to it
             return None if self._threads else Rejection(Result.NOT_STARTED, "no thread could be started")
         self._threads += 1
--- a/saffronstack/upstream/multiplexed/connection.py
+++ b/saffronstack/upstream/multiplexed/connection.py
@@ -11,7 +11,7 @@
 from saffronstack.net.stream import Stream
 from saffronstack.net.write_buffer import OutgoingMessage, SendProgress, WriteBuffer, WriteLoop
 from saffronstack.routing.events import Result
-from saffronstack.runtime.threads import start_thread
+from saffronstack.runtime.threads import start_detached_thread
 from saffronstack.upstream.errors import LineProtocolError
 from saffronstack.upstream.multiplexed import codec
 from saffronstack.upstream.multiplexed.exchange import PendingExchange
@@ -79,12 +79,12 @@
         self.last_received_s = self._clock()
 
     def start(self) -> None:
-        """Connect on a new thread.
+        """Connect on a new thread; does not wait until that thread is scheduled.
 
         Raises:
             RuntimeError: The system has no more threads.
         """
-        start_thread("upstream-connect", self._run)
+        start_detached_thread(self._run)
 
     @property
     def in_flight(self) -> int:
--- a/tests/net/test_read_loop.py
+++ b/tests/net/test_read_loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import os
 import queue
 import socket
 import threading
@@ -99,8 +100,15 @@
     late.sock.close()
 
 
+def detached_threads() -> set[int]:
+    """Native ids of this process's threads that `threading` doesn't list."""
+    running = {int(thread_id) for thread_id in os.listdir("/proc/self/task")}
+    return running - {thread.native_id for thread in threading.enumerate() if thread.native_id}
+
+
 def test_established_connections_need_no_threads() -> None:
     """Forty workers with a connection each: as many as a fleet of gateways has on one machine."""
+    detached_before = detached_threads()
     hosts = [ScriptedHost() for _ in range(40)]
     directory = Directory(*(Entry(f"s-{n}", host.address) for n, host in enumerate(hosts)))
     with gateway(directory, sockets=512) as service:
@@ -110,8 +118,7 @@
             subject += 1
             assert subject < 2000
             assert client.ask(subject=subject)[0] == "OK"
-        named = [thread.name for thread in threading.enumerate()]
-        assert named.count("upstream-connect") <= 1, named  # one that still connects
+        assert len(detached_threads() - detached_before) <= 1  # one that still connects
         client.sock.close()
     assert service.hosts.connection_count == 0
     for host in hosts:
@@ -131,6 +138,7 @@
         assert first.ask() == ("OK", b"x")  # a connection to the worker is established
         before = threading.active_count()
         monkeypatch.setattr("saffronstack.runtime.threads.threading.Thread.start", none)
+        monkeypatch.setattr("saffronstack.runtime.threads._thread.start_new_thread", none)
         crowd = [Client(service.front.address) for _ in range(50)]
         assert {client.ask() for client in crowd} == {("OK", b"x")}
         monkeypatch.undo()
--- a/tests/runtime/test_threads.py
+++ b/tests/runtime/test_threads.py
@@ -1,4 +1,4 @@
-"""A pool of threads that wait for further tasks."""
+"""Threads that nobody waits for, and a pool of threads that wait for further tasks."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import pytest
 
 from saffronstack.runtime import threads
-from saffronstack.runtime.threads import IdleThreadPool
+from saffronstack.runtime.threads import IdleThreadPool, start_detached_thread
 
 WAIT_S = 20.0
 
@@ -76,3 +76,19 @@
         threading.Event().wait(0.0005)
     for _ in range(400):
         assert done.acquire(timeout=WAIT_S)
+
+
+def test_a_detached_thread_starts_while_the_start_of_another_is_waited_for() -> None:
+    """Whoever waits for its new thread to be scheduled holds the lock of the stack size meanwhile."""
+    has_run = threading.Event()
+    with threads._stack_size_lock:
+        start_detached_thread(has_run.set)
+        assert has_run.wait(WAIT_S)
+
+
+def test_a_detached_thread_leaves_the_stack_size_of_others_as_it_was() -> None:
+    before_bytes = threading.stack_size()
+    has_run = threading.Event()
+    start_detached_thread(has_run.set)
+    assert has_run.wait(WAIT_S)
+    assert threading.stack_size() == before_bytes
--- a/tests/upstream/http/test_dispatcher.py
+++ b/tests/upstream/http/test_dispatcher.py
@@ -19,6 +19,7 @@
 from saffronstack.upstream.events import EngineEvent
 from saffronstack.upstream.http.dispatcher import HttpDispatcher
 from saffronstack.upstream.http.worker_context import HttpPoolLimits
+from tests.support.unscheduled_threads import returns_without_new_threads
 
 SPEC = FunctionSpec("f", 5, 0, 64.0)
 WORKER_ID = 9
@@ -325,3 +326,11 @@
     upstream.next_end()
     (traffic,) = upstream.dispatcher.traffic()
     assert (traffic.attempts, traffic.in_flight) == (1, 0)
+
+
+def test_an_attempt_is_sent_without_waiting_for_a_new_thread_to_be_scheduled(start: Start) -> None:
+    """A worker's new thread that got no processor used to hold the decision thread, and so all calls."""
+    upstream = start(answering(OK))
+    attempt = call(timeout_s=4 * WAIT_S)
+    assert returns_without_new_threads(lambda: upstream.dispatcher.send(attempt, 0, WORKER_ID, 0.0))
+    assert upstream.next_end().outcome.result is Result.OK
--- a/tests/upstream/multiplexed/test_connection.py
+++ b/tests/upstream/multiplexed/test_connection.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import queue
 import threading
+import time
 from typing import Any
 
 import pytest
@@ -25,6 +27,7 @@
 from tests.support.limited_socket import LimitedSocket
 from tests.support.platform import WAIT_S, Client, ScriptedHost, gateway
 from tests.support.stack import eventually
+from tests.support.unscheduled_threads import returns_without_new_threads
 
 SPEC = WorkerSpec(7, "s-7", "127.0.0.1", 1)
 
@@ -358,3 +361,15 @@
         assert host.seen.empty()
         eventually(lambda: not service.hosts.in_flight)
     host.close()
+
+
+def test_a_call_is_sent_without_waiting_for_a_new_thread_to_be_scheduled() -> None:
+    """A new connection's thread that got no processor used to hold the decision thread, and so all calls."""
+    reported: queue.SimpleQueue[Any] = queue.SimpleQueue()
+    dispatcher = MultiplexedDispatcher(
+        ConnectionLimits(), ConnectionBudget(1), WriteLoop(time.monotonic), reported.put, time.monotonic, 5.0
+    )
+    dispatcher.update_workers([SPEC], [])
+    call = Call(1, "1" * 16, FunctionSpec("f" * 16, 5, 0, 100.0), b"", time.monotonic() + 2 * WAIT_S)
+    assert returns_without_new_threads(lambda: dispatcher.send(call, 0, SPEC.number, 0.0))
+    assert reported.get(timeout=WAIT_S).outcome.result is Result.CONNECT_FAILED  # nobody listens there
