Soak: clients connect without waiting and write as soon as they may

Cause of most of it: all clients share one thread. It connected with a blocking call, and wrote what was due only at the end of a pass, after each event of all others. A new connection stood silent for a pass (0.6 to 10 ms in the median of a play), an answered one idle; the gateway closed it meanwhile for a newcomer, which was in turn a client whose connection had been closed.

Change: connects do not wait (on loopback a connection stands at once, else the selector tells), a client writes its first request as soon as the connection stands and the next one right after the answer. Only the kinds that write at a time of their own are looked at in each pass. A few clients connect in each pass, so that those that stand are read meanwhile. A failed write no longer ends a connection before the answers that wait in it are read. A client that is not let in before SIGTERM is a breach now; a client that could not connect again used to be dropped without a word.

The clients still write without looking whether the connection has ended: a variant that looked first was tried, and the judge no longer found the gateway that ends before the kill.

--- a/saffronstack/harness/soak/clients.py
+++ b/saffronstack/harness/soak/clients.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import random
 import selectors
 import socket
 import threading
 import time
+from collections import deque
 
 from saffronstack.harness.soak.schedule import ClientKind
 from saffronstack.harness.soak.traffic import ReceivedAnswer, SentRequest
@@ -17,10 +19,13 @@
 POLL_S = 0.005
 READ_TO_END_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
+CONNECTS_PER_PASS = 8  # more would keep answers on connections that stand unread
 PIPELINE_DEPTH = 4
 OPEN_LOOP_INTERVAL_S = (0.02, 0.12)
 PAUSE_BETWEEN_PIECES_S = (0.005, 0.2)
 FUNCTIONS = 12
+TIMED_KINDS = (ClientKind.OPEN_LOOP, ClientKind.IN_PIECES)  # they write when a time has come
+RECEIVE_BYTES = 65536
 ANSWER_LIMITS = RespLimits(body_bytes=1 << 20)
 TENANT = "acme"
 
@@ -59,23 +64,24 @@
             case ClientKind.IN_PIECES:
                 self._send_piece(now)
 
-    def receive(self, now: float) -> bool:
+    def receive(self) -> bool:
         """Read what has come; False where the gateway has ended the connection."""
         try:
-            received = self.sock.recv(65536)
+            received = self.sock.recv(RECEIVE_BYTES)
         except BlockingIOError:
             return True
         except OSError:
             return False
         if not received:
             return False
+        now = time.monotonic()
         self._reader.feed(received)
         while (words := self._reader.next()) is not None:
             self._take_answer(words, now)
         return True
 
     def end(self, now: float) -> None:
-        """Note that the gateway has ended it."""
+        """Note that the gateway has ended it; ``now``: read once that was seen."""
         for request in self._open.values():
             if not request.answers:
                 request.connection_ended_s = now
@@ -89,25 +95,28 @@
 
     def _send(self, requests: int) -> None:
         made = [self._make() for _ in range(requests)]
-        self.sock.sendall(b"".join(frame for _, _, frame in made))
-        now = time.monotonic()
+        sent_s = self._write(b"".join(frame for _, _, frame in made))
         for tag, request, _ in made:
-            self._note(tag, request, now)
+            self._note(tag, request, sent_s)
 
     def _send_piece(self, now: float) -> None:
         if self._rest is not None:
             due_s, rest, tag, request = self._rest
             if now >= due_s:
                 self._rest = None
-                self.sock.sendall(rest)
-                self._note(tag, request, time.monotonic())
+                self._note(tag, request, self._write(rest))
         elif not self._open:
             tag, request, frame = self._make()
             cut = self._chance.randrange(1, len(frame))
-            self.sock.sendall(frame[:cut])
+            self._write(frame[:cut])
             due_s = now + self._chance.uniform(*PAUSE_BETWEEN_PIECES_S)
             self._rest = (due_s, frame[cut:], tag, request)
 
+    def _write(self, data: bytes) -> float:
+        """Write without a look at what has come; when it was written."""
+        self.sock.sendall(data)
+        return time.monotonic()
+
     def _make(self) -> tuple[int, SentRequest, bytes]:
         """A new request, its tag and its frame."""
         self._tag += 1
@@ -123,8 +132,8 @@
         request = SentRequest(request_id, is_unsafe, body, 0.0, self._timeout_s, not self._open)
         return self._tag, request, frame
 
-    def _note(self, tag: int, request: SentRequest, now: float) -> None:
-        request.sent_s = now
+    def _note(self, tag: int, request: SentRequest, sent_s: float) -> None:
+        request.sent_s = sent_s
         self._open[tag] = self._by_tag[tag] = request
         self.sent.append(request)
 
@@ -139,12 +148,14 @@
         self._timeout_s = timeout_s
         self._chance = random.Random(seed)
         self._selector = selectors.DefaultSelector()
+        self.failed_connects = 0  # before the gateway was terminated
+        self._waiting = deque(kinds)  # to connect
+        self._connecting: dict[ClientConnection, float] = {}  # and when each is given up
         self._connections: set[ClientConnection] = set()
+        self._timed: set[ClientConnection] = set()  # of the kinds that write when a time has come
         self._requests: list[list[SentRequest]] = []
         self._stopping = threading.Event()
         self._terminated = threading.Event()
-        for kind in kinds:
-            self._connect(kind)
         self._thread = start_thread("soak-clients", self._run)
 
     def gateway_terminated(self) -> None:
@@ -157,53 +168,96 @@
         self._thread.join()
         return [request for sent in self._requests for request in sent]
 
-    def _connect(self, kind: ClientKind) -> None:
-        """OSError where it is not let in."""
-        sock = socket.create_connection(self._address, CONNECT_TIMEOUT_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setblocking(False)
-        connection = ClientConnection(kind, sock, self._chance, self._timeout_s)
-        self._connections.add(connection)
-        self._requests.append(connection.sent)
-        self._selector.register(sock, selectors.EVENT_READ, connection)
-
     def _run(self) -> None:
         while not self._stopping.is_set():
-            for key, _ in self._selector.select(POLL_S):
-                self._on_readable(key.data)
+            for _ in range(min(CONNECTS_PER_PASS, len(self._waiting))):
+                self._connect(self._waiting.popleft())
+            self._step()
             now = time.monotonic()
-            for connection in list(self._connections):
-                with contextlib.suppress(BlockingIOError):
-                    try:
-                        connection.send_due(now)
-                    except (BrokenPipeError, ConnectionError):
-                        self._end(connection, now)
+            for connection in list(self._timed):
+                self._send_due(connection, now)
+            self._give_up_connecting(now)
+        self._waiting.clear()
         self._read_to_end()
-        for connection in self._connections:
+        for connection in (*self._connections, *self._connecting):
             connection.sock.close()
         self._selector.close()
 
+    def _step(self) -> None:
+        for key, _ in self._selector.select(0.0 if self._waiting else POLL_S):
+            connection: ClientConnection = key.data
+            if connection in self._connecting:
+                self._continue_connecting(connection)
+            elif connection in self._connections:
+                self._on_readable(connection)
+
     def _read_to_end(self) -> None:
         """Read until each connection has ended: an answer may wait unread where this thread was late."""
         deadline_s = time.monotonic() + READ_TO_END_S
         while self._connections and time.monotonic() < deadline_s:
-            for key, _ in self._selector.select(POLL_S):
-                self._on_readable(key.data)
+            self._step()
+
+    # ---- connecting, without waiting
+
+    def _connect(self, kind: ClientKind) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setblocking(False)
+        connection = ClientConnection(kind, sock, self._chance, self._timeout_s)
+        self._requests.append(connection.sent)
+        self._connecting[connection] = time.monotonic() + CONNECT_TIMEOUT_S
+        self._selector.register(sock, selectors.EVENT_WRITE, connection)
+        self._continue_connecting(connection)
+        if connection in self._connecting:  # on loopback it stands by now
+            self._continue_connecting(connection)
+
+    def _continue_connecting(self, connection: ClientConnection) -> None:
+        error = connection.sock.connect_ex(self._address)
+        if error in (errno.EINPROGRESS, errno.EALREADY):
+            return
+        if error not in (0, errno.EISCONN):
+            self._fail_connecting(connection)
+            return
+        del self._connecting[connection]
+        self._selector.modify(connection.sock, selectors.EVENT_READ, connection)
+        self._connections.add(connection)
+        if connection.kind in TIMED_KINDS:
+            self._timed.add(connection)
+        self._send_due(connection, time.monotonic())
+
+    def _give_up_connecting(self, now: float) -> None:
+        for connection, until_s in list(self._connecting.items()):
+            if now >= until_s:
+                self._fail_connecting(connection)
+
+    def _fail_connecting(self, connection: ClientConnection) -> None:
+        del self._connecting[connection]
+        self._selector.unregister(connection.sock)
+        connection.sock.close()
+        self.failed_connects += not self._terminated.is_set()
+
+    # ---- connections that stand
+
+    def _send_due(self, connection: ClientConnection, now: float) -> None:
+        if self._stopping.is_set():
+            return
+        with contextlib.suppress(OSError):  # where it has ended, what came before the end is read first
+            connection.send_due(now)
 
     def _on_readable(self, connection: ClientConnection) -> None:
-        now = time.monotonic()
         try:
-            is_open = connection.receive(now)
+            is_open = connection.receive()
         except RespError:
             is_open = False
         if not is_open:
-            self._end(connection, now)
-
-    def _end(self, connection: ClientConnection, now: float) -> None:
-        if connection in self._connections:
-            self._connections.discard(connection)
-            self._selector.unregister(connection.sock)
-            connection.end(now)
-            if connection.kind is not ClientKind.CROWD and not self._terminated.is_set():
-                with contextlib.suppress(OSError):
-                    self._connect(connection.kind)
+            self._end(connection)
+        elif connection.kind not in TIMED_KINDS:
+            self._send_due(connection, time.monotonic())
+
+    def _end(self, connection: ClientConnection) -> None:
+        self._connections.discard(connection)
+        self._timed.discard(connection)
+        self._selector.unregister(connection.sock)
+        connection.end(time.monotonic())
+        if connection.kind is not ClientKind.CROWD and not self._terminated.is_set():
+            self._waiting.append(connection.kind)
--- a/saffronstack/harness/soak/judge.py
+++ b/saffronstack/harness/soak/judge.py
@@ -39,6 +39,8 @@
     within_margin = crossed = 0
     if play.exit_status not in (None, 0):
         breaches.append(f"the gateway ended with status {play.exit_status}")
+    if play.failed_connects:
+        breaches.append(f"{play.failed_connects} clients were not let in before SIGTERM")
     for request in play.requests:
         breaches += _effects(request, play.calls[request.request_id])
         if request.answers:
--- a/saffronstack/harness/soak/traffic.py
+++ b/saffronstack/harness/soak/traffic.py
@@ -50,6 +50,7 @@
         terminated_s: When SIGTERM was sent.
         killed_s: When the gateway was killed; None where it had ended by itself.
         exit_status: Of a gateway that ended by itself.
+        failed_connects: How many clients were not let in before SIGTERM.
         starved_s: How long, right before the kill, one of its threads was ready to run and had no core.
     """
 
@@ -59,3 +60,4 @@
     killed_s: float | None
     exit_status: int | None
     starved_s: float = 0.0
+    failed_connects: int = 0
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -117,8 +117,9 @@
         verdict(request(101.0, "OK", unsafe=True), calls=2),
         verdict(request(101.0, "BUSY", unsafe=True)),
         judge(ObservedPlay([], Counter(), TERMINATED_S, None, 1)),
+        judge(ObservedPlay([], Counter(), TERMINATED_S, KILLED_S, None, failed_connects=1)),
     ],
-    ids=["two answers", "two effects", "refused with an effect", "exit status"],
+    ids=["two answers", "two effects", "refused with an effect", "exit status", "not let in"],
 )
 def test_each_breach_is_found(broken: Verdict) -> None:
     assert len(broken.breaches) == 1
