Soak: the judge asks of each request how long a processor was there for it

Cause: the judge allowed 0.05 s and the longest wait for a processor of one thread in the last 0.2 s, by schedstat, which counts a wait only once it is over. A thread that still waited at the kill had waited for nothing. And a call with a host, whose answer fell due 0.1 s before the kill, was compared by its arrival.

The requests were unread, and the thread that reads was ready without a processor.

Tests: three tests of test_soak.py go with starved_s. "Time without a core is no fault" (0.04 s a breach, 0.06 s none) keeps its two figures as waits of the reading thread until the kill, and has beside it a wait before the request came, a wait of another thread, and a wait that ends early: all breaches. "The longest of its threads" is replaced by the tests of thread_samples.py: waits that go on, are over, or were none, and threads that run beside. Calls with a host: breaches without waits, with a short one, with a thread that never ran, and where the host had answered.

--- a/saffronstack/harness/soak/defects.py
+++ b/saffronstack/harness/soak/defects.py
@@ -10,6 +10,17 @@
 shutdown.GracefulShutdown._drained = drained
 shutdown.GracefulShutdown._quiet = lambda self, now, activity: True
 """
+_STOPS_READING_BEFORE_THE_KILL = """
+import time
+from saffronstack.platform import front
+step = front.Front._step_shutdown
+def step_and_sleep(self, now):
+    before, after = self.phase, step(self, now)
+    if after is not before and after is front.Phase.REFUSING:
+        time.sleep(1.0)
+    return after
+front.Front._step_shutdown = step_and_sleep
+"""
 _DROPS_AN_ANSWER = """
 from saffronstack.platform.connection import ClientConnection
 write, answers = ClientConnection._answer, []
@@ -41,6 +52,7 @@
 """
 DEFECTS = {
     "ends before the kill": _ENDS_BEFORE_THE_KILL + _MAIN,
+    "stops reading before the kill": _STOPS_READING_BEFORE_THE_KILL + _MAIN,
     "drops an answer": _DROPS_AN_ANSWER + _MAIN,
     "runs a call twice": _RUNS_TWICE + _MAIN,
 }
--- a/saffronstack/harness/soak/hosts.py
+++ b/saffronstack/harness/soak/hosts.py
@@ -60,12 +60,17 @@
 
 
 class SoakHost:
-    """One host. ``calls`` counts by request id how often a call arrived, which is when it takes effect."""
+    """One host.
+
+    ``calls`` counts by request id how often a call arrived, which is when it takes effect; ``answers_s`` is
+    when each was answered first (monotonic).
+    """
 
     def __init__(
         self, behaviour: HostBehaviour, delay_s: float, deadline_s: float, writes: DelayedWrites, seed: int
     ) -> None:
         self.calls: Counter[str] = Counter()
+        self.answers_s: dict[str, float] = {}
         self._behaviour = behaviour
         self._delay_s = delay_s
         self._slow_s = SLOW_SHARE * deadline_s
@@ -100,9 +105,11 @@
         fields: dict[str, object] = {}
         match message["what"]:
             case "CALL":
-                delay_s = self._take(str(message["tag"]))
+                request_id = str(message["tag"])
+                delay_s = self._take(request_id)
                 if self._behaviour is HostBehaviour.HANGING:
                     return
+                self.answers_s.setdefault(request_id, time.monotonic() + delay_s)
                 fields["note"] = "up"
             case "LOAD":
                 delay_s = 0.0
--- a/saffronstack/harness/soak/judge.py
+++ b/saffronstack/harness/soak/judge.py
@@ -5,9 +5,11 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from saffronstack.harness.soak.thread_samples import busiest_thread, process_wait_s, thread_wait_s
 from saffronstack.harness.soak.traffic import ObservedPlay, SentRequest
 
-KILL_MARGIN_S = 0.05  # a request that arrives later before the kill may be without an answer
+KILL_MARGIN_S = 0.05  # a request that the gateway had less processor time for may be without an answer
+ANSWER_DUE_S = 0.1  # before the kill a call that is with a host is to be answered, if not before
 CROSSING_S = 0.05  # by the protocol's page: a request may cross the end of a connection with nothing open
 LATE_S = 0.5  # after its time a request counts as lost
 SERVED, REFUSED = "OK", "BUSY"
@@ -46,7 +48,7 @@
         if request.answers:
             answers[request.answers[0].word] += 1
             breaches += _answers(request, play)
-        elif play.killed_s is not None and request.sent_s > play.killed_s - KILL_MARGIN_S - play.starved_s:
+        elif play.killed_s is not None and _available_s(request, play, play.killed_s) < KILL_MARGIN_S:
             within_margin += 1
         elif _has_crossed(request, play):
             crossed += 1
@@ -55,6 +57,23 @@
     return Verdict(tuple(breaches), answers, within_margin, crossed)
 
 
+def _available_s(request: SentRequest, play: ObservedPlay, killed_s: float) -> float:
+    """How long the gateway had a processor to answer a request before it was killed.
+
+    One that no host has seen waits for the thread that reads, which is the busiest. A call that a host has
+    seen waits for several threads in turn, from when the host answered, or its answer fell due.
+    """
+    if not play.calls[request.request_id]:
+        reader = busiest_thread(play.samples)
+        waited_s = (
+            thread_wait_s(play.samples, reader, request.sent_s, killed_s) if reader is not None else 0.0
+        )
+        return killed_s - request.sent_s - waited_s
+    due_s = min(killed_s - ANSWER_DUE_S, play.host_answers_s.get(request.request_id, killed_s))
+    due_s = max(request.sent_s, due_s)
+    return killed_s - due_s - process_wait_s(play.samples, due_s, killed_s)
+
+
 def _effects(request: SentRequest, calls: int) -> list[str]:
     if not request.is_unsafe:
         return []
--- a/saffronstack/harness/soak/platform_play.py
+++ b/saffronstack/harness/soak/platform_play.py
@@ -10,14 +10,15 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from saffronstack.harness.soak.clients import SoakClients
 from saffronstack.harness.soak.hosts import DelayedWrites, SoakHost
 from saffronstack.harness.soak.judge import Verdict, judge
 from saffronstack.harness.soak.platform_config import write_config
-from saffronstack.harness.soak.run_queue import longest_wait_s, read_waits_s
 from saffronstack.harness.soak.schedule import HostBehaviour, Schedule, SignalAt
+from saffronstack.harness.soak.thread_sampler import ThreadSampler
 from saffronstack.harness.soak.traffic import ObservedPlay
 from saffronstack.runtime.threads import start_thread
 from saffronstack.standin.platform import Directory, Entry
@@ -25,7 +26,6 @@
 
 START_TIMEOUT_S = 30.0
 KILLED_TIMEOUT_S = 10.0
-STARVED_SPAN_S = 0.2  # before the kill, in which it counts how long the gateway had no core
 AFTER_END_S = 0.1  # for clients to see the end of their connections
 READY_LINE = "takes calls"
 
@@ -42,6 +42,15 @@
     log: str
 
 
+def first_times_s(times_s: Iterable[Mapping[str, float]]) -> dict[str, float]:
+    """Return the earliest time of each key."""
+    first_s: dict[str, float] = {}
+    for some_s in times_s:
+        for key, at_s in some_s.items():
+            first_s[key] = min(at_s, first_s.get(key, at_s))
+    return first_s
+
+
 class _Gateway:
     """The gateway's process and its log."""
 
@@ -90,7 +99,6 @@
         self._schedule = schedule
         self._folder = folder
         self._program = program
-        self._starved_s = 0.0
         self._writes = DelayedWrites()
         self._hosts = [self._make_host(behaviour, number) for number, behaviour in enumerate(schedule.hosts)]
         self._entries = [Entry(f"s-{number}", host.address) for number, host in enumerate(self._hosts)]
@@ -116,6 +124,7 @@
         gateway = _Gateway(self._write_config(listen), self._program)
         try:
             gateway.wait_ready()
+            sampler = ThreadSampler(gateway.process.pid)
             host, _, port = listen.rpartition(":")
             timeout_s = schedule.longest_deadline_s
             clients = SoakClients((host, int(port)), schedule.clients, schedule.seed, timeout_s)
@@ -126,10 +135,15 @@
             requests = clients.stop()
         finally:
             log = gateway.end()
-        calls = sum((played.calls for played in self._hosts), Counter[str]())
-        exit_status = gateway.process.returncode if killed_s is None else None
         observed = ObservedPlay(
-            requests, calls, terminated_s, killed_s, exit_status, self._starved_s, clients.failed_connects
+            requests,
+            sum((played.calls for played in self._hosts), Counter[str]()),
+            terminated_s,
+            killed_s,
+            exit_status=gateway.process.returncode if killed_s is None else None,
+            failed_connects=clients.failed_connects,
+            host_answers_s=first_times_s(played.answers_s for played in self._hosts),
+            samples=sampler.samples(),
         )
         ended_after_s = self._ended_s - terminated_s if killed_s is None else None
         return PlayedSchedule(replace(judge(observed), ended_after_s=ended_after_s), log)
@@ -145,10 +159,7 @@
             timer.daemon = True
             timer.start()
         for step in sorted(steps, key=lambda one: one.at_s):
-            is_kill = step.name == "SIGKILL"
-            if self._has_ended_before(gateway, terminate_s + step.at_s - is_kill * STARVED_SPAN_S):
-                return terminate_s, None
-            if is_kill and not self._watch_until_kill(gateway, terminate_s + step.at_s):
+            if self._has_ended_before(gateway, terminate_s + step.at_s):
                 return terminate_s, None
             at_s = time.monotonic()
             if step.name == "SIGTERM" and step.at_s == 0.0:
@@ -156,14 +167,6 @@
             gateway.send_signal(step.name)
         return terminate_s, at_s
 
-    def _watch_until_kill(self, gateway: _Gateway, kill_s: float) -> bool:
-        """Measure how long the gateway has no core until the kill; False where it ends before."""
-        before_s = read_waits_s(gateway.process.pid)
-        if self._has_ended_before(gateway, kill_s):
-            return False
-        self._starved_s = longest_wait_s(before_s, read_waits_s(gateway.process.pid))
-        return True
-
     def _has_ended_before(self, gateway: _Gateway, until_s: float) -> bool:
         try:
             gateway.process.wait(max(0.0, until_s - time.monotonic()))
--- /dev/null
+++ b/saffronstack/harness/soak/thread_sampler.py
@@ -0,0 +1,121 @@
+"""Samples the threads of a process until it has ended; a program of its own, so that no play delays it.
+
+    python -m saffronstack.harness.soak.thread_sampler PID
+
+Prints the samples of the last `KEPT_S` as JSON once the process has ended, at the latest after `MAX_S`.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import subprocess
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
+
+from saffronstack.harness.soak.thread_samples import ProcessSample, ThreadSample
+
+INTERVAL_S = 0.004
+KEPT_S = 1.5
+MAX_S = 30.0
+END_TIMEOUT_S = 10.0
+NANOSECONDS = 1e9
+READ_BYTES = 1024
+
+
+def read_threads(pid: int) -> dict[int, ThreadSample]:
+    """Return the counters of each thread of a process, none where it has ended."""
+    threads: dict[int, ThreadSample] = {}
+    with contextlib.suppress(OSError):
+        for name in os.listdir(f"/proc/{pid}/task"):
+            with contextlib.suppress(OSError, ValueError, IndexError):  # the thread has ended
+                found = _read_thread(f"/proc/{pid}/task/{name}")
+                if found is not None:
+                    threads[int(name)] = found
+    return threads
+
+
+def _read_thread(path: str) -> ThreadSample | None:
+    state = _read(f"{path}/stat").rpartition(b") ")[2][:1]
+    if state in (b"Z", b"X"):
+        return None
+    ran, waited, turns = _read(f"{path}/schedstat").split()
+    return ThreadSample(state == b"R", int(ran) / NANOSECONDS, int(waited) / NANOSECONDS, int(turns))
+
+
+def _read(path: str) -> bytes:
+    file = os.open(path, os.O_RDONLY)
+    try:
+        return os.read(file, READ_BYTES)
+    finally:
+        os.close(file)
+
+
+def sample_until_end(
+    read: Callable[[], Mapping[int, ThreadSample]],
+    clock: Callable[[], float] = time.monotonic,
+    pause: Callable[[float], object] = time.sleep,
+) -> list[ProcessSample]:
+    """Sample until no thread is left; return the last samples."""
+    samples: deque[ProcessSample] = deque()
+    until_s = clock() + MAX_S
+    while (now := clock()) < until_s:
+        threads = read()
+        if not threads:
+            break
+        samples.append(ProcessSample(now, threads))
+        while now - samples[0].at_s > KEPT_S:
+            samples.popleft()
+        pause(INTERVAL_S)
+    return list(samples)
+
+
+class ThreadSampler:
+    """A sampler's process, as its creator sees it."""
+
+    def __init__(self, pid: int) -> None:
+        """Begin to sample."""
+        command = [sys.executable, "-m", "saffronstack.harness.soak.thread_sampler", str(pid)]
+        self._process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+    def samples(self) -> tuple[ProcessSample, ...]:
+        """Return the samples once the sampled process has ended; none where the sampler failed."""
+        try:
+            printed, _ = self._process.communicate(timeout=END_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            self._process.communicate()
+            return ()
+        return decode(printed) if self._process.returncode == 0 else ()
+
+
+def encode(samples: Sequence[ProcessSample]) -> str:
+    """Return samples as JSON."""
+    return json.dumps(
+        [
+            [
+                sample.at_s,
+                {
+                    thread: [found.is_ready, found.ran_s, found.waited_s, found.turns]
+                    for thread, found in sample.threads.items()
+                },
+            ]
+            for sample in samples
+        ]
+    )
+
+
+def decode(printed: str) -> tuple[ProcessSample, ...]:
+    """Return the samples that `encode` printed."""
+    return tuple(
+        ProcessSample(at_s, {int(thread): ThreadSample(*found) for thread, found in threads.items()})
+        for at_s, threads in json.loads(printed)
+    )
+
+
+if __name__ == "__main__":
+    print(encode(sample_until_end(partial(read_threads, int(sys.argv[1])))))
--- /dev/null
+++ b/saffronstack/harness/soak/thread_samples.py
@@ -0,0 +1,92 @@
+"""What a process's threads did between samples of the kernel's counters. No I/O; times in monotonic seconds.
+
+The kernel adds a wait for a processor to its counter only once the wait is over. A thread that is ready to
+run in two samples, and neither ran nor was given a processor between them, waited all the time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from itertools import pairwise
+
+
+@dataclass(frozen=True, slots=True)
+class ThreadSample:
+    """One thread's counters since it began.
+
+    Attributes:
+        is_ready: Whether it runs, or waits for a processor.
+        ran_s: How long it ran.
+        waited_s: How long it waited for a processor, without a wait that is not over.
+        turns: How often it was given a processor.
+    """
+
+    is_ready: bool
+    ran_s: float
+    waited_s: float
+    turns: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessSample:
+    """All threads of a process at one moment, by thread id."""
+
+    at_s: float
+    threads: Mapping[int, ThreadSample]
+
+
+def busiest_thread(samples: Sequence[ProcessSample]) -> int | None:
+    """Return the thread that ran most between the first and the last sample in which it is seen."""
+    first: dict[int, float] = {}
+    ran_s: dict[int, float] = {}
+    for sample in samples:
+        for thread, found in sample.threads.items():
+            ran_s[thread] = found.ran_s - first.setdefault(thread, found.ran_s)
+    return max(ran_s, key=ran_s.__getitem__, default=None)
+
+
+def thread_wait_s(samples: Sequence[ProcessSample], thread: int, begin_s: float, end_s: float) -> float:
+    """Return how long a thread waited for a processor in a span, as far as the samples show it."""
+    return sum(
+        _wait_between_s(before, after, thread) * _part_within(before, after, begin_s, end_s)
+        for before, after in pairwise(samples)
+    )
+
+
+def process_wait_s(samples: Sequence[ProcessSample], begin_s: float, end_s: float) -> float:
+    """Return how long in a span some thread waited for a processor while no thread of the process ran.
+
+    A thread that never ran before counts for nothing: whoever waits for it to begin is at fault.
+    """
+    return sum(
+        _idle_wait_between_s(before, after) * _part_within(before, after, begin_s, end_s)
+        for before, after in pairwise(samples)
+    )
+
+
+def _part_within(before: ProcessSample, after: ProcessSample, begin_s: float, end_s: float) -> float:
+    """Which part of the time between two samples lies within a span."""
+    within_s = min(after.at_s, end_s) - max(before.at_s, begin_s)
+    return max(0.0, within_s) / (after.at_s - before.at_s) if after.at_s > before.at_s else 0.0
+
+
+def _wait_between_s(before: ProcessSample, after: ProcessSample, thread: int) -> float:
+    old, new = before.threads.get(thread), after.threads.get(thread)
+    if old is None or new is None:
+        return 0.0
+    elapsed_s = after.at_s - before.at_s
+    if old.is_ready and new.is_ready and (old.ran_s, old.turns) == (new.ran_s, new.turns):
+        return elapsed_s
+    return min(elapsed_s, new.waited_s - old.waited_s)
+
+
+def _idle_wait_between_s(before: ProcessSample, after: ProcessSample) -> float:
+    begun = [thread for thread, found in before.threads.items() if found.ran_s > 0]
+    longest_s = max((_wait_between_s(before, after, thread) for thread in begun), default=0.0)
+    ran_s = sum(
+        after.threads[thread].ran_s - found.ran_s
+        for thread, found in before.threads.items()
+        if thread in after.threads
+    )
+    return max(0.0, min(longest_s, after.at_s - before.at_s - ran_s))
--- a/saffronstack/harness/soak/traffic.py
+++ b/saffronstack/harness/soak/traffic.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from saffronstack.harness.soak.thread_samples import ProcessSample
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedAnswer:
@@ -51,7 +54,8 @@
         killed_s: When the gateway was killed; None where it had ended by itself.
         exit_status: Of a gateway that ended by itself.
         failed_connects: How many clients were not let in before SIGTERM.
-        starved_s: How long, right before the kill, one of its threads was ready to run and had no core.
+        host_answers_s: When a host first answered each request id; those that no host answered are not in it.
+        samples: What the gateway's threads did until the kill.
     """
 
     requests: list[SentRequest]
@@ -59,5 +63,6 @@
     terminated_s: float
     killed_s: float | None
     exit_status: int | None
-    starved_s: float = 0.0
     failed_connects: int = 0
+    host_answers_s: Mapping[str, float] = field(default_factory=dict)
+    samples: tuple[ProcessSample, ...] = ()
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import os
+import math
 import pathlib
 from collections import Counter
 
@@ -12,8 +12,8 @@
 from saffronstack.harness.soak.defects import DEFECTS, RUNS_AGAIN_AFTER_RESTART
 from saffronstack.harness.soak.judge import KILL_MARGIN_S, Verdict, judge
 from saffronstack.harness.soak.platform_play import PlatformPlay
-from saffronstack.harness.soak.run_queue import longest_wait_s, read_waits_s
 from saffronstack.harness.soak.schedule import KILL_AFTER_S, draw
+from saffronstack.harness.soak.thread_samples import ProcessSample, ThreadSample
 from saffronstack.harness.soak.traffic import ObservedPlay, ReceivedAnswer, SentRequest
 
 SEEDS = range(1, 11)
@@ -89,18 +89,67 @@
     assert len(verdict(request(KILLED_S - KILL_MARGIN_S * 2)).breaches) == 1
 
 
-def test_time_without_a_core_before_the_kill_is_no_fault_of_the_gateway() -> None:
-    unanswered = request(KILLED_S - KILL_MARGIN_S * 2)
-    starved = [
-        ObservedPlay([unanswered], Counter(), TERMINATED_S, KILLED_S, None, time_s) for time_s in (0.04, 0.06)
-    ]
-    assert [len(judge(play).breaches) for play in starved] == [1, 0]
+READER, OTHER, BEGUN = 1, 2, 3  # threads; the reader ran most, the last one never
 
 
-def test_the_time_without_a_core_is_the_longest_of_its_threads() -> None:
-    assert longest_wait_s({1: 1.0, 2: 5.0}, {1: 1.5, 2: 5.2, 3: 0.1}) == 0.5
-    assert longest_wait_s({1: 1.0}, {}) == 0.0
-    assert read_waits_s(os.getpid())
+def judged(
+    request: SentRequest, *waiting_s: tuple[int, float, float], host_s: float | None = None
+) -> Verdict:
+    """Judge a request beside threads that wait for processors in spans before the kill, and sleep else.
+
+    ``host_s``: when before the kill a host that saw it answered; infinite for never.
+    """
+    samples = []
+    for number in range(100, -1, -1):  # one each 5 ms
+        before_s = number * 0.005
+        threads = {
+            thread: ThreadSample(
+                any(one == thread and begin_s >= before_s >= end_s for one, begin_s, end_s in waiting_s),
+                ran_s=ran_s + (0.1 if thread == READER and number < 100 else 0.0),
+                waited_s=0.0,
+                turns=0,
+            )
+            for thread, ran_s in ((READER, 1.0), (OTHER, 2.0), (BEGUN, 0.0))
+        }
+        samples.append(ProcessSample(KILLED_S - before_s, threads))
+    calls = Counter({request.request_id: 1} if host_s is not None else {})
+    answers_s = {request.request_id: KILLED_S - host_s} if host_s is not None else {}
+    observed = ObservedPlay([request], calls, TERMINATED_S, KILLED_S, None, 0, answers_s, tuple(samples))
+    return judge(observed)
+
+
+@pytest.mark.parametrize(
+    ("unanswered_s", "waiting_s", "breaches"),
+    [
+        (0.1, [(READER, 0.06, 0.0)], 0),
+        (0.1, [(READER, 0.04, 0.0)], 1),
+        (0.1, [(READER, 0.3, 0.105)], 1),  # before the request came
+        (0.1, [(OTHER, 0.1, 0.0)], 1),  # the reader sleeps: it is held by the program
+        (0.1, [(READER, 0.1, 0.07), (OTHER, 0.07, 0.0)], 1),
+    ],
+)
+def test_only_the_readers_wait_while_it_is_unread_excuses_a_request(
+    unanswered_s: float, waiting_s: list[tuple[int, float, float]], breaches: int
+) -> None:
+    """The longest wait of any thread in the last 0.2 s used to, but not one that was still going on."""
+    assert len(judged(request(KILLED_S - unanswered_s), *waiting_s).breaches) == breaches
+
+
+@pytest.mark.parametrize(
+    ("host_s", "waiting_s", "breaches"),
+    [
+        (-math.inf, [(OTHER, 0.1, 0.07), (READER, 0.07, 0.035)], 0),  # one thread after the other
+        (-math.inf, [(OTHER, 0.1, 0.07)], 1),
+        (-math.inf, [], 1),
+        (-math.inf, [(BEGUN, 0.5, 0.0)], 1),  # a thread is held by the start of another
+        (0.4, [(OTHER, 0.1, 0.0)], 1),  # answered long before, and dropped
+    ],
+)
+def test_a_call_with_a_host_is_due_before_the_kill(
+    host_s: float, waiting_s: list[tuple[int, float, float]], breaches: int
+) -> None:
+    """An answer that fell due where no thread had a processor counted from the arrival of its request."""
+    assert len(judged(request(KILLED_S - 0.45), *waiting_s, host_s=host_s).breaches) == breaches
 
 
 def test_a_request_that_crosses_an_idle_close_is_excused_only_where_the_gateway_goes_on() -> None:
--- /dev/null
+++ b/tests/harness/test_soak_thread_samples.py
@@ -0,0 +1,73 @@
+"""How long threads waited for processors, from samples of the kernel's counters."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import subprocess
+import sys
+import threading
+
+import pytest
+
+from saffronstack.harness.soak.thread_sampler import KEPT_S, decode, encode, read_threads, sample_until_end
+from saffronstack.harness.soak.thread_samples import (
+    ProcessSample,
+    ThreadSample,
+    busiest_thread,
+    process_wait_s,
+    thread_wait_s,
+)
+
+WAIT_S = 20.0
+WAITING, ASLEEP = ThreadSample(True, 1.0, 2.0, 7), ThreadSample(False, 1.0, 2.0, 7)
+RAN = ThreadSample(True, 1.1, 2.0, 8)
+WAITED = ThreadSample(False, 1.0, 2.04, 8)
+
+
+def pair(before: dict[int, ThreadSample], after: dict[int, ThreadSample]) -> list[ProcessSample]:
+    return [ProcessSample(100.0, before), ProcessSample(100.1, after)]
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "wait_s"),
+    [(WAITING, WAITING, 0.1), (WAITING, WAITED, 0.04), (WAITING, RAN, 0.0), (ASLEEP, ASLEEP, 0.0)],
+    ids=["goes on", "is over", "ran", "slept"],
+)
+def test_a_wait_counts_also_while_it_goes_on(
+    before: ThreadSample, after: ThreadSample, wait_s: float
+) -> None:
+    """The kernel's counter alone showed 0 s of a wait of 0.195 s that lasted until the kill."""
+    samples = pair({1: before}, {1: after})
+    assert thread_wait_s(samples, 1, 99.0, 101.0) == pytest.approx(wait_s)
+    assert thread_wait_s(samples, 1, 100.05, 101.0) == pytest.approx(wait_s / 2)
+    assert thread_wait_s(samples, 2, 99.0, 101.0) == 0.0
+
+
+def test_a_process_waits_only_while_none_of_its_threads_runs() -> None:
+    never_ran = ThreadSample(True, 0.0, 0.0, 0)
+    assert process_wait_s(pair({1: WAITING, 2: ASLEEP}, {1: WAITING, 2: ASLEEP}), 0, 200) == pytest.approx(
+        0.1
+    )
+    assert process_wait_s(pair({1: WAITING, 2: WAITING}, {1: WAITING, 2: RAN}), 0, 200) == pytest.approx(0.0)
+    assert process_wait_s(pair({1: never_ran}, {1: never_ran}), 0, 200) == 0.0
+
+
+def test_the_busiest_thread_is_the_one_that_ran_most_since_it_is_sampled() -> None:
+    assert busiest_thread(pair({1: WAITING, 2: ThreadSample(True, 9.0, 0.0, 1)}, {1: RAN})) == 1
+    assert busiest_thread([]) is None
+
+
+def test_a_sampler_keeps_the_last_samples_until_no_thread_is_left() -> None:
+    times_s = itertools.count(100.0, KEPT_S / 2)
+    found = iter([{1: WAITING}] * 9 + [{}])
+    samples = sample_until_end(lambda: next(found), lambda: next(times_s), lambda _: None)
+    assert [sample.at_s for sample in samples] == [100.0 + number * KEPT_S / 2 for number in (7, 8, 9)]
+    assert decode(encode(samples)) == tuple(samples)
+
+
+def test_the_kernel_tells_of_each_thread_of_a_process_that_runs() -> None:
+    assert read_threads(os.getpid())[threading.get_native_id()].ran_s > 0
+    ended = subprocess.Popen([sys.executable, "-c", ""])
+    ended.wait(WAIT_S)
+    assert read_threads(ended.pid) == {}
