Soak: sending and end of a request by the kernel's times

The judge excuses a request that crosses the end of an idle connection within 0.05 s.

Cause: the clients' thread paused, not the gateway. It noted an end when it read it. Forced pauses of 0.14 s of the gateway gave none in 5 plays: it closes no connection with unread data. On a quiet machine the thread pauses for full collections of garbage: one in each of 12 plays (0.023 to 0.038 s in a process of its own); in a pytest process with all tests collected, 175,000 objects, one takes 0.100 to 0.103 s of processor time (5 of 5).

Change: the end of a connection counts from the moment at which the kernel received the FIN (TCP_INFO, tcpi_last_ack_recv), a request from the moment at which it sent the data (tcpi_last_data_sent). Plays keep collections out of the interpreter's way; no verdict needs that any more.

At least as strict: the times are bounds against the gateway. The end is the latest moment that the kernel's word allows, a request's the earliest (it used to be stamped after the write), each with one timer tick added, and never outside of what the clock said before the write and after the end was seen. A reset alone does not move the kernel's time: it counts from when it was seen, as before. 40 closes of each form with a tick of 4 ms: -3.2 to +3.7 ms after a FIN, also where a reset followed; 18 to 80 ms too early for a reset alone.

--- a/saffronstack/harness/soak/clients.py
+++ b/saffronstack/harness/soak/clients.py
@@ -11,6 +11,7 @@
 import time
 from collections import deque
 
+from saffronstack.harness.soak.kernel_times import read_tcp_times
 from saffronstack.harness.soak.schedule import ClientKind
 from saffronstack.harness.soak.traffic import ReceivedAnswer, SentRequest
 from saffronstack.resp.reader import RespError, RespLimits, RespReader, encode
@@ -47,6 +48,8 @@
         self._tag = 0
         self._rest: tuple[float, bytes, int, SentRequest] | None = None  # of a request in pieces, and when
         self._next_s = 0.0  # of an open loop
+        self._was_reset = False
+        self._has_read_fin = False  # and no reset before it
 
     def send_due(self, now: float) -> None:
         """Write what is due; OSError where the connection has ended."""
@@ -71,8 +74,10 @@
         except BlockingIOError:
             return True
         except OSError:
+            self._was_reset = True
             return False
         if not received:
+            self._has_read_fin = not self._was_reset
             return False
         now = time.monotonic()
         self._reader.feed(received)
@@ -82,9 +87,10 @@
 
     def end(self, now: float) -> None:
         """Note that the gateway has ended it; ``now``: read once that was seen."""
+        ended_s = read_tcp_times(self.sock).latest_end_s(now) if self._has_read_fin else now
         for request in self._open.values():
             if not request.answers:
-                request.connection_ended_s = now
+                request.connection_ended_s = ended_s
         self.sock.close()
 
     def _take_answer(self, words: tuple[bytes, ...], now: float) -> None:
@@ -113,9 +119,14 @@
             self._rest = (due_s, frame[cut:], tag, request)
 
     def _write(self, data: bytes) -> float:
-        """Write without a look at what has come; when it was written."""
-        self.sock.sendall(data)
-        return time.monotonic()
+        """Write without a look at what has come; the earliest moment at which it can have been sent."""
+        before_s = time.monotonic()
+        try:
+            self.sock.sendall(data)
+        except ConnectionError:
+            self._was_reset = True  # the socket gives the error once, and then reads as after a FIN
+            raise
+        return read_tcp_times(self.sock).earliest_send_s(before_s)
 
     def _make(self) -> tuple[int, SentRequest, bytes]:
         """A new request, its tag and its frame."""
--- a/saffronstack/harness/soak/platform_play.py
+++ b/saffronstack/harness/soak/platform_play.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import gc
 import os
 import pathlib
 import signal
@@ -10,6 +12,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from saffronstack.harness.soak.clients import SoakClients
@@ -42,6 +45,18 @@
     log: str
 
 
+@contextlib.contextmanager
+def _without_collections() -> Iterator[None]:
+    """Keep full collections of garbage from pausing the clients: they walk all objects of the process."""
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
 class _Gateway:
     """The gateway's process and its log."""
 
@@ -103,7 +118,7 @@
             PlayError: The gateway did not start.
         """
         try:
-            with hold_port("127.0.0.1") as holder:
+            with _without_collections(), hold_port("127.0.0.1") as holder:
                 return self._play_on(f"127.0.0.1:{holder.getsockname()[1]}")
         finally:
             self._directory.close()
--- a/saffronstack/harness/soak/traffic.py
+++ b/saffronstack/harness/soak/traffic.py
@@ -23,11 +23,12 @@
         request_id: 16 hexadecimal digits.
         is_unsafe: Whether its class must not run twice.
         body: As sent.
-        sent_s: When its last byte was written.
+        sent_s: The earliest moment at which its last byte can have been sent.
         timeout_s: How long its client waits.
         on_idle_connection: Whether its connection had no other request open.
         answers: In the order in which they came.
-        connection_ended_s: When its connection ended before an answer; None where it did not.
+        connection_ended_s: The latest moment at which its connection can have ended before an answer; None
+            where it did not.
     """
 
     request_id: str
