Soak: no request of a busy client crosses the end of an idle connection

What callers saw: beside a crowd a gateway closed the connections of clients that were calling, and the soak passed: it excused each request that crossed such a close, however many there were.

Change: the judge counts the crossings of busy clients (every kind but the crowd) apart. A play whose busy clients need no more connections than clients may use (a third of the descriptors) fails where there is any: MAX_BUSY_CROSSINGS is 0. A request written more than CROSSING_S after the kernel received the end is no crossing by the protocol's page, and stays excused as before. benchmarks/soak.py prints both counts.

The crowd now comes again, 0.05 to 0.3 s after the gateway has ended a connection of it.

Broken variant "closes busy connections": each connection beyond the limit closes the one in use longest. The test of the broken variants now also says which breach each one must give.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -36,6 +36,7 @@
     ended = f"ended +{verdict.ended_after_s:.2f}" if verdict.ended_after_s is not None else "killed"
     text = f"{schedule.seed:>5} {len(verdict.breaches):>4} breaches  {ended:<12} {dict(verdict.answers)}"
     text += f" in the margin {verdict.within_margin}, crossed {verdict.crossed}"
+    text += f" (of busy clients {verdict.busy_crossed})"
     if verdict.breaches:
         text += f"\n      {schedule.describe()}"
         text += "".join(f"\n      {breach}" for breach in verdict.breaches[:MAX_BREACHES_SHOWN])
@@ -109,7 +110,10 @@
         played = list(pool.map(lambda one: play(one, pathlib.Path(folder), options), schedules))
     answers = sum((one.verdict.answers for one in played), Counter[str]())
     failed = sum(bool(one.verdict.breaches) for one in played)
-    print(f"{len(played)} seeds, {failed} with breaches; answers {dict(answers)}")
+    crossed = sum(one.verdict.crossed for one in played)
+    busy_crossed = sum(one.verdict.busy_crossed for one in played)
+    text = f"{len(played)} seeds, {failed} with breaches; answers {dict(answers)}"
+    print(f"{text}, crossed {crossed} (of busy clients {busy_crossed})")
     return 1 if failed else 0
 
 
--- a/saffronstack/harness/soak/clients.py
+++ b/saffronstack/harness/soak/clients.py
@@ -4,12 +4,13 @@
 
 import contextlib
 import errno
+import heapq
+import itertools
 import random
 import selectors
 import socket
 import threading
 import time
-from collections import deque
 
 from saffronstack.harness.soak.kernel_times import read_tcp_times
 from saffronstack.harness.soak.schedule import ClientKind
@@ -24,6 +25,7 @@
 PIPELINE_DEPTH = 4
 OPEN_LOOP_INTERVAL_S = (0.02, 0.12)
 PAUSE_BETWEEN_PIECES_S = (0.005, 0.2)
+CROWD_RETURN_S = (0.05, 0.3)  # until a client of the crowd whose connection has ended comes again
 FUNCTIONS = 12
 TIMED_KINDS = (ClientKind.OPEN_LOOP, ClientKind.IN_PIECES)  # they write when a time has come
 RECEIVE_BYTES = 65536
@@ -141,6 +143,7 @@
         name = b"sell" if is_unsafe else b"look"
         frame = encode((b"CALL", b"%d" % self._tag, name, fields.encode(), body))
         request = SentRequest(request_id, is_unsafe, body, 0.0, self._timeout_s, not self._open)
+        request.is_of_busy_client = self.kind is not ClientKind.CROWD
         return self._tag, request, frame
 
     def _note(self, tag: int, request: SentRequest, sent_s: float) -> None:
@@ -160,7 +163,8 @@
         self._chance = random.Random(seed)
         self._selector = selectors.DefaultSelector()
         self.failed_connects = 0  # before the gateway was terminated
-        self._waiting = deque(kinds)  # to connect
+        self._numbers = itertools.count()
+        self._waiting = [(0.0, next(self._numbers), kind) for kind in kinds]  # a heap: when they connect
         self._connecting: dict[ClientConnection, float] = {}  # and when each is given up
         self._connections: set[ClientConnection] = set()
         self._timed: set[ClientConnection] = set()  # of the kinds that write when a time has come
@@ -181,8 +185,7 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            for _ in range(min(CONNECTS_PER_PASS, len(self._waiting))):
-                self._connect(self._waiting.popleft())
+            self._connect_due(time.monotonic())
             self._step()
             now = time.monotonic()
             for connection in list(self._timed):
@@ -195,7 +198,7 @@
         self._selector.close()
 
     def _step(self) -> None:
-        for key, _ in self._selector.select(0.0 if self._waiting else POLL_S):
+        for key, _ in self._selector.select(0.0 if self._must_connect(time.monotonic()) else POLL_S):
             connection: ClientConnection = key.data
             if connection in self._connecting:
                 self._continue_connecting(connection)
@@ -210,6 +213,19 @@
 
     # ---- connecting, without waiting
 
+    def _must_connect(self, now: float) -> bool:
+        return bool(self._waiting) and self._waiting[0][0] <= now
+
+    def _connect_due(self, now: float) -> None:
+        for _ in range(CONNECTS_PER_PASS):
+            if self._must_connect(now):
+                _, _, kind = heapq.heappop(self._waiting)
+                self._connect(kind)
+
+    def _connect_again(self, kind: ClientKind, now: float) -> None:
+        wait_s = self._chance.uniform(*CROWD_RETURN_S) if kind is ClientKind.CROWD else 0.0
+        heapq.heappush(self._waiting, (now + wait_s, next(self._numbers), kind))
+
     def _connect(self, kind: ClientKind) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -269,6 +285,7 @@
         self._connections.discard(connection)
         self._timed.discard(connection)
         self._selector.unregister(connection.sock)
-        connection.end(time.monotonic())
-        if connection.kind is not ClientKind.CROWD and not self._terminated.is_set():
-            self._waiting.append(connection.kind)
+        now = time.monotonic()
+        connection.end(now)
+        if not self._terminated.is_set():
+            self._connect_again(connection.kind, now)
--- a/saffronstack/harness/soak/defects.py
+++ b/saffronstack/harness/soak/defects.py
@@ -31,6 +31,16 @@
     return sent
 WriteBuffer.send = twice
 """
+_CLOSES_BUSY_CONNECTIONS = """
+from saffronstack.platform.front import Front
+add = Front._add
+def add_for_one_in_use(self, *arguments):
+    add(self, *arguments)
+    idle = [one for one in self._connections.values() if one.spoken and one.evictable()]
+    if idle and len(self._connections) >= self.limits.connections:
+        self._close(max(idle, key=lambda one: one.active_s - one.accepted_s))
+Front._add = add_for_one_in_use
+"""
 # Of `serve`, in the place of the process that follows a restart: it forgets which calls may have run.
 RUNS_AGAIN_AFTER_RESTART = """
 from saffronstack.deferred import deferred_calls
@@ -41,6 +51,7 @@
 """
 DEFECTS = {
     "ends before the kill": _ENDS_BEFORE_THE_KILL + _MAIN,
+    "closes busy connections": _CLOSES_BUSY_CONNECTIONS + _MAIN,
     "drops an answer": _DROPS_AN_ANSWER + _MAIN,
     "runs a call twice": _RUNS_TWICE + _MAIN,
 }
--- a/saffronstack/harness/soak/judge.py
+++ b/saffronstack/harness/soak/judge.py
@@ -9,6 +9,7 @@
 
 KILL_MARGIN_S = 0.05  # a request that arrives later before the kill may be without an answer
 CROSSING_S = 0.05  # by the protocol's page: a request may cross the end of a connection with nothing open
+MAX_BUSY_CROSSINGS = 0  # in a play whose busy clients need no more connections than clients may use
 LATE_S = 0.5  # after its time a request counts as lost
 SERVED, REFUSED = "OK", "BUSY"
 
@@ -22,6 +23,7 @@
         answers: How many requests got which word.
         within_margin: Requests without an answer that arrived right before the kill.
         crossed: Requests without an answer that crossed the end of an idle connection.
+        busy_crossed: Those among them of clients that go on calling.
         ended_after_s: When the gateway ended by itself, relative to SIGTERM; None where it was killed.
     """
 
@@ -29,6 +31,7 @@
     answers: Counter[str]
     within_margin: int
     crossed: int
+    busy_crossed: int
     ended_after_s: float | None = None
 
 
@@ -36,7 +39,7 @@
     """Find every breach."""
     breaches: list[str] = []
     answers: Counter[str] = Counter()
-    within_margin = crossed = 0
+    within_margin = crossed = busy_crossed = 0
     if play.exit_status not in (None, 0):
         breaches.append(f"the gateway ended with status {play.exit_status}")
     if play.failed_connects:
@@ -50,9 +53,12 @@
             within_margin += 1
         elif _has_crossed(request, play):
             crossed += 1
+            busy_crossed += request.is_of_busy_client and _was_on_its_way(request)
         else:
             breaches.append(f"{_when(request, play)}: no answer{_end(request, play)}")
-    return Verdict(tuple(breaches), answers, within_margin, crossed)
+    if play.busy_clients_fit and busy_crossed > MAX_BUSY_CROSSINGS:
+        breaches.append(f"{busy_crossed} requests of busy clients crossed the end of an idle connection")
+    return Verdict(tuple(breaches), answers, within_margin, crossed, busy_crossed)
 
 
 def _effects(request: SentRequest, calls: int) -> list[str]:
@@ -88,6 +94,12 @@
     )
 
 
+def _was_on_its_way(request: SentRequest) -> bool:
+    """Whether its client can't have known of the end; one that writes later had not looked for so long."""
+    ended_s = request.connection_ended_s
+    return ended_s is not None and request.sent_s - ended_s <= CROSSING_S
+
+
 def _when(request: SentRequest, play: ObservedPlay) -> str:
     text = f"{request.request_id} at {request.sent_s - play.terminated_s:+.3f} s of SIGTERM"
     if play.killed_s is not None:
--- a/saffronstack/harness/soak/platform_play.py
+++ b/saffronstack/harness/soak/platform_play.py
@@ -144,7 +144,14 @@
         calls = sum((played.calls for played in self._hosts), Counter[str]())
         exit_status = gateway.process.returncode if killed_s is None else None
         observed = ObservedPlay(
-            requests, calls, terminated_s, killed_s, exit_status, self._starved_s, clients.failed_connects
+            requests,
+            calls,
+            terminated_s,
+            killed_s,
+            exit_status,
+            self._starved_s,
+            clients.failed_connects,
+            schedule.busy_clients_fit,
         )
         ended_after_s = self._ended_s - terminated_s if killed_s is None else None
         return PlayedSchedule(replace(judge(observed), ended_after_s=ended_after_s), log)
--- a/saffronstack/harness/soak/schedule.py
+++ b/saffronstack/harness/soak/schedule.py
@@ -32,7 +32,7 @@
     OPEN_LOOP = "open loop"  # at a rate of its own
     PIPELINED = "pipelined"  # several requests in one write
     IN_PIECES = "in pieces"  # each request in two writes with a pause between them
-    CROWD = "crowd"  # one request, and then the connection is kept
+    CROWD = "crowd"  # one request, and then the connection is kept; where it has ended, again after a while
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +74,12 @@
         """When the gateway is killed, relative to SIGTERM."""
         return min(self.longest_deadline_s, COUNTED_DEADLINE_MAX_S) + KILL_AFTER_S
 
+    @property
+    def busy_clients_fit(self) -> bool:
+        """Whether the clients that go on calling need no more connections than clients may use."""
+        busy_clients = sum(kind is not ClientKind.CROWD for kind in self.clients)
+        return busy_clients <= self.sockets // CLIENT_SHARE
+
     def describe(self) -> str:
         """Return a line for a person."""
         kinds = {kind.value: self.clients.count(kind) for kind in ClientKind if kind in self.clients}
--- a/saffronstack/harness/soak/traffic.py
+++ b/saffronstack/harness/soak/traffic.py
@@ -29,6 +29,7 @@
         answers: In the order in which they came.
         connection_ended_s: The latest moment at which its connection can have ended before an answer; None
             where it did not.
+        is_of_busy_client: Whether its client goes on calling.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     on_idle_connection: bool
     answers: list[ReceivedAnswer] = field(default_factory=list)
     connection_ended_s: float | None = None
+    is_of_busy_client: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +53,9 @@
         terminated_s: When SIGTERM was sent.
         killed_s: When the gateway was killed; None where it had ended by itself.
         exit_status: Of a gateway that ended by itself.
-        failed_connects: How many clients were not let in before SIGTERM.
         starved_s: How long, right before the kill, one of its threads was ready to run and had no core.
+        failed_connects: How many clients were not let in before SIGTERM.
+        busy_clients_fit: Whether clients that go on calling need no more connections than clients may use.
     """
 
     requests: list[SentRequest]
@@ -62,3 +65,4 @@
     exit_status: int | None
     starved_s: float = 0.0
     failed_connects: int = 0
+    busy_clients_fit: bool = True
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -10,7 +10,7 @@
 
 from saffronstack.harness.soak import http_play, restart_play
 from saffronstack.harness.soak.defects import DEFECTS, RUNS_AGAIN_AFTER_RESTART
-from saffronstack.harness.soak.judge import KILL_MARGIN_S, Verdict, judge
+from saffronstack.harness.soak.judge import CROSSING_S, KILL_MARGIN_S, Verdict, judge
 from saffronstack.harness.soak.platform_play import PlatformPlay
 from saffronstack.harness.soak.run_queue import longest_wait_s, read_waits_s
 from saffronstack.harness.soak.schedule import KILL_AFTER_S, draw
@@ -20,6 +20,14 @@
 HTTP_SEEDS = range(1, 4)
 RESTART_SEEDS = range(1, 5)
 KILLED_SEED = 1
+CROWD_SEED = 6
+CROWD_DEFECTS = ("closes busy connections",)  # these show only where connections are closed for others
+DEFECT_BREACHES = {
+    "closes busy connections": "of busy clients crossed the end of an idle connection",
+    "drops an answer": "no answer",
+    "ends before the kill": "no answer",
+    "runs a call twice": "an unsafe call reached hosts 2 times",
+}
 TERMINATED_S, KILLED_S = 100.0, 103.7
 
 
@@ -33,7 +41,9 @@
 
 @pytest.mark.parametrize("defect", DEFECTS)
 def test_the_judge_finds_a_broken_gateway(tmp_path: pathlib.Path, defect: str) -> None:
-    assert PlatformPlay(draw(1), tmp_path, DEFECTS[defect]).play().verdict.breaches
+    seed = CROWD_SEED if defect in CROWD_DEFECTS else 1
+    breaches = PlatformPlay(draw(seed), tmp_path, DEFECTS[defect]).play().verdict.breaches
+    assert any(DEFECT_BREACHES[defect] in breach for breach in breaches)
 
 
 @pytest.mark.parametrize("processes", [1, 3])
@@ -105,11 +115,26 @@
 
 def test_a_request_that_crosses_an_idle_close_is_excused_only_where_the_gateway_goes_on() -> None:
     crossing = request(101.0, ended_s=101.01)
-    assert verdict(crossing).crossed == 1
+    crossing.is_of_busy_client = False
+    excused = verdict(crossing)
+    assert (excused.breaches, excused.crossed, excused.busy_crossed) == ((), 1, 0)
     assert len(verdict(crossing, killed_s=None).breaches) == 1
     assert len(verdict(request(101.0, ended_s=101.2)).breaches) == 1
 
 
+def test_no_request_of_a_busy_client_crosses_a_close_where_there_is_room() -> None:
+    """A gateway beside a crowd used to close the connections in use, and no play noticed."""
+    crossings = [request(101.0, ended_s=100.0 + 1.01), request(101.0, ended_s=101.0 - CROSSING_S / 2)]
+    assert [len(verdict(crossing).breaches) for crossing in crossings] == [1, 1]
+    crowded = ObservedPlay(crossings, Counter(), TERMINATED_S, KILLED_S, None, busy_clients_fit=False)
+    assert (judge(crowded).breaches, judge(crowded).busy_crossed) == ((), 2)
+
+
+def test_a_request_written_long_after_the_end_is_no_crossing_of_a_busy_client() -> None:
+    unaware = verdict(request(101.0, ended_s=101.0 - CROSSING_S * 2))
+    assert (unaware.breaches, unaware.crossed, unaware.busy_crossed) == ((), 1, 0)
+
+
 @pytest.mark.parametrize(
     "broken",
     [
