Soak: the variant that closes busy connections does so without a crowd's help

Change: after each newcomer the next connection that is idle and has been in use for more than 0.02 s is closed, whatever the limit. It uses the front's steps alone, not the order in which connections are evicted.

--- a/saffronstack/harness/soak/defects.py
+++ b/saffronstack/harness/soak/defects.py
@@ -33,13 +33,19 @@
 """
 _CLOSES_BUSY_CONNECTIONS = """
 from saffronstack.platform.front import Front
-add = Front._add
+add, on_event = Front._add, Front._on_event
+Front.must_close = False
 def add_for_one_in_use(self, *arguments):
     add(self, *arguments)
-    idle = [one for one in self._connections.values() if one.spoken and one.evictable()]
-    if idle and len(self._connections) >= self.limits.connections:
-        self._close(max(idle, key=lambda one: one.active_s - one.accepted_s))
-Front._add = add_for_one_in_use
+    self.must_close = True
+def close_one_in_use(self, descriptor):
+    on_event(self, descriptor)
+    for connection in list(self._connections.values()) if self.must_close else ():
+        if connection.active_s > connection.accepted_s + 0.02 and connection.evictable():
+            self.must_close = False
+            self._close(connection)
+            return
+Front._add, Front._on_event = add_for_one_in_use, close_one_in_use
 """
 # Of `serve`, in the place of the process that follows a restart: it forgets which calls may have run.
 RUNS_AGAIN_AFTER_RESTART = """
