--- a/saffronstack/harness/soak/defects.py
+++ b/saffronstack/harness/soak/defects.py
@@ -42,6 +42,22 @@
     return sent
 WriteBuffer.send = twice
 """
+_CLOSES_BUSY_CONNECTIONS = """
+from saffronstack.platform.front import Front
+add, on_event = Front._add, Front._on_event
+Front.must_close = False
+def add_for_one_in_use(self, *arguments):
+    add(self, *arguments)
+    self.must_close = True
+def close_one_in_use(self, descriptor):
+    on_event(self, descriptor)
+    for connection in list(self._connections.values()) if self.must_close else ():
+        if connection.active_s > connection.accepted_s + 0.02 and connection.evictable():
+            self.must_close = False
+            self._close(connection)
+            return
+Front._add, Front._on_event = add_for_one_in_use, close_one_in_use
+"""
 # Of `serve`, in the place of the process that follows a restart: it forgets which calls may have run.
 RUNS_AGAIN_AFTER_RESTART = """
 from saffronstack.deferred import deferred_calls
@@ -53,6 +69,7 @@
 DEFECTS = {
     "ends before the kill": _ENDS_BEFORE_THE_KILL + _MAIN,
     "stops reading before the kill": _STOPS_READING_BEFORE_THE_KILL + _MAIN,
+    "closes busy connections": _CLOSES_BUSY_CONNECTIONS + _MAIN,
     "drops an answer": _DROPS_AN_ANSWER + _MAIN,
     "runs a call twice": _RUNS_TWICE + _MAIN,
 }
--- a/saffronstack/harness/soak/platform_play.py
+++ b/saffronstack/harness/soak/platform_play.py
@@ -156,6 +156,7 @@
             killed_s,
             exit_status=gateway.process.returncode if killed_s is None else None,
             failed_connects=clients.failed_connects,
+            busy_clients_fit=schedule.busy_clients_fit,
             host_answers_s=first_times_s(played.answers_s for played in self._hosts),
             samples=sampler.samples(),
         )
--- a/saffronstack/harness/soak/traffic.py
+++ b/saffronstack/harness/soak/traffic.py
@@ -32,6 +32,7 @@
         answers: In the order in which they came.
         connection_ended_s: The latest moment at which its connection can have ended before an answer; None
             where it did not.
+        is_of_busy_client: Whether its client goes on calling.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     on_idle_connection: bool
     answers: list[ReceivedAnswer] = field(default_factory=list)
     connection_ended_s: float | None = None
+    is_of_busy_client: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,7 @@
         killed_s: When the gateway was killed; None where it had ended by itself.
         exit_status: Of a gateway that ended by itself.
         failed_connects: How many clients were not let in before SIGTERM.
+        busy_clients_fit: Whether clients that go on calling need no more connections than clients may use.
         host_answers_s: When a host first answered each request id; those that no host answered are not in it.
         samples: What the gateway's threads did until the kill.
     """
@@ -65,5 +68,6 @@
     killed_s: float | None
     exit_status: int | None
     failed_connects: int = 0
+    busy_clients_fit: bool = True
     host_answers_s: Mapping[str, float] = field(default_factory=dict)
     samples: tuple[ProcessSample, ...] = ()
