Soak: no wait for a processor excuses a connection that the gateway had ended

What could be missed: a request without an answer counts as within the margin where the gateway had less than 0.05 s of processor time for it, also where the gateway itself had ended the connection before the kill, with the request unread.

Cause: the judge looked at the margin before it looked at the end of the connection, and with the time of waits the margin may reach back further than it did.

Why it works: a request whose connection ended more than 0.05 s before the kill has no margin. It crossed an idle end, by the same rule as before, or it is a breach. The check is narrower than it was for every play.

Test: test_no_wait_excuses_a_request_whose_connection_the_gateway_ended fails before (within the margin, no breach; pytest tests/harness/test_soak.py -k no_wait_excuses).

--- a/saffronstack/harness/soak/judge.py
+++ b/saffronstack/harness/soak/judge.py
@@ -51,7 +51,7 @@
         if request.answers:
             answers[request.answers[0].word] += 1
             breaches += _answers(request, play)
-        elif play.killed_s is not None and _available_s(request, play, play.killed_s) < KILL_MARGIN_S:
+        elif play.killed_s is not None and _is_within_margin(request, play, play.killed_s):
             within_margin += 1
         elif _has_crossed(request, play):
             crossed += 1
@@ -63,6 +63,14 @@
     return Verdict(tuple(breaches), answers, within_margin, crossed, busy_crossed)
 
 
+def _is_within_margin(request: SentRequest, play: ObservedPlay, killed_s: float) -> bool:
+    """Whether the kill came before the gateway had time to answer; not where it had ended the connection."""
+    ended_s = request.connection_ended_s
+    if ended_s is not None and ended_s < killed_s - KILL_MARGIN_S:
+        return False
+    return _available_s(request, play, killed_s) < KILL_MARGIN_S
+
+
 def _available_s(request: SentRequest, play: ObservedPlay, killed_s: float) -> float:
     """How long the gateway had a processor to answer a request before it was killed.
 
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -155,6 +155,13 @@
     assert len(judged(request(KILLED_S - unanswered_s), *waiting_s).breaches) == breaches
 
 
+def test_no_wait_excuses_a_request_whose_connection_the_gateway_ended() -> None:
+    """A wait that lasted until the kill would excuse a gateway that ends connections before it."""
+    waiting_s = (READER, 0.2, 0.0)
+    assert judged(request(KILLED_S - 0.2), waiting_s).breaches == ()
+    assert len(judged(request(KILLED_S - 0.2, ended_s=KILLED_S - 0.07), waiting_s).breaches) == 1
+
+
 @pytest.mark.parametrize(
     ("host_s", "waiting_s", "breaches"),
     [
