Soak: a client that waits to come again stays away once the gateway stops

What the soak could see: a client of the crowd comes again 0.05 to 0.3 s after its connection has ended.

Change: what waits to connect is dropped once the gateway was terminated.

--- a/saffronstack/harness/soak/clients.py
+++ b/saffronstack/harness/soak/clients.py
@@ -217,6 +217,8 @@
         return bool(self._waiting) and self._waiting[0][0] <= now
 
     def _connect_due(self, now: float) -> None:
+        if self._terminated.is_set():
+            self._waiting.clear()
         for _ in range(CONNECTS_PER_PASS):
             if self._must_connect(now):
                 _, _, kind = heapq.heappop(self._waiting)
--- a/tests/harness/test_soak_clients.py
+++ b/tests/harness/test_soak_clients.py
@@ -19,6 +19,7 @@
 
 PAUSE_S = 60.0
 TIMEOUT_S = 10.0
+ABSENCE_S = 0.5
 ABORT = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # SO_LINGER: a close sends a reset
 
 
@@ -141,3 +142,27 @@
         gateway.close()
         assert write_failed.wait(TIMEOUT_S)
     assert [answer.word for answer in clients.stop()[0].answers] == ["OK"]
+
+
+def test_a_client_that_waits_to_come_again_stays_away_from_a_gateway_that_stops(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A client of the crowd came up to 0.3 s after SIGTERM, to a gateway that may have ended."""
+    connect_again = SoakClients._connect_again
+
+    def terminate_meanwhile(clients: SoakClients, kind: ClientKind, now: float) -> None:
+        connect_again(clients, kind, now)
+        clients.gateway_terminated()
+
+    monkeypatch.setattr(SoakClients, "_connect_again", terminate_meanwhile)
+    monkeypatch.setattr("saffronstack.harness.soak.clients.CROWD_RETURN_S", (0.0, 0.0))
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(TIMEOUT_S)
+        clients = SoakClients(listener.getsockname(), (ClientKind.CROWD,), seed=1, timeout_s=1.0)
+        gateway, _ = listener.accept()
+        gateway.recv(1024)
+        gateway.close()
+        listener.settimeout(ABSENCE_S)
+        with pytest.raises(TimeoutError):
+            listener.accept()
+    clients.stop()
