serve: a process leaves a processor that others use most of, for an idle one

Callers of a gateway whose processor other processes took up waited 0.6 s for a call that takes 13 ms, for as long as those processes ran, though other processors were idle.

Cause: the guard counted a thread as starved only if it had no processor time at all between two looks 0.5 s apart. One slice in that time kept the gateway there for ever.

The guard now compares, over 0.5 s, the time for which the processor was not idle with the time that the process itself ran. If others used more than half of it, all threads but the looking one move to a processor that was idle for most of the time. The sum of the threads' waits is not used: threads that wake up at once wait for each other. Between two moves lies a hold of 1 s that doubles with each move up to 60 s, and begins anew after a minute without one. Where no processor is idle, the rule for a thread without any time stays.

A look costs one read of an open file, and threads that the interpreter knows are moved first, since each call that gives up the interpreter's lock may wait for a slice of a starved thread.

--- a/saffronstack/cli/cpu_affinity.py
+++ b/saffronstack/cli/cpu_affinity.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import os
+import threading
+from collections.abc import Collection, Iterable
 
 DEFAULT_CPUS = "one"
 
@@ -53,7 +55,30 @@
     if not cpus:
         return set()
     others = set(os.sched_getaffinity(0)) - cpus
-    for thread in os.listdir("/proc/self/task"):
-        with contextlib.suppress(OSError):  # it has ended
-            os.sched_setaffinity(int(thread), cpus)
+    _set_affinity(_listed_threads(), cpus)
     return others
+
+
+def move_threads(cpus: Collection[int], excluded: int) -> None:
+    """Let all threads of this process but one run on some processors.
+
+    Those that the interpreter knows come first: that needs no call that gives up its lock, which a starved
+    thread may take.
+
+    Args:
+        cpus: Numbers of the processors.
+        excluded: The system's id of the thread that stays as it is.
+    """
+    known = [thread.native_id for thread in threading.enumerate() if thread.native_id is not None]
+    _set_affinity((thread for thread in known if thread != excluded), cpus)
+    _set_affinity((thread for thread in _listed_threads() if thread != excluded), cpus)
+
+
+def _listed_threads() -> list[int]:
+    return [int(thread) for thread in os.listdir("/proc/self/task")]
+
+
+def _set_affinity(threads: Iterable[int], cpus: Collection[int]) -> None:
+    for thread in threads:
+        with contextlib.suppress(OSError):  # it has ended
+            os.sched_setaffinity(thread, cpus)
--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -1,8 +1,9 @@
 """A process that keeps to one processor notices by itself that something else has taken that up.
 
-The thread that looks runs on any processor; a second one, kept to the same processor as all others, shows by
-its samples whether that gets time. Where a starved thread holds the interpreter's lock, the look waits too:
-then a daemon or a supervisor has to notice.
+The thread that looks runs on any processor. Where others use most of the processor, all other threads move to
+an idle one, which `processor_choice` decides. Where none is idle, a second thread, kept to the same processor
+as all others, shows by its samples whether that gets time; if not, the process may run anywhere. Where a
+starved thread holds the interpreter's lock, each read of a look waits for a slice of that thread.
 """
 
 from __future__ import annotations
@@ -10,20 +11,19 @@
 import os
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import structlog
 
-from saffronstack.daemon.processor_starvation import (
-    StarvationMonitor,
-    ThreadSample,
-    allow_all_processors,
-    read_thread,
-)
+from saffronstack.cli.cpu_affinity import move_threads
+from saffronstack.daemon.processor_choice import ProcessorChoice, ProcessorLook
+from saffronstack.daemon.processor_starvation import StarvationMonitor, ThreadSample, read_thread
+from saffronstack.daemon.processor_times import IdleTimes
 from saffronstack.runtime.threads import start_thread
 
 log = structlog.get_logger("saffronstack.serve")
 PROBE_INTERVAL_S = 0.1
+_NO_THREAD = 0
 
 
 class StarvationGuard:
@@ -34,7 +34,11 @@
         allowed: set[int],
         clock: Callable[[], float] = time.monotonic,
         read: Callable[[int, int], ThreadSample | None] = read_thread,
-        release: Callable[[int], bool] = allow_all_processors,
+        release: Callable[[int], bool] | None = None,
+        *,
+        read_idle: Callable[[Collection[int]], Mapping[int, int]] | None = None,
+        read_run_ns: Callable[[], int] = time.process_time_ns,
+        move: Callable[[Collection[int], int], None] = move_threads,
     ) -> None:
         """Start the probe on this thread's processors, and let this thread itself run on all allowed ones.
 
@@ -42,22 +46,31 @@
             allowed: The processors that this process may use.
             clock: Monotonic seconds.
             read: Samples a thread of a process.
-            release: Lets the process with an id run on this thread's processors.
+            release: Lets the process with an id run on all allowed processors; None for this process alone.
+            read_idle: The idle time of some processors; None to read what the system tells.
+            read_run_ns: The processor time of this process.
+            move: Lets all threads of this process but one run on some processors.
         """
-        self._read = read
+        self._allowed, self._clock = frozenset(allowed), clock
+        self._read, self._read_run_ns, self._move = read, read_run_ns, move
+        self._read_idle = read_idle or IdleTimes().read
         self._stopping = threading.Event()
-        self._probe_thread = 0  # its id in the system; 0 until it has run
-        self._monitor = StarvationMonitor(clock, self._read_probe, release)
+        self._probe_thread = _NO_THREAD  # its id in the system, once it has run
+        self._processors = frozenset(os.sched_getaffinity(0))  # of all threads but this one
+        self._choice = ProcessorChoice(os.getpid())
+        self._monitor = StarvationMonitor(clock, self._read_probe, release or self._release)
         start_thread("processor-probe", self._probe)
         os.sched_setaffinity(0, allowed)
 
     @property
     def has_started(self) -> bool:
         """Whether the probe has run at all."""
-        return self._probe_thread != 0
+        return self._probe_thread != _NO_THREAD
 
     def check(self) -> None:
-        """Let the whole process run anywhere if the probe has been ready to run and did not since a while."""
+        """Look at the processor; leave it if others take it up. Called each `LOOK_INTERVAL_S`."""
+        if self._move_if_taken_up():
+            return
         for _ in self._monitor.check([os.getpid()]):
             log.warning("processor taken up by something else, all may be used from now on")
 
@@ -65,6 +78,32 @@
         """End the probe, without waiting."""
         self._stopping.set()
 
+    def _move_if_taken_up(self) -> bool:
+        if self.has_started:  # a daemon may have released the process
+            self._processors = frozenset(os.sched_getaffinity(self._probe_thread))
+        if len(self._processors) != 1:
+            return False
+        (processor,) = self._processors
+        idle_ns = self._read_idle(self._allowed)
+        look = ProcessorLook(self._clock(), processor, self._read_run_ns(), idle_ns)
+        target = self._choice.choose(look)
+        if target is None:
+            return False
+        self._run_on(frozenset({target}))
+        log.warning("processor taken up by something else, moved to another one", left=processor, now=target)
+        return True
+
+    def _release(self, pid: int) -> bool:
+        """Let the process run anywhere; return whether it did not before."""
+        if self._processors == self._allowed:
+            return False
+        self._run_on(self._allowed)
+        return True
+
+    def _run_on(self, processors: frozenset[int]) -> None:
+        self._move(processors, threading.get_native_id())
+        self._processors = processors
+
     def _probe(self) -> None:
         self._probe_thread = threading.get_native_id()
         while not self._stopping.wait(PROBE_INTERVAL_S):
@@ -72,6 +111,6 @@
 
     def _read_probe(self, pid: int) -> Mapping[int, ThreadSample]:
         if not self.has_started:
-            return {0: ThreadSample(is_runnable=True, run_ns=0)}  # it is to start, and got no time for that
+            return {_NO_THREAD: ThreadSample(is_runnable=True, run_ns=0)}  # it is to start, and got no time
         sample = self._read(pid, self._probe_thread)
         return {} if sample is None else {self._probe_thread: sample}
--- /dev/null
+++ b/saffronstack/daemon/processor_times.py
@@ -0,0 +1,54 @@
+"""How long each processor had nothing to do, as the system counts it."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+from collections.abc import Collection
+
+STAT_PATH = "/proc/stat"
+_READ_BYTES = 256 * 1024  # the processors' lines are the first ones
+_IDLE_COLUMNS = slice(4, 6)  # idle, and idle while input or output is under way
+_NS_PER_S = 1_000_000_000
+
+
+class IdleTimes:
+    """Reads them from a file that stays open: one call of the system for each look."""
+
+    def __init__(self, path: str = STAT_PATH) -> None:
+        """Open the file; where the system has none, nothing is told."""
+        self._descriptor: int | None = None
+        with contextlib.suppress(OSError):
+            self._descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+
+    def read(self, processors: Collection[int]) -> dict[int, int]:
+        """Return nanoseconds since the system's start by processor; empty where they can't be read."""
+        if self._descriptor is None:
+            return {}
+        try:
+            return parse_idle_ns(os.pread(self._descriptor, _READ_BYTES, 0), processors)
+        except (OSError, ValueError):
+            return {}
+
+    def close(self) -> None:
+        """Close the file; nothing is told from now on."""
+        descriptor, self._descriptor = self._descriptor, None
+        if descriptor is not None:
+            os.close(descriptor)
+
+
+def parse_idle_ns(stat: bytes, processors: Collection[int]) -> dict[int, int]:
+    """Return the idle time by processor from the text of /proc/stat.
+
+    Raises:
+        ValueError: A line has another form.
+    """
+    tick_ns = _NS_PER_S // os.sysconf("SC_CLK_TCK")
+    found = {}
+    for line in stat.splitlines():
+        words = line.split()
+        if not words or not words[0].startswith(b"cpu"):
+            break
+        if words[0] != b"cpu" and int(words[0][3:]) in processors:
+            found[int(words[0][3:])] = tick_ns * sum(map(int, words[_IDLE_COLUMNS]))
+    return found
--- /dev/null
+++ b/tests/daemon/test_processor_choice.py
@@ -0,0 +1,100 @@
+"""When a process leaves the processor that it keeps to, in time that is passed in."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+
+import pytest
+
+from saffronstack.daemon.processor_choice import (
+    FIRST_HOLD_S,
+    LONGEST_HOLD_S,
+    LOOK_INTERVAL_S,
+    ProcessorChoice,
+    ProcessorLook,
+)
+from saffronstack.daemon.processor_times import parse_idle_ns
+
+NS_PER_S = 1_000_000_000
+PROCESSORS = (0, 1, 2, 3)
+
+Shares = Callable[[float, int], float]  # what others use of a processor at a time
+
+
+def play(others: Shares, own: float, length_s: float, turn: int = 0) -> list[tuple[float, int]]:
+    """The moves of a process that starts on processor 0, with their times."""
+    choice, processor, run_ns, moves = ProcessorChoice(turn), 0, 0, []
+    idle_ns = dict.fromkeys(PROCESSORS, 0)
+    for number in range(int(length_s / LOOK_INTERVAL_S) + 1):
+        now_s = number * LOOK_INTERVAL_S
+        target = choice.choose(ProcessorLook(now_s, processor, run_ns, dict(idle_ns)))
+        if target is not None:
+            processor = target
+            moves.append((now_s, target))
+        for one in PROCESSORS:
+            own_here = own if one == processor else 0.0
+            used = min(1.0, others(now_s, one) + own_here)
+            idle_ns[one] += int((1.0 - used) * LOOK_INTERVAL_S * NS_PER_S)
+        run_ns += int(own * LOOK_INTERVAL_S * NS_PER_S)
+    return moves
+
+
+def test_a_process_with_one_slice_in_a_fifth_of_a_second_leaves_within_a_second() -> None:
+    """A gateway beside 150 busy processes had some time between any two looks, and stayed for ever."""
+    assert play(lambda now_s, one: 0.985 if one == 0 else 0.1, own=0.015, length_s=60.0) == [(0.5, 1)]
+
+
+@pytest.mark.parametrize("own", [0.3, 0.6, 1.0])
+def test_a_busy_process_stays_where_nobody_else_is(own: float) -> None:
+    """Threads that wake up at once wait for each other: the time that they waited tells nothing."""
+    assert play(lambda now_s, one: 0.0, own, length_s=60.0) == []
+
+
+def test_processes_that_leave_one_processor_together_go_to_different_ones() -> None:
+    def others(now_s: float, one: int) -> float:
+        return 0.99 if one == 0 else 0.0
+
+    assert [play(others, 0.01, 5.0, turn)[0][1] for turn in range(4)] == [1, 2, 3, 1]
+
+
+def test_it_stays_where_no_processor_is_idle_for_most_of_the_time() -> None:
+    assert play(lambda now_s, one: 0.9 if one == 0 else 0.6, own=0.1, length_s=60.0) == []
+
+
+def test_a_burst_of_a_second_makes_it_move_once() -> None:
+    assert len(play(lambda now_s, one: 0.99 if one == 0 and now_s < 1 else 0.0, 0.01, 60.0)) == 1
+
+
+def test_a_neighbour_that_comes_and_goes_moves_it_no_more_often_than_the_hold_allows() -> None:
+    """It takes up all processors but one by turns, two seconds each."""
+
+    def others(now_s: float, one: int) -> float:
+        return 0.0 if one == int(now_s / 2) % len(PROCESSORS) else 0.99
+
+    times_s = [now_s for now_s, _ in play(others, 0.01, 600.0)]
+    pauses_s = [after - before for before, after in itertools.pairwise(times_s)]
+    hold_s = FIRST_HOLD_S
+    for pause_s in pauses_s:
+        assert pause_s >= hold_s
+        hold_s = min(2 * hold_s, LONGEST_HOLD_S)
+    assert 5 <= len(times_s) <= 16
+
+
+def test_nothing_is_decided_where_the_system_does_not_tell_idle_times() -> None:
+    choice = ProcessorChoice(0)
+    assert [choice.choose(ProcessorLook(now_s, 0, 0, {})) for now_s in (0.0, 1.0, 2.0)] == [None] * 3
+
+
+def test_a_move_by_something_else_begins_the_span_again() -> None:
+    """The daemon may have moved the process: what was seen on the old processor does not count."""
+    choice = ProcessorChoice(0)
+    assert choice.choose(ProcessorLook(0.0, 0, 0, {0: 0, 1: 0, 2: 0})) is None
+    assert choice.choose(ProcessorLook(0.5, 1, 0, {0: 0, 1: 0, 2: NS_PER_S})) is None
+    assert choice.choose(ProcessorLook(1.0, 1, 0, {0: 0, 1: 0, 2: 2 * NS_PER_S})) == 2
+
+
+def test_idle_times_are_read_for_the_processors_asked_for() -> None:
+    stat = b"cpu 9 9 9 9 9\ncpu0 1 0 1 100 20 0 0\ncpu1 1 0 1 300 0 0 0\ncpu10 1 0 1 7 0 0 0\nintr 5\n"
+    ticks = {processor: round(ns * 100 / NS_PER_S) for processor, ns in parse_idle_ns(stat, {0, 10}).items()}
+    assert ticks == {0: 120, 10: 7}
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import pathlib
@@ -12,11 +13,51 @@
 
 from saffronstack.cli import starvation_guard
 from saffronstack.cli.starvation_guard import StarvationGuard
+from saffronstack.daemon.processor_choice import LOOK_INTERVAL_S, SPAN_S
 from saffronstack.daemon.processor_starvation import SAMPLE_INTERVAL_S, ThreadSample, read_threads
 from saffronstack.standin.fleet import StandInFleet, sample
 from tests.support.stack import eventually
 
 LOOKS = 5
+NS_PER_S = 1_000_000_000
+RUN_NS_PER_S = NS_PER_S // 50
+NEIGHBOURS = 8
+NEIGHBOUR = """
+import os, sys, time
+os.sched_setaffinity(0, {int(sys.argv[1])})
+end_s = time.monotonic() + 15
+print("busy", flush=True)
+while time.monotonic() < end_s: pass
+"""
+# A process whose guard looks until its other threads run elsewhere, or half a minute has passed.
+GUARDED = """
+import os, sys, time
+from saffronstack.cli.cpu_affinity import pin_threads
+from saffronstack.cli.starvation_guard import StarvationGuard
+from saffronstack.daemon.processor_times import IdleTimes
+allowed, kept = os.sched_getaffinity(0), int(sys.argv[1])
+own = IdleTimes()
+pin_threads({kept})
+guard = StarvationGuard(
+    allowed, read_idle=lambda processors: dict.fromkeys(processors, time.monotonic_ns()) | own.read({kept}))
+while not guard.has_started: time.sleep(0.01)
+(probe,) = {int(one) for one in os.listdir("/proc/self/task")} - {os.getpid()}
+print("kept", flush=True)
+end_s = time.monotonic() + 30
+while os.sched_getaffinity(probe) == {kept} and time.monotonic() < end_s:
+    time.sleep(0.25)
+    guard.check()
+print("left" if os.sched_getaffinity(probe) != {kept} else "stayed", flush=True)
+"""
+
+
+def python(code: str, processor: int) -> subprocess.Popen[bytes]:
+    return subprocess.Popen([sys.executable, "-c", code, str(processor)], stdout=subprocess.PIPE)
+
+
+def first_line(process: subprocess.Popen[bytes]) -> bytes:
+    assert process.stdout is not None
+    return process.stdout.readline()
 
 
 @pytest.mark.parametrize(
@@ -61,6 +102,43 @@
     assert found == [os.getpid()]
 
 
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_the_process_moves_within_a_second_where_neighbours_leave_it_some_time() -> None:
+    """Beside 150 busy processes a gateway had a slice between any two looks, and stayed there."""
+    allowed = os.sched_getaffinity(0)
+    kept, idle, *_ = sorted(allowed)
+    now_s, moved = 100.0, []
+    os.sched_setaffinity(0, {kept})  # the guard lets this thread run anywhere again
+    guard = StarvationGuard(
+        allowed,
+        lambda: now_s,
+        lambda pid, thread: ThreadSample(True, int(now_s * RUN_NS_PER_S)),
+        read_idle=lambda processors: {kept: 0, idle: int(now_s * NS_PER_S)},
+        read_run_ns=lambda: int(now_s * RUN_NS_PER_S),
+        move=lambda processors, excluded: moved.append((now_s, *processors)),
+    )
+    for _ in range(LOOKS):
+        guard.check()
+        now_s += LOOK_INTERVAL_S
+    guard.stop()
+    assert moved == [(100.0 + SPAN_S, idle)]
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_process_leaves_a_processor_that_busy_processes_take_up() -> None:
+    """Real neighbours, some of whose time the process gets; that the others are idle is told to the guard."""
+    *_, kept, _ = sorted(os.sched_getaffinity(0))
+    with contextlib.ExitStack() as stack:
+        guarded = stack.enter_context(python(GUARDED, kept))
+        assert first_line(guarded) == b"kept\n"
+        neighbours = [stack.enter_context(python(NEIGHBOUR, kept)) for _ in range(NEIGHBOURS)]
+        for one in (*neighbours, guarded):
+            stack.callback(one.kill)
+        assert [first_line(one) for one in neighbours] == [b"busy\n"] * NEIGHBOURS
+        assert b"moved to another one" in first_line(guarded)
+        assert first_line(guarded) == b"left\n"
+
+
 @pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
 @pytest.mark.parametrize(("cpus", "main_runs_anywhere"), [((), True), (("--cpus", "0"), False)])
 def test_a_gateway_keeps_to_one_processor_but_for_the_thread_that_looks(
