Starvation: a thread that waits most of the time for other processes counts too

Where no processor was idle, a gateway whose processor was taken up by forty processes stayed there, with a fifth of the time that it asked for, though other processors had far fewer to run.

Cause: the monitor of gateway, daemon and supervisor counted a thread only if it had no processor time at all between two samples.

A process is now let on all processors also if, in each of two spans of 0.5 s, one of its threads waited for more than half of the span beyond the time that the whole process ran. That much went to other processes: while a thread waits, either others run or threads of its own. Sums over threads are not used, since threads that wake up at once wait for each other. The old rule stays, and now also finds a thread whose wait was counted without a run. The gateway's probe wakes up each 0.05 s instead of 0.1 s, so that a wait of as long for each wake is half of the time.

The test of the spans fails before: ThreadSample had no wait. .venv/bin/python -m pytest -n 2 tests/daemon/test_processor_starvation.py

--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -22,7 +22,7 @@
 from saffronstack.runtime.threads import start_thread
 
 log = structlog.get_logger("saffronstack.serve")
-PROBE_INTERVAL_S = 0.1
+PROBE_INTERVAL_S = 0.05  # short beside the waits that are to be found
 _NO_THREAD = 0
 
 
@@ -113,4 +113,7 @@
         if not self.has_started:
             return {_NO_THREAD: ThreadSample(is_runnable=True, run_ns=0)}  # it is to start, and got no time
         sample = self._read(pid, self._probe_thread)
-        return {} if sample is None else {self._probe_thread: sample}
+        if sample is None:
+            return {}
+        others = ThreadSample(is_runnable=False, run_ns=self._read_run_ns() - sample.run_ns)
+        return {self._probe_thread: sample, _NO_THREAD: others}
--- a/saffronstack/daemon/processor_starvation.py
+++ b/saffronstack/daemon/processor_starvation.py
@@ -1,4 +1,4 @@
-"""Finds processes whose threads are ready to run and get no processor, and lets them run on any other.
+"""Finds processes whose threads are ready to run and get little or no time, and lets them run anywhere.
 
 A gateway keeps to one processor, which is chosen without a look at what else runs there. Where that is taken
 up for long, the gateway neither serves nor ends, though others are free. Its own look (`starvation_guard`)
@@ -14,16 +14,19 @@
 from dataclasses import dataclass
 
 SAMPLE_INTERVAL_S = 0.5  # a thread that is ready to run for as long and does not run is starved
+WAITING_SHARE = 0.5  # of two spans in a row: a wait that ends in a span may have begun long before it
+_NS_PER_S = 1e9
 _RUNNABLE = "R"
 _CPUS_OPTION = b"--cpus"
 
 
 @dataclass(frozen=True, slots=True)
 class ThreadSample:
-    """One thread at one moment: whether it is ready to run, and the processor time that it has had."""
+    """One thread at one moment: whether it is ready to run, and its times since its start."""
 
     is_runnable: bool
     run_ns: int
+    wait_ns: int = 0  # ready to run without a processor; a wait counts once it is over
 
 
 ThreadSamples = Mapping[int, ThreadSample]  # by thread id
@@ -34,10 +37,10 @@
     task = pathlib.Path(f"/proc/{pid}/task/{thread}")
     try:
         state = (task / "stat").read_text().rpartition(")")[2].split()[0]
-        run_ns = int((task / "schedstat").read_text().split()[0])
+        run_ns, wait_ns = map(int, (task / "schedstat").read_text().split()[:2])
     except (OSError, ValueError, IndexError):
         return None
-    return ThreadSample(state == _RUNNABLE, run_ns)
+    return ThreadSample(state == _RUNNABLE, run_ns, wait_ns)
 
 
 def read_threads(pid: int) -> dict[int, ThreadSample]:
@@ -52,9 +55,23 @@
 
 def is_starved(before: ThreadSamples, after: ThreadSamples) -> bool:
     """Return whether a thread was ready to run at both moments, and had no processor time between them."""
+    ready = {thread: sample for thread, sample in after.items() if sample.is_runnable and thread in before}
     return any(
-        sample.is_runnable and before.get(thread) == sample for thread, sample in after.items()
-    )  # fmt: skip
+        before[thread].is_runnable and before[thread].run_ns == sample.run_ns
+        for thread, sample in ready.items()
+    )
+
+
+def waits_for_others(before: ThreadSamples, after: ThreadSamples, span_s: float) -> bool:
+    """Return whether a thread waited for most of a span while threads of other processes ran.
+
+    While it waits, other processes run, or threads of its own process: the time of the latter does not count.
+    Neither does the sum over threads, since those that wake up at once wait for each other.
+    """
+    kept = before.keys() & after.keys()
+    longest_ns = max((after[thread].wait_ns - before[thread].wait_ns for thread in kept), default=0)
+    run_ns = sum(sample.run_ns for sample in after.values()) - sum(before[thread].run_ns for thread in kept)
+    return longest_ns - run_ns > WAITING_SHARE * span_s * _NS_PER_S
 
 
 def allow_all_processors(pid: int) -> bool:
@@ -91,13 +108,21 @@
         self._release = release
         self._sampled_s = clock()
         self._samples: dict[int, ThreadSamples] = {}  # by process id
+        self._waiting: set[int] = set()  # processes that waited for others in the last span
 
     def check(self, pids: Iterable[int]) -> list[int]:
         """Sample processes if it is time; return those that were starved and may run anywhere from now on."""
         now_s = self._clock()
-        if now_s - self._sampled_s < SAMPLE_INTERVAL_S:
+        span_s = now_s - self._sampled_s
+        if span_s < SAMPLE_INTERVAL_S:
             return []
         self._sampled_s = now_s
         before, self._samples = self._samples, {pid: self._read(pid) for pid in pids}
-        starved = [pid for pid, after in self._samples.items() if is_starved(before.get(pid, {}), after)]
+        waited_before, self._waiting = self._waiting, set()
+        starved = []
+        for pid, after in self._samples.items():
+            if waits_for_others(before.get(pid, {}), after, span_s):
+                self._waiting.add(pid)
+            if is_starved(before.get(pid, {}), after) or pid in waited_before & self._waiting:
+                starved.append(pid)
         return [pid for pid in starved if self._release(pid)]
--- a/tests/daemon/test_processor_starvation.py
+++ b/tests/daemon/test_processor_starvation.py
@@ -36,6 +36,46 @@
     assert is_starved({1: before}, {1: after, 2: ThreadSample(True, 0)}) is starved
 
 
+MS = 1_000_000
+
+
+@pytest.mark.parametrize(
+    ("waits_ms", "runs_ms", "found"),
+    [
+        ((480, 0), (10, 0), True),  # one slice in a span: a gateway beside 150 busy processes
+        ((200, 0), (10, 0), False),
+        ((480, 480), (10, 470), False),  # behind the other thread of the same process
+        ((150, 150), (10, 10), False),  # both woke up at once
+    ],
+)
+def test_a_thread_that_waits_most_of_the_time_for_other_processes_is_found_in_the_second_span(
+    waits_ms: tuple[int, int], runs_ms: tuple[int, int], found: bool
+) -> None:
+    """With a slice in each half second a gateway stayed where it served a fortieth of its calls."""
+    now_s, spans = 100.0, 0
+    released: list[float] = []
+
+    def read(pid: int) -> ThreadSamples:
+        threads = zip(waits_ms, runs_ms, strict=True)
+        return {
+            number: ThreadSample(True, spans * run_ms * MS + MS, spans * wait_ms * MS)
+            if run_ms
+            else ThreadSample(False, 0, spans * wait_ms * MS)
+            for number, (wait_ms, run_ms) in enumerate(threads)
+        }
+
+    def release(pid: int) -> bool:
+        released.append(now_s)
+        return True
+
+    monitor = StarvationMonitor(lambda: now_s, read, release)
+    for _ in range(3):
+        now_s += SAMPLE_INTERVAL_S
+        monitor.check([1])
+        spans += 1
+    assert released == ([now_s] if found else [])
+
+
 def test_a_starved_process_is_released_once_and_others_are_left() -> None:
     """A gateway on a processor that a benchmark took up did not exit for 20 s, and nobody noticed."""
     now_s = 100.0
