serve: a move takes threads along that start meanwhile, and is logged with its reason

A thread that starts while a process moves has the processors of the thread that started it, so it could stay behind on the processor that was left, for as long as it lived; the first pinning of a process had the same gap.

The list of threads is now read until none is left, ten times at most. The event of a move names the old and the new processor, and which part of the old one others used.

tests/daemon/test_starvation_guard.py lists a thread that starts between two listings; with the listings as they were, one after the known threads, the thread of the third listing stayed behind.

--- a/saffronstack/cli/cpu_affinity.py
+++ b/saffronstack/cli/cpu_affinity.py
@@ -8,6 +8,8 @@
 from collections.abc import Collection, Iterable
 
 DEFAULT_CPUS = "one"
+NO_THREAD = 0  # no thread has this id in the system
+MAX_LISTINGS = 10  # of the threads of this process in one move
 
 
 def choose_cpus(selection: str, allowed: set[int], turn: int) -> set[int]:
@@ -55,29 +57,41 @@
     if not cpus:
         return set()
     others = set(os.sched_getaffinity(0)) - cpus
-    _set_affinity(_listed_threads(), cpus)
+    move_threads(cpus)
     return others
 
 
-def move_threads(cpus: Collection[int], excluded: int) -> None:
+def move_threads(cpus: Collection[int], excluded: int = NO_THREAD) -> None:
     """Let all threads of this process but one run on some processors.
 
     Those that the interpreter knows come first: that needs no call that gives up its lock, which a starved
-    thread may take.
+    thread may take. A thread that starts meanwhile has the processors of the one that started it, so the
+    system's list is read until it shows none that is left.
 
     Args:
         cpus: Numbers of the processors.
-        excluded: The system's id of the thread that stays as it is.
+        excluded: The system's id of the thread that stays as it is, if there is one.
     """
     known = [thread.native_id for thread in threading.enumerate() if thread.native_id is not None]
     _set_affinity((thread for thread in known if thread != excluded), cpus)
-    _set_affinity((thread for thread in _listed_threads() if thread != excluded), cpus)
+    for _ in range(MAX_LISTINGS):
+        left = [thread for thread in _listed_threads() if thread != excluded and not _runs_on(thread, cpus)]
+        if not left:
+            return
+        _set_affinity(left, cpus)
 
 
 def _listed_threads() -> list[int]:
     return [int(thread) for thread in os.listdir("/proc/self/task")]
 
 
+def _runs_on(thread: int, cpus: Collection[int]) -> bool:
+    try:
+        return os.sched_getaffinity(thread) == set(cpus)
+    except OSError:  # it has ended
+        return True
+
+
 def _set_affinity(threads: Iterable[int], cpus: Collection[int]) -> None:
     for thread in threads:
         with contextlib.suppress(OSError):  # it has ended
--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -15,7 +15,7 @@
 
 import structlog
 
-from saffronstack.cli.cpu_affinity import move_threads
+from saffronstack.cli.cpu_affinity import NO_THREAD, move_threads
 from saffronstack.daemon.processor_choice import ProcessorChoice, ProcessorLook
 from saffronstack.daemon.processor_starvation import StarvationMonitor, ThreadSample, read_thread
 from saffronstack.daemon.processor_times import IdleTimes
@@ -23,7 +23,6 @@
 
 log = structlog.get_logger("saffronstack.serve")
 PROBE_INTERVAL_S = 0.05  # short beside the waits that are to be found
-_NO_THREAD = 0
 
 
 class StarvationGuard:
@@ -55,7 +54,7 @@
         self._read, self._read_run_ns, self._move = read, read_run_ns, move
         self._read_idle = read_idle or IdleTimes().read
         self._stopping = threading.Event()
-        self._probe_thread = _NO_THREAD  # its id in the system, once it has run
+        self._probe_thread = NO_THREAD  # its id in the system, once it has run
         self._processors = frozenset(os.sched_getaffinity(0))  # of all threads but this one
         self._choice = ProcessorChoice(os.getpid())
         self._monitor = StarvationMonitor(clock, self._read_probe, release or self._release)
@@ -65,7 +64,7 @@
     @property
     def has_started(self) -> bool:
         """Whether the probe has run at all."""
-        return self._probe_thread != _NO_THREAD
+        return self._probe_thread != NO_THREAD
 
     def check(self) -> None:
         """Look at the processor; leave it if others take it up. Called each `LOOK_INTERVAL_S`."""
@@ -86,11 +85,16 @@
         (processor,) = self._processors
         idle_ns = self._read_idle(self._allowed)
         look = ProcessorLook(self._clock(), processor, self._read_run_ns(), idle_ns)
-        target = self._choice.choose(look)
-        if target is None:
+        move = self._choice.choose(look)
+        if move is None:
             return False
-        self._run_on(frozenset({target}))
-        log.warning("processor taken up by something else, moved to another one", left=processor, now=target)
+        self._run_on(frozenset({move.processor}))
+        log.warning(
+            "processor taken up by something else, moved to another one",
+            old=processor,
+            new=move.processor,
+            taken=round(move.taken_share, 2),
+        )
         return True
 
     def _release(self, pid: int) -> bool:
@@ -111,9 +115,9 @@
 
     def _read_probe(self, pid: int) -> Mapping[int, ThreadSample]:
         if not self.has_started:
-            return {_NO_THREAD: ThreadSample(is_runnable=True, run_ns=0)}  # it is to start, and got no time
+            return {NO_THREAD: ThreadSample(is_runnable=True, run_ns=0)}  # it is to start, and got no time
         sample = self._read(pid, self._probe_thread)
         if sample is None:
             return {}
         others = ThreadSample(is_runnable=False, run_ns=self._read_run_ns() - sample.run_ns)
-        return {self._probe_thread: sample, _NO_THREAD: others}
+        return {self._probe_thread: sample, NO_THREAD: others}
--- a/saffronstack/daemon/processor_choice.py
+++ b/saffronstack/daemon/processor_choice.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 LOOK_INTERVAL_S = 0.25
@@ -30,6 +30,14 @@
     idle_ns: Mapping[int, int]  # by processor that the process may use; empty where the system does not tell
 
 
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Where a process moves to, and why."""
+
+    processor: int
+    taken_share: float  # of the span, used by others on the processor that it leaves
+
+
 @dataclass
 class MoveHold:
     """Bounds how often a process moves."""
@@ -58,19 +66,22 @@
         self._hold = MoveHold()
         self._looks: deque[ProcessorLook] = deque()
 
-    def choose(self, look: ProcessorLook) -> int | None:
-        """Return the processor to move to, or None to stay."""
+    def choose(self, look: ProcessorLook) -> Move | None:
+        """Return the move to make, or None to stay."""
         if self._looks and self._looks[-1].processor != look.processor:
             self._looks.clear()  # moved by something else
         before = self._add(look)
-        if before is None or not self._hold.is_over(look.at_s) or not is_taken_up(before, look):
+        if before is None or not self._hold.is_over(look.at_s):
+            return None
+        share = taken_share(before, look)
+        if share <= TAKEN_SHARE:
             return None
         idle = idle_processors(before, look)
         if not idle:
             return None
         self._hold.moved(look.at_s)
         self._looks.clear()
-        return idle[self._turn % len(idle)]
+        return Move(idle[self._turn % len(idle)], share)
 
     def _add(self, look: ProcessorLook) -> ProcessorLook | None:
         """Return the last look that is a span older, if there is one; those before it are dropped."""
@@ -81,24 +92,20 @@
         return oldest if look.at_s - oldest.at_s >= SPAN_S else None
 
 
-def is_taken_up(before: ProcessorLook, after: ProcessorLook) -> bool:
-    """Return whether others used most of the processor between two looks."""
+def taken_share(before: ProcessorLook, after: ProcessorLook) -> float:
+    """Return which part of the processor others used between two looks; 0 where that is not told."""
     idle_ns = _idle_ns(before, after, after.processor)
     if idle_ns is None:
-        return False
+        return 0.0
     span_ns = _span_ns(before, after)
-    others_ns = span_ns - idle_ns - (after.run_ns - before.run_ns)
-    return others_ns > TAKEN_SHARE * span_ns
+    return (span_ns - idle_ns - (after.run_ns - before.run_ns)) / span_ns
 
 
 def idle_processors(before: ProcessorLook, after: ProcessorLook) -> list[int]:
-    """Return the other processors that nobody used most of the time between two looks."""
-    return _idle_for(before, after, after.idle_ns.keys() - {after.processor})
-
-
-def _idle_for(before: ProcessorLook, after: ProcessorLook, processors: Collection[int]) -> list[int]:
+    """Return the other processors that nobody used for most of the time between two looks."""
     least_ns = IDLE_SHARE * _span_ns(before, after)
-    return [one for one in sorted(processors) if (_idle_ns(before, after, one) or 0) > least_ns]
+    others = after.idle_ns.keys() - {after.processor}
+    return [one for one in sorted(others) if (_idle_ns(before, after, one) or 0) >= least_ns]
 
 
 def _idle_ns(before: ProcessorLook, after: ProcessorLook, processor: int) -> int | None:
--- a/tests/daemon/test_processor_choice.py
+++ b/tests/daemon/test_processor_choice.py
@@ -11,6 +11,7 @@
     FIRST_HOLD_S,
     LONGEST_HOLD_S,
     LOOK_INTERVAL_S,
+    Move,
     ProcessorChoice,
     ProcessorLook,
 )
@@ -28,10 +29,10 @@
     idle_ns = dict.fromkeys(PROCESSORS, 0)
     for number in range(int(length_s / LOOK_INTERVAL_S) + 1):
         now_s = number * LOOK_INTERVAL_S
-        target = choice.choose(ProcessorLook(now_s, processor, run_ns, dict(idle_ns)))
-        if target is not None:
-            processor = target
-            moves.append((now_s, target))
+        move = choice.choose(ProcessorLook(now_s, processor, run_ns, dict(idle_ns)))
+        if move is not None:
+            processor = move.processor
+            moves.append((now_s, processor))
         for one in PROCESSORS:
             own_here = own if one == processor else 0.0
             used = min(1.0, others(now_s, one) + own_here)
@@ -91,7 +92,7 @@
     choice = ProcessorChoice(0)
     assert choice.choose(ProcessorLook(0.0, 0, 0, {0: 0, 1: 0, 2: 0})) is None
     assert choice.choose(ProcessorLook(0.5, 1, 0, {0: 0, 1: 0, 2: NS_PER_S})) is None
-    assert choice.choose(ProcessorLook(1.0, 1, 0, {0: 0, 1: 0, 2: 2 * NS_PER_S})) == 2
+    assert choice.choose(ProcessorLook(1.0, 1, 0, {0: 0, 1: 0, 2: 2 * NS_PER_S})) == Move(2, 1.0)
 
 
 def test_idle_times_are_read_for_the_processors_asked_for() -> None:
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -8,10 +8,12 @@
 import pathlib
 import subprocess
 import sys
+import threading
 
 import pytest
 
-from saffronstack.cli import starvation_guard
+from saffronstack.cli import cpu_affinity, starvation_guard
+from saffronstack.cli.cpu_affinity import move_threads
 from saffronstack.cli.starvation_guard import StarvationGuard
 from saffronstack.daemon.processor_choice import LOOK_INTERVAL_S, SPAN_S
 from saffronstack.daemon.processor_starvation import SAMPLE_INTERVAL_S, ThreadSample, read_threads
@@ -158,3 +160,16 @@
             eventually(lambda: os.sched_getaffinity(process.pid) == expected)
         finally:
             process.terminate()
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_thread_that_starts_during_a_move_moves_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It has the processors of the thread that starts it, which may be moved only after that."""
+    listings = iter([[1, 2], [1, 2, 3], [1, 2, 3, 4], [1, 2, 3, 4]])
+    kept = {1: {0}, 2: {0}, 3: {0}, 4: {0}}
+    monkeypatch.setattr(threading, "enumerate", list)
+    monkeypatch.setattr(cpu_affinity, "_listed_threads", lambda: next(listings))
+    monkeypatch.setattr(os, "sched_getaffinity", kept.__getitem__)
+    monkeypatch.setattr(os, "sched_setaffinity", kept.__setitem__)
+    move_threads({5}, 1)
+    assert kept == {1: {0}, 2: {5}, 3: {5}, 4: {5}}
