serve: a gateway that stops runs on all processors until it has ended

A gateway whose processor was taken up while it drained its calls or exited did neither for as long as that lasted: clients waited, and its daemon's kill had no effect, since a process that exits has to run once more.

Cause: the guard looks from the main thread's wait for a signal only, so nothing looked from SIGTERM on.

The guard's stop lets all threads run on all processors that the process may use, before the drain begins. That needs no thread of its own, and holds until the process is gone, also where no daemon or a stopped one watches. Processors that an operator named stay: there is no guard then. What staying on one processor gains in calls matters little to a gateway that takes no new ones.

A real gateway with one call under way that its worker never answers is sent SIGTERM in the test, and runs on all processors while it drains.

--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -74,8 +74,9 @@
             log.warning("processor taken up by something else, all may be used from now on")
 
     def stop(self) -> None:
-        """End the probe, without waiting."""
+        """End the probe, without waiting, and let the process run anywhere: nothing looks from now on."""
         self._stopping.set()
+        self._run_on(self._allowed)
 
     def _move_if_taken_up(self) -> bool:
         if self.has_started:  # a daemon may have released the process
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -15,10 +15,13 @@
 from saffronstack.cli import cpu_affinity, starvation_guard
 from saffronstack.cli.cpu_affinity import move_threads
 from saffronstack.cli.starvation_guard import StarvationGuard
+from saffronstack.client import Client
 from saffronstack.daemon.processor_choice import LOOK_INTERVAL_S, SPAN_S
 from saffronstack.daemon.processor_starvation import SAMPLE_INTERVAL_S, ThreadSample, read_threads
+from saffronstack.http1.messages import HttpError
+from saffronstack.runtime.threads import start_thread
 from saffronstack.standin.fleet import StandInFleet, sample
-from tests.support.stack import eventually
+from tests.support.stack import AMPLE_DEADLINE_S, configuration, eventually
 
 LOOKS = 5
 NS_PER_S = 1_000_000_000
@@ -57,6 +60,19 @@
     return subprocess.Popen([sys.executable, "-c", code, str(processor)], stdout=subprocess.PIPE)
 
 
+def call_until_closed(address: str) -> None:
+    with contextlib.suppress(OSError, HttpError):
+        Client(address, AMPLE_DEADLINE_S).invoke("identify-copy", b"{}", "RequestResponse")
+
+
+def affinities(pid: int) -> set[frozenset[int]]:
+    found = set()
+    for thread in read_threads(pid):
+        with contextlib.suppress(ProcessLookupError):  # it has ended
+            found.add(frozenset(os.sched_getaffinity(thread)))
+    return found
+
+
 def first_line(process: subprocess.Popen[bytes]) -> bytes:
     assert process.stdout is not None
     return process.stdout.readline()
@@ -117,13 +133,13 @@
         lambda pid, thread: ThreadSample(True, int(now_s * RUN_NS_PER_S)),
         read_idle=lambda processors: {kept: 0, idle: int(now_s * NS_PER_S)},
         read_run_ns=lambda: int(now_s * RUN_NS_PER_S),
-        move=lambda processors, excluded: moved.append((now_s, *processors)),
+        move=lambda processors, excluded: moved.append((now_s, sorted(processors))),
     )
     for _ in range(LOOKS):
         guard.check()
         now_s += LOOK_INTERVAL_S
-    guard.stop()
-    assert moved == [(100.0 + SPAN_S, idle)]
+    guard.stop()  # nothing looks from now on
+    assert moved == [(100.0 + SPAN_S, [idle]), (now_s, sorted(allowed))]
 
 
 @pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
@@ -173,3 +189,28 @@
     monkeypatch.setattr(os, "sched_setaffinity", kept.__setitem__)
     move_threads({5}, 1)
     assert kept == {1: {0}, 2: {5}, 3: {5}, 4: {5}}
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_gateway_that_drains_runs_on_all_processors(
+    tmp_path: pathlib.Path, one_worker: StandInFleet
+) -> None:
+    """Nothing looked while it drained, and one whose processor was taken up then did not end for 20 s."""
+    worker = one_worker.workers[0]
+    worker.faults.silent = True
+    path = tmp_path / "gateway.json5"
+    path.write_text(json.dumps(configuration(one_worker, deadline_s=AMPLE_DEADLINE_S)))
+    command = [sys.executable, "-m", "saffronstack.cli.main", "serve", "--config", str(path)]
+    with contextlib.ExitStack() as stack:
+        process = stack.enter_context(subprocess.Popen(command, stdout=subprocess.PIPE))
+        stack.callback(process.kill)
+        address = first_line(process).decode().strip().rpartition("/")[2]
+        start_thread("call", lambda: call_until_closed(address))
+        eventually(lambda: any("arrive" in entry.values() for entry in worker.log))
+        kept = {
+            frozenset(os.sched_getaffinity(one)) for one in read_threads(process.pid) if one != process.pid
+        }
+        assert {len(processors) for processors in kept} == {1}
+        process.terminate()
+        eventually(lambda: affinities(process.pid) == {frozenset(os.sched_getaffinity(0))})
+        assert process.poll() is None
