serve: a move between processors needs no free descriptor

A gateway whose clients hold all descriptors would have ended without a drain at SIGTERM, and in its look before that: moving its threads lists them, which opens a directory, and the error reached the main thread.

Cause: the list replaced a function that passed over such errors.

Without the list, the threads that the interpreter knows are moved; these are all of a gateway's. The idle times are read from a file that is open already, which is closed with the guard's stop now.

The test makes the listing fail; before, the error came out of the move: .venv/bin/python -m pytest -n 0 tests/daemon/test_starvation_guard.py

--- a/saffronstack/cli/cpu_affinity.py
+++ b/saffronstack/cli/cpu_affinity.py
@@ -82,7 +82,10 @@
 
 
 def _listed_threads() -> list[int]:
-    return [int(thread) for thread in os.listdir("/proc/self/task")]
+    """Return none where all descriptors are in use."""
+    with contextlib.suppress(OSError):
+        return [int(thread) for thread in os.listdir("/proc/self/task")]
+    return []
 
 
 def _runs_on(thread: int, cpus: Collection[int]) -> bool:
--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -52,7 +52,8 @@
         """
         self._allowed, self._clock = frozenset(allowed), clock
         self._read, self._read_run_ns, self._move = read, read_run_ns, move
-        self._read_idle = read_idle or IdleTimes().read
+        self._idle_times = IdleTimes()
+        self._read_idle = read_idle or self._idle_times.read
         self._stopping = threading.Event()
         self._probe_thread = NO_THREAD  # its id in the system, once it has run
         self._processors = frozenset(os.sched_getaffinity(0))  # of all threads but this one
@@ -76,6 +77,7 @@
     def stop(self) -> None:
         """End the probe, without waiting, and let the process run anywhere: nothing looks from now on."""
         self._stopping.set()
+        self._idle_times.close()
         self._run_on(self._allowed)
 
     def _move_if_taken_up(self) -> bool:
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import json
 import os
 import pathlib
@@ -214,3 +215,16 @@
         process.terminate()
         eventually(lambda: affinities(process.pid) == {frozenset(os.sched_getaffinity(0))})
         assert process.poll() is None
+
+
+def test_a_move_without_a_free_descriptor_takes_the_known_threads(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A gateway moves and stops also while its clients hold all descriptors."""
+
+    def fail(path: str) -> list[str]:
+        raise OSError(errno.EMFILE, path)
+
+    moved: list[int] = []
+    monkeypatch.setattr(os, "listdir", fail)
+    monkeypatch.setattr(os, "sched_setaffinity", lambda thread, cpus: moved.append(thread))
+    move_threads({0})
+    assert threading.get_native_id() in moved
