Starvation: what counts is how long a thread waited for other processes

Cause: the processor's idle time tells what others use, not what threads wait. The rule where none is idle asked for half of two spans, and of the probe.

One function, used by the gateway's own look, the daemon and the supervisor, takes the longest wait of one thread less the time that the process's other threads ran. The gateway reads its first 16 threads and the probe. If no processor was idle for half of that second, a tenth of two spans of 0.5 s in a row lets the process run on all.

Behind its own threads a process still stays.

--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -1,9 +1,9 @@
 """A process that keeps to one processor notices by itself that something else has taken that up.
 
-The thread that looks runs on any processor. Where others use most of the processor, all other threads move to
-an idle one, which `processor_choice` decides. Where none is idle, a second thread, kept to the same processor
-as all others, shows by its samples whether that gets time; if not, the process may run anywhere. Where a
-starved thread holds the interpreter's lock, each read of a look waits for a slice of that thread.
+The thread that looks runs on any processor, and reads how long some of the others ran and waited. Where they
+wait for other processes, all other threads move to an idle processor, which `processor_choice` decides; where
+none is idle, the process may run anywhere. One thread does nothing but wake up often, so that there is always
+one that wants to run.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 
 log = structlog.get_logger("saffronstack.serve")
 PROBE_INTERVAL_S = 0.05  # short beside the waits that are to be found
+MAX_THREADS = 16  # that a look reads; the first ones live as long as the process
 
 
 class StarvationGuard:
@@ -58,7 +59,8 @@
         self._probe_thread = NO_THREAD  # its id in the system, once it has run
         self._processors = frozenset(os.sched_getaffinity(0))  # of all threads but this one
         self._choice = ProcessorChoice(os.getpid())
-        self._monitor = StarvationMonitor(clock, self._read_probe, release or self._release)
+        self._samples: dict[int, ThreadSample] = {}
+        self._monitor = StarvationMonitor(clock, lambda pid: self._samples, release or self._release)
         start_thread("processor-probe", self._probe)
         os.sched_setaffinity(0, allowed)
 
@@ -69,6 +71,7 @@
 
     def check(self) -> None:
         """Look at the processor; leave it if others take it up. Called each `LOOK_INTERVAL_S`."""
+        self._samples = self._read_threads()
         if self._move_if_taken_up():
             return
         for _ in self._monitor.check([os.getpid()]):
@@ -87,7 +90,7 @@
             return False
         (processor,) = self._processors
         idle_ns = self._read_idle(self._allowed)
-        look = ProcessorLook(self._clock(), processor, self._read_run_ns(), idle_ns)
+        look = ProcessorLook(self._clock(), processor, self._read_run_ns(), self._samples, idle_ns)
         move = self._choice.choose(look)
         if move is None:
             return False
@@ -96,7 +99,7 @@
             "processor taken up by something else, moved to another one",
             old=processor,
             new=move.processor,
-            taken=round(move.taken_share, 2),
+            waited=round(move.waited_share, 2),
         )
         return True
 
@@ -116,11 +119,14 @@
         while not self._stopping.wait(PROBE_INTERVAL_S):
             continue
 
-    def _read_probe(self, pid: int) -> Mapping[int, ThreadSample]:
-        if not self.has_started:
-            return {NO_THREAD: ThreadSample(is_runnable=True, run_ns=0)}  # it is to start, and got no time
-        sample = self._read(pid, self._probe_thread)
-        if sample is None:
-            return {}
-        others = ThreadSample(is_runnable=False, run_ns=self._read_run_ns() - sample.run_ns)
-        return {self._probe_thread: sample, NO_THREAD: others}
+    def _read_threads(self) -> dict[int, ThreadSample]:
+        """Return the probe, the first threads of the process, and all others as one that never waits."""
+        pid, own = os.getpid(), threading.get_native_id()
+        known = [thread.native_id for thread in threading.enumerate()[:MAX_THREADS]]
+        threads = {thread for thread in (*known, self._probe_thread) if thread not in (None, own, NO_THREAD)}
+        read = {thread: self._read(pid, thread) for thread in threads if thread is not None}
+        samples = {thread: sample for thread, sample in read.items() if sample is not None}
+        if not self.has_started:  # the probe is to start, and got no time for that
+            return samples | {NO_THREAD: ThreadSample(is_runnable=True, run_ns=0)}
+        rest_ns = self._read_run_ns() - sum(sample.run_ns for sample in samples.values())
+        return samples | {NO_THREAD: ThreadSample(is_runnable=False, run_ns=rest_ns)}
--- a/saffronstack/daemon/processor_choice.py
+++ b/saffronstack/daemon/processor_choice.py
@@ -1,7 +1,8 @@
 """Decides when a process that keeps to one processor moves to another one, and to which.
 
-Free of input, output and clocks. The processor's own idle time tells what others take of it: how long threads
-waited does not, since many that wake up at once wait for each other.
+Free of input, output and clocks. What tells is how long one thread waited beyond the time that the process's
+other threads ran: that long it waited for other processes. The processor's idle time does not: others may use
+most of it without delay to threads that wake up, which go first.
 """
 
 from __future__ import annotations
@@ -9,10 +10,11 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 LOOK_INTERVAL_S = 0.25
-SPAN_S = 0.5  # two looks, so that a process has moved within a second
-TAKEN_SHARE = 0.5  # of the span, used by others: then the processor counts as taken up
+SPAN_S = 1.0
+WAITING_SHARE = 0.1  # of the span, for which a thread waited for other processes: the processor is taken up
 IDLE_SHARE = 0.5  # of the span, used by nobody: then the process may move there
 FIRST_HOLD_S = 1.0  # between two moves; doubles with each one
 LONGEST_HOLD_S = 60.0
@@ -20,6 +22,18 @@
 _NS_PER_S = 1e9
 
 
+class ThreadTimes(Protocol):
+    """Nanoseconds for which a thread ran, and for which it was ready and waited, since its start."""
+
+    @property
+    def run_ns(self) -> int:
+        """Processor time."""
+
+    @property
+    def wait_ns(self) -> int:
+        """A wait counts once it is over."""
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessorLook:
     """What is known at one moment; times are sums since the start of the process or of the system."""
@@ -27,6 +41,7 @@
     at_s: float  # monotonic
     processor: int  # the one that the process keeps to
     run_ns: int  # of all threads of the process
+    threads: Mapping[int, ThreadTimes]  # some threads of the process, by id
     idle_ns: Mapping[int, int]  # by processor that the process may use; empty where the system does not tell
 
 
@@ -35,7 +50,7 @@
     """Where a process moves to, and why."""
 
     processor: int
-    taken_share: float  # of the span, used by others on the processor that it leaves
+    waited_share: float  # of the span, for which a thread waited for other processes
 
 
 @dataclass
@@ -73,8 +88,9 @@
         before = self._add(look)
         if before is None or not self._hold.is_over(look.at_s):
             return None
-        share = taken_share(before, look)
-        if share <= TAKEN_SHARE:
+        waited_ns = foreign_wait_ns(before.threads, look.threads, look.run_ns - before.run_ns)
+        share = waited_ns / _span_ns(before, look)
+        if share < WAITING_SHARE:
             return None
         idle = idle_processors(before, look)
         if not idle:
@@ -92,13 +108,20 @@
         return oldest if look.at_s - oldest.at_s >= SPAN_S else None
 
 
-def taken_share(before: ProcessorLook, after: ProcessorLook) -> float:
-    """Return which part of the processor others used between two looks; 0 where that is not told."""
-    idle_ns = _idle_ns(before, after, after.processor)
-    if idle_ns is None:
-        return 0.0
-    span_ns = _span_ns(before, after)
-    return (span_ns - idle_ns - (after.run_ns - before.run_ns)) / span_ns
+def foreign_wait_ns(before: Mapping[int, ThreadTimes], after: Mapping[int, ThreadTimes], run_ns: int) -> int:
+    """Return the longest time for which one thread waited while threads of other processes ran.
+
+    Args:
+        before: Threads of a process at one moment.
+        after: The same at a later one; those that are new are passed over.
+        run_ns: How long all threads of the process ran between the two.
+    """
+    found_ns = 0
+    for thread in before.keys() & after.keys():
+        waited_ns = after[thread].wait_ns - before[thread].wait_ns
+        others_ran_ns = run_ns - (after[thread].run_ns - before[thread].run_ns)
+        found_ns = max(found_ns, waited_ns - others_ran_ns)
+    return found_ns
 
 
 def idle_processors(before: ProcessorLook, after: ProcessorLook) -> list[int]:
--- a/saffronstack/daemon/processor_starvation.py
+++ b/saffronstack/daemon/processor_starvation.py
@@ -13,10 +13,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from saffronstack.daemon.processor_choice import WAITING_SHARE, foreign_wait_ns
+
 SAMPLE_INTERVAL_S = 0.5  # a thread that is ready to run for as long and does not run is starved
-WAITING_SHARE = 0.5  # of two spans in a row: a wait that ends in a span may have begun long before it
 _NS_PER_S = 1e9
-_RUNNABLE = "R"
+_RUNNABLE = b"R"
+_READ_BYTES = 4096
 _CPUS_OPTION = b"--cpus"
 
 
@@ -32,12 +34,21 @@
 ThreadSamples = Mapping[int, ThreadSample]  # by thread id
 
 
+def _read_file(path: str) -> bytes:
+    """Return a short file's content, with as few calls of the system as there can be."""
+    descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+    try:
+        return os.read(descriptor, _READ_BYTES)
+    finally:
+        os.close(descriptor)
+
+
 def read_thread(pid: int, thread: int) -> ThreadSample | None:
     """Return a thread of a process; None where it has ended, or the system does not tell."""
-    task = pathlib.Path(f"/proc/{pid}/task/{thread}")
+    task = f"/proc/{pid}/task/{thread}"
     try:
-        state = (task / "stat").read_text().rpartition(")")[2].split()[0]
-        run_ns, wait_ns = map(int, (task / "schedstat").read_text().split()[:2])
+        state = _read_file(f"{task}/stat").rpartition(b")")[2].split()[0]
+        run_ns, wait_ns = map(int, _read_file(f"{task}/schedstat").split()[:2])
     except (OSError, ValueError, IndexError):
         return None
     return ThreadSample(state == _RUNNABLE, run_ns, wait_ns)
@@ -63,15 +74,10 @@
 
 
 def waits_for_others(before: ThreadSamples, after: ThreadSamples, span_s: float) -> bool:
-    """Return whether a thread waited for most of a span while threads of other processes ran.
-
-    While it waits, other processes run, or threads of its own process: the time of the latter does not count.
-    Neither does the sum over threads, since those that wake up at once wait for each other.
-    """
+    """Return whether a thread waited for other processes for a part of the span that counts."""
     kept = before.keys() & after.keys()
-    longest_ns = max((after[thread].wait_ns - before[thread].wait_ns for thread in kept), default=0)
     run_ns = sum(sample.run_ns for sample in after.values()) - sum(before[thread].run_ns for thread in kept)
-    return longest_ns - run_ns > WAITING_SHARE * span_s * _NS_PER_S
+    return foreign_wait_ns(before, after, run_ns) >= WAITING_SHARE * span_s * _NS_PER_S
 
 
 def allow_all_processors(pid: int) -> bool:
