serve: a process that was let on all processors keeps to one again once that is idle

What callers would have seen: the rule that lets a process run anywhere finds a tenth of a second of waiting, so that an overload of the whole machine of two seconds is enough. All processors pass a half to a third of the calls of one (docs/capacity.md), and the process stayed on them until it was restarted.

A processor that was idle for half of each look over 10 s is kept to again, by turn among several, whether the process itself or its daemon had let it on all. Settling shares the hold of the moves (1, 2, 4 to 60 s), so that overload that comes and goes moves a process once a minute in the end.

Not run: a gateway under a real overload that ends.

--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -2,8 +2,8 @@
 
 The thread that looks runs on any processor, and reads how long some of the others ran and waited. Where they
 wait for other processes, all other threads move to an idle processor, which `processor_choice` decides; where
-none is idle, the process may run anywhere. One thread does nothing but wake up often, so that there is always
-one that wants to run.
+none is idle, the process may run anywhere, until `processor_settling` finds that one is idle again.
+One thread does nothing but wake up often, so that there is always one that wants to run.
 """
 
 from __future__ import annotations
@@ -16,7 +16,8 @@
 import structlog
 
 from saffronstack.cli.cpu_affinity import NO_THREAD, move_threads
-from saffronstack.daemon.processor_choice import ProcessorChoice, ProcessorLook
+from saffronstack.daemon.processor_choice import MoveHold, ProcessorChoice, ProcessorLook
+from saffronstack.daemon.processor_settling import IdleLook, ProcessorSettling
 from saffronstack.daemon.processor_starvation import StarvationMonitor, ThreadSample, read_thread
 from saffronstack.daemon.processor_times import IdleTimes
 from saffronstack.runtime.threads import start_thread
@@ -58,7 +59,9 @@
         self._stopping = threading.Event()
         self._probe_thread = NO_THREAD  # its id in the system, once it has run
         self._processors = frozenset(os.sched_getaffinity(0))  # of all threads but this one
-        self._choice = ProcessorChoice(os.getpid())
+        hold = MoveHold()
+        self._choice = ProcessorChoice(os.getpid(), hold)
+        self._settling = ProcessorSettling(os.getpid(), hold)
         self._samples: dict[int, ThreadSample] = {}
         self._monitor = StarvationMonitor(clock, lambda pid: self._samples, release or self._release)
         start_thread("processor-probe", self._probe)
@@ -70,9 +73,15 @@
         return self._probe_thread != NO_THREAD
 
     def check(self) -> None:
-        """Look at the processor; leave it if others take it up. Called each `LOOK_INTERVAL_S`."""
+        """Look at the processors; leave one that others take up. Called each `LOOK_INTERVAL_S`."""
         self._samples = self._read_threads()
-        if self._move_if_taken_up():
+        if self.has_started:  # a daemon may have released the process
+            self._processors = frozenset(os.sched_getaffinity(self._probe_thread))
+        if len(self._processors) == 1:
+            self._settling.restart()
+            if self._move_if_taken_up():
+                return
+        elif self._processors == self._allowed and self._settle_if_idle():
             return
         for _ in self._monitor.check([os.getpid()]):
             log.warning("processor taken up by something else, all may be used from now on")
@@ -84,10 +93,6 @@
         self._run_on(self._allowed)
 
     def _move_if_taken_up(self) -> bool:
-        if self.has_started:  # a daemon may have released the process
-            self._processors = frozenset(os.sched_getaffinity(self._probe_thread))
-        if len(self._processors) != 1:
-            return False
         (processor,) = self._processors
         idle_ns = self._read_idle(self._allowed)
         look = ProcessorLook(self._clock(), processor, self._read_run_ns(), self._samples, idle_ns)
@@ -103,6 +108,14 @@
         )
         return True
 
+    def _settle_if_idle(self) -> bool:
+        processor = self._settling.choose(IdleLook(self._clock(), self._read_idle(self._allowed)))
+        if processor is None:
+            return False
+        self._run_on(frozenset({processor}))
+        log.info("a processor is idle again, the process keeps to it", processor=processor)
+        return True
+
     def _release(self, pid: int) -> bool:
         """Let the process run anywhere; return whether it did not before."""
         if self._processors == self._allowed:
--- a/saffronstack/daemon/processor_choice.py
+++ b/saffronstack/daemon/processor_choice.py
@@ -19,7 +19,7 @@
 FIRST_HOLD_S = 1.0  # between two moves; doubles with each one
 LONGEST_HOLD_S = 60.0
 QUIET_S = 60.0  # without a move, after which the hold is the first one again
-_NS_PER_S = 1e9
+NS_PER_S = 1e9
 
 
 class ThreadTimes(Protocol):
@@ -75,10 +75,15 @@
 class ProcessorChoice:
     """The looks of one process, and where it moves to."""
 
-    def __init__(self, turn: int) -> None:
-        """``turn``: spreads processes that leave one processor at the same time."""
+    def __init__(self, turn: int, hold: MoveHold) -> None:
+        """Create it without looks.
+
+        Args:
+            turn: Spreads processes that leave one processor at the same time.
+            hold: Bounds the process's moves.
+        """
         self._turn = turn
-        self._hold = MoveHold()
+        self._hold = hold
         self._looks: deque[ProcessorLook] = deque()
 
     def choose(self, look: ProcessorLook) -> Move | None:
@@ -139,4 +144,4 @@
 
 
 def _span_ns(before: ProcessorLook, after: ProcessorLook) -> float:
-    return (after.at_s - before.at_s) * _NS_PER_S
+    return (after.at_s - before.at_s) * NS_PER_S
--- a/tests/daemon/test_processor_choice.py
+++ b/tests/daemon/test_processor_choice.py
@@ -13,6 +13,7 @@
     LONGEST_HOLD_S,
     LOOK_INTERVAL_S,
     Move,
+    MoveHold,
     ProcessorChoice,
     ProcessorLook,
 )
@@ -37,7 +38,7 @@
 
 def play(others: Shares, own: float, length_s: float, turn: int = 0) -> list[tuple[float, int]]:
     """The moves of a process that starts on processor 0, with their times."""
-    choice, processor, run_ns, wait_ns, moves = ProcessorChoice(turn), 0, 0, 0, []
+    choice, processor, run_ns, wait_ns, moves = ProcessorChoice(turn, MoveHold()), 0, 0, 0, []
     idle_ns = dict.fromkeys(PROCESSORS, 0)
     for number in range(int(length_s / LOOK_INTERVAL_S) + 1):
         now_s = number * LOOK_INTERVAL_S
@@ -103,14 +104,14 @@
 
 
 def test_nothing_is_decided_where_the_system_does_not_tell_idle_times() -> None:
-    choice = ProcessorChoice(0)
+    choice = ProcessorChoice(0, MoveHold())
     looks = [ProcessorLook(now_s, 0, 0, {1: waited(now_s)}, {}) for now_s in (0.0, 1.0, 2.0)]
     assert [choice.choose(look) for look in looks] == [None] * 3
 
 
 def test_a_move_by_something_else_begins_the_span_again() -> None:
     """The daemon may have moved the process: what was seen on the old processor does not count."""
-    choice = ProcessorChoice(0)
+    choice = ProcessorChoice(0, MoveHold())
     looks = [
         ProcessorLook(now_s, processor, 0, {1: waited(now_s)}, {0: 0, 1: 0, 2: int(now_s * NS_PER_S)})
         for now_s, processor in ((0.0, 0), (1.0, 1), (2.0, 1))
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -18,6 +18,7 @@
 from saffronstack.cli.starvation_guard import StarvationGuard
 from saffronstack.client import Client
 from saffronstack.daemon.processor_choice import LOOK_INTERVAL_S, SPAN_S
+from saffronstack.daemon.processor_settling import SETTLE_S
 from saffronstack.daemon.processor_starvation import SAMPLE_INTERVAL_S, ThreadSample, read_threads
 from saffronstack.http1.messages import HttpError
 from saffronstack.runtime.threads import start_thread
@@ -150,6 +151,31 @@
     assert moved == [(100.0 + SPAN_S, [idle]), (now_s, sorted(allowed))]
 
 
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_process_on_all_processors_keeps_to_one_again_once_that_is_idle() -> None:
+    """An overload of a second used to cost a gateway two thirds of its calls until it was restarted."""
+    allowed = os.sched_getaffinity(0)
+    kept, idle, *_ = sorted(allowed)
+    now_s, processors = 100.0, []
+    os.sched_setaffinity(0, {kept})
+    guard = StarvationGuard(
+        allowed,
+        lambda: now_s,
+        lambda pid, thread: ThreadSample(False, 0),
+        read_idle=lambda processors: {kept: 0, idle: int(now_s * NS_PER_S)},
+        move=lambda moved, excluded: processors.append((now_s, sorted(moved))),
+    )
+    eventually(lambda: guard.has_started)
+    os.sched_setaffinity(guard._probe_thread, allowed)  # as a daemon does that finds it starved
+    while now_s < 100.0 + SETTLE_S:
+        guard.check()
+        assert processors == []
+        now_s += LOOK_INTERVAL_S
+    guard.check()
+    assert processors == [(100.0 + SETTLE_S, [idle])]
+    guard.stop()
+
+
 @pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
 def test_a_process_leaves_a_processor_that_busy_processes_take_up() -> None:
     """Real neighbours, some of whose time the process gets; that the others are idle is told to the guard."""
