--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -1,8 +1,9 @@
 """A process that keeps to one processor notices by itself that something else has taken that up.
 
-The thread that looks runs on any processor; a second one, kept to the same processor as all others, shows by
-its samples whether that gets time. Where a starved thread holds the interpreter's lock, the look waits too:
-then a daemon or a supervisor has to notice.
+The thread that looks runs on any processor, and reads how long some of the others ran and waited. Where they
+wait for other processes, all other threads move to an idle processor, which `processor_choice` decides; where
+none is idle, the process may run anywhere, until `processor_settling` finds that one is idle again.
+One thread does nothing but wake up often, so that there is always one that wants to run.
 """
 
 from __future__ import annotations
@@ -10,20 +11,20 @@
 import os
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import structlog
 
-from saffronstack.daemon.processor_starvation import (
-    StarvationMonitor,
-    ThreadSample,
-    allow_all_processors,
-    read_thread,
-)
+from saffronstack.cli.cpu_affinity import NO_THREAD, move_threads
+from saffronstack.daemon.processor_choice import MoveHold, ProcessorChoice, ProcessorLook
+from saffronstack.daemon.processor_settling import IdleLook, ProcessorSettling
+from saffronstack.daemon.processor_starvation import StarvationMonitor, ThreadSample, read_thread
+from saffronstack.daemon.processor_times import IdleTimes
 from saffronstack.runtime.threads import start_thread
 
 log = structlog.get_logger("saffronstack.serve")
-PROBE_INTERVAL_S = 0.1
+PROBE_INTERVAL_S = 0.05  # short beside the waits that are to be found
+MAX_THREADS = 16  # that a look reads; the first ones live as long as the process
 
 
 class StarvationGuard:
@@ -34,7 +35,11 @@
         allowed: set[int],
         clock: Callable[[], float] = time.monotonic,
         read: Callable[[int, int], ThreadSample | None] = read_thread,
-        release: Callable[[int], bool] = allow_all_processors,
+        release: Callable[[int], bool] | None = None,
+        *,
+        read_idle: Callable[[Collection[int]], Mapping[int, int]] | None = None,
+        read_run_ns: Callable[[], int] = time.process_time_ns,
+        move: Callable[[Collection[int], int], None] = move_threads,
     ) -> None:
         """Start the probe on this thread's processors, and let this thread itself run on all allowed ones.
 
@@ -42,36 +47,99 @@
             allowed: The processors that this process may use.
             clock: Monotonic seconds.
             read: Samples a thread of a process.
-            release: Lets the process with an id run on this thread's processors.
+            release: Lets the process with an id run on all allowed processors; None for this process alone.
+            read_idle: The idle time of some processors; None to read what the system tells.
+            read_run_ns: The processor time of this process.
+            move: Lets all threads of this process but one run on some processors.
         """
-        self._read = read
+        self._allowed, self._clock = frozenset(allowed), clock
+        self._read, self._read_run_ns, self._move = read, read_run_ns, move
+        self._idle_times = IdleTimes()
+        self._read_idle = read_idle or self._idle_times.read
         self._stopping = threading.Event()
-        self._probe_thread = 0  # its id in the system; 0 until it has run
-        self._monitor = StarvationMonitor(clock, self._read_probe, release)
+        self._probe_thread = NO_THREAD  # its id in the system, once it has run
+        self._processors = frozenset(os.sched_getaffinity(0))  # of all threads but this one
+        hold = MoveHold()
+        self._choice = ProcessorChoice(os.getpid(), hold)
+        self._settling = ProcessorSettling(os.getpid(), hold)
+        self._samples: dict[int, ThreadSample] = {}
+        self._monitor = StarvationMonitor(clock, lambda pid: self._samples, release or self._release)
         start_thread("processor-probe", self._probe)
         os.sched_setaffinity(0, allowed)
 
     @property
     def has_started(self) -> bool:
         """Whether the probe has run at all."""
-        return self._probe_thread != 0
+        return self._probe_thread != NO_THREAD
 
     def check(self) -> None:
-        """Let the whole process run anywhere if the probe has been ready to run and did not since a while."""
+        """Look at the processors; leave one that others take up. Called each `LOOK_INTERVAL_S`."""
+        self._samples = self._read_threads()
+        if self.has_started:  # a daemon may have released the process
+            self._processors = frozenset(os.sched_getaffinity(self._probe_thread))
+        if len(self._processors) == 1:
+            self._settling.restart()
+            if self._move_if_taken_up():
+                return
+        elif self._processors == self._allowed and self._settle_if_idle():
+            return
         for _ in self._monitor.check([os.getpid()]):
             log.warning("processor taken up by something else, all may be used from now on")
 
     def stop(self) -> None:
-        """End the probe, without waiting."""
+        """End the probe, without waiting, and let the process run anywhere: nothing looks from now on."""
         self._stopping.set()
+        self._idle_times.close()
+        self._run_on(self._allowed)
+
+    def _move_if_taken_up(self) -> bool:
+        (processor,) = self._processors
+        idle_ns = self._read_idle(self._allowed)
+        look = ProcessorLook(self._clock(), processor, self._read_run_ns(), self._samples, idle_ns)
+        move = self._choice.choose(look)
+        if move is None:
+            return False
+        self._run_on(frozenset({move.processor}))
+        log.warning(
+            "processor taken up by something else, moved to another one",
+            old=processor,
+            new=move.processor,
+            waited=round(move.waited_share, 2),
+        )
+        return True
+
+    def _settle_if_idle(self) -> bool:
+        processor = self._settling.choose(IdleLook(self._clock(), self._read_idle(self._allowed)))
+        if processor is None:
+            return False
+        self._run_on(frozenset({processor}))
+        log.info("a processor is idle again, the process keeps to it", processor=processor)
+        return True
+
+    def _release(self, pid: int) -> bool:
+        """Let the process run anywhere; return whether it did not before."""
+        if self._processors == self._allowed:
+            return False
+        self._run_on(self._allowed)
+        return True
+
+    def _run_on(self, processors: frozenset[int]) -> None:
+        self._move(processors, threading.get_native_id())
+        self._processors = processors
 
     def _probe(self) -> None:
         self._probe_thread = threading.get_native_id()
         while not self._stopping.wait(PROBE_INTERVAL_S):
             continue
 
-    def _read_probe(self, pid: int) -> Mapping[int, ThreadSample]:
-        if not self.has_started:
-            return {0: ThreadSample(is_runnable=True, run_ns=0)}  # it is to start, and got no time for that
-        sample = self._read(pid, self._probe_thread)
-        return {} if sample is None else {self._probe_thread: sample}
+    def _read_threads(self) -> dict[int, ThreadSample]:
+        """Return the probe, the first threads of the process, and all others as one that never waits."""
+        pid, own = os.getpid(), threading.get_native_id()
+        known = [thread.native_id for thread in threading.enumerate()[:MAX_THREADS]]
+        threads = {thread for thread in (*known, self._probe_thread) if thread not in (None, own, NO_THREAD)}
+        read = {thread: self._read(pid, thread) for thread in threads if thread is not None}
+        samples = {thread: sample for thread, sample in read.items() if sample is not None}
+        if not self.has_started:  # the probe is to start, and got no time for that
+            return samples | {NO_THREAD: ThreadSample(is_runnable=True, run_ns=0)}
+        rest_ns = self._read_run_ns() - sum(sample.run_ns for sample in samples.values())
+        return samples | {NO_THREAD: ThreadSample(is_runnable=False, run_ns=rest_ns)}
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -2,21 +2,89 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
 import json
 import os
 import pathlib
 import subprocess
 import sys
+import threading
 
 import pytest
 
-from saffronstack.cli import starvation_guard
+from saffronstack.cli import cpu_affinity, starvation_guard
+from saffronstack.cli.cpu_affinity import move_threads
 from saffronstack.cli.starvation_guard import StarvationGuard
+from saffronstack.client import Client
+from saffronstack.daemon.processor_choice import LOOK_INTERVAL_S, SPAN_S
+from saffronstack.daemon.processor_settling import SETTLE_S
 from saffronstack.daemon.processor_starvation import SAMPLE_INTERVAL_S, ThreadSample, read_threads
+from saffronstack.http1.messages import HttpError
+from saffronstack.runtime.threads import start_thread
 from saffronstack.standin.fleet import StandInFleet, sample
-from tests.support.stack import eventually
+from tests.support.stack import AMPLE_DEADLINE_S, configuration, eventually
 
 LOOKS = 5
+NS_PER_S = 1_000_000_000
+RUN_NS_PER_S = NS_PER_S // 50
+NEIGHBOURS = 8
+NEIGHBOUR = """
+import os, sys, time
+os.sched_setaffinity(0, {int(sys.argv[1])})
+end_s = time.monotonic() + 15
+print("busy", flush=True)
+while time.monotonic() < end_s: pass
+"""
+# A process whose guard looks until its other threads run elsewhere, or half a minute has passed.
+GUARDED = """
+import os, sys, threading, time
+from saffronstack.cli.cpu_affinity import pin_threads
+from saffronstack.cli.starvation_guard import StarvationGuard
+from saffronstack.daemon.processor_times import IdleTimes
+allowed, kept = os.sched_getaffinity(0), int(sys.argv[1])
+own = IdleTimes()
+def work():
+    while True:
+        end_s = time.thread_time() + 0.002
+        while time.thread_time() < end_s: pass
+        time.sleep(0.01)
+worker = threading.Thread(target=work, daemon=True)
+worker.start()
+pin_threads({kept})
+guard = StarvationGuard(
+    allowed, read_idle=lambda processors: dict.fromkeys(processors, time.monotonic_ns()) | own.read({kept}))
+while not guard.has_started: time.sleep(0.01)
+
+print("kept", flush=True)
+end_s = time.monotonic() + 30
+while os.sched_getaffinity(worker.native_id) == {kept} and time.monotonic() < end_s:
+    time.sleep(0.25)
+    guard.check()
+print("left" if os.sched_getaffinity(worker.native_id) != {kept} else "stayed", flush=True)
+"""
+
+
+def python(code: str, processor: int) -> subprocess.Popen[bytes]:
+    return subprocess.Popen([sys.executable, "-c", code, str(processor)], stdout=subprocess.PIPE)
+
+
+def call_until_closed(address: str) -> None:
+    with contextlib.suppress(OSError, HttpError):
+        Client(address, AMPLE_DEADLINE_S).invoke("identify-copy", b"{}", "RequestResponse")
+
+
+def affinities(pid: int) -> set[frozenset[int]]:
+    found = set()
+    for thread in read_threads(pid):
+        with contextlib.suppress(ProcessLookupError):  # it has ended
+            found.add(frozenset(os.sched_getaffinity(thread)))
+    return found
+
+
+def first_line(process: subprocess.Popen[bytes]) -> bytes:
+    assert process.stdout is not None
+    return process.stdout.readline()
 
 
 @pytest.mark.parametrize(
@@ -61,6 +129,68 @@
     assert found == [os.getpid()]
 
 
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_the_process_moves_after_a_second_where_neighbours_leave_it_some_time() -> None:
+    """Beside 150 busy processes a gateway had a slice between any two looks, and stayed there."""
+    allowed = os.sched_getaffinity(0)
+    kept, idle, *_ = sorted(allowed)
+    now_s, moved = 100.0, []
+    os.sched_setaffinity(0, {kept})  # the guard lets this thread run anywhere again
+    guard = StarvationGuard(
+        allowed,
+        lambda: now_s,
+        lambda pid, thread: ThreadSample(True, 0, int(now_s * NS_PER_S) // 2),
+        read_idle=lambda processors: {kept: 0, idle: int(now_s * NS_PER_S)},
+        read_run_ns=lambda: int(now_s * RUN_NS_PER_S),
+        move=lambda processors, excluded: moved.append((now_s, sorted(processors))),
+    )
+    for _ in range(LOOKS):
+        guard.check()
+        now_s += LOOK_INTERVAL_S
+    guard.stop()  # nothing looks from now on
+    assert moved == [(100.0 + SPAN_S, [idle]), (now_s, sorted(allowed))]
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_process_on_all_processors_keeps_to_one_again_once_that_is_idle() -> None:
+    """An overload of a second used to cost a gateway two thirds of its calls until it was restarted."""
+    allowed = os.sched_getaffinity(0)
+    kept, idle, *_ = sorted(allowed)
+    now_s, processors = 100.0, []
+    os.sched_setaffinity(0, {kept})
+    guard = StarvationGuard(
+        allowed,
+        lambda: now_s,
+        lambda pid, thread: ThreadSample(False, 0),
+        read_idle=lambda processors: {kept: 0, idle: int(now_s * NS_PER_S)},
+        move=lambda moved, excluded: processors.append((now_s, sorted(moved))),
+    )
+    eventually(lambda: guard.has_started)
+    os.sched_setaffinity(guard._probe_thread, allowed)  # as a daemon does that finds it starved
+    while now_s < 100.0 + SETTLE_S:
+        guard.check()
+        assert processors == []
+        now_s += LOOK_INTERVAL_S
+    guard.check()
+    assert processors == [(100.0 + SETTLE_S, [idle])]
+    guard.stop()
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_process_leaves_a_processor_that_busy_processes_take_up() -> None:
+    """Real neighbours, some of whose time the process gets; that the others are idle is told to the guard."""
+    *_, kept, _ = sorted(os.sched_getaffinity(0))
+    with contextlib.ExitStack() as stack:
+        guarded = stack.enter_context(python(GUARDED, kept))
+        assert first_line(guarded) == b"kept\n"
+        neighbours = [stack.enter_context(python(NEIGHBOUR, kept)) for _ in range(NEIGHBOURS)]
+        for one in (*neighbours, guarded):
+            stack.callback(one.kill)
+        assert [first_line(one) for one in neighbours] == [b"busy\n"] * NEIGHBOURS
+        assert b"moved to another one" in first_line(guarded)
+        assert first_line(guarded) == b"left\n"
+
+
 @pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
 @pytest.mark.parametrize(("cpus", "main_runs_anywhere"), [((), True), (("--cpus", "0"), False)])
 def test_a_gateway_keeps_to_one_processor_but_for_the_thread_that_looks(
@@ -80,3 +210,54 @@
             eventually(lambda: os.sched_getaffinity(process.pid) == expected)
         finally:
             process.terminate()
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_thread_that_starts_during_a_move_moves_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It has the processors of the thread that starts it, which may be moved only after that."""
+    listings = iter([[1, 2], [1, 2, 3], [1, 2, 3, 4], [1, 2, 3, 4]])
+    kept = {1: {0}, 2: {0}, 3: {0}, 4: {0}}
+    monkeypatch.setattr(threading, "enumerate", list)
+    monkeypatch.setattr(cpu_affinity, "_listed_threads", lambda: next(listings))
+    monkeypatch.setattr(os, "sched_getaffinity", kept.__getitem__)
+    monkeypatch.setattr(os, "sched_setaffinity", kept.__setitem__)
+    move_threads({5}, 1)
+    assert kept == {1: {0}, 2: {5}, 3: {5}, 4: {5}}
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_gateway_that_drains_runs_on_all_processors(
+    tmp_path: pathlib.Path, one_worker: StandInFleet
+) -> None:
+    """Nothing looked while it drained, and one whose processor was taken up then did not end for 20 s."""
+    worker = one_worker.workers[0]
+    worker.faults.silent = True
+    path = tmp_path / "gateway.json5"
+    path.write_text(json.dumps(configuration(one_worker, deadline_s=AMPLE_DEADLINE_S)))
+    command = [sys.executable, "-m", "saffronstack.cli.main", "serve", "--config", str(path)]
+    with contextlib.ExitStack() as stack:
+        process = stack.enter_context(subprocess.Popen(command, stdout=subprocess.PIPE))
+        stack.callback(process.kill)
+        address = first_line(process).decode().strip().rpartition("/")[2]
+        start_thread("call", lambda: call_until_closed(address))
+        eventually(lambda: any("arrive" in entry.values() for entry in worker.log))
+        kept = {
+            frozenset(os.sched_getaffinity(one)) for one in read_threads(process.pid) if one != process.pid
+        }
+        assert {len(processors) for processors in kept} == {1}
+        process.terminate()
+        eventually(lambda: affinities(process.pid) == {frozenset(os.sched_getaffinity(0))})
+        assert process.poll() is None
+
+
+def test_a_move_without_a_free_descriptor_takes_the_known_threads(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A gateway moves and stops also while its clients hold all descriptors."""
+
+    def fail(path: str) -> list[str]:
+        raise OSError(errno.EMFILE, path)
+
+    moved: list[int] = []
+    monkeypatch.setattr(os, "listdir", fail)
+    monkeypatch.setattr(os, "sched_setaffinity", lambda thread, cpus: moved.append(thread))
+    move_threads({0})
+    assert threading.get_native_id() in moved
