--- a/saffronstack/harness/soak/judge.py
+++ b/saffronstack/harness/soak/judge.py
@@ -9,6 +9,7 @@
 from saffronstack.harness.soak.traffic import ObservedPlay, SentRequest
 
 KILL_MARGIN_S = 0.05  # a request that the gateway had less processor time for may be without an answer
+COUNTED_WAIT_SPAN_S = 0.2  # before the kill; an earlier wait for a processor excuses nothing
 ANSWER_DUE_S = 0.1  # before the kill a call that is with a host is to be answered, if not before
 CROSSING_S = 0.05  # by the protocol's page: a request may cross the end of a connection with nothing open
 MAX_BUSY_CROSSINGS = 0  # in a play whose busy clients need no more connections than clients may use
@@ -78,14 +79,20 @@
     seen waits for several threads in turn, from when the host answered, or its answer fell due.
     """
     if not play.calls[request.request_id]:
-        reader = busiest_thread(play.samples)
-        waited_s = (
-            thread_wait_s(play.samples, reader, request.sent_s, killed_s) if reader is not None else 0.0
-        )
-        return killed_s - request.sent_s - waited_s
+        return killed_s - request.sent_s - _reader_wait_s(request, play, killed_s)
     due_s = min(killed_s - ANSWER_DUE_S, play.host_answers_s.get(request.request_id, killed_s))
     due_s = max(request.sent_s, due_s)
-    return killed_s - due_s - process_wait_s(play.samples, due_s, killed_s)
+    counted_s = max(due_s, killed_s - COUNTED_WAIT_SPAN_S)
+    return killed_s - due_s - process_wait_s(play.samples, counted_s, killed_s)
+
+
+def _reader_wait_s(request: SentRequest, play: ObservedPlay, killed_s: float) -> float:
+    """How long the thread that reads waited for a processor while a request was there."""
+    reader = busiest_thread(play.samples)
+    if reader is None:
+        return 0.0
+    begin_s = max(request.sent_s, killed_s - COUNTED_WAIT_SPAN_S)
+    return thread_wait_s(play.samples, reader, begin_s, killed_s)
 
 
 def _effects(request: SentRequest, calls: int) -> list[str]:
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -146,6 +146,7 @@
         (0.1, [(READER, 0.3, 0.105)], 1),  # before the request came
         (0.1, [(OTHER, 0.1, 0.0)], 1),  # the reader sleeps: it is held by the program
         (0.1, [(READER, 0.1, 0.07), (OTHER, 0.07, 0.0)], 1),
+        (0.3, [(READER, 0.3, 0.0)], 1),  # longer ago than what is counted
     ],
 )
 def test_only_the_readers_wait_while_it_is_unread_excuses_a_request(
@@ -170,6 +171,7 @@
         (-math.inf, [], 1),
         (-math.inf, [(BEGUN, 0.5, 0.0)], 1),  # a thread is held by the start of another
         (0.4, [(OTHER, 0.1, 0.0)], 1),  # answered long before, and dropped
+        (0.4, [(OTHER, 0.4, 0.0)], 1),  # longer ago than what is counted
     ],
 )
 def test_a_call_with_a_host_is_due_before_the_kill(
