Starvation: ended threads and a move are no wait for other processes

What would have been seen (found by review and shown by scripts, before any release): a gateway moved from its processor, and warned, as a client's thread ended that had used 0.1 s of it; a daemon let each gateway with a thread for each connection run on all processors; a gateway that had moved in time was let on all a quarter of a second later, for what it had waited before.

Cause: the time that the process ran was the sum over the threads that were listed. Where one ended, its time went to the entry for the rest, which then seemed to have waited; where one began and ended between two samples its time was missing, and who waited for it seemed to wait for others. The monitor's two spans in a row knew nothing of a move between them.

Change: a sample of a process is its threads, the processor time of the whole process (/proc/PID/stat counts threads that have ended; the guard asks the interpreter) and the processors that it keeps to. Only threads that were listed can wait, and a span in which the processors changed counts for nothing. The rule of a thread that is ready at two looks and does not run at all is as it was.

--- a/saffronstack/cli/starvation_guard.py
+++ b/saffronstack/cli/starvation_guard.py
@@ -63,7 +63,13 @@
         self._choice = ProcessorChoice(os.getpid(), hold)
         self._settling = ProcessorSettling(os.getpid(), hold)
         self._samples: dict[int, ThreadSample] = {}
-        self._monitor = StarvationMonitor(clock, lambda pid: self._samples, release or self._release)
+        self._monitor = StarvationMonitor(
+            clock,
+            lambda pid: self._samples,
+            release or self._release,
+            read_run_ns=lambda pid: self._read_run_ns(),
+            read_processors=lambda pid: self._processors,
+        )
         start_thread("processor-probe", self._probe)
         os.sched_setaffinity(0, allowed)
 
@@ -133,13 +139,12 @@
             continue
 
     def _read_threads(self) -> dict[int, ThreadSample]:
-        """Return the probe, the first threads of the process, and all others as one that never waits."""
+        """Return the probe and the first threads of the process."""
         pid, own = os.getpid(), threading.get_native_id()
         known = [thread.native_id for thread in threading.enumerate()[:MAX_THREADS]]
         threads = {thread for thread in (*known, self._probe_thread) if thread not in (None, own, NO_THREAD)}
         read = {thread: self._read(pid, thread) for thread in threads if thread is not None}
         samples = {thread: sample for thread, sample in read.items() if sample is not None}
         if not self.has_started:  # the probe is to start, and got no time for that
-            return samples | {NO_THREAD: ThreadSample(is_runnable=True, run_ns=0)}
-        rest_ns = self._read_run_ns() - sum(sample.run_ns for sample in samples.values())
-        return samples | {NO_THREAD: ThreadSample(is_runnable=False, run_ns=rest_ns)}
+            samples[NO_THREAD] = ThreadSample(is_runnable=True, run_ns=0)
+        return samples
--- a/saffronstack/daemon/processor_starvation.py
+++ b/saffronstack/daemon/processor_starvation.py
@@ -16,7 +16,8 @@
 from saffronstack.daemon.processor_choice import WAITING_SHARE, foreign_wait_ns
 
 SAMPLE_INTERVAL_S = 0.5  # a thread that is ready to run for as long and does not run is starved
-_NS_PER_S = 1e9
+_NS_PER_S = 1_000_000_000
+_USER_AND_SYSTEM_TIME = slice(11, 13)  # fields of /proc/PID/stat behind the command's name
 _RUNNABLE = b"R"
 _READ_BYTES = 4096
 _CPUS_OPTION = b"--cpus"
@@ -34,6 +35,15 @@
 ThreadSamples = Mapping[int, ThreadSample]  # by thread id
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessSample:
+    """One process at one moment."""
+
+    threads: ThreadSamples
+    run_ns: int | None  # of all its threads, those that have ended too; None where the system does not tell
+    processors: frozenset[int]  # that its threads keep to
+
+
 def _read_file(path: str) -> bytes:
     """Return a short file's content, with as few calls of the system as there can be."""
     descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
@@ -64,6 +74,30 @@
     return {thread: sample for thread, sample in samples.items() if sample is not None}
 
 
+def read_run_ns(pid: int) -> int | None:
+    """Return the processor time of a process, that of threads that have ended too.
+
+    None where it has ended, or the system does not tell.
+    """
+    try:
+        fields = _read_file(f"/proc/{pid}/stat").rpartition(b")")[2].split()
+        ticks = sum(map(int, fields[_USER_AND_SYSTEM_TIME]))
+    except (OSError, ValueError):
+        return None
+    return ticks * _NS_PER_S // os.sysconf("SC_CLK_TCK")
+
+
+def read_kept_processors(pid: int) -> frozenset[int]:
+    """Return the processors of the thread that may run on the fewest; none where the process has ended."""
+    processors: set[int] = set()
+    with contextlib.suppress(OSError):
+        for name in os.listdir(f"/proc/{pid}/task"):
+            with contextlib.suppress(OSError):  # the thread has ended
+                allowed = os.sched_getaffinity(int(name))
+                processors = allowed if not processors or len(allowed) < len(processors) else processors
+    return frozenset(processors)
+
+
 def is_starved(before: ThreadSamples, after: ThreadSamples) -> bool:
     """Return whether a thread was ready to run at both moments, and had no processor time between them."""
     ready = {thread: sample for thread, sample in after.items() if sample.is_runnable and thread in before}
@@ -73,11 +107,15 @@
     )
 
 
-def waits_for_others(before: ThreadSamples, after: ThreadSamples, span_s: float) -> bool:
-    """Return whether a thread waited for other processes for a part of the span that counts."""
-    kept = before.keys() & after.keys()
-    run_ns = sum(sample.run_ns for sample in after.values()) - sum(before[thread].run_ns for thread in kept)
-    return foreign_wait_ns(before, after, run_ns) >= WAITING_SHARE * span_s * _NS_PER_S
+def waits_for_others(before: ProcessSample, after: ProcessSample, span_s: float) -> bool:
+    """Return whether a thread waited for other processes for a part of the span that counts.
+
+    A span in which the process came to other processors tells nothing of those that it keeps to now.
+    """
+    if before.run_ns is None or after.run_ns is None or before.processors != after.processors:
+        return False
+    waited_ns = foreign_wait_ns(before.threads, after.threads, after.run_ns - before.run_ns)
+    return waited_ns >= WAITING_SHARE * span_s * _NS_PER_S
 
 
 def allow_all_processors(pid: int) -> bool:
@@ -107,13 +145,18 @@
         clock: Callable[[], float],
         read: Callable[[int], ThreadSamples] = read_threads,
         release: Callable[[int], bool] = allow_all_processors,
+        *,
+        read_run_ns: Callable[[int], int | None] = read_run_ns,
+        read_processors: Callable[[int], frozenset[int]] = read_kept_processors,
     ) -> None:
-        """``clock``: monotonic seconds; ``read`` and ``release`` stand for the system in tests."""
+        """``clock``: monotonic seconds; the other arguments stand for the system in tests."""
         self._clock = clock
         self._read = read
         self._release = release
+        self._read_run_ns = read_run_ns
+        self._read_processors = read_processors
         self._sampled_s = clock()
-        self._samples: dict[int, ThreadSamples] = {}  # by process id
+        self._samples: dict[int, ProcessSample] = {}  # by process id
         self._waiting: set[int] = set()  # processes that waited for others in the last span
 
     def check(self, pids: Iterable[int]) -> list[int]:
@@ -123,12 +166,18 @@
         if span_s < SAMPLE_INTERVAL_S:
             return []
         self._sampled_s = now_s
-        before, self._samples = self._samples, {pid: self._read(pid) for pid in pids}
+        previous, self._samples = self._samples, {pid: self._sample(pid) for pid in pids}
         waited_before, self._waiting = self._waiting, set()
         starved = []
         for pid, after in self._samples.items():
-            if waits_for_others(before.get(pid, {}), after, span_s):
+            before = previous.get(pid)
+            if before is None:
+                continue
+            if waits_for_others(before, after, span_s):
                 self._waiting.add(pid)
-            if is_starved(before.get(pid, {}), after) or pid in waited_before & self._waiting:
+            if is_starved(before.threads, after.threads) or pid in waited_before & self._waiting:
                 starved.append(pid)
         return [pid for pid in starved if self._release(pid)]
+
+    def _sample(self, pid: int) -> ProcessSample:
+        return ProcessSample(self._read(pid), self._read_run_ns(pid), self._read_processors(pid))
--- a/tests/daemon/test_processor_starvation.py
+++ b/tests/daemon/test_processor_starvation.py
@@ -5,17 +5,23 @@
 import os
 import subprocess
 import sys
+import threading
+import time
 
 import pytest
 
 from saffronstack.daemon.processor_starvation import (
     SAMPLE_INTERVAL_S,
+    ProcessSample,
     StarvationMonitor,
     ThreadSample,
     ThreadSamples,
     allow_all_processors,
     is_starved,
+    read_kept_processors,
+    read_run_ns,
     read_threads,
+    waits_for_others,
 )
 
 WAITS = "import sys, threading; threading.Thread(target=sys.stdin.read).start(); print(1, flush=True)"
@@ -37,6 +43,8 @@
 
 
 MS = 1_000_000
+TICK_S = 0.01
+BURNED_S = 0.05
 
 
 @pytest.mark.parametrize(
@@ -70,7 +78,13 @@
         released.append(now_s)
         return True
 
-    monitor = StarvationMonitor(lambda: now_s, read, release)
+    monitor = StarvationMonitor(
+        lambda: now_s,
+        read,
+        release,
+        read_run_ns=lambda pid: spans * sum(runs_ms) * MS,
+        read_processors=lambda pid: frozenset({0}),
+    )
     for _ in range(3):
         now_s += SAMPLE_INTERVAL_S
         monitor.check([1])
@@ -78,6 +92,36 @@
     assert released == ([now_s] if found else [])
 
 
+def waiting(wait_ms: int, run_ms: int, processor: int = 0) -> ProcessSample:
+    return ProcessSample({7: ThreadSample(False, 0, wait_ms * MS)}, run_ms * MS, frozenset({processor}))
+
+
+def test_threads_that_have_ended_ran_too() -> None:
+    """A gateway with a thread for each connection was taken for one that waits for other processes."""
+    assert not waits_for_others(waiting(0, 0), waiting(480, 480), SAMPLE_INTERVAL_S)
+    assert waits_for_others(waiting(0, 0), waiting(480, 10), SAMPLE_INTERVAL_S)
+
+
+def test_waits_before_a_move_do_not_count_after_it() -> None:
+    """A gateway that had just moved was let on all processors for what it had waited before."""
+    assert not waits_for_others(waiting(0, 0), waiting(480, 0, processor=1), SAMPLE_INTERVAL_S)
+
+
+def test_the_time_of_a_process_is_that_of_ended_threads_too() -> None:
+    def burn() -> None:
+        while time.thread_time() < BURNED_S:
+            pass
+
+    before_ns = read_run_ns(os.getpid())
+    thread = threading.Thread(target=burn)
+    thread.start()
+    thread.join()
+    after_ns = read_run_ns(os.getpid())
+    assert before_ns is not None
+    assert after_ns is not None
+    assert after_ns - before_ns >= (BURNED_S - TICK_S) * 1000 * MS
+
+
 def test_a_starved_process_is_released_once_and_others_are_left() -> None:
     """A gateway on a processor that a benchmark took up did not exit for 20 s, and nobody noticed."""
     now_s = 100.0
@@ -126,4 +170,6 @@
     )
     pid = int(ended.stdout)
     assert read_threads(pid) == {}
+    assert read_run_ns(pid) is None
+    assert read_kept_processors(pid) == frozenset()
     assert not allow_all_processors(pid)
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -176,6 +176,63 @@
     guard.stop()
 
 
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_thread_that_ends_is_no_wait_for_others() -> None:
+    """Its whole processor time used to be taken for such a wait: the process moved without cause."""
+    allowed = os.sched_getaffinity(0)
+    now_s, moved = 100.0, list[list[int]]()
+    os.sched_setaffinity(0, {min(allowed)})
+    ends = threading.Event()
+    ending = start_thread("ending", ends.wait)
+    run_ns = {ending.native_id: NS_PER_S // 2}
+    guard = StarvationGuard(
+        allowed,
+        lambda: now_s,
+        lambda pid, thread: ThreadSample(False, run_ns.get(thread, 0)),
+        read_idle=lambda processors: dict.fromkeys(processors, int(now_s * NS_PER_S)),
+        read_run_ns=lambda: NS_PER_S,
+        move=lambda processors, excluded: moved.append(sorted(processors)),
+    )
+    eventually(lambda: guard.has_started)
+    for look in range(3 * LOOKS):
+        if look == LOOKS:
+            ends.set()
+            ending.join()
+        guard.check()
+        now_s += LOOK_INTERVAL_S
+    assert moved == []
+    guard.stop()
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+@pytest.mark.parametrize("begins_s", [102.0, 102.25, 102.3, 102.4])
+def test_a_process_that_has_moved_is_not_let_on_all_for_what_it_waited_before(
+    monkeypatch: pytest.MonkeyPatch, begins_s: float
+) -> None:
+    """Taken up right before a sample of the monitor, it left the new processor a quarter second later."""
+    allowed = os.sched_getaffinity(0)
+    now_s, waited_s, moved = 100.0, 0.0, list[set[int]]()
+    os.sched_setaffinity(0, {min(allowed)})
+    guard = StarvationGuard(
+        allowed,
+        lambda: now_s,
+        lambda pid, thread: ThreadSample(False, 0, int(waited_s * NS_PER_S)),
+        read_idle=lambda processors: dict.fromkeys(processors, int(now_s * NS_PER_S)),
+        read_run_ns=lambda: 0,
+        move=lambda processors, excluded: moved.append(set(processors)),
+    )
+    eventually(lambda: guard.has_started)
+    monkeypatch.setattr(os, "sched_getaffinity", lambda pid: moved[-1] if moved else {min(allowed)})
+    for _ in range(4 * LOOKS):
+        guard.check()
+        if not moved:
+            waited_s += max(0.0, min(LOOK_INTERVAL_S, now_s + LOOK_INTERVAL_S - begins_s)) * 0.3
+        now_s += LOOK_INTERVAL_S
+    assert len(moved) == 1
+    assert len(moved[0]) == 1
+    guard.stop()
+
+
 @pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
 def test_a_process_leaves_a_processor_that_busy_processes_take_up() -> None:
     """Real neighbours, some of whose time the process gets; that the others are idle is told to the guard."""
