--- a/saffronstack/harness/soak/judge.py
+++ b/saffronstack/harness/soak/judge.py
@@ -76,11 +76,16 @@
     """How long the gateway had a processor to answer a request before it was killed.
 
     One that no host has seen waits for the thread that reads, which is the busiest. A call that a host has
-    seen waits for several threads in turn, from when the host answered, or its answer fell due.
+    seen waits for several threads in turn, from when the host answered, its time was over, or its answer fell
+    due.
     """
     if not play.calls[request.request_id]:
         return killed_s - request.sent_s - _reader_wait_s(request, play, killed_s)
-    due_s = min(killed_s - ANSWER_DUE_S, play.host_answers_s.get(request.request_id, killed_s))
+    due_s = min(
+        killed_s - ANSWER_DUE_S,
+        request.sent_s + request.timeout_s,
+        play.host_answers_s.get(request.request_id, killed_s),
+    )
     due_s = max(request.sent_s, due_s)
     counted_s = max(due_s, killed_s - COUNTED_WAIT_SPAN_S)
     return killed_s - due_s - process_wait_s(play.samples, counted_s, killed_s)
--- a/saffronstack/harness/soak/thread_samples.py
+++ b/saffronstack/harness/soak/thread_samples.py
@@ -47,9 +47,12 @@
 
 
 def thread_wait_s(samples: Sequence[ProcessSample], thread: int, begin_s: float, end_s: float) -> float:
-    """Return how long a thread waited for a processor in a span, as far as the samples show it."""
+    """Return how long a thread waited in a span for a processor that no thread of its process had.
+
+    As far as the samples show it.
+    """
     return sum(
-        _wait_between_s(before, after, thread) * _part_within(before, after, begin_s, end_s)
+        _foreign_wait_between_s(before, after, thread) * _part_within(before, after, begin_s, end_s)
         for before, after in pairwise(samples)
     )
 
@@ -81,12 +84,16 @@
     return min(elapsed_s, new.waited_s - old.waited_s)
 
 
-def _idle_wait_between_s(before: ProcessSample, after: ProcessSample) -> float:
-    begun = [thread for thread, found in before.threads.items() if found.ran_s > 0]
-    longest_s = max((_wait_between_s(before, after, thread) for thread in begun), default=0.0)
+def _foreign_wait_between_s(before: ProcessSample, after: ProcessSample, thread: int) -> float:
+    """How long a thread waited while no thread of its process ran."""
     ran_s = sum(
-        after.threads[thread].ran_s - found.ran_s
-        for thread, found in before.threads.items()
-        if thread in after.threads
+        after.threads[other].ran_s - found.ran_s
+        for other, found in before.threads.items()
+        if other in after.threads
     )
-    return max(0.0, min(longest_s, after.at_s - before.at_s - ran_s))
+    return max(0.0, min(_wait_between_s(before, after, thread), after.at_s - before.at_s - ran_s))
+
+
+def _idle_wait_between_s(before: ProcessSample, after: ProcessSample) -> float:
+    begun = [thread for thread, found in before.threads.items() if found.ran_s > 0]
+    return max((_foreign_wait_between_s(before, after, thread) for thread in begun), default=0.0)
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -181,6 +181,11 @@
     assert len(judged(request(KILLED_S - 0.45), *waiting_s, host_s=host_s).breaches) == breaches
 
 
+def test_no_wait_excuses_a_call_whose_time_was_over_long_before() -> None:
+    """A gateway that loses a deadline passed beside any thread that waited right before the kill."""
+    assert len(judged(request(KILLED_S - 3.0), (OTHER, 0.1, 0.0), host_s=-math.inf).breaches) == 1
+
+
 def test_a_request_that_crosses_an_idle_close_is_excused_only_where_the_gateway_goes_on() -> None:
     crossing = request(101.0, ended_s=101.01)
     crossing.is_of_busy_client = False
--- a/tests/harness/test_soak_thread_samples.py
+++ b/tests/harness/test_soak_thread_samples.py
@@ -44,6 +44,13 @@
     assert thread_wait_s(samples, 2, 99.0, 101.0) == 0.0
 
 
+def test_a_thread_that_waits_behind_its_own_process_has_a_processor() -> None:
+    """A gateway whose other threads keep the one that reads from running was excused."""
+    behind = ThreadSample(True, 5.0, 0.0, 1), ThreadSample(True, 5.08, 0.0, 1)
+    samples = pair({1: WAITING, 2: behind[0]}, {1: WAITING, 2: behind[1]})
+    assert thread_wait_s(samples, 1, 99.0, 101.0) == pytest.approx(0.02)
+
+
 def test_a_process_waits_only_while_none_of_its_threads_runs() -> None:
     never_ran = ThreadSample(True, 0.0, 0.0, 0)
     assert process_wait_s(pair({1: WAITING, 2: ASLEEP}, {1: WAITING, 2: ASLEEP}), 0, 200) == pytest.approx(
