--- a/saffronstack/cli/cpu_affinity.py
+++ b/saffronstack/cli/cpu_affinity.py
@@ -64,23 +64,26 @@
 def move_threads(cpus: Collection[int], excluded: int = NO_THREAD) -> None:
     """Let all threads of this process but one run on some processors.
 
-    Those that the interpreter knows come first: that needs no call that gives up its lock, which a starved
-    thread may take. A thread that starts meanwhile has the processors of the one that started it, so the
-    system's list is read until it shows none that is left.
+    A thread that starts meanwhile has the processors of the one that started it, so the system's list is read
+    until it shows none that is left. Where no descriptor is free for that, the threads that the interpreter
+    knows are moved; they are not taken else, as the interpreter may know ids of threads that have ended.
 
     Args:
         cpus: Numbers of the processors.
         excluded: The system's id of the thread that stays as it is, if there is one.
     """
-    known = [thread.native_id for thread in threading.enumerate() if thread.native_id is not None]
-    _set_affinity((thread for thread in known if thread != excluded), cpus)
     for _ in range(MAX_LISTINGS):
-        left = [thread for thread in _listed_threads() if thread != excluded and not _runs_on(thread, cpus)]
+        listed = _listed_threads() or _known_threads()
+        left = [thread for thread in listed if thread != excluded and not _runs_on(thread, cpus)]
         if not left:
             return
         _set_affinity(left, cpus)
 
 
+def _known_threads() -> list[int]:
+    return [thread.native_id for thread in threading.enumerate() if thread.native_id is not None]
+
+
 def _listed_threads() -> list[int]:
     """Return none where all descriptors are in use."""
     with contextlib.suppress(OSError):
--- a/saffronstack/daemon/processor_starvation.py
+++ b/saffronstack/daemon/processor_starvation.py
@@ -126,7 +126,8 @@
     processors = os.sched_getaffinity(0)
     changed = False
     with contextlib.suppress(OSError):
-        if _CPUS_OPTION in pathlib.Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\0"):
+        words = pathlib.Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\0")
+        if any(word == _CPUS_OPTION or word.startswith(_CPUS_OPTION + b"=") for word in words):
             return False
         for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
             with contextlib.suppress(OSError):  # the thread has ended
--- a/tests/daemon/test_processor_starvation.py
+++ b/tests/daemon/test_processor_starvation.py
@@ -143,7 +143,9 @@
 
 
 @pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
-@pytest.mark.parametrize(("arguments", "released"), [([], True), (["--cpus", "0"], False)])
+@pytest.mark.parametrize(
+    ("arguments", "released"), [([], True), (["--cpus", "0"], False), (["--cpus=0"], False)]
+)
 def test_all_threads_of_a_process_are_released_unless_its_command_names_processors(
     arguments: list[str], released: bool
 ) -> None:
--- a/tests/daemon/test_starvation_guard.py
+++ b/tests/daemon/test_starvation_guard.py
@@ -315,6 +315,20 @@
 
     moved: list[int] = []
     monkeypatch.setattr(os, "listdir", fail)
+    monkeypatch.setattr(os, "sched_getaffinity", lambda thread: set())
     monkeypatch.setattr(os, "sched_setaffinity", lambda thread, cpus: moved.append(thread))
     move_threads({0})
     assert threading.get_native_id() in moved
+
+
+def test_a_move_touches_no_thread_that_has_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The interpreter may keep the id of one, which another process's thread may have by now."""
+    ended = threading.Thread()
+    ended._native_id = 77  # type: ignore[attr-defined]
+    kept = {1: {0}, 77: {0}}
+    monkeypatch.setattr(threading, "enumerate", lambda: [ended])
+    monkeypatch.setattr(cpu_affinity, "_listed_threads", lambda: [1])
+    monkeypatch.setattr(os, "sched_getaffinity", kept.__getitem__)
+    monkeypatch.setattr(os, "sched_setaffinity", kept.__setitem__)
+    move_threads({5})
+    assert kept == {1: {5}, 77: {0}}
