Front: idle connections make room for up to sixteen newcomers in one pass

Cause: once all places are taken, one newcomer was let in for each pass over all sockets, so that what was sent on standing connections is read before one of them is closed.

Change: as many as the reserve for silent connections has places, sixteen at most; newcomers that were let in and not read yet count as silent until the next pass. After one whose calls are refused the pass ends as before, for it to be answered.

--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -31,6 +31,7 @@
 
 BACKLOG = 512  # connections that the machine holds until they are accepted
 ACCEPTS_AT_ONCE = 64  # before connections that stand are read again
+PLACES_AT_ONCE = 16  # made for newcomers, before they are read
 READ_BYTES = 16 * 1024
 TICK_S = 0.25  # how often time-outs are looked at
 NO_DESCRIPTOR_PAUSE_S = 0.05  # until a connection is accepted again
@@ -245,15 +246,18 @@
 
     def _accept(self, now: float, max_accepted: int) -> int:
         """Accept what has come, up to so many; how many were accepted."""
+        places = 0
         for accepted in range(max_accepted):
             overflow = False
-            if self._clients.is_full(self.limits.connections):
-                if self._queue_is_empty():
-                    return accepted  # nobody has to make room
+            is_full = self._clients.is_full(self.limits.connections)
+            if is_full:
+                if self._queue_is_empty() or places >= self._places_at_once():
+                    return accepted  # nobody has to make room, or those that stand are read first
                 verdict = self._make_room(now)
                 if verdict is Verdict.WAIT:
                     return accepted
                 overflow = verdict is Verdict.OVERFLOW
+                places += 1
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
@@ -265,12 +269,17 @@
                 self._free_descriptor(now)
                 return accepted
             self._add(sock, now, overflow)
-            if self._clients.is_full(self.limits.connections):
+            if is_full:
                 self._clients.accepted_after(queue_wait_s(sock))
+            if overflow:
                 self._queue_is_empty()
-                return accepted + 1  # those that stand are read before another one makes room
+                return accepted + 1  # it is answered before another one takes its place
         return max_accepted
 
+    def _places_at_once(self) -> int:
+        """Places made for newcomers in one pass; newcomers that were not read yet count as silent."""
+        return min(PLACES_AT_ONCE, self.limits.silent_reserve)
+
     def _queue_is_empty(self) -> bool:
         """Whether no client waits to be accepted; then none has waited."""
         if self._waiting.poll(0):
