Front: a request's time counts from when it came, also where it lay in the listener's queue

What callers saw: a call that had waited to be accepted for longer than its client waits was run all the same, with all of its time before it, and answered by up to 1.7 s late; its host was told more time than the client had left, against the rule on deadlines.

Cause: the time of a call counted from the read of its connection. While there is no room a connection may lie in the queue for longer than a call of 0.3 s has.

Change: where a newcomer may have waited for room, and its request is there as it is accepted, the kernel's time of its newest byte is what the call's time counts from. One whose time is over is refused at once: nothing was sent for it. Elsewhere nothing is asked of the kernel.

Test: a request that lies 0.2 s in the queue. With a time-out of 0.1 s it is refused and no host hears of it; with 8 s its host is told 0.2 s less.

--- a/saffronstack/platform/client_admission.py
+++ b/saffronstack/platform/client_admission.py
@@ -69,6 +69,10 @@
         """How long the newcomer that was accepted now had waited in the listener's queue."""
         self._queue_wait_s = queue_wait_s
 
+    def has_kept_waiting(self) -> bool:
+        """Whether a newcomer may have waited for room."""
+        return self._waiting_since_s is not None
+
     def is_full(self, connections: int) -> bool:
         """Whether a newcomer has to be decided on."""
         return len(self._usual) >= connections
--- a/saffronstack/platform/connection.py
+++ b/saffronstack/platform/connection.py
@@ -76,6 +76,7 @@
         self.active_s = now  # when it was accepted, read from, or last seen with something open
         self._answered_s = now  # when the last call was answered
         self.spoken = False
+        self.arrived_s: float | None = None  # when what is read first had come, where that was long before
         self.state = State.READING
         self._sock = sock
         self._services = services
@@ -89,6 +90,7 @@
         self._open: dict[int, Call] = {}  # by tag
         self._tag_of: dict[int, int] = {}  # by call number
         self._answering = 0  # answers on their way to the write buffer
+        self._received_s = now  # when what is parsed now was there to be read
         self._message_began_s = now
         self._linger_until_s = 0.0
         self._linger_bytes = limits.linger_bytes
@@ -175,6 +177,8 @@
         if self.state is not State.READING:
             return self._drop(received)
         self.spoken = True
+        self._received_s = now if self.arrived_s is None else min(now, self.arrived_s)
+        self.arrived_s = None
         try:
             self._parse(view[:received], now)
         except (RespError, frames.FrameError) as error:
@@ -256,10 +260,13 @@
             self._write(frame.tag, REFUSED, services.holdoff(limits.busy_holdoff_s))
             return
         try:
-            call = services.maker.call(frame, now)
+            call = services.maker.call(frame, self._received_s)
         except frames.FieldError:
             self._write(frame.tag, FAILED)
             return
+        if call.deadline_s <= now:  # it lay in the listener's queue until then
+            self._write(frame.tag, REFUSED, services.holdoff(limits.busy_holdoff_s))
+            return
         if services.admission.active and not services.admission.admit(call, now):
             self._write(frame.tag, REFUSED, services.holdoff(limits.busy_holdoff_s))
             return
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -258,6 +258,7 @@
                     return accepted
                 overflow = verdict is Verdict.OVERFLOW
                 places += 1
+            may_have_waited = is_full or self._clients.has_kept_waiting()
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
@@ -269,8 +270,8 @@
                 self._free_descriptor(now)
                 return accepted
             self._add(sock, now, overflow)
-            if is_full:
-                self._clients.accepted_after(queue_wait_s(sock))
+            if may_have_waited:
+                self._note_queue_wait(sock)
             if overflow:
                 self._queue_is_empty()
                 return accepted + 1  # it is answered before another one takes its place
@@ -280,6 +281,14 @@
         """Places made for newcomers in one pass; newcomers that were not read yet count as silent."""
         return min(PLACES_AT_ONCE, self.limits.silent_reserve)
 
+    def _note_queue_wait(self, sock: socket.socket) -> None:
+        """The time of a request counts from when it came, also where it lay in the listener's queue."""
+        wait_s = queue_wait_s(sock)
+        self._clients.accepted_after(wait_s)
+        connection = self._connections.get(sock.fileno())
+        if connection is not None and connection.has_unread():
+            connection.arrived_s = self.clock() - wait_s
+
     def _queue_is_empty(self) -> bool:
         """Whether no client waits to be accepted; then none has waited."""
         if self._waiting.poll(0):
--- a/tests/platform/test_queue_deadline.py
+++ b/tests/platform/test_queue_deadline.py
@@ -1,4 +1,4 @@
-"""Clients in the listener's queue, and how many are let in at once."""
+"""Clients in the listener's queue: what their requests' time counts from, and how many are let in at once."""
 
 from __future__ import annotations
 
@@ -9,11 +9,40 @@
 from saffronstack.platform.front import Front
 from saffronstack.standin.platform import Directory, Entry
 from tests.support.platform import Client, ScriptedHost, gateway
-from tests.test_client_connections import PausedThread, filled
+from tests.test_client_connections import SOCKETS, PausedThread, filled
 
 QUEUED_S = 0.2  # longer than what makes a connection idle
 MANY_SOCKETS = 160  # with a reserve of four places
 RESERVE = 4
+COARSE_S = 0.02  # the kernel counts in ticks
+CLASS_DEADLINE_MS = 8000
+
+
+@pytest.mark.parametrize(("timeout_ms", "word"), [(100, "BUSY"), (CLASS_DEADLINE_MS, "OK")])
+def test_the_time_in_the_queue_is_part_of_a_requests_time(
+    monkeypatch: pytest.MonkeyPatch, timeout_ms: int, word: str
+) -> None:
+    """A call that had lain there for longer than its client waits was run, with all of its time before it."""
+    host = ScriptedHost()
+    with gateway(Directory(Entry("s-1", host.address)), sockets=SOCKETS) as service:
+        clients = filled(service)
+        while not host.seen.empty():
+            host.next()
+        late: list[Client] = []
+
+        def queue() -> None:
+            late.append(Client(service.front.address))
+            late[0].call(subject=99, timeout=timeout_ms)
+            threading.Event().wait(QUEUED_S)
+
+        PausedThread(service, monkeypatch).run(queue)
+        assert late[0].read()[1] == word
+        if word == "OK":
+            told_ms = float(host.next()["with"]["w"])
+            assert told_ms <= timeout_ms - (QUEUED_S - COARSE_S) * 1000
+        assert host.seen.empty()
+        assert clients[-1].ask()[0] == "OK"
+    host.close()
 
 
 def test_idle_connections_make_room_for_several_newcomers_in_one_pass(
