benchmarks: starved_processor tells sessions apart, and when a gateway moves

Where the scheduler groups processes by session (`sched_autogroup_enabled`), a gateway below a daemon, which starts it in a session of its own, has a share of its processor against all processes of another session together. Neighbours in the gateway's own session, as measured so far, overstate what one busy session does to it. `--sessions` puts the gateway, or each neighbour too, in its own.

The output names the moment at which most threads of the gateway are allowed on other processors.

No test: a program.

--- a/benchmarks/starved_processor.py
+++ b/benchmarks/starved_processor.py
@@ -12,6 +12,7 @@
 
 import argparse
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -75,11 +76,19 @@
 
 @dataclass(slots=True)
 class Sample:
-    """What the kernel counts at one moment: threads by id, ticks by processor."""
+    """What the kernel counts at one moment: threads by id, ticks by processor.
+
+    Attributes:
+        at_s: Monotonic seconds.
+        threads: Of the gateway.
+        idle_ticks: Of each processor.
+        processors: On which most of the gateway's threads may run.
+    """
 
     at_s: float
     threads: dict[int, ThreadCounts] = field(default_factory=dict)
     idle_ticks: list[int] = field(default_factory=list)
+    processors: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,13 +103,15 @@
 # ---- programs of their own: neighbours, clients, a gateway with a look from inside
 
 
-def run_neighbours(processor: int, count: int) -> None:
+def run_neighbours(processor: int, count: int, sessions: str) -> None:
     """Fork busy processes; a line ``start_s total_s busy_s idle_s`` on standard input starts them at once."""
     begin, children = os.pipe(), []
     for _ in range(min(count, MAX_NEIGHBOURS)):
         child = os.fork()
         if child == 0:
             os.close(begin[1])
+            if sessions == "each":
+                os.setsid()
             order = os.read(begin[0], 80)
             if order:
                 _be_busy(processor, *(float(word) for word in order.split()))
@@ -194,13 +205,16 @@
 def read_sample(pid: int) -> Sample:
     """Read the counters of a process's threads and of all processors."""
     result = Sample(time.monotonic())
+    allowed: Counter[tuple[int, ...]] = Counter()
     for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
         with contextlib.suppress(OSError, ValueError):  # it has ended
             result.threads[int(task.name)] = _read_thread(task)
+            allowed[tuple(sorted(os.sched_getaffinity(int(task.name))))] += 1
     for line in pathlib.Path("/proc/stat").read_text().splitlines()[1:]:
         if not line.startswith("cpu"):
             break
         result.idle_ticks.append(int(line.split()[4]))
+    result.processors = allowed.most_common(1)[0][0] if allowed else ()
     return result
 
 
@@ -308,8 +322,9 @@
     for _ in range(START_ATTEMPTS):
         with open(folder / "log", "wb") as log:
             process = subprocess.Popen(
-                ["sh", "-c", shell, "sh", *program], stdout=subprocess.PIPE, stderr=log
-            )
+                ["sh", "-c", shell, "sh", *program], stdout=subprocess.PIPE, stderr=log,
+                start_new_session=asked.sessions != "one",
+            )  # fmt: skip
         assert process.stdout is not None
         line = process.stdout.readline().decode()
         if "takes calls" in line:
@@ -345,7 +360,9 @@
         folder = pathlib.Path(name)
         with gateway(folder, workers, asked) as (process, address):
             os.sched_setaffinity(0, others)
-            neighbours = _start(others, "neighbours", str(asked.processor), str(case.neighbours))
+            neighbours = _start(
+                others, "neighbours", str(asked.processor), str(case.neighbours), asked.sessions
+            )
             assert neighbours.stdout is not None
             neighbours.stdout.readline()
             began_s = time.monotonic() + WARM_UP_S + BEFORE_S
@@ -435,6 +452,9 @@
     statuses = Counter(call.status for call in outcome.calls)
     if set(statuses) != {SERVED}:
         print("  statuses:", dict(statuses))
+    for before, after in itertools.pairwise(outcome.samples):
+        if before.processors != after.processors:
+            print(f"  {after.at_s - begin_s:.1f} s after the start of neighbours: on {after.processors}")
     for line in outcome.log:
         print("  log:", line)
 
@@ -469,6 +489,11 @@
     parser.add_argument("--neighbours", nargs="+", type=int, default=[1, 8, 40, 150])
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--work", type=float, default=0.01, help="seconds of a call at its worker")
+    parser.add_argument(
+        "--sessions", choices=("one", "gateway", "each"), default="one",
+        help="whether the gateway has a session of its own, as below a daemon, and each neighbour too: "
+        "the scheduler may share the processor between sessions first",
+    )  # fmt: skip
     parser.add_argument("--look", action="store_true", help="time a look from inside the gateway")
     parser.add_argument("--keep", help="file for all samples, a JSON line for each case")
     asked = parser.parse_args()
@@ -493,7 +518,7 @@
 def run_program(name: str, arguments: Sequence[str]) -> int:
     """One of the programs that this file is too."""
     if name == "neighbours":
-        run_neighbours(int(arguments[0]), int(arguments[1]))
+        run_neighbours(int(arguments[0]), int(arguments[1]), arguments[2])
     elif name == "clients":
         run_clients(arguments[0], int(arguments[1]), float(arguments[2]))
     else:
