platform: the wait of a newcomer ends when the listener's queue is seen empty

What callers would see: long after one client had waited for room, a client that came while all connections were in use was refused at once (BUSY) in place of waiting for one to become idle; silent connections at the reserve were closed however young; and where no overflow is left, a connection in use was closed for a newcomer that had waited 0 s, against docs/platform.md.

Cause: since when newcomers wait, and how long the last one lay in the queue, were reset only where the queue was found empty while all places were taken. Where room came by a close, or the system had descriptors again, the queue was emptied without that, and the time of the old wait stayed: the next newcomer that had to wait was overdue from the start.

Evidence: a newcomer waits, two clients close, it is served; 30 s later (by a clock of the test) two come at once with room for one, all others used at that moment: the second was let in as overflow and no time had passed. The same after one EMFILE.

Change: an accept that finds nobody, and a full round of accepts that leaves the queue empty, say so to ClientAdmission too. The times are those of one wait without a gap from then on; a newcomer that finds others waiting still counts from the first of them.

Tests: test_a_newcomer_that_waited_and_was_served_takes_its_waiting_time_along and test_want_of_a_descriptor_that_is_over_makes_no_later_newcomer_overdue, on real sockets in a forced order; both fail without the change (pytest -n 2 tests/platform/test_client_crowd.py -k "waiting_time or descriptor": 2 failed).

--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -256,6 +256,7 @@
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
+                self._clients.nobody_waits()
                 return accepted
             except OSError as error:
                 if error.errno not in NO_ROOM:
@@ -268,6 +269,7 @@
                 self._clients.accepted_after(queue_wait_s(sock))
                 self._queue_is_empty()
                 return accepted + 1  # those that stand are read before another one makes room
+        self._queue_is_empty()
         return max_accepted
 
     def _queue_is_empty(self) -> bool:
--- a/tests/platform/test_client_crowd.py
+++ b/tests/platform/test_client_crowd.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import errno
 import math
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -81,6 +83,40 @@
         return lost
 
 
+class ScarceListener:
+    """The system has no descriptor for the first connection that comes."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        self._listener = listener
+        self._refused = False
+
+    def accept(self) -> Any:
+        if not self._refused:
+            self._refused = True
+            raise OSError(errno.EMFILE, "Too many open files")
+        return self._listener.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._listener, name)
+
+
+def two_come_at_once(crowd: Crowd) -> None:
+    """Both lie in the listener's queue when the clients' thread looks at it, which has room for one."""
+    front = crowd.service.front
+    come = threading.Event()
+    accept = front._accept
+
+    def accept_later(now: float, max_accepted: int) -> int:
+        assert come.wait(WAIT_S)
+        return accept(now, max_accepted)
+
+    front._accept = accept_later  # type: ignore[method-assign]
+    before = front.connections
+    crowd._kept += [Client(front.address) for _ in range(2)]
+    come.set()
+    eventually(lambda: front.connections > before + 1 or not front._listening)
+
+
 def check(client: Client) -> bool:
     """Whether a client that uses its connection now is answered on it."""
     client._tags += 1
@@ -191,3 +227,40 @@
         crowd.newcomer().call(subject=place)
         lost += crowd.pass_time()
     assert lost == 0
+
+
+def test_a_newcomer_that_waited_and_was_served_takes_its_waiting_time_along(crowd: Crowd) -> None:
+    """The next one that came while all were in use, however much later, was refused at once as overdue."""
+    assert answered(crowd.clients) == len(crowd.clients)
+    waited = crowd.newcomer()
+    assert not crowd.service.front._listening
+    leaving, staying = crowd.clients[:2], crowd.clients[2:]
+    for client in leaving:
+        client.sock.close()
+    assert check(waited)
+    eventually(lambda: crowd.service.front.connections == len(staying) + 1)
+    crowd.clock.now += 30.0
+    assert answered([*staying, waited]) == len(staying) + 1
+    two_come_at_once(crowd)
+    assert not crowd.service.front._listening, "the second waits until one has been idle for long enough"
+    assert (crowd.service.front.evicted, crowd.service.front.overflowed) == (0, 0)
+
+
+def test_want_of_a_descriptor_that_is_over_makes_no_later_newcomer_overdue(crowd: Crowd) -> None:
+    front = crowd.service.front
+    assert answered(crowd.clients) == len(crowd.clients)
+    crowd.clients.pop().sock.close()
+    crowd.clients.pop().sock.close()
+    eventually(lambda: front.connections == len(crowd.clients))
+    listener = front._listener
+    front._listener = ScarceListener(listener)  # type: ignore[assignment]
+    crowd.clients.append(Client(front.address))
+    eventually(lambda: not front._listening)
+    crowd.clock.now += 1.0
+    assert answered(crowd.clients) == len(crowd.clients)
+    front._listener = listener
+    crowd.clock.now += 30.0
+    assert answered(crowd.clients) == len(crowd.clients)
+    two_come_at_once(crowd)
+    assert not front._listening, "the second waits until one has been idle for long enough"
+    assert (front.evicted, front.overflowed) == (0, 0)
