platform: a refused connection whose bytes nobody reads takes no client's place

What callers saw: a client that had been refused for want of room and then sent something unreadable had its writing side closed; with each further byte it was tried as a usual connection again, and an idle client's connection was closed for it, though its bytes were dropped.

Cause: the front did not look at the state of the refused connection.

Evidence: on real sockets, all places with a call open, one of them then cancelled: "more" after "nonsense" closed that client's connection (evicted 1, the refused one a usual one in State.LINGERING).

Change: only one in State.READING is tried, as no request of any other can be read any more.

Test: test_a_refused_client_whose_bytes_nobody_reads_takes_no_clients_place fails without the change (pytest -n 0 tests/platform/test_client_crowd.py -k nobody_reads: (1, False) == (0, True)).

--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -19,7 +19,7 @@
 from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.calls import CallMaker
 from saffronstack.platform.client_admission import ClientAdmission, Verdict
-from saffronstack.platform.connection import ClientConnection, FrontLimits, Services
+from saffronstack.platform.connection import ClientConnection, FrontLimits, Services, State
 from saffronstack.platform.drain_admission import DrainAdmission
 from saffronstack.platform.identifiers import OpenIds
 from saffronstack.platform.idle_order import ClientConnectionView
@@ -281,8 +281,8 @@
 
     def _try_as_usual(self, connection: ClientConnection, now: float) -> None:
         """Its client goes on although it was refused: it is served where there is room by now."""
-        if not connection.has_unread():
-            return  # it has ended it
+        if connection.state is not State.READING or not connection.has_unread():
+            return  # no request of it can be read any more, or it has ended it
         decision = self._clients.decide_on_refused(now, self.limits.connections)
         if decision.verdict is not Verdict.ACCEPT:
             return
--- a/tests/platform/test_client_crowd.py
+++ b/tests/platform/test_client_crowd.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from saffronstack.platform.connection import State
 from saffronstack.platform.service import Service
 from saffronstack.standin.platform import Directory, Entry
 from tests.support.platform import WAIT_S, Client, HostConnection, ScriptedHost, echo, gateway
@@ -264,3 +265,21 @@
     two_come_at_once(crowd)
     assert not front._listening, "the second waits until one has been idle for long enough"
     assert (front.evicted, front.overflowed) == (0, 0)
+
+
+def test_a_refused_client_whose_bytes_nobody_reads_takes_no_clients_place(crowd: Crowd) -> None:
+    """What it sent was no request: a client's idle connection was closed for it all the same."""
+    front = crowd.service.front
+    crowd.hang(crowd.clients)
+    refused = crowd.newcomer()
+    refused.sock.sendall(b"*nonsense\r\n")
+    connection = next(each for each in front._connections.values() if each.overflow)
+    eventually(lambda: connection.state is State.LINGERING)
+    crowd.clients[0].send(b"CANCEL", b"1")
+    eventually(lambda: front.open_calls == len(crowd.clients) - 1)
+    crowd.clock.now += 0.2
+    left_bytes = connection._linger_bytes
+    refused.sock.sendall(b"more\r\n")
+    eventually(lambda: connection._linger_bytes < left_bytes)
+    refused.sock.close()  # by this clock the gateway would never end it
+    assert (front.evicted, connection.overflow) == (0, True)
