platform: the clients' thread waits between its looks while the last answers are written

What callers would see: for up to 0.1 s at the end of a shutdown the clients' thread took a whole processor, and fought over the interpreter's lock with those that write the last answers.

Cause: the listener is closed by then, which counted as a newcomer that waits for room, whose time to be looked at again had passed: each poll had a time-out of 0.

Evidence: with a flush held open, each poll in Phase.FLUSHING had the time-out 0.0; review counted 7,104 passes in 0.1 s.

Change: the listener's time counts only in the phases that accept; in the others the thread waits for the shutdown's tick of 0.01 s. Wake-ups by sockets and by other threads come at once as before.

Test: test_while_the_last_answers_are_written_the_clients_thread_waits_between_looks fails without the change (pytest -n 0 tests/platform/test_client_crowd.py -k last_answers: {0.0} == {0.01}).

--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -187,7 +187,7 @@
 
     def _poll_s(self, now: float, tick_s: float) -> float:
         """How long to wait for something to read."""
-        if self._listening:
+        if self._listening or self._shutdown.phase not in ACCEPTING_PHASES:
             return tick_s
         return max(0.0, min(tick_s, self._listen_again_s - now))
 
--- a/tests/platform/test_client_crowd.py
+++ b/tests/platform/test_client_crowd.py
@@ -14,7 +14,9 @@
 import pytest
 
 from saffronstack.platform.connection import State
+from saffronstack.platform.front import STOPPING_TICK_S
 from saffronstack.platform.service import Service
+from saffronstack.platform.shutdown import Activity, Phase
 from saffronstack.standin.platform import Directory, Entry
 from tests.support.platform import WAIT_S, Client, HostConnection, ScriptedHost, echo, gateway
 from tests.support.stack import eventually
@@ -283,3 +285,27 @@
     eventually(lambda: connection._linger_bytes < left_bytes)
     refused.sock.close()  # by this clock the gateway would never end it
     assert (front.evicted, connection.overflow) == (0, True)
+
+
+def test_while_the_last_answers_are_written_the_clients_thread_waits_between_looks() -> None:
+    """The listener is closed then: waiting for nobody, the thread took the whole processor."""
+    host = ScriptedHost()
+    with gateway(Directory(Entry("s-1", host.address))) as service:
+        front = service.front
+        poll_s, activity = front._poll_s, front._activity
+        waits_s: list[float] = []
+
+        def seen(now: float, tick_s: float) -> float:
+            if front.phase is Phase.FLUSHING:
+                waits_s.append(poll_s(now, tick_s))
+            return poll_s(now, tick_s)
+
+        def unwritten() -> Activity:
+            return replace(activity(), unanswered=front.phase is Phase.FLUSHING)
+
+        front._poll_s = seen  # type: ignore[method-assign]
+        front._activity = unwritten  # type: ignore[method-assign]
+        service.stop(min_drain_s=0.0, quiet_s=0.0)
+        assert front.wait_closed(WAIT_S)
+    assert set(waits_s) == {STOPPING_TICK_S}
+    host.close()
