--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -19,7 +19,7 @@
 from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.calls import CallMaker
 from saffronstack.platform.client_admission import ClientAdmission, Verdict
-from saffronstack.platform.connection import ClientConnection, FrontLimits, Services
+from saffronstack.platform.connection import ClientConnection, FrontLimits, Services, State
 from saffronstack.platform.drain_admission import DrainAdmission
 from saffronstack.platform.identifiers import OpenIds
 from saffronstack.platform.idle_order import ClientConnectionView
@@ -189,7 +189,7 @@
 
     def _poll_s(self, now: float, tick_s: float) -> float:
         """How long to wait for something to read."""
-        if self._listening:
+        if self._listening or self._shutdown.phase not in ACCEPTING_PHASES:
             return tick_s
         return max(0.0, min(tick_s, self._listen_again_s - now))
 
@@ -262,6 +262,7 @@
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
+                self._clients.nobody_waits()
                 return accepted
             except OSError as error:
                 if error.errno not in NO_ROOM:
@@ -275,6 +276,7 @@
             if overflow:
                 self._queue_is_empty()
                 return accepted + 1  # it is answered before another one takes its place
+        self._queue_is_empty()
         return max_accepted
 
     def _places_at_once(self) -> int:
@@ -298,8 +300,8 @@
 
     def _try_as_usual(self, connection: ClientConnection, now: float) -> None:
         """Its client goes on although it was refused: it is served where there is room by now."""
-        if not connection.has_unread():
-            return  # it has ended it
+        if connection.state is not State.READING or not connection.has_unread():
+            return  # no request of it can be read any more, or it has ended it
         decision = self._clients.decide_on_refused(now, self.limits.connections)
         if decision.verdict is not Verdict.ACCEPT:
             return
