Test of refused clients: its clock stays below the time after which they are closed

The test moved its clock by 1.0 s, while a refused connection that is idle for 0.5 s is closed; a tick of the front in between closed it. The step is 0.2 s now: longer than the 0.05 s after which a connection is idle, shorter than the 0.5 s. What is asserted is the same.

--- a/tests/platform/test_client_crowd.py
+++ b/tests/platform/test_client_crowd.py
@@ -193,7 +193,7 @@
     else:
         leaving.send(b"CANCEL", b"1")
     eventually(lambda: crowd.service.front.open_calls == len(crowd.clients) - 1)
-    crowd.clock.now += 1.0
+    crowd.clock.now += 0.2
     refused.call(subject=99)
     eventually(lambda: crowd.service.front.open_calls == len(crowd.clients))
 
