Front: want of a descriptor closes no connection where nobody waits

What callers would see: an idle connection closed, or the next newcomer taken for overdue, for nobody. Cause: with no descriptor left the system refuses accept before it looks whether anybody waits, and the front made room for that. Now it looks at the listener's queue first. Test: accept without a descriptor on an empty queue closed a connection before (failed). tests/platform, client connections, architecture and log events: 127 passed.

--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -267,6 +267,8 @@
             except OSError as error:
                 if error.errno not in NO_ROOM:
                     continue  # that client has gone already
+                if self._queue_is_empty():
+                    return accepted  # the system has no descriptor, and nobody asks for one
                 self._warn("no connection could be taken", now, error=str(error))
                 self._free_descriptor(now)
                 return accepted
--- a/tests/platform/test_queue_deadline.py
+++ b/tests/platform/test_queue_deadline.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import errno
 import threading
+from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -74,3 +77,33 @@
         assert max(accepted_at_once) == RESERVE
         assert clients[-1].ask()[0] == "OK"
     host.close()
+
+
+def test_want_of_a_descriptor_closes_no_connection_where_nobody_waits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The system refuses to accept for want of a descriptor before it looks whether anybody waits."""
+    host = ScriptedHost()
+    with gateway(Directory(Entry("s-1", host.address)), sockets=SOCKETS) as service:
+        front = service.front
+        clients = filled(service)
+        listener = front._listener
+
+        class Scarce:
+            def accept(self) -> Any:
+                raise OSError(errno.EMFILE, "Too many open files")
+
+            def __getattr__(self, name: str) -> Any:
+                return getattr(listener, name)
+
+        def accept_nobody() -> None:
+            threading.Event().wait(QUEUED_S)
+            front._listener = Scarce()  # type: ignore[assignment]
+            front.limits = replace(front.limits, connections=len(clients) + 1)
+            assert front._accept(front.clock(), 1) == 0
+            front._listener = listener
+
+        PausedThread(service, monkeypatch).run(accept_nobody)
+        assert [client.ask()[0] for client in clients] == ["OK"] * len(clients)
+        assert front.evicted == 0
+    host.close()
