--- a/saffronstack/harness/soak/thread_sampler.py
+++ b/saffronstack/harness/soak/thread_sampler.py
@@ -20,8 +20,8 @@
 from saffronstack.harness.soak.thread_samples import ProcessSample, ThreadSample
 
 INTERVAL_S = 0.004
-KEPT_S = 15.0  # longer than a play: which thread reads is told from all of it
-MAX_S = 90.0
+KEPT_S = 1.5  # before the end, in which the thread that reads is the busiest
+MAX_S = 30.0
 END_TIMEOUT_S = 10.0
 NANOSECONDS = 1e9
 READ_BYTES = 1024
