Test of decision records: it waits for the portion that holds the events

Cause: the recorder's thread writes what has come each 0.5 s; the test waited for 200 bytes, which the first portion has, though the 30 calls may take longer than that. Forced with a pause of 0.7 s before the last five calls: the old condition is met by the first portion, short of 60 events. The test waits for a record as a kill would leave it that replays 60 events; what it asserts of that record and of the closed one is the same.

--- a/tests/engine/test_decision_records.py
+++ b/tests/engine/test_decision_records.py
@@ -17,6 +17,13 @@
 from tests.support.stack import eventually
 
 
+def events_after_cut(path: pathlib.Path) -> int:
+    """Return how many events a record replays as a kill would leave it now; 0 while it is empty."""
+    cut = path.with_name("cut.rec")
+    cut.write_bytes(path.read_bytes())
+    return replay_decisions(str(cut)).events if cut.stat().st_size else 0
+
+
 def test_a_record_replays_and_so_does_one_that_was_cut(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "day.rec"
     recorder = DecisionRecorder(str(path), settings(), 1)
@@ -27,9 +34,7 @@
         call.wait(3)
     engine.notify(CommandResult(1, Result.OK, 0.1))
     engine.notify(WorkerObservation(2, "x", 0.5))
-    eventually(lambda: path.stat().st_size > 200)  # as a kill would leave it
-    (tmp_path / "cut.rec").write_bytes(path.read_bytes())
-    assert replay_decisions(str(tmp_path / "cut.rec")).events >= 60
+    eventually(lambda: events_after_cut(path) >= 60)  # the recorder's thread writes in portions
     assert engine.stop()
     assert recorder.close()
     replayed = replay_decisions(str(path))
