Test of a stalled disk: the disk hangs once the calls before it are finished

Cause: the three calls before were still open as the disk was made to hang, and their records hung in the place of the sales'. The test waits until those have their final records; what it asserts of the sales is the same.

--- a/tests/durable/test_stalled_disk.py
+++ b/tests/durable/test_stalled_disk.py
@@ -129,7 +129,8 @@
 ) -> None:
     sent: list[SentSale] = [gateway.defer(f"before-{n}") for n in range(3)]
     assert all(one.answer.status == 202 for one in sent)
-    gateway.set_disk("hang")
+    eventually(lambda: gateway.status()["deferred"]["open"] == 0)  # type: ignore[index]
+    gateway.set_disk("hang")  # not under the records of these: the next sales would all be rejected
     lock = threading.Lock()
 
     def defer(op: str) -> None:
