serve: a gateway that starts keeps to an idle processor, not to the one of its process id

What callers saw: a gateway that had just been replaced answered after up to 2.4 s where other processes had taken up the processor that it drew, though others were free; with two such waits in a row the abort's test passes its 3 s.

Cause: the processor was the process id modulo their number. Leaving it takes a second of looks that wait for that processor too, and a daemon that is stopped releases nobody.

Why this works: the idle times of 0.1 s tell a processor that is taken up, whose idle time does not move, from one that is free; those at least half as idle as the idlest are taken in turn, so that processes that start together do not meet. Where nothing is told or none is idle, all are.

Tests: with the choice by turn alone, test_a_process_keeps_to_an_idle_processor_at_its_start and test_a_process_that_starts_keeps_to_no_processor_that_is_taken_up fail. tests/test_cli.py, test_processor_settling, test_starvation_guard: 38 passed.

--- a/saffronstack/cli/cpu_affinity.py
+++ b/saffronstack/cli/cpu_affinity.py
@@ -5,9 +5,14 @@
 import contextlib
 import os
 import threading
-from collections.abc import Collection, Iterable
+import time
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+from saffronstack.daemon.processor_settling import IdleLook, choose_first_processor
+from saffronstack.daemon.processor_times import IdleTimes
 
 DEFAULT_CPUS = "one"
+IDLE_LOOK_S = 0.1  # for which the processors are looked at before a process keeps to one
 NO_THREAD = 0  # no thread has this id in the system
 MAX_LISTINGS = 10  # of the threads of this process in one move
 
@@ -46,6 +51,36 @@
     return choose_cpus(selection, set(os.sched_getaffinity(0)), turn)
 
 
+def choose_idle_cpus(
+    selection: str,
+    chosen: set[int],
+    turn: int,
+    *,
+    read_idle: Callable[[Collection[int]], Mapping[int, int]] | None = None,
+    pause: Callable[[float], object] = time.sleep,
+) -> set[int]:
+    """Return the processors to run on, once the process is to keep to them: an idle one by default.
+
+    Takes `IDLE_LOOK_S` by default, and no time else.
+
+    Args:
+        selection: See `choose_cpus`.
+        chosen: What that returned; none where the process is to keep to none.
+        turn: Spreads processes that run on one processor each.
+        read_idle: The idle time of some processors; None to read what the system tells.
+        pause: Waits for some seconds.
+    """
+    if selection != DEFAULT_CPUS or not chosen:
+        return chosen
+    allowed = os.sched_getaffinity(0)
+    with contextlib.closing(IdleTimes()) as idle_times:
+        read = read_idle or idle_times.read
+        before = IdleLook(time.monotonic(), read(allowed))
+        pause(IDLE_LOOK_S)
+        after = IdleLook(time.monotonic(), read(allowed))
+    return {choose_first_processor(allowed, turn, before, after)}
+
+
 def pin_threads(cpus: set[int]) -> set[int]:
     """Keep all threads of this process, and those that they start, to some processors.
 
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -15,7 +15,7 @@
 import structlog
 
 from saffronstack import config as configs
-from saffronstack.cli.cpu_affinity import DEFAULT_CPUS, choose_allowed_cpus, pin_threads
+from saffronstack.cli.cpu_affinity import DEFAULT_CPUS, choose_allowed_cpus, choose_idle_cpus, pin_threads
 from saffronstack.cli.fleet_services import FleetServices
 from saffronstack.cli.ledger_ownership import LedgerOwnership, own_ledger
 from saffronstack.cli.logs import set_up_logs
@@ -52,6 +52,7 @@
     members: ProcessGroup | None = None
     listener: socket.socket | None = None
     cpus: set[int] = field(default_factory=set)  # to keep to once it serves; none for no choice
+    turn: int = 0  # spreads processes over processors
 
     def stop(self, is_clean: bool) -> bool:
         """Stop them after the gateway.
@@ -82,7 +83,7 @@
         if gateway is None:
             return 0
         host, port = gateway.start()
-        unused_cpus = pin_threads(parts.cpus)
+        unused_cpus = pin_threads(choose_idle_cpus(options.cpus, parts.cpus, parts.turn))
     except (configs.ConfigError, JournalError, OSError, ValueError) as error:
         click.echo(f"saffronstack serve: {error}", err=True)
         parts.stop(is_clean=False)
@@ -121,8 +122,8 @@
         whole = override(configs.load(options.path), options)
         config, parts.members = member_config(whole, options.member)
         # With stand-ins in the same process there would be more to run.
-        turn = parts.members.index if parts.members is not None else os.getpid()
-        parts.cpus = choose_allowed_cpus(options.cpus, turn)
+        parts.turn = parts.members.index if parts.members is not None else os.getpid()
+        parts.cpus = choose_allowed_cpus(options.cpus, parts.turn)
     if options.listen_fd >= 0:
         parts.listener = socket.socket(fileno=options.listen_fd)
     if options.standby and not wait_in_standby():
--- a/saffronstack/daemon/processor_settling.py
+++ b/saffronstack/daemon/processor_settling.py
@@ -1,4 +1,4 @@
-"""Decides when a process that was let on all processors keeps to one again, and to which.
+"""Decides which processor a process keeps to at its start, and when one that runs on all keeps to one again.
 
 Free of input, output and clocks. Several processors cost a process most of its throughput, so it comes back
 once the machine is quiet; a hold that it shares with its moves bounds how often.
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from saffronstack.daemon.processor_choice import IDLE_SHARE, NS_PER_S, MoveHold
@@ -22,6 +22,27 @@
     idle_ns: Mapping[int, int]  # by processor, since the start of the system; empty where it does not tell
 
 
+def choose_first_processor(processors: Collection[int], turn: int, before: IdleLook, after: IdleLook) -> int:
+    """Return the processor that a process which starts keeps to.
+
+    One that others have taken up would keep callers waiting until the process has left it. So it is one of
+    those that were idle for at least half as long as the idlest one; of all, where the system does not tell.
+
+    Args:
+        processors: Numbers of those that the process may use.
+        turn: Spreads processes that start at the same time.
+        before: The processors shortly before.
+        after: The processors now.
+    """
+    idle_ns = {
+        processor: after.idle_ns.get(processor, 0) - before.idle_ns.get(processor, 0)
+        for processor in sorted(processors)
+    }
+    least_ns = IDLE_SHARE * max(idle_ns.values())
+    idle = [processor for processor, found_ns in idle_ns.items() if found_ns >= least_ns]
+    return idle[turn % len(idle)]
+
+
 class ProcessorSettling:
     """The looks of one process while it may run anywhere."""
 
--- a/tests/daemon/test_processor_settling.py
+++ b/tests/daemon/test_processor_settling.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable
 
 from saffronstack.daemon.processor_choice import LONGEST_HOLD_S, LOOK_INTERVAL_S, NS_PER_S, MoveHold
-from saffronstack.daemon.processor_settling import SETTLE_S, IdleLook, ProcessorSettling
+from saffronstack.daemon.processor_settling import (
+    SETTLE_S,
+    IdleLook,
+    ProcessorSettling,
+    choose_first_processor,
+)
 
 PROCESSORS = (0, 1, 2)
 
@@ -76,3 +81,24 @@
 def test_it_stays_on_all_where_the_system_does_not_tell_idle_times() -> None:
     rule = ProcessorSettling(0, MoveHold())
     assert [rule.choose(IdleLook(at_s, {})) for at_s in (0.0, SETTLE_S, 2 * SETTLE_S)] == [None] * 3
+
+
+def first_processor(idle_shares: dict[int, float], turn: int = 0) -> int:
+    after = {one: int(share * NS_PER_S) for one, share in idle_shares.items()}
+    return choose_first_processor(
+        PROCESSORS, turn, IdleLook(0.0, dict.fromkeys(after, 0)), IdleLook(1.0, after)
+    )
+
+
+def test_a_process_that_starts_keeps_to_no_processor_that_is_taken_up() -> None:
+    """The successor of a gateway used to, by its process id, and served nobody until it had left."""
+    assert [first_processor({0: 0.0, 1: 0.9, 2: 0.1}, turn) for turn in range(6)] == [1] * 6
+
+
+def test_processes_that_start_together_keep_to_different_processors() -> None:
+    assert [first_processor({0: 0.6, 1: 0.9, 2: 0.7}, turn) for turn in range(4)] == [0, 1, 2, 0]
+
+
+def test_where_none_is_idle_or_nothing_is_told_all_are_taken_in_turn() -> None:
+    assert [first_processor(dict.fromkeys(PROCESSORS, 0.0), turn) for turn in range(4)] == [0, 1, 2, 0]
+    assert [first_processor({}, turn) for turn in range(4)] == [0, 1, 2, 0]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 import pytest
 
-from saffronstack.cli.cpu_affinity import choose_cpus
+from saffronstack.cli.cpu_affinity import IDLE_LOOK_S, choose_cpus, choose_idle_cpus
 from saffronstack.config import ConfigError
 from saffronstack.harness.scenario import plan
 
@@ -126,3 +127,25 @@
     for wanted in ("7", "x"):
         with pytest.raises(ValueError, match=r"not allowed|invalid literal"):
             choose_cpus(wanted, {3, 5}, 0)
+
+
+@pytest.mark.skipif(len(os.sched_getaffinity(0)) < 2, reason="there is one processor")
+def test_a_process_keeps_to_an_idle_processor_at_its_start() -> None:
+    taken_up, *idle = sorted(os.sched_getaffinity(0))
+    elapsed_s: list[float] = []
+
+    def read_idle(processors: Collection[int]) -> dict[int, int]:
+        return {one: 0 if one == taken_up else int(sum(elapsed_s) * 1e9) for one in processors}
+
+    turns = range(2 * len(idle))
+    chosen = [
+        choose_idle_cpus("one", {taken_up}, turn, read_idle=read_idle, pause=elapsed_s.append)
+        for turn in turns
+    ]
+    assert chosen == [{idle[turn % len(idle)]} for turn in turns]
+    assert elapsed_s == [IDLE_LOOK_S] * len(turns)
+
+
+@pytest.mark.parametrize(("selection", "chosen"), [("all", {3, 5}), ("3", {3}), ("one", set())])
+def test_processors_that_an_operator_chose_stay(selection: str, chosen: set[int]) -> None:
+    assert choose_idle_cpus(selection, chosen, 1) == chosen
