runtime: each thread carries its name in the system

Seen: nothing outside a gateway could tell which of its threads waited for a processor: the system called each of them `python`.

Change: a thread names itself as it begins (`/proc/thread-self/comm`, 15 bytes; three calls of the system), those that nobody joins too. Without a descriptor it keeps its creator's name.

Tests: tests/runtime passes; test_a_thread_carries_its_name_in_the_system failed before.

--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -29,6 +29,7 @@
 from saffronstack.runtime.logs import Logger
 from saffronstack.runtime.threads import start_thread
 
+CLIENTS_THREAD = "clients"  # name of the thread that reads all client connections
 BACKLOG = 512  # connections that the machine holds until they are accepted
 ACCEPTS_AT_ONCE = 64  # before connections that stand are read again
 PLACES_AT_ONCE = 16  # made for newcomers, before they are read
@@ -130,7 +131,7 @@
 
     def start(self) -> None:
         """Take connections."""
-        start_thread("clients", self._run)
+        start_thread(CLIENTS_THREAD, self._run)
 
     def begin_shutdown(self, limits: ShutdownLimits) -> None:
         """Drain: connections and requests are still taken until it is quiet; asked again, nothing changes."""
--- a/saffronstack/runtime/threads.py
+++ b/saffronstack/runtime/threads.py
@@ -1,27 +1,53 @@
-"""Threads with small stacks: a gateway runs one for each connection and each attempt."""
+"""Threads with small stacks: a gateway runs one for each connection and each attempt.
+
+Each thread carries its name in the system too, where `top -H` and `ps -L` show it.
+"""
 
 from __future__ import annotations
 
 import _thread
+import contextlib
+import os
 import queue
 import threading
 from collections.abc import Callable
+from functools import partial
 
 # Enough for the deepest call path (a JSON parser on a connection's thread) with a wide margin. The default of
 # 8 MiB of address space for each of thousands of threads would exceed the limits of small machines.
 STACK_BYTES = 256 * 1024
 DEFAULT_IDLE_TIMEOUT_S = 5.0
 DEFAULT_MAX_IDLE_THREADS = 32
+SYSTEM_NAME_MAX_BYTES = 15  # Linux keeps no more
+_SYSTEM_NAME_PATH = "/proc/thread-self/comm"
 _stack_size_lock = threading.Lock()  # guards the stack size of new threads, which the interpreter has one of
 
 
+def set_system_thread_name(name: str) -> None:
+    """Name the calling thread in the system; until then it has the name of the thread that created it.
+
+    Without a free descriptor it keeps that one: the name only informs.
+    """
+    with contextlib.suppress(OSError):
+        descriptor = os.open(_SYSTEM_NAME_PATH, os.O_WRONLY)
+        try:
+            os.write(descriptor, name.encode()[:SYSTEM_NAME_MAX_BYTES])
+        finally:
+            os.close(descriptor)
+
+
+def _run_named(name: str, run: Callable[[], object]) -> None:
+    set_system_thread_name(name)
+    run()
+
+
 def start_thread(name: str, run: Callable[[], object], daemon: bool = True) -> threading.Thread:
     """Start a thread with a small stack.
 
     Raises:
         RuntimeError: The system has no more threads.
     """
-    thread = threading.Thread(target=run, name=name, daemon=daemon)
+    thread = threading.Thread(target=partial(_run_named, name, run), name=name, daemon=daemon)
     with _stack_size_lock:
         previous_bytes = threading.stack_size(STACK_BYTES)
         try:
@@ -31,7 +57,7 @@
     return thread
 
 
-def start_detached_thread(run: Callable[[], object]) -> None:
+def start_detached_thread(name: str, run: Callable[[], object]) -> None:
     """Start a daemon thread that is never joined, without waiting until it is scheduled.
 
     `threading.Thread.start` returns once the new thread has run. A creator that others depend on would wait
@@ -40,13 +66,14 @@
     Raises:
         RuntimeError: The system has no more threads.
     """
+    arguments = (name, run)
     if not _stack_size_lock.acquire(blocking=False):  # held by a creator that waits: at worst a large stack
-        _thread.start_new_thread(run, ())
+        _thread.start_new_thread(_run_named, arguments)
         return
     try:
         previous_bytes = threading.stack_size(STACK_BYTES)
         try:
-            _thread.start_new_thread(run, ())
+            _thread.start_new_thread(_run_named, arguments)
         finally:
             threading.stack_size(previous_bytes)
     finally:
--- a/saffronstack/upstream/http/connection_pool.py
+++ b/saffronstack/upstream/http/connection_pool.py
@@ -78,7 +78,7 @@
         if self._threads >= self._context.limits.connections:
             return Rejection(Result.AT_CAPACITY, "all connections to the worker are in use")
         try:
-            start_detached_thread(self._run)
+            start_detached_thread("worker-exchange", self._run)
         except RuntimeError:  # the system has no more threads: those that there are may come to it
             return None if self._threads else Rejection(Result.NOT_STARTED, "no thread could be started")
         self._threads += 1
--- a/saffronstack/upstream/multiplexed/connection.py
+++ b/saffronstack/upstream/multiplexed/connection.py
@@ -84,7 +84,7 @@
         Raises:
             RuntimeError: The system has no more threads.
         """
-        start_detached_thread(self._run)
+        start_detached_thread("worker-connect", self._run)
 
     @property
     def in_flight(self) -> int:
--- a/tests/runtime/test_threads.py
+++ b/tests/runtime/test_threads.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import pathlib
 import threading
 from collections.abc import Callable
 
 import pytest
 
 from saffronstack.runtime import threads
-from saffronstack.runtime.threads import IdleThreadPool, start_detached_thread
+from saffronstack.runtime.threads import IdleThreadPool, start_detached_thread, start_thread
 
 WAIT_S = 20.0
 
@@ -33,6 +34,35 @@
         assert not end.wait(0.001)
 
 
+@pytest.mark.parametrize(
+    ("name", "system_name"),
+    [("clients", "clients"), ("a-name-that-is-too-long", "a-name-that-is-")],
+    ids=["short", "cut"],
+)
+@pytest.mark.parametrize("start", [start_thread, start_detached_thread])
+def test_a_thread_carries_its_name_in_the_system(
+    start: Callable[[str, Callable[[], object]], object], name: str, system_name: str
+) -> None:
+    """The system called each thread `python`, so that nobody could tell which of them waited."""
+    found: list[str] = []
+    has_run = threading.Event()
+
+    def look() -> None:
+        found.append(pathlib.Path("/proc/thread-self/comm").read_text())
+        has_run.set()
+
+    start(name, look)
+    assert has_run.wait(WAIT_S)
+    assert found == [f"{system_name}\n"]
+
+
+def test_a_thread_runs_where_the_system_takes_no_name(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(threads, "_SYSTEM_NAME_PATH", "/proc/no-such-file")
+    has_run = threading.Event()
+    start_thread("unnamed", has_run.set)
+    assert has_run.wait(WAIT_S)
+
+
 def test_an_idle_thread_runs_the_next_task(started: list[threading.Thread]) -> None:
     pool, done = IdleThreadPool("pool", idle_s=WAIT_S), threading.Semaphore(0)
     for _ in range(20):
@@ -82,13 +112,13 @@
     """Whoever waits for its new thread to be scheduled holds the lock of the stack size meanwhile."""
     has_run = threading.Event()
     with threads._stack_size_lock:
-        start_detached_thread(has_run.set)
+        start_detached_thread("detached", has_run.set)
         assert has_run.wait(WAIT_S)
 
 
 def test_a_detached_thread_leaves_the_stack_size_of_others_as_it_was() -> None:
     before_bytes = threading.stack_size()
     has_run = threading.Event()
-    start_detached_thread(has_run.set)
+    start_detached_thread("detached", has_run.set)
     assert has_run.wait(WAIT_S)
     assert threading.stack_size() == before_bytes
