Soak: the thread that reads is told by its name, not by how much it ran

For a request that was not read the judge asks how long the thread that reads waited for a processor, and took the one that ran most for it.

Why this works: gateways name their threads in the system. A thread of another name excuses nothing, and without the name nothing is excused.

The judge's cases are played with the reader and with another thread as the busiest; three of the latter failed before.

--- a/saffronstack/harness/soak/judge.py
+++ b/saffronstack/harness/soak/judge.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from saffronstack.harness.soak.thread_samples import busiest_thread, process_wait_s, thread_wait_s
+from saffronstack.harness.soak.thread_samples import process_wait_s, thread_named, thread_wait_s
 from saffronstack.harness.soak.traffic import ObservedPlay, SentRequest
+from saffronstack.platform.front import CLIENTS_THREAD
 
 KILL_MARGIN_S = 0.05  # a request that the gateway had less processor time for may be without an answer
 COUNTED_WAIT_SPAN_S = 0.2  # before the kill; an earlier wait for a processor excuses nothing
@@ -75,9 +76,8 @@
 def _available_s(request: SentRequest, play: ObservedPlay, killed_s: float) -> float:
     """How long the gateway had a processor to answer a request before it was killed.
 
-    One that no host has seen waits for the thread that reads, which is the busiest. A call that a host has
-    seen waits for several threads in turn, from when the host answered, its time was over, or its answer fell
-    due.
+    One that no host has seen waits for the thread that reads. A call that a host has seen waits for several
+    threads in turn, from when the host answered, its time was over, or its answer fell due.
     """
     if not play.calls[request.request_id]:
         return killed_s - request.sent_s - _reader_wait_s(request, play, killed_s)
@@ -93,7 +93,7 @@
 
 def _reader_wait_s(request: SentRequest, play: ObservedPlay, killed_s: float) -> float:
     """How long the thread that reads waited for a processor while a request was there."""
-    reader = busiest_thread(play.samples)
+    reader = thread_named(play.samples, CLIENTS_THREAD)
     if reader is None:
         return 0.0
     begin_s = max(request.sent_s, killed_s - COUNTED_WAIT_SPAN_S)
--- a/saffronstack/harness/soak/thread_sampler.py
+++ b/saffronstack/harness/soak/thread_sampler.py
@@ -20,7 +20,7 @@
 from saffronstack.harness.soak.thread_samples import ProcessSample, ThreadSample
 
 INTERVAL_S = 0.004
-KEPT_S = 1.5  # before the end, in which the thread that reads is the busiest
+KEPT_S = 1.5  # before the end
 MAX_S = 30.0
 END_TIMEOUT_S = 10.0
 NANOSECONDS = 1e9
@@ -40,11 +40,13 @@
 
 
 def _read_thread(path: str) -> ThreadSample | None:
-    state = _read(f"{path}/stat").rpartition(b") ")[2][:1]
+    identity, _, rest = _read(f"{path}/stat").rpartition(b") ")
+    state = rest[:1]
     if state in (b"Z", b"X"):
         return None
     ran, waited, turns = _read(f"{path}/schedstat").split()
-    return ThreadSample(state == b"R", int(ran) / NANOSECONDS, int(waited) / NANOSECONDS, int(turns))
+    name = identity.partition(b" (")[2].decode(errors="replace")
+    return ThreadSample(state == b"R", int(ran) / NANOSECONDS, int(waited) / NANOSECONDS, int(turns), name)
 
 
 def _read(path: str) -> bytes:
@@ -100,7 +102,7 @@
             [
                 sample.at_s,
                 {
-                    thread: [found.is_ready, found.ran_s, found.waited_s, found.turns]
+                    thread: [found.is_ready, found.ran_s, found.waited_s, found.turns, found.name]
                     for thread, found in sample.threads.items()
                 },
             ]
--- a/saffronstack/harness/soak/thread_samples.py
+++ b/saffronstack/harness/soak/thread_samples.py
@@ -20,12 +20,14 @@
         ran_s: How long it ran.
         waited_s: How long it waited for a processor, without a wait that is not over.
         turns: How often it was given a processor.
+        name: In the system; a new thread has its creator's until it sets its own.
     """
 
     is_ready: bool
     ran_s: float
     waited_s: float
     turns: int
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,14 +38,13 @@
     threads: Mapping[int, ThreadSample]
 
 
-def busiest_thread(samples: Sequence[ProcessSample]) -> int | None:
-    """Return the thread that ran most between the first and the last sample in which it is seen."""
-    first: dict[int, float] = {}
-    ran_s: dict[int, float] = {}
+def thread_named(samples: Sequence[ProcessSample], name: str) -> int | None:
+    """Return the thread that the system knows by a name, the first one seen; None where there is none."""
     for sample in samples:
         for thread, found in sample.threads.items():
-            ran_s[thread] = found.ran_s - first.setdefault(thread, found.ran_s)
-    return max(ran_s, key=ran_s.__getitem__, default=None)
+            if found.name == name:
+                return thread
+    return None
 
 
 def thread_wait_s(samples: Sequence[ProcessSample], thread: int, begin_s: float, end_s: float) -> float:
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -15,6 +15,7 @@
 from saffronstack.harness.soak.schedule import KILL_AFTER_S, draw
 from saffronstack.harness.soak.thread_samples import ProcessSample, ThreadSample
 from saffronstack.harness.soak.traffic import ObservedPlay, ReceivedAnswer, SentRequest
+from saffronstack.platform.front import CLIENTS_THREAD
 
 SEEDS = range(1, 11)
 HTTP_SEEDS = range(1, 4)
@@ -100,15 +101,20 @@
     assert len(verdict(request(KILLED_S - KILL_MARGIN_S * 2)).breaches) == 1
 
 
-READER, OTHER, BEGUN = 1, 2, 3  # threads; the reader ran most, the last one never
+READER, OTHER, BEGUN = 1, 2, 3  # threads; the last one never ran
+NAMES = {READER: CLIENTS_THREAD, OTHER: "decisions", BEGUN: "worker-connect"}
 
 
 def judged(
-    request: SentRequest, *waiting_s: tuple[int, float, float], host_s: float | None = None
+    request: SentRequest,
+    *waiting_s: tuple[int, float, float],
+    host_s: float | None = None,
+    busiest: int = READER,
 ) -> Verdict:
     """Judge a request beside threads that wait for processors in spans before the kill, and sleep else.
 
-    ``host_s``: when before the kill a host that saw it answered; infinite for never.
+    ``host_s``: when before the kill a host that saw it answered; infinite for never. ``busiest``: the thread
+    that ran most.
     """
     samples = []
     for number in range(100, -1, -1):  # one each 5 ms
@@ -116,9 +122,10 @@
         threads = {
             thread: ThreadSample(
                 any(one == thread and begin_s >= before_s >= end_s for one, begin_s, end_s in waiting_s),
-                ran_s=ran_s + (0.1 if thread == READER and number < 100 else 0.0),
+                ran_s=ran_s + (0.1 if thread == busiest and number < 100 else 0.0),
                 waited_s=0.0,
                 turns=0,
+                name=NAMES[thread],
             )
             for thread, ran_s in ((READER, 1.0), (OTHER, 2.0), (BEGUN, 0.0))
         }
@@ -138,6 +145,7 @@
     )
 
 
+@pytest.mark.parametrize("busiest", [READER, OTHER], ids=["the reader ran most", "another ran most"])
 @pytest.mark.parametrize(
     ("unanswered_s", "waiting_s", "breaches"),
     [
@@ -150,10 +158,11 @@
     ],
 )
 def test_only_the_readers_wait_while_it_is_unread_excuses_a_request(
-    unanswered_s: float, waiting_s: list[tuple[int, float, float]], breaches: int
+    unanswered_s: float, waiting_s: list[tuple[int, float, float]], breaches: int, busiest: int
 ) -> None:
-    """The longest wait of any thread in the last 0.2 s used to, but not one that was still going on."""
-    assert len(judged(request(KILLED_S - unanswered_s), *waiting_s).breaches) == breaches
+    """The wait of whichever thread ran most used to: the reader's did not, and another one's did."""
+    unread = request(KILLED_S - unanswered_s)
+    assert len(judged(unread, *waiting_s, busiest=busiest).breaches) == breaches
 
 
 def test_no_wait_excuses_a_request_whose_connection_the_gateway_ended() -> None:
--- a/tests/harness/test_soak_thread_samples.py
+++ b/tests/harness/test_soak_thread_samples.py
@@ -14,10 +14,11 @@
 from saffronstack.harness.soak.thread_samples import (
     ProcessSample,
     ThreadSample,
-    busiest_thread,
     process_wait_s,
+    thread_named,
     thread_wait_s,
 )
+from saffronstack.runtime.threads import start_thread
 
 WAIT_S = 20.0
 WAITING, ASLEEP = ThreadSample(True, 1.0, 2.0, 7), ThreadSample(False, 1.0, 2.0, 7)
@@ -60,9 +61,17 @@
     assert process_wait_s(pair({1: never_ran}, {1: never_ran}), 0, 200) == 0.0
 
 
-def test_the_busiest_thread_is_the_one_that_ran_most_since_it_is_sampled() -> None:
-    assert busiest_thread(pair({1: WAITING, 2: ThreadSample(True, 9.0, 0.0, 1)}, {1: RAN})) == 1
-    assert busiest_thread([]) is None
+def test_a_thread_is_found_by_its_name_whichever_ran_most() -> None:
+    """The busiest one was taken for the reader, which at times was the thread that decides."""
+    decisions, busier = (
+        ThreadSample(True, 9.0, 0.0, 1, "decisions"),
+        ThreadSample(True, 9.9, 0.0, 2, "decisions"),
+    )
+    unnamed, clients = ThreadSample(True, 1.0, 0.0, 1, "python"), ThreadSample(True, 1.1, 0.0, 2, "clients")
+    samples = pair({1: decisions, 2: unnamed}, {1: busier, 2: clients})
+    assert thread_named(samples, "clients") == 2
+    assert thread_named(samples, "writer") is None
+    assert thread_named([], "clients") is None
 
 
 def test_a_sampler_keeps_the_last_samples_until_no_thread_is_left() -> None:
@@ -75,6 +84,14 @@
 
 def test_the_kernel_tells_of_each_thread_of_a_process_that_runs() -> None:
     assert read_threads(os.getpid())[threading.get_native_id()].ran_s > 0
+    ends = threading.Event()
+    thread = start_thread("odd ) name (", ends.wait)
+    try:
+        assert thread.native_id is not None
+        while (sample := read_threads(os.getpid())[thread.native_id]).name != "odd ) name (":
+            assert sample.ran_s < WAIT_S  # it has not named itself yet
+    finally:
+        ends.set()
     ended = subprocess.Popen([sys.executable, "-c", ""])
     ended.wait(WAIT_S)
     assert read_threads(ended.pid) == {}
