platform: the thread that compares beliefs ends as a drain begins, not right before the kill

Cause: 0.1 s before the kill, where the gateway answers clients that go on, it told this thread to end. That one asks for the interpreter's lock, the thread that reads has to give it up, and goes on only once the other has had a processor to take and release it.

Why this works: the comparison serves the log alone, and at the beginning of a drain, seconds before the kill, its end costs nobody an answer.

Test: test_the_thread_that_compares_beliefs_ends_as_the_drain_begins failed before.

--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -82,7 +82,7 @@
         )
         self.directory = Resolver(self.membership, NAME, config.nameserver, self._changed, self._log, clock)
         self.beliefs = Beliefs(max(cls.latency_objective_s for cls in settings.classes))
-        self._stopping = threading.Event()
+        self._stopping = threading.Event()  # set as the drain begins
         self._ready = False
         advice_s = settings.permissions.max_retry_after_s if settings.permissions.retry_after else 0.0
         self.front = Front(
@@ -152,10 +152,10 @@
         """
         longest_s = max(cls.deadline_s for cls in self.config.settings.classes)
         limits = limits_for(longest_s, min_drain_s, quiet_s)
+        self._stopping.set()  # not right before the kill, where it would hold up the clients' thread
         self.front.begin_shutdown(limits)
         clean = self.front.wait_drained(limits.run_until_s + THREAD_END_S)
         clean = clean and not self.front.open_calls
-        self._stopping.set()
         clean = self.engine.stop(THREAD_END_S) and clean
         self.front.settled()
         while not self.front.wait_closed(LOOK_S):
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -110,6 +110,27 @@
     return looked
 
 
+def test_the_thread_that_compares_beliefs_ends_as_the_drain_begins(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Told to end 0.1 s before the kill, it took the interpreter's lock from the thread that reads."""
+    before = set(threading.enumerate())
+    host = ScriptedHost()
+    with gateway(Directory(Entry("s-1", host.address))) as service:
+        started = [thread for thread in threading.enumerate() if thread not in before]
+        (comparing,) = (thread for thread in started if thread.name == "beliefs")
+        alive: list[bool] = []
+        wait_drained = service.front.wait_drained
+
+        def wait_after_its_end(timeout_s: float) -> bool:
+            comparing.join(WAIT_S)
+            alive.append(comparing.is_alive())
+            return wait_drained(timeout_s)
+
+        monkeypatch.setattr(service.front, "wait_drained", wait_after_its_end)
+        thread, ended = stopping(service)
+        thread.join(2 * WAIT_S)
+        assert (alive, ended) == ([False], [True])
+
+
 def test_an_answer_on_its_way_to_its_connection_keeps_the_shutdown_waiting(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
