Soak: samples of before the kill are kept however long the killed process takes to end

Seen: in a forced order 63 requests of the last 0.113 s were breaches though the reader had had no processor for as long; their connections ended 1.73 s after the kill.

Cause: the sampler kept the last 1.5 s before the sampled process had gone. A killed process whose threads get no processor goes later than that, and no sample of before the kill is left.

Why this works: 11 s are kept and a killed process is given 10 s. The short time served to find the reader by how much it ran. What the judge counts of the samples is as it was.

Test: test_samples_of_before_the_kill_are_kept_though_the_process_takes_seconds_to_end failed before.

--- a/saffronstack/harness/soak/thread_sampler.py
+++ b/saffronstack/harness/soak/thread_sampler.py
@@ -20,8 +20,8 @@
 from saffronstack.harness.soak.thread_samples import ProcessSample, ThreadSample
 
 INTERVAL_S = 0.004
-KEPT_S = 1.5  # before the end
-MAX_S = 30.0
+KEPT_S = 11.0  # before the end, for which a killed process is given 10 s
+MAX_S = 60.0
 END_TIMEOUT_S = 10.0
 NANOSECONDS = 1e9
 READ_BYTES = 1024
--- a/tests/harness/test_soak_thread_samples.py
+++ b/tests/harness/test_soak_thread_samples.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from saffronstack.harness.soak.judge import COUNTED_WAIT_SPAN_S
 from saffronstack.harness.soak.thread_sampler import KEPT_S, decode, encode, read_threads, sample_until_end
 from saffronstack.harness.soak.thread_samples import (
     ProcessSample,
@@ -82,6 +83,15 @@
     assert decode(encode(samples)) == tuple(samples)
 
 
+def test_samples_of_before_the_kill_are_kept_though_the_process_takes_seconds_to_end() -> None:
+    """One that others kept from a processor for 1.6 s after the kill left no sample of before it."""
+    killed_s = 101.0
+    times_s = itertools.count(100.0, 0.1)
+    found = iter([{1: WAITING}] * 110 + [{}])  # it ends 10 s after the kill
+    samples = sample_until_end(lambda: next(found), lambda: next(times_s), lambda _: None)
+    assert samples[0].at_s <= killed_s - COUNTED_WAIT_SPAN_S
+
+
 def test_the_kernel_tells_of_each_thread_of_a_process_that_runs() -> None:
     assert read_threads(os.getpid())[threading.get_native_id()].ran_s > 0
     ends = threading.Event()
