Test of a ledger's older segments: they are copied before another thread may remove them

Red once in a trial of the suite at load 20 to 40: segment 7 was gone as the test copied it. Forced with a pause of 0.7 s before the copies: two of three red, none with the copies first. What it asserts is the same.

--- a/tests/durable/test_journal_recovery.py
+++ b/tests/durable/test_journal_recovery.py
@@ -138,14 +138,14 @@
     older = tmp_path / "older"
     assert open_filled_ledger(older, 30, segment_bytes=600).close()
     numbers = list_segment_numbers(older)
-    ledger = open_ledger(str(older), 10, 1 << 20)
-    ledger.recovered.warnings = ["compact at once"]
-    table = CallTable(10)
-    table.apply(accepted_call(77))
     target = tmp_path / "target"
     target.mkdir()
     for number in numbers[len(numbers) - keep_older :] if keep_older else []:
         shutil.copy(older / segment_name(number), target)
+    ledger = open_ledger(str(older), 10, 1 << 20)  # its thread may remove segments from here on
+    ledger.recovered.warnings = ["compact at once"]
+    table = CallTable(10)
+    table.apply(accepted_call(77))
     block = encode_block(9999, [encode(item) for item in table.snapshot()])
     (target / segment_name(numbers[-1] + 1)).write_bytes(block * 2)
     assert ledger.close()
