Stand-in worker: its thread accepts on the listener that it was started with

Seen: an AssertionError in the thread `standin-worker-1`, once in a trial of the suite (no test red). Cause: the thread looked for its worker's listener once it was scheduled; by then the worker may have stopped, or have begun again, and two threads accepted on one listener. Each thread has its own incarnation's now. The other functions that threads run were read for the same: none takes what changes after the start.

--- a/saffronstack/standin/worker.py
+++ b/saffronstack/standin/worker.py
@@ -11,6 +11,7 @@
 import time
 import uuid
 from collections.abc import Callable
+from functools import partial
 from urllib.parse import unquote, urlsplit
 
 import msgspec
@@ -120,12 +121,11 @@
         self.outbox = Outbox(self.name, self.incarnation)
         observe = self.observed.append if self.observed is not None else None
         self.model = Model(self.profile, lambda: self.faults, self._store, self._clock, self.outbox, observe)
-        self._listener = socket.create_server((self._host, self._port), backlog=512)
-        self._listener.settimeout(0.2)
+        listener = self._listener = socket.create_server((self._host, self._port), backlog=512)
+        listener.settimeout(0.2)
         self._note("start")
-        start_thread(
-            f"standin-{self.name}", lambda: self._accept(self._listener, self.model, self.incarnation)
-        )
+        accept = partial(self._accept, listener, self.model, self.incarnation)  # those of this incarnation
+        start_thread(f"standin-{self.name}", accept)
 
     def stop(self) -> None:
         """Die at once: the listener and every connection close, every call under way is lost."""
@@ -152,8 +152,7 @@
             {"t": self._clock(), "worker": self.name, "incarnation": self.incarnation, "what": what, **more}
         )
 
-    def _accept(self, listener: socket.socket | None, model: Model, incarnation: str) -> None:
-        assert listener is not None
+    def _accept(self, listener: socket.socket, model: Model, incarnation: str) -> None:
         while self._listener is listener:
             try:
                 sock, _ = listener.accept()
