Test of decision records: as many calls as the events that it waits for

Red once in a trial of the suite whose last minute had 48 busy processes beside (load 40): 60 events did not come within 30 s. Cause: the test waits for 60 events of 30 calls, and how many a call has depends on time: with pauses of 0.1 s between the calls workers stay ejected for longer, calls are refused without an attempt, and there are 47, with 0.3 s 41 (69 without a pause). Forced with the pause of 0.1 s: red with 30 calls, green with 60, which have an event each whatever happens to them. What it asserts is the same.

--- a/tests/engine/test_decision_records.py
+++ b/tests/engine/test_decision_records.py
@@ -28,7 +28,7 @@
     path = tmp_path / "day.rec"
     recorder = DecisionRecorder(str(path), settings(), 1)
     engine, _ = start_engine([Result.CONNECT_FAILED, Result.RESET, Result.OK] * 10, recorder)
-    calls = [make_call(engine, n % 3) for n in range(30)]
+    calls = [make_call(engine, n % 3) for n in range(60)]  # an event each, also where workers are ejected
     for call in calls:
         engine.submit(call)
         call.wait(3)
