Test of an unsafe call that reached nobody: the port stays held, so nobody else listens there

Cause, shown by forcing it: the test closes its host and so frees the port, which another test's listener may take; a call sent to that one may have run, and FAILED is then the right answer. Forced with a listener on that port that closes what it accepts: FAILED each time. The port is held by a socket that never listens; what the test asserts is the same. Its file passes.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -66,12 +66,13 @@
 
 
 def test_an_unsafe_call_that_reached_nobody_is_refused_with_a_time_to_come_back() -> None:
-    host = ScriptedHost()
-    host.close()
-    with gateway(Directory(Entry("s-1", host.address))) as service:
-        client = Client(service.front.address)
-        client.call(cls=b"sell")
-        _, word, fields, _ = client.read()
+    with socket.socket() as holder:  # nobody listens there, and nobody else can meanwhile
+        holder.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{holder.getsockname()[1]}"
+        with gateway(Directory(Entry("s-1", address))) as service:
+            client = Client(service.front.address)
+            client.call(cls=b"sell")
+            _, word, fields, _ = client.read()
         assert word == "BUSY"
         assert fields.startswith(b"holdoff=")
 
