Review: a case that cannot run exits with 2 and ends within 118 s

An exception of a case ended it with 1, as a broken rule does. Now every exception, SIGTERM, SIGINT and an alarm after 118 s end what was started and exit with 2. Case 1 plays for 80 s in place of 30 rounds.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 RATE_OF_GATEWAY = 10.0  # calls a second: a quiet hour
 KEYED_SHARE = 0.24
 WARM_UP_S = 4.0
-ROUNDS, ROUND_S = 30, 2.8
+PLAY_S, ROUND_S = 80.0, 2.8
 CALLS_OF_SCRIPT = 6  # at once, so that several hosts load the round's script
 WORK_S, LOAD_S = 0.175, 0.6
 WINDOW_S, SLACK_S = 2.0, 0.05
@@ -208,10 +208,13 @@
             thread.start()
         time.sleep(WARM_UP_S)
         clients = [Client(gateway, SEED + 10 + number, record, sent) for number, gateway in enumerate(gateways)]
-        for number in range(ROUNDS):
+        until_s, rounds = time.time() + PLAY_S, 0
+        while time.time() < until_s:
             next_s = time.time() + ROUND_S
-            play_round(clients[number % GATEWAYS], hosts, record, rng)
+            play_round(clients[rounds % GATEWAYS], hosts, record, rng)
             time.sleep(max(0.0, next_s - time.time()))
+            rounds += 1
+        record.add(time.time(), "rounds", played=rounds)
         ended.set()
         for thread in threads:
             thread.join()
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -20,12 +20,14 @@
 import threading
 import time
 import tomllib
+import traceback
 from itertools import count
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LOOPBACK = "127.0.0.1"
+LIMIT_S = 118  # a case that takes longer could not run
 
 
 class CannotRun(Exception):
@@ -522,25 +524,31 @@
             pass
 
 
+def _stop(number: int, frame: Any) -> None:
+    raise CannotRun(f"ended by signal {number}")
+
+
 def play(case_file: str, run: Any) -> None:
     """Run a case in a temporary folder and exit with 0 (the rule held), 1 (it was broken) or 2."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _stop)
+    signal.alarm(LIMIT_S)
     folder = pathlib.Path(case_file).resolve().parent
     record = Record(folder)
     record.add(time.time(), "case", trouble=int(TROUBLE))
     status = 2
-    with tempfile.TemporaryDirectory() as temporary:
-        try:
+    try:
+        with tempfile.TemporaryDirectory() as temporary:
             breaches = run(pathlib.Path(temporary), record)
             for text in breaches:
                 record.add(time.time(), "BREACH", text=text)
                 print("BREACH", text)
             status = 1 if breaches else 0
-        except CannotRun as error:
-            print("could not run:", error)
-            record.add(time.time(), "could-not-run", why=error)
-        finally:
-            record.add(time.time(), "exit", status=status)
-            record.close()
+    except Exception as error:
+        traceback.print_exc()
+        record.add(time.time(), "could-not-run", why=repr(error))
+    record.add(time.time(), "exit", status=status)
+    record.close()
     print("the rule was broken" if status == 1 else "the rule held" if status == 0 else "could not run")
     sys.stdout.flush()
     os._exit(status)
