--- a/saffronstack/routing/retry_policy.py
+++ b/saffronstack/routing/retry_policy.py
@@ -30,8 +30,8 @@
     if first is None or not is_limited:
         return True
     if scope is DeduplicationScope.ZONE:
-        return worker.endpoint.zone == first.worker.endpoint.zone
-    return worker.endpoint.cell == first.worker.endpoint.cell
+        return worker.endpoint.zone == first.zone
+    return worker.endpoint.cell == first.cell
 
 
 class RetryPolicy:
--- a/saffronstack/routing/state.py
+++ b/saffronstack/routing/state.py
@@ -113,6 +113,8 @@
         expects_no_instance: Whether neither warm pool nor memory account knew an instance at the worker.
         instance_freed_s: When the warm instance became free, before this attempt took it.
         connection_lost: Whether the connection was lost, in which case the instance may still be loaded.
+        zone: Index of the worker's zone when the attempt was sent; the endpoint list may change it later.
+        cell: Index of the worker's cell when the attempt was sent.
     """
 
     request: Request
@@ -123,6 +125,13 @@
     expects_no_instance: bool
     instance_freed_s: float = 0.0
     connection_lost: bool = False
+    zone: int = field(init=False)
+    cell: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Record where the worker is now."""
+        self.zone = self.worker.endpoint.zone
+        self.cell = self.worker.endpoint.cell
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -52,6 +52,23 @@
     assert [eligibility.is_eligible(100.0, pending, worker) for worker in workers] == expected
 
 
+@pytest.mark.parametrize(
+    ("class_index", "expected"), [(KEYED_ZONE, [True, False]), (KEYED_CELL, [False, True])]
+)
+def test_a_retry_after_a_disconnect_stays_in_the_scope_of_a_request_that_may_have_executed(
+    eligibility: Eligibility, class_index: int, expected: list[bool]
+) -> None:
+    """Guards against a second effect: the retry went to workers that do not know the idempotency key."""
+    pending = make_pending(make_request(class_index=class_index))
+    pending.maybe_executed = make_attempt(make_worker(1, zone=1, cell=1))
+    workers = [make_worker(2, zone=1, cell=2), make_worker(3, zone=2, cell=1)]
+    for worker in workers:
+        pending.attempts.append(make_attempt(worker))
+        pending.attempts[-1].connection_lost = True
+    can_retry = [eligibility.can_retry_after_disconnect(100.0, pending, worker) for worker in workers]
+    assert can_retry == expected
+
+
 def test_a_request_may_be_retried_where_its_connection_was_lost(eligibility: Eligibility) -> None:
     worker, pending = make_worker(), make_pending()
     attempt = make_attempt(worker)
--- a/tests/routing/test_retry_policy.py
+++ b/tests/routing/test_retry_policy.py
@@ -4,13 +4,21 @@
 
 import pytest
 
-from saffronstack.routing.actions import Action, Fail, Reject
+from saffronstack.routing.actions import Action, Fail, Reject, SendAttempt
 from saffronstack.routing.events import CacheStatus, PriorAttempt, Result, TimerFired
 from saffronstack.routing.retry_policy import MAX_RETRY_BUDGET, RETRIES_PER_REQUEST, RetryPolicy
 from saffronstack.routing.router import Router
 from saffronstack.routing.settings import PermissionSettings
 from tests.helpers import KEYED_ALL, KEYED_CELL, KEYED_ZONE, SAFE, UNSAFE, settings
-from tests.support.routing import Gateway, attempts_sent, endpoint, final_answers, make_router, snapshot
+from tests.support.routing import (
+    Gateway,
+    add_warm_instances,
+    attempts_sent,
+    endpoint,
+    final_answers,
+    make_router,
+    snapshot,
+)
 from tests.support.routing_state import make_attempt, make_pending, make_worker
 
 MAYBE_EXECUTED = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED]
@@ -70,6 +78,47 @@
     pytest.fail("no function sent the first attempt to worker 1")
 
 
+def test_a_request_with_a_key_is_not_sent_back_to_another_cell_after_it_may_have_executed() -> None:
+    """Guards against two effects: a refused connection in one cell, then a reset in another, then back."""
+    gateway = Gateway(Router(settings(), 5))
+    cells = {1: 0, 2: 1}
+    gateway.router.handle(100.0, snapshot(*(endpoint(worker, cell=cell) for worker, cell in cells.items())))
+    add_warm_instances(gateway, 2, now=99.0)
+    add_warm_instances(gateway, 1, now=99.5)
+    number, first = gateway.request(100.0, KEYED_CELL)
+    second = gateway.finish(100.25, number, Result.CONNECT_FAILED)
+    assert [send.worker_id for send in attempts_sent(first) + attempts_sent(second)] == [1, 2]
+    assert gateway.finish(100.5, number, Result.RESET) == [SendAttempt(number, 2)]
+    assert gateway.finish(100.6, number, Result.ERROR) == [Fail(number)]
+
+
+def test_the_scope_of_a_request_is_where_its_worker_was_when_the_attempt_was_sent() -> None:
+    """Guards against two effects: the worker is removed and returns in another cell before the reset."""
+    gateway = Gateway(Router(settings(), 5))
+    gateway.router.handle(100.0, snapshot(endpoint(1, cell=0)))
+    number, _ = gateway.request(100.0, KEYED_CELL)
+    gateway.router.handle(100.1, snapshot(endpoint(1, cell=1), endpoint(2, cell=1)))
+    assert gateway.finish(100.2, number, Result.RESET) == [Fail(number)]
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.4])
+def test_a_queued_retry_of_a_request_with_a_key_stays_in_its_cell(delay_s: float) -> None:
+    """Guards against two effects: a free instance, a timer and a load slot must not leave the cell."""
+    gateway = Gateway(Router(settings(), 5))
+    gateway.router.handle(100.0, snapshot(endpoint(1, cell=0), endpoint(2, cell=1), endpoint(3, cell=0)))
+    add_warm_instances(gateway, 1, now=99.0)
+    number, _ = gateway.request(100.0, KEYED_CELL)
+    limiter = gateway.router.components.load_control
+    limiter.loads_in_progress = 1_000  # no load slot: the retry has to wait
+    queued = gateway.finish(100.1, number, Result.ERROR)
+    assert not attempts_sent(queued)
+    assert not final_answers(queued)
+    add_warm_instances(gateway, 2, now=100.2)
+    limiter.loads_in_progress = 0
+    actions = gateway.record(gateway.router.handle(100.2 + delay_s, TimerFired(number)))
+    assert [send.worker_id for send in attempts_sent(actions)] == [3]
+
+
 def test_a_request_with_a_key_is_not_retried_after_its_window() -> None:
     gateway = Gateway(make_router(1, 2))
     number, _ = gateway.request(100.0, KEYED_ALL)
