--- a/saffronstack/platform/connection.py
+++ b/saffronstack/platform/connection.py
@@ -17,7 +17,8 @@
 from saffronstack.net.write_buffer import OutgoingMessage, WriteBuffer, WriteLoop
 from saffronstack.platform.calls import CallBuilder
 from saffronstack.platform.drain_admission import DrainAdmission
-from saffronstack.platform.identifiers import OpenRequestIds, UsedTags
+from saffronstack.platform.identifiers import OpenRequestIds
+from saffronstack.platform.used_tags import TagMemory, TagUse, UsedTags
 from saffronstack.resp import frames
 from saffronstack.resp.reader import RespError, RespReader, encode
 
@@ -68,6 +69,8 @@
         [float], bytes
     ]  # returns a retry delay in seconds as the holdoff field of an answer
     admission: DrainAdmission
+    tag_memory: TagMemory
+    warn: Callable[[str, float], None]  # logs an event at a clock time, at a limited rate
 
 
 class ClientConnection:
@@ -98,7 +101,8 @@
             sock, services.writer, limits.write_buffer_bytes, limits.write_stall_timeout_s, services.clock
         )
         self._reader = RespReader()
-        self._tags = UsedTags()
+        self._tags = UsedTags(services.tag_memory)
+        self._is_retiring = False  # rejects calls, and closes as soon as nothing is open or unread
         self._lock = threading.Lock()
         self._open_calls: dict[int, Call] = {}  # by tag
         self._tags_by_call: dict[int, int] = {}  # by call number
@@ -136,7 +140,7 @@
     def promote_within_limit(self) -> None:
         """Count an over-limit connection within the limit: its calls are run from now on."""
         self.is_over_limit = False
-        self.rejects_calls = False
+        self.rejects_calls = self._is_retiring
 
     def has_unread(self) -> bool:
         """Return whether the socket has unread bytes; neither blocks nor consumes them."""
@@ -175,6 +179,7 @@
         for call in calls:
             self._services.engine.disconnect(call)
         self._write_buffer.discard()
+        self._tags.clear()
         with contextlib.suppress(OSError):
             self._sock.close()
 
@@ -215,6 +220,9 @@
         if self.state is State.FINISHING:
             self._half_close(now)
             return True
+        if self._is_retiring and self.is_evictable():
+            self._half_close(now)
+            return True
         if self._reader.pending:
             if now - self._message_started_s > self._limits.message_timeout_s:
                 self._stop_reading(RespError("the request is incomplete after its timeout"), now)
@@ -257,20 +265,30 @@
         try:
             frame = frames.parse_frame(words)
         except frames.FrameError as error:
-            if error.tag is None or not self._tags.use(error.tag):
+            if error.tag is None or self._tags.use(error.tag) is TagUse.USED_BEFORE:
                 raise
             self._send_response(error.tag, FAILED)  # the requests after it are still readable
             return
         if isinstance(frame, frames.CancelFrame):
             self._cancel(frame.tag)
             return
-        if not self._tags.use(frame.tag):
+        tag_use = self._tags.use(frame.tag)
+        if tag_use is TagUse.USED_BEFORE:
             raise frames.FrameError("the tag was used before")
+        if tag_use is TagUse.NO_SPACE:
+            self._retire(now)
         if isinstance(frame, frames.CheckFrame):
             self._send_response(frame.tag, UP if self._services.is_ready() else FAILED)
         else:
             self._start_call(frame, now)
 
+    def _retire(self, now: float) -> None:
+        """Reject calls from now on, and close the connection as soon as that loses none."""
+        if not self._is_retiring:
+            self._is_retiring = True
+            self.rejects_calls = True
+            self._services.warn("client connection retired: no memory for its tags", now)
+
     def _cancel(self, tag: int) -> None:
         with self._lock:
             call = self._open_calls.get(tag)
@@ -321,7 +339,7 @@
         """
         if isinstance(error, RespError):
             tag = frames.parse_tag(error.words)
-            if tag is not None and self._tags.use(tag):
+            if tag is not None and self._tags.use(tag) is not TagUse.USED_BEFORE:
                 self._send_response(tag, FAILED)
         self.state = State.FINISHING
         if not self.unanswered:
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -26,6 +26,7 @@
 from saffronstack.platform.queue_wait import read_queue_wait_s
 from saffronstack.platform.readiness import ended_by_clients
 from saffronstack.platform.shutdown import Activity, GracefulShutdown, Phase, ShutdownLimits
+from saffronstack.platform.used_tags import TagMemory
 from saffronstack.runtime.logs import Logger
 from saffronstack.runtime.threads import start_thread
 
@@ -65,10 +66,12 @@
         is_ready: Callable[[], bool],
         max_retry_after_s: float,
         admission: DrainAdmission,
+        tag_memory: TagMemory,
     ) -> None:
         """Bind the listener; OSError if the address is not available.
 
-        ``max_retry_after_s`` caps the retry delay sent to clients; with 0 none is sent.
+        ``max_retry_after_s`` caps the retry delay sent to clients; with 0 none is sent. ``tag_memory`` limits
+        the used tags that are stored for all connections.
         """
         self.limits = limits
         self.clock = clock
@@ -85,6 +88,8 @@
             is_ready,
             self._format_holdoff,
             admission,
+            tag_memory,
+            self._warn,
         )
         self._log = log
         self._last_warning_s = -WARNING_INTERVAL_S
--- a/saffronstack/platform/service.py
+++ b/saffronstack/platform/service.py
@@ -18,6 +18,7 @@
 from saffronstack.platform.front import Frontend
 from saffronstack.platform.router_state_check import RouterStateCheck
 from saffronstack.platform.shutdown import shutdown_limits_for
+from saffronstack.platform.used_tags import TagMemory
 from saffronstack.routing.router import Router
 from saffronstack.runtime.logs import KeyValueLogger, Logger
 from saffronstack.runtime.threads import start_thread
@@ -111,6 +112,7 @@
             lambda: self._ready,
             max_retry_after_s,
             DrainAdmission(len(settings.classes)),
+            TagMemory(self.budget.tag_entries),
         )
 
     def start(self) -> None:
--- a/saffronstack/resp/frames.py
+++ b/saffronstack/resp/frames.py
@@ -6,7 +6,7 @@
 import re
 from dataclasses import dataclass, field
 
-TAG_LIMIT = 10**15  # tags must be smaller; this bounds the memory of the tags that are stored
+MAX_TAG_DIGITS = 2048
 _HEX_ID = re.compile(rb"[0-9a-f]{16}\Z")
 _FIELD_NAME = re.compile(r"[a-z_]+\Z")
 
@@ -48,10 +48,9 @@
 
 def parse_tag(words: tuple[bytes, ...]) -> int | None:
     """Return the tag of a request, which is its second word; None if it is missing or invalid."""
-    if len(words) < 2 or not words[1].isdigit() or len(words[1]) > 16:
+    if len(words) < 2 or not words[1].isdigit() or len(words[1]) > MAX_TAG_DIGITS:
         return None
-    tag = int(words[1])
-    return tag if 0 < tag < TAG_LIMIT else None
+    return int(words[1]) or None
 
 
 def parse_frame(words: tuple[bytes, ...]) -> Frame:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
 from saffronstack.discovery.dns.endpoint_list import EndpointSnapshot
 from saffronstack.discovery.dns.resolver import Rejection
 from saffronstack.platform.router_state_check import RouterStateCheck
+from saffronstack.platform.used_tags import RESERVED_ENTRIES
 from saffronstack.routing.router import Router
 from saffronstack.standin.platform import HostEntry, StubDnsServer
 from saffronstack.standin.worker import reserve_port
@@ -181,6 +182,47 @@
             client.read()
 
 
+@pytest.mark.parametrize(("first", "step"), [(1025, 1), (2**62, 1), (10**6, -1), (5, 3)])
+def test_every_request_is_answered_whatever_its_tags_begin_with(first: int, step: int) -> None:
+    """Guards against requests without an answer: the gateway closed the connection after 1,024 such tags."""
+    with gateway(StubDnsServer()) as service:
+        client = Client(service.frontend.address)
+        tags = [first + index * step for index in range(1500)]
+        for start in range(0, len(tags), 30):
+            for tag in tags[start : start + 30]:
+                client.send(b"CHECK", b"%d" % tag, b"")
+            assert [client.read()[:2] for _ in range(30)] == [(tag, "UP") for tag in tags[start : start + 30]]
+
+
+def test_a_client_whose_tags_fill_the_memory_is_refused_and_loses_no_call() -> None:
+    """Guards against requests without an answer at the bound of the stored tags."""
+    release = threading.Event()
+
+    def behave(connection: HostConnection, message: dict[str, Any]) -> None:
+        release.wait(WAIT_S)
+        echo_calls(connection, message)
+
+    host = ScriptedHost(behave)
+    with gateway(StubDnsServer(HostEntry("s-1", host.address))) as service:
+        memory = service.frontend._services.tag_memory
+        assert all(memory.try_acquire() for _ in range(service.budget.tag_entries))
+        client = Client(service.frontend.address)
+        open_tag = client.call()
+        for tag in range(1, RESERVED_ENTRIES):
+            client.send(b"CHECK", b"%d000" % tag, b"")
+        assert {client.read()[1] for _ in range(1, RESERVED_ENTRIES)} == {"UP"}
+        client._tags = 10**6
+        refused_tags = [client.call(subject=index) for index in range(5)]
+        refused = [client.read() for _ in refused_tags]
+        assert [answer[0] for answer in refused] == refused_tags
+        assert all(word == "BUSY" and b"holdoff=" in fields for _, word, fields, _ in refused)
+        release.set()
+        assert client.read()[:2] == (open_tag, "OK")
+        with pytest.raises(EOFError):
+            client.read()
+        assert Client(service.frontend.address).call_and_read(body=b"again") == ("OK", b"again")
+
+
 def test_more_than_32_open_calls_are_refused_at_once() -> None:
     release = threading.Event()
 
