--- a/saffronstack/discovery/dns/resolver.py
+++ b/saffronstack/discovery/dns/resolver.py
@@ -22,6 +22,7 @@
 MESSAGE_ID_BYTES = 2
 NO_RESPONSE_WARNING_S = 3.0  # time without a valid response after which one warning is logged
 POLL_JITTER = 0.1  # fraction of the interval, so that gateways do not poll at the same time
+MAX_DATAGRAMS_PER_POLL = 1024  # more than the receive buffer of the socket holds
 MAX_REJECTION_REASONS = 32  # limit on the reasons that are counted
 MAX_REASON_LENGTH = 60  # characters
 
@@ -41,12 +42,10 @@
 
     Attributes:
         interval_s: Seconds between two queries, before jitter.
-        timeout_s: Seconds to wait for the response to a query.
         seed: Seed of message identifiers and jitter; None for a random seed.
     """
 
     interval_s: float = 0.25
-    timeout_s: float = 0.2
     seed: int | None = None
 
 
@@ -119,27 +118,32 @@
 
     def _run(self) -> None:
         while not self._thread.stopping.is_set():
-            started_s = self._clock()
-            is_answered = self._poll()
+            interval_s = self._options.interval_s * self._random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+            next_query_s = self._clock() + interval_s
+            is_answered = self._poll(next_query_s)
             self._socket.record_result(is_answered)
             self._log_responsiveness(is_answered)
-            interval_s = self._options.interval_s * self._random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
-            self._thread.stopping.wait(max(0.0, interval_s - (self._clock() - started_s)))
+            self._thread.stopping.wait(max(0.0, next_query_s - self._clock()))  # after an error
         self._socket.close()
 
-    def _poll(self) -> bool:
+    def _poll(self, until_s: float) -> bool:
         try:
-            return self.query(self._socket.open(self._server))
+            return self.query(self._socket.open(self._server), until_s)
         except OSError as error:  # the server port is closed, or no file descriptor is free
             self._count_rejection(type(error).__name__)
         except Exception:  # noqa: BLE001 - an error in one poll must not stop discovery
             self._log.exception("discovery poll failed")
         return False
 
-    def query(self, udp_socket: socket.socket) -> bool:
-        """Send one query on a connected socket and wait for a response up to the timeout.
+    def query(self, udp_socket: socket.socket, until_s: float) -> bool:
+        """Send one query on a connected socket, and handle every response that arrives until ``until_s``.
 
-        A response to an earlier query on this socket is accepted too.
+        Responses to earlier queries on this socket are handled too. All that have arrived are read, however
+        late this thread is: a response left in the socket would delay each one after it.
+
+        Args:
+            udp_socket: The socket.
+            until_s: Time of the next query, on the resolver's clock.
 
         Returns:
             Whether a valid response was received.
@@ -151,20 +155,19 @@
         self._socket.message_ids.append(message_id)
         self.counts.queries += 1
         udp_socket.send(encode_query(message_id, self._name))
-        deadline_s = self._clock() + self._options.timeout_s
-        while (remaining_s := deadline_s - self._clock()) > 0:
-            udp_socket.settimeout(remaining_s)
+        is_answered = False
+        for _ in range(MAX_DATAGRAMS_PER_POLL):
+            udp_socket.settimeout(max(0.0, until_s - self._clock()))  # with 0, only what has arrived is read
             try:
                 message = udp_socket.recv(MAX_RESPONSE_BYTES)
-            except TimeoutError:
+            except (TimeoutError, BlockingIOError):
                 break
             if self._socket.server != self._server:
                 self._count_rejection(Rejection.FORMER_SERVER)
                 break
-            if self.handle_response(message, self._socket.message_ids):
-                return True
-        self.counts.unanswered += 1
-        return False
+            is_answered = self.handle_response(message, self._socket.message_ids) or is_answered
+        self.counts.unanswered += not is_answered
+        return is_answered
 
     def handle_response(self, message: bytes, message_ids: Collection[int]) -> bool:
         """Apply a response completely or reject it.
--- a/tests/discovery/dns/support.py
+++ b/tests/discovery/dns/support.py
@@ -64,7 +64,7 @@
             server,
             self._record,
             KeyValueLogger("test", self.log),
-            options=ResolverOptions(interval_s, timeout_s=interval_s, seed=1),
+            options=ResolverOptions(interval_s, seed=1),
         )
         self._reported = threading.Semaphore(0)
 
--- a/tests/discovery/dns/test_resolver.py
+++ b/tests/discovery/dns/test_resolver.py
@@ -5,8 +5,12 @@
 import socket
 import struct
 import threading
+from collections.abc import Collection
+from itertools import pairwise
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from saffronstack.discovery.dns import server_socket
 from saffronstack.discovery.dns.resolver import POLL_JITTER, Rejection, ResolverOptions
@@ -19,6 +23,14 @@
 INTERVAL_S = ResolverOptions().interval_s
 
 
+def connected_pair() -> tuple[socket.socket, socket.socket]:
+    """Return the socket of a discovery server, and one that is connected to it."""
+    server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    server.bind(("127.0.0.1", 0))
+    server.settimeout(WAIT_S)
+    return server, server_socket.connect_udp(server.getsockname())
+
+
 # ---- responses passed in by the test
 
 
@@ -110,6 +122,76 @@
     assert len(observed.wait().updated) == 2
 
 
+@pytest.mark.parametrize("is_late", [False, True])
+def test_all_responses_that_have_arrived_are_handled_before_the_next_query(
+    observed: ObservedResolver, monkeypatch: pytest.MonkeyPatch, is_late: bool
+) -> None:
+    """Guards against drains that are missed for good: one response was read for each query.
+
+    Then the lists stayed behind by as many polls as had gone unanswered in an outage. ``is_late``: the
+    resolver's thread runs again only after the time of its next query.
+    """
+    server, udp_socket = connected_pair()
+    with server, udp_socket:
+        resolver = observed.resolver
+        monkeypatch.setattr(resolver, "_server", server.getsockname())
+        resolver._socket.server = server.getsockname()
+        for _ in range(13):  # an outage: the queries stay in the socket of the server
+            assert not resolver.query(udp_socket, until_s=0.0)
+        queries = [server.recv(4096) for _ in range(13)]
+        for serial, query in enumerate(queries, 1):
+            server.sendto(dns_response(query, serial, ENTRIES[: 1 + serial % 2]), udp_socket.getsockname())
+        until_s = 0.0 if is_late else resolver._clock() + 0.05
+        assert resolver.query(udp_socket, until_s)
+        assert observed.endpoint_list.serial == 13
+        udp_socket.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            udp_socket.recv(1)
+
+
+@given(
+    lists=st.lists(st.integers(0, 3), min_size=1, max_size=8),
+    arrivals=st.lists(st.tuples(st.integers(0, 7), st.integers(0, 7)), min_size=1, max_size=30),
+)
+def test_the_newest_list_that_has_arrived_is_in_force(
+    lists: list[int], arrivals: list[tuple[int, int]]
+) -> None:
+    """Responses are lost, late, doubled and out of order; an older one must not undo a newer one."""
+    observed, newest = ObservedResolver(), -1
+    serials = {index: 10 + index for index in range(len(lists))}
+    for list_index, query in arrivals:
+        index = list_index % len(lists)
+        message = response(serials[index], ENTRIES[: lists[index]], message_id=query)
+        observed.resolver.handle_response(message, range(8))
+        newest = max(newest, index)
+        assert observed.endpoint_list.serial == serials[newest]
+        assert len(observed.endpoint_list.specs) == len(ENTRIES[: lists[newest]])
+
+
+def test_a_list_that_arrives_between_two_queries_is_applied_at_once(
+    observed: ObservedResolver, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against drains that are kept too late: a response after the timeout waited for the next poll."""
+    server, udp_socket = connected_pair()
+    now, resolver = [0.0], observed.resolver
+    with server, udp_socket:
+        monkeypatch.setattr(resolver, "_clock", lambda: now[0])
+        monkeypatch.setattr(resolver, "_server", server.getsockname())
+        resolver._socket.server = server.getsockname()
+        seen: list[float] = []
+
+        def handle(message: bytes, message_ids: Collection[int]) -> bool:
+            seen.append(now[0])
+            now[0] = INTERVAL_S if len(seen) == 2 else INTERVAL_S - 0.01  # 10 ms before the next query
+            return True
+
+        monkeypatch.setattr(resolver, "handle_response", handle)
+        for _ in range(2):
+            server.sendto(b"response", udp_socket.getsockname())
+        assert resolver.query(udp_socket, INTERVAL_S)
+        assert seen == [0.0, INTERVAL_S - 0.01]
+
+
 def test_a_response_of_the_former_server_is_rejected_once_it_has_moved(
     start_discovery: StartDiscovery,
 ) -> None:
@@ -157,31 +239,33 @@
     monkeypatch: pytest.MonkeyPatch, observed: ObservedResolver, is_refused: bool
 ) -> None:
     """Guards against polling 20 times a second, since a refusal is received immediately."""
-    now, waits = [0.0], list[float]()
+    now, queried_s = [0.0], list[float]()
     resolver = observed.resolver
     monkeypatch.setattr(resolver, "_clock", lambda: now[0])
 
-    class FortyWaits(threading.Event):
+    class ClockedEvent(threading.Event):
         def wait(self, timeout: float | None = None) -> bool:
             assert timeout is not None
-            waits.append(timeout)
             now[0] += timeout
-            if len(waits) == 40:
-                self.set()
             return self.is_set()
 
-    def query(udp_socket: socket.socket) -> bool:
+    def query(udp_socket: socket.socket, until_s: float) -> bool:
+        queried_s.append(now[0])
+        if len(queried_s) == 41:
+            resolver._thread.stopping.set()
         if is_refused:
             raise ConnectionRefusedError
-        now[0] += 0.2
+        now[0] = until_s
         return False
 
-    monkeypatch.setattr(resolver._thread, "stopping", FortyWaits())
+    monkeypatch.setattr(resolver._thread, "stopping", ClockedEvent())
     monkeypatch.setattr(resolver, "query", query)
     resolver._run()
-    min_elapsed_s, max_elapsed_s = 40 * INTERVAL_S * (1 - POLL_JITTER), 40 * INTERVAL_S * (1 + POLL_JITTER)
-    assert min_elapsed_s <= now[0] <= max_elapsed_s + 0.2
-    assert len({round(wait_s, 6) for wait_s in waits}) > 20
+    intervals_s = [later - earlier for earlier, later in pairwise(queried_s)]
+    assert len(intervals_s) == 40
+    shortest_s, longest_s = INTERVAL_S * (1 - POLL_JITTER), INTERVAL_S * (1 + POLL_JITTER)
+    assert all(shortest_s - 1e-9 <= interval_s <= longest_s + 1e-9 for interval_s in intervals_s)
+    assert len({round(interval_s, 6) for interval_s in intervals_s}) > 20
 
 
 def test_the_current_socket_is_kept_when_no_file_descriptor_is_free(
