--- a/tests/fleet/leases/test_disk.py
+++ b/tests/fleet/leases/test_disk.py
@@ -139,6 +139,7 @@
         self.is_open = threading.Event()
         self.is_open.set()
         self.is_full = False
+        self.stall_began = threading.Event()
 
     def open(self, path: pathlib.Path) -> int:
         if self.is_full:
@@ -146,6 +147,8 @@
         return super().open(path)
 
     def sync(self, descriptor: int) -> None:
+        if not self.is_open.is_set():
+            self.stall_began.set()
         self.is_open.wait(20.0)
         super().sync(descriptor)
 
@@ -235,6 +238,7 @@
     service = voting_service(tmp_path, files)
     files.is_open.clear()
     assert service.handle_request("a", (PrepareRequest("l", "a", 1),), 0.01) == []
+    assert files.stall_began.wait(20.0)
     with capture_logs() as logs:
         service.stop(timeout_s=0.05)
     files.is_open.set()
--- a/tests/platform/test_client_crowd.py
+++ b/tests/platform/test_client_crowd.py
@@ -29,14 +29,22 @@
 STEPS_UNTIL_OVERDUE = 3  # steps after which a waiting client is overdue
 
 
+HANGING_CALL_S = 600.0  # deadline of calls that are to stay open, however long a test takes
+
+
 class ManualClock:
-    """The clock of the frontend's thread; only a test advances it."""
+    """The clock of the frontend's thread; only a test advances it, until `resume`."""
 
     def __init__(self) -> None:
         self.now = time.monotonic()
+        self._is_manual = True
 
     def __call__(self) -> float:
-        return self.now
+        return self.now if self._is_manual else time.monotonic()
+
+    def resume(self) -> None:
+        """Return the system's time from now on."""
+        self._is_manual = False
 
 
 class ClientPopulation:
@@ -55,9 +63,15 @@
     def start_hanging_calls(self, clients: list[Client]) -> None:
         """Open one call per client, which no host answers."""
         for index, client in enumerate(clients):
-            client.call(subject=index)
+            client.call(subject=index, timeout=int(HANGING_CALL_S * 1000))
         eventually(lambda: self.service.frontend.open_calls == len(clients))
 
+    def end(self) -> None:
+        """Close all clients and let the clock run, so that the gateway can shut down whatever failed."""
+        for client in (*self.clients, *self.busy, *self._kept):
+            client.sock.close()
+        self.clock.resume()
+
     def connect_another(self) -> Client:
         """Connect a client; wait until the gateway evicts for it, exceeds the limit or lets it wait."""
         frontend = self.service.frontend
@@ -143,8 +157,13 @@
 @pytest.fixture
 def population() -> Iterator[ClientPopulation]:
     host = ScriptedHost(lambda connection, message: None)  # answers no call
-    with gateway(StubDnsServer(HostEntry("s-1", host.address)), sockets=SOCKETS) as service:
-        yield ClientPopulation(service)
+    directory = StubDnsServer(HostEntry("s-1", host.address))
+    with gateway(directory, SOCKETS, HANGING_CALL_S) as service:
+        population = ClientPopulation(service)
+        try:
+            yield population
+        finally:
+            population.end()
     host.close()
 
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -20,6 +20,7 @@
 from saffronstack.standin.platform import HostEntry, StubDnsServer
 
 WAIT_S = 10.0  # reached only if a test fails
+DEADLINE_S = 8.0  # of each request class
 SETTINGS: dict[str, Any] = {
     "Areas": ["east", "west"],
     "Kinds": ["std"],
@@ -30,8 +31,8 @@
         "ConnectTimeoutS": 1.0, "IdleCloseS": 30.0, "StreamsPerConn": 32,
     },
     "RequestClasses": [
-        {"Name": "look", "Idempotency": "safe", "DeadlineS": 8.0, "PromiseS": 4.0},
-        {"Name": "sell", "Idempotency": "unsafe", "DeadlineS": 8.0, "PromiseS": 4.0},
+        {"Name": "look", "Idempotency": "safe", "DeadlineS": DEADLINE_S, "PromiseS": 4.0},
+        {"Name": "sell", "Idempotency": "unsafe", "DeadlineS": DEADLINE_S, "PromiseS": 4.0},
     ],
     "Tenants": [{"Name": "acme", "Share": 1.0, "QuotaRps": 1000.0}],
     "Rules": {"DrainGraceS": 2.0},
@@ -171,9 +172,14 @@
 
 
 def config_text(
-    directory: str, entries: list[HostEntry], sockets: int = 384, listen: str = "127.0.0.1:0"
+    directory: str,
+    entries: list[HostEntry],
+    sockets: int = 384,
+    listen: str = "127.0.0.1:0",
+    deadline_s: float = DEADLINE_S,
 ) -> bytes:
     """Return the configuration that the platform passes to a gateway."""
+    classes = [{**request_class, "DeadlineS": deadline_s} for request_class in SETTINGS["RequestClasses"]]
     endpoints = [
         {
             "name": entry.name, "address": entry.address, "zone": "east", "type": "std", "group": 0,
@@ -187,15 +193,18 @@
         {
             "name": "n1", "listen": listen, "seed": "8c1f30d27a5be964", "nameserver": directory,
             "limits": {"cores": 1.0, "memory_mb": 128, "sockets": sockets}, "known": known,
-            "settings": SETTINGS,
+            "settings": {**SETTINGS, "RequestClasses": classes},
         }
     ).encode()  # fmt: skip
 
 
 @contextmanager
-def gateway(directory: StubDnsServer, sockets: int = 384) -> Iterator[Service]:
+def gateway(
+    directory: StubDnsServer, sockets: int = 384, deadline_s: float = DEADLINE_S
+) -> Iterator[Service]:
     """Run a gateway in this process with the hosts that the DNS server lists."""
-    config = parse_config(config_text(directory.address, directory.entries, sockets))
+    text = config_text(directory.address, directory.entries, sockets, deadline_s=deadline_s)
+    config = parse_config(text)
     service = Service(config, log=KeyValueLogger("test", io.StringIO()))
     service.start()
     try:
