--- a/saffronstack/engine/action_executor.py
+++ b/saffronstack/engine/action_executor.py
@@ -82,6 +82,7 @@
         statistics.attempts += 1
         if attempt > 0:
             statistics.retries += 1
+        open_call.call.latest_start_s = action.latest_start_s
         self._dispatcher.send(open_call.call, attempt, action.worker_id, action.timeout_s)
 
     def _cancel_attempt(self, action: CancelAttempt) -> None:
--- a/saffronstack/engine/calls.py
+++ b/saffronstack/engine/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -106,6 +107,7 @@
         on_final_answer: Called once with the final answer, on whichever thread finished the call.
         final_answer: The final answer, once there is one.
         class_name: Name of its request class.
+        latest_start_s: Monotonic time from which no byte of its present attempt may be sent any more.
     """
 
     number: int
@@ -123,6 +125,7 @@
     on_final_answer: Callable[[Call, FinalAnswer], None] | None = None
     final_answer: FinalAnswer | None = None
     class_name: str = ""
+    latest_start_s: float = math.inf
     _finish_claim: threading.Lock = field(
         default_factory=threading.Lock
     )  # held by the thread that finishes the call
--- a/saffronstack/engine/decision_record_format.py
+++ b/saffronstack/engine/decision_record_format.py
@@ -165,6 +165,7 @@
     return tuple(
         _StoredField(field.name, keys.get(field.name, field.name), nested.get(field.name))
         for field in fields(kind)
+        if field.compare  # a replay compares what is stored
     )
 
 
--- a/saffronstack/routing/actions.py
+++ b/saffronstack/routing/actions.py
@@ -2,16 +2,26 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
-    """Send a request to a worker; a ``timeout_s`` of 0 leaves only the client's deadline as the limit."""
+    """Send a request to a worker.
+
+    Attributes:
+        request_id: ID of the request.
+        worker_id: ID of the worker.
+        timeout_s: Timeout of the attempt; 0 leaves only the client's deadline as the limit.
+        latest_start_s: Time from which no byte of the attempt may be sent any more. It follows from earlier
+            attempts, so decision records do not contain it.
+    """
 
     request_id: int
     worker_id: int
     timeout_s: float = 0.0
+    latest_start_s: float = field(default=math.inf, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronstack/routing/dispatcher.py
+++ b/saffronstack/routing/dispatcher.py
@@ -127,7 +127,8 @@
         self._memory.begin_attempt(worker, request)
         if worker.is_ejected:
             self._outliers.start_trial(now, worker)
-        self.actions.append(SendAttempt(request.request_id, worker_id))
+        latest_start_s = self._retry_policy.latest_start_s(pending)
+        self.actions.append(SendAttempt(request.request_id, worker_id, latest_start_s=latest_start_s))
 
     def _use_free_instances(self, now: float) -> None:
         """Dispatch queued requests to free instances, by the weight of each function's newest request."""
--- a/saffronstack/routing/retry_policy.py
+++ b/saffronstack/routing/retry_policy.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from saffronstack.routing.actions import Fail, Reject
 from saffronstack.routing.events import Result
 from saffronstack.routing.settings import DeduplicationScope, Idempotency, Settings
@@ -64,7 +66,19 @@
             return False
         if attempts and self.retry_budget < 1:
             return False
-        return pending.maybe_executed is None or self._may_execute_again(now, pending)
+        return now < self.latest_start_s(pending)
+
+    def latest_start_s(self, pending: PendingRequest) -> float:
+        """Return the time from which no further attempt may start; infinite without such a limit.
+
+        An attempt may wait for its connection after it was decided. Workers must still know its key then.
+        """
+        first, request_class = pending.maybe_executed, pending.request_class
+        if first is None or request_class.idempotency is Idempotency.IDEMPOTENT:
+            return math.inf
+        if request_class.idempotency is Idempotency.NON_IDEMPOTENT:
+            return -math.inf
+        return first.sent_s + request_class.deduplication_window_s - WINDOW_MARGIN_S
 
     def final_answer(self, pending: PendingRequest) -> Reject | Fail:
         """Return the final answer to a request that gets no further attempt.
@@ -79,11 +93,3 @@
         if (is_harmless or pending.maybe_executed is None) and not pending.attempts_in_flight:
             return Reject(pending.request.request_id, self._retry_after_s)
         return Fail(pending.request.request_id)
-
-    def _may_execute_again(self, now: float, pending: PendingRequest) -> bool:
-        first, request_class = pending.maybe_executed, pending.request_class
-        if first is None or request_class.idempotency is Idempotency.IDEMPOTENT:
-            return True
-        if request_class.idempotency is Idempotency.NON_IDEMPOTENT:
-            return False
-        return now < first.sent_s + request_class.deduplication_window_s - WINDOW_MARGIN_S
--- a/saffronstack/upstream/http/attempt_runner.py
+++ b/saffronstack/upstream/http/attempt_runner.py
@@ -80,7 +80,7 @@
     def _may_send(self, job: AttemptJob) -> bool:
         """Return whether the attempt may still be sent; checked immediately before its first byte."""
         is_obsolete = self._context.is_closed or job.is_cancelled or job.call.is_finished
-        return not is_obsolete and self._context.clock() < job.deadline_s
+        return not is_obsolete and self._context.clock() < min(job.deadline_s, job.call.latest_start_s)
 
     def _send(self, job: AttemptJob, slot: ConnectionSlot) -> AttemptResponse:
         """Send the request, on a second connection if the first accepts no byte, and return the response."""
--- a/saffronstack/upstream/multiplexed/exchange.py
+++ b/saffronstack/upstream/multiplexed/exchange.py
@@ -148,13 +148,15 @@
     def prepare_to_send(self) -> bool:
         """Return whether the first byte may be sent now; encode the request if so.
 
-        Nothing is sent for a call that has its final answer, or if no time remains. The line is encoded only
+        Nothing is sent for a call that has its final answer, if no time remains, or once the attempt may not
+        start any more. The line is encoded only
         now because it contains the remaining time, and the attempt may have waited for a connection or in a
         write buffer.
         """
-        call = self.call
-        remaining_ms = int((self.deadline_s - self.clock()) * 1000)
-        if call.is_finished or remaining_ms < MIN_REMAINING_MS or not super().prepare_to_send():
+        call, now = self.call, self.clock()
+        remaining_ms = int((self.deadline_s - now) * 1000)
+        is_too_late = remaining_ms < MIN_REMAINING_MS or now >= call.latest_start_s
+        if call.is_finished or is_too_late or not super().prepare_to_send():
             return False
         self.data = codec.encode_request(
             call.request_id, call.class_name, call.function.name, remaining_ms, call.payload
--- a/tests/engine/test_action_executor.py
+++ b/tests/engine/test_action_executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import math
 from typing import Any
 
 import pytest
@@ -110,6 +111,13 @@
     assert harness.state.open_calls[1].attempts_in_flight[1] == PriorAttempt(8, NOW)
 
 
+def test_each_attempt_brings_its_own_latest_start(harness: ExecutorHarness) -> None:
+    call = harness.state.open_calls[1].call
+    for latest_start_s in (12.5, math.inf):
+        harness.execute(SendAttempt(1, 7, latest_start_s=latest_start_s))
+        assert call.latest_start_s == latest_start_s
+
+
 def test_load_and_unload_commands_are_counted(harness: ExecutorHarness) -> None:
     harness.execute(LoadFunction(7, 5, 1), UnloadFunction(7, 5))
     assert harness.state.statistics.load_commands == 2
--- a/tests/routing/test_retry_policy.py
+++ b/tests/routing/test_retry_policy.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from saffronstack.routing.actions import Action, Fail, Reject, SendAttempt
 from saffronstack.routing.events import CacheStatus, PriorAttempt, Result, TimerFired
-from saffronstack.routing.retry_policy import MAX_RETRY_BUDGET, RETRIES_PER_REQUEST, RetryPolicy
+from saffronstack.routing.retry_policy import (
+    MAX_RETRY_BUDGET,
+    RETRIES_PER_REQUEST,
+    WINDOW_MARGIN_S,
+    RetryPolicy,
+)
 from saffronstack.routing.router import Router
 from saffronstack.routing.settings import PermissionSettings
 from tests.helpers import KEYED_ALL, KEYED_CELL, KEYED_ZONE, SAFE, UNSAFE, settings
@@ -119,6 +126,20 @@
     assert [send.worker_id for send in attempts_sent(actions)] == [3]
 
 
+@pytest.mark.parametrize(
+    ("class_index", "latest_start_s"), [(SAFE, math.inf), (KEYED_ALL, 102.0 - WINDOW_MARGIN_S)]
+)
+def test_a_retry_names_the_time_from_which_it_may_not_start_any_more(
+    class_index: int, latest_start_s: float
+) -> None:
+    """Guards against two effects: a retry may wait for its connection until workers forgot its key."""
+    gateway = Gateway(make_router(1, 2))
+    number, first = gateway.request(100.0, class_index)
+    second = gateway.finish(101.0, number, Result.ERROR)
+    times_s = [send.latest_start_s for send in attempts_sent(first) + attempts_sent(second)]
+    assert times_s == [math.inf, latest_start_s]
+
+
 def test_a_request_with_a_key_is_not_retried_after_its_window() -> None:
     gateway = Gateway(make_router(1, 2))
     number, _ = gateway.request(100.0, KEYED_ALL)
--- a/tests/upstream/http/test_dispatcher.py
+++ b/tests/upstream/http/test_dispatcher.py
@@ -207,6 +207,13 @@
     assert upstream.worker.requests == 0
 
 
+def test_an_attempt_that_may_not_start_any_more_is_not_sent(start: StartUpstream) -> None:
+    upstream, late = start(respond(OK_RESPONSE)), new_call(1)
+    late.latest_start_s = time.monotonic() - 0.1
+    assert upstream.send(late).outcome.result is Result.NOT_STARTED
+    assert upstream.worker.requests == 0
+
+
 def test_an_attempt_that_its_guard_forbids_is_not_sent(start: StartUpstream) -> None:
     class RejectingGuard:
         def may_send(self, attempt: int, worker_id: int) -> bool:
--- a/tests/upstream/multiplexed/test_connection.py
+++ b/tests/upstream/multiplexed/test_connection.py
@@ -203,6 +203,20 @@
     assert upstream.results() == [(1, Result.NOT_STARTED)]
 
 
+@pytest.mark.parametrize(("waited_s", "sent"), [(0.2, 1), (0.25, 0)])
+def test_an_attempt_is_not_sent_once_it_may_not_start_any_more(
+    monkeypatch: pytest.MonkeyPatch, waited_s: float, sent: int
+) -> None:
+    """Guards against two effects: a retry waited for its connection until workers forgot its key."""
+    upstream = ThreadlessUpstream(monkeypatch, capacity=0)
+    call = upstream.call(1)
+    call.latest_start_s = upstream.now + 0.25
+    upstream.now += waited_s
+    assert upstream.unblock()
+    assert upstream.sockets[0].sent.count(b"CALL") == sent
+    assert upstream.results() == ([] if sent else [(1, Result.NOT_STARTED)])
+
+
 def test_a_duplicate_response_does_not_end_the_next_attempt(upstream: ThreadlessUpstream) -> None:
     """The worker reports twice that it is at capacity, and the request is retried between the two reports.
 
