--- a/saffronstack/discovery/dns/resolver.py
+++ b/saffronstack/discovery/dns/resolver.py
@@ -149,7 +149,7 @@
             Whether a valid response was received.
 
         Raises:
-            OSError: The socket can't be used, or the port of the server is closed.
+            OSError: The socket can't be used, or an earlier query was refused.
         """
         message_id = self._random.getrandbits(MESSAGE_ID_BITS)
         self._socket.message_ids.append(message_id)
@@ -162,6 +162,9 @@
                 message = udp_socket.recv(MAX_RESPONSE_BYTES)
             except (TimeoutError, BlockingIOError):
                 break
+            except ConnectionRefusedError as error:  # reported before responses that have arrived
+                self._count_rejection(type(error).__name__)
+                continue
             if self._socket.server != self._server:
                 self._count_rejection(Rejection.FORMER_SERVER)
                 break
--- a/tests/discovery/dns/test_resolver.py
+++ b/tests/discovery/dns/test_resolver.py
@@ -149,6 +149,23 @@
             udp_socket.recv(1)
 
 
+def test_a_refused_query_hides_no_response_that_has_arrived(
+    observed: ObservedResolver, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against drains that are kept too late: the system reports the refusal before the response."""
+    server, udp_socket = connected_pair()
+    resolver = observed.resolver
+    monkeypatch.setattr(resolver, "_server", server.getsockname())
+    resolver._socket.server = server.getsockname()
+    with udp_socket:
+        with server:
+            assert not resolver.query(udp_socket, until_s=0.0)
+            server.sendto(dns_response(server.recv(4096), 5, ENTRIES), udp_socket.getsockname())
+        assert resolver.query(udp_socket, until_s=0.0)  # the port is closed now
+    assert observed.endpoint_list.serial == 5
+    assert resolver.counts.rejected == {"ConnectionRefusedError": 1}
+
+
 @given(
     lists=st.lists(st.integers(0, 3), min_size=1, max_size=8),
     arrivals=st.lists(st.tuples(st.integers(0, 7), st.integers(0, 7)), min_size=1, max_size=30),
