--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -117,6 +117,18 @@
         self._listener.close()
 
 
+class BlockedHost(ScriptedHost):
+    """A host that answers calls only after ``release`` is set."""
+
+    def __init__(self) -> None:
+        self.release = threading.Event()
+        super().__init__(self._behave)
+
+    def _behave(self, connection: HostConnection, message: dict[str, Any]) -> None:
+        self.release.wait(WAIT_S)
+        echo_calls(connection, message)
+
+
 class Client:
     """A client of the gateway that reads one response at a time."""
 
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -18,24 +18,12 @@
 from saffronstack.resp.reader import encode
 from saffronstack.routing.router import Router
 from saffronstack.standin.platform import HostEntry, StubDnsServer
-from tests.support.platform import WAIT_S, Client, HostConnection, ScriptedHost, echo_calls, gateway
+from tests.support.platform import WAIT_S, BlockedHost, Client, ScriptedHost, gateway
 from tests.support.stack import eventually
 
 SOCKETS = 64  # file descriptors: a limit of 16 client connections
 
 
-class BlockedHost:
-    """A host that answers calls only after ``release`` is set."""
-
-    def __init__(self) -> None:
-        self.release = threading.Event()
-        self.host = ScriptedHost(self._behave)
-
-    def _behave(self, connection: HostConnection, message: dict[str, Any]) -> None:
-        self.release.wait(WAIT_S)
-        echo_calls(connection, message)
-
-
 class PausedThread:
     """Pauses the frontend's thread while ``run`` brings events into a fixed order."""
 
@@ -64,7 +52,7 @@
     host = BlockedHost()
     yield host
     host.release.set()
-    host.host.close()
+    host.close()
 
 
 def fill_connections(service: Service) -> list[Client]:
@@ -132,7 +120,7 @@
 def test_while_every_connection_has_an_open_call_a_new_client_is_rejected_at_once(
     blocked_host: BlockedHost,
 ) -> None:
-    with gateway(StubDnsServer(HostEntry("s-1", blocked_host.host.address)), sockets=SOCKETS) as service:
+    with gateway(StubDnsServer(HostEntry("s-1", blocked_host.address)), sockets=SOCKETS) as service:
         clients = [Client(service.frontend.address) for _ in range(service.budget.clients)]
         tags = [client.call(subject=index) for index, client in enumerate(clients, 1)]
         eventually(lambda: service.frontend.open_calls == len(clients))
@@ -150,7 +138,7 @@
 def test_without_over_limit_connections_a_new_client_waits_and_is_then_served(
     blocked_host: BlockedHost,
 ) -> None:
-    with gateway(StubDnsServer(HostEntry("s-1", blocked_host.host.address)), sockets=SOCKETS) as service:
+    with gateway(StubDnsServer(HostEntry("s-1", blocked_host.address)), sockets=SOCKETS) as service:
         service.frontend.limits = replace(service.frontend.limits, max_over_limit_connections=0)
         clients = [Client(service.frontend.address) for _ in range(service.budget.clients)]
         for index, client in enumerate(clients, 1):
@@ -205,11 +193,11 @@
 
 def test_open_calls_keep_their_deadline_after_unreadable_bytes(blocked_host: BlockedHost) -> None:
     """Guards against failing running calls one second after the first unreadable byte."""
-    with gateway(StubDnsServer(HostEntry("s-1", blocked_host.host.address))) as service:
+    with gateway(StubDnsServer(HostEntry("s-1", blocked_host.address))) as service:
         service.frontend.limits = replace(service.frontend.limits, linger_timeout_s=0.0)
         client = Client(service.frontend.address)
         tag = client.call()
-        blocked_host.host.next_message()
+        blocked_host.next_message()
         client.sock.sendall(b"\xff\xfe\r\n" * 100)
         connection = next(iter(service.frontend._connections.values()))
         eventually(lambda: connection.state.name == "FINISHING")
@@ -230,13 +218,13 @@
 
 
 def test_open_calls_keep_their_deadline_after_an_incomplete_request(blocked_host: BlockedHost) -> None:
-    with gateway(StubDnsServer(HostEntry("s-1", blocked_host.host.address))) as service:
+    with gateway(StubDnsServer(HostEntry("s-1", blocked_host.address))) as service:
         service.frontend.limits = replace(
             service.frontend.limits, message_timeout_s=0.0, linger_timeout_s=0.0
         )
         client = Client(service.frontend.address)
         tag = client.call()
-        blocked_host.host.next_message()
+        blocked_host.next_message()
         client.sock.sendall(b"*5\r\n$4\r\nCA")
         connection = next(iter(service.frontend._connections.values()))
         eventually(lambda: connection._reader.pending)
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -29,15 +29,7 @@
 from saffronstack.runtime.logs import KeyValueLogger
 from saffronstack.standin.platform import HostEntry, StubDnsServer
 from tests.helpers import settings
-from tests.support.platform import (
-    WAIT_S,
-    Client,
-    HostConnection,
-    ScriptedHost,
-    config_text,
-    echo_calls,
-    gateway,
-)
+from tests.support.platform import WAIT_S, BlockedHost, Client, ScriptedHost, config_text, gateway
 from tests.support.stack import eventually
 
 LIMITS = ShutdownLimits(min_drain_s=1.0, quiet_s=0.3, run_until_s=3.0, max_flush_s=0.2)
@@ -91,17 +83,6 @@
     assert steps_taken == 4 * 16**4
 
 
-def blocked_host() -> tuple[ScriptedHost, threading.Event]:
-    """Return a host that answers calls only after the event is set, and that event."""
-    release = threading.Event()
-
-    def behave(connection: HostConnection, message: dict[str, Any]) -> None:
-        release.wait(WAIT_S)
-        echo_calls(connection, message)
-
-    return ScriptedHost(behave), release
-
-
 def stop_in_thread(service: Service) -> tuple[threading.Thread, list[bool]]:
     """Stop the service in a thread; return the thread and a list that gets the result of `stop`."""
     ended: list[bool] = []
@@ -265,7 +246,7 @@
 
 def test_calls_that_outlast_the_shutdown_are_answered_as_failed() -> None:
     """Class deadlines may exceed the kill deadline; FAILED before the kill is better than no answer."""
-    host, release = blocked_host()
+    host = BlockedHost()
     with gateway(StubDnsServer(HostEntry("s-1", host.address))) as service:
         client = Client(service.frontend.address)
         unsafe = client.call(subject=1, class_name=b"sell")
@@ -275,7 +256,7 @@
         assert client.read()[:2] == (unsafe, "FAILED")
         with pytest.raises(EOFError):
             client.read()
-        release.set()
+        host.release.set()
 
 
 def test_no_call_is_built_for_a_request_that_is_rejected_while_draining(
@@ -305,7 +286,7 @@
 
 
 def test_a_second_shutdown_request_changes_nothing() -> None:
-    host, release = blocked_host()
+    host = BlockedHost()
     with gateway(StubDnsServer(HostEntry("s-1", host.address))) as service:
         client = Client(service.frontend.address)
         tag = client.call()
@@ -316,7 +297,7 @@
         new_client = Client(service.frontend.address)
         waiting_tag = new_client.call(subject=2)
         host.next_message()
-        release.set()
+        host.release.set()
         assert client.read()[:2] == (tag, "OK")
         assert new_client.read()[:2] == (waiting_tag, "OK")
         thread.join(WAIT_S)
@@ -379,7 +360,7 @@
 
 
 def test_only_the_nameserver_of_a_configuration_read_on_sighup_takes_effect(tmp_path: Path) -> None:
-    host, release = blocked_host()
+    host = BlockedHost()
     directory, moved = (
         StubDnsServer(HostEntry("s-1", host.address)),
         StubDnsServer(HostEntry("s-1", host.address), serial=9),
@@ -413,7 +394,7 @@
         eventually(lambda: service.frontend.phase is Phase.DRAINING)
         assert service.frontend._shutdown_limits is not None
         assert service.frontend._shutdown_limits.run_until_s > 3.0
-        release.set()
+        host.release.set()
         answers = [client.read()[:2] for _ in range(2)]
         assert sorted(answers) == sorted([(before, "OK"), (after, "OK")])
         thread.join(WAIT_S)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,7 @@
 from saffronstack.standin.worker import reserve_port
 from tests.support.platform import (
     WAIT_S,
+    BlockedHost,
     Client,
     HostConnection,
     ScriptedHost,
@@ -159,13 +160,7 @@
 
 
 def test_a_duplicate_request_id_fails_and_a_reused_tag_closes_the_connection() -> None:
-    release = threading.Event()
-
-    def behave(connection: HostConnection, message: dict[str, Any]) -> None:
-        release.wait(WAIT_S)
-        echo_calls(connection, message)
-
-    host = ScriptedHost(behave)
+    host = BlockedHost()
     with gateway(StubDnsServer(HostEntry("s-1", host.address))) as service:
         service.frontend.limits = replace(
             service.frontend.limits, linger_timeout_s=WAIT_S
@@ -176,7 +171,7 @@
         second = client.call(request=7, body=b"other")
         assert client.read()[:2] == (second, "FAILED")
         client.send(b"CHECK", b"%d" % first, b"")  # the tag is in use, so this request gets no answer
-        release.set()
+        host.release.set()
         assert client.read()[:2] == (first, "OK")
         with pytest.raises(EOFError):
             client.read()
@@ -196,13 +191,7 @@
 
 def test_a_client_whose_tags_fill_the_memory_is_refused_and_loses_no_call() -> None:
     """Guards against requests without an answer at the bound of the stored tags."""
-    release = threading.Event()
-
-    def behave(connection: HostConnection, message: dict[str, Any]) -> None:
-        release.wait(WAIT_S)
-        echo_calls(connection, message)
-
-    host = ScriptedHost(behave)
+    host = BlockedHost()
     with gateway(StubDnsServer(HostEntry("s-1", host.address))) as service:
         memory = service.frontend._services.tag_memory
         assert all(memory.try_acquire() for _ in range(service.budget.tag_entries))
@@ -216,7 +205,7 @@
         refused = [client.read() for _ in refused_tags]
         assert [answer[0] for answer in refused] == refused_tags
         assert all(word == "BUSY" and b"holdoff=" in fields for _, word, fields, _ in refused)
-        release.set()
+        host.release.set()
         assert client.read()[:2] == (open_tag, "OK")
         with pytest.raises(EOFError):
             client.read()
@@ -224,20 +213,14 @@
 
 
 def test_more_than_32_open_calls_are_refused_at_once() -> None:
-    release = threading.Event()
-
-    def behave(connection: HostConnection, message: dict[str, Any]) -> None:
-        release.wait(WAIT_S)
-        echo_calls(connection, message)
-
-    host = ScriptedHost(behave)
+    host = BlockedHost()
     with gateway(StubDnsServer(HostEntry("s-1", host.address))) as service:
         client = Client(service.frontend.address)
         tags = [client.call(subject=index) for index in range(1, 41)]
         refused = [client.read() for _ in range(8)]
         assert {answer[0] for answer in refused} == set(tags[32:])
         assert all(word == "BUSY" and b"holdoff=" in fields for _, word, fields, _ in refused)
-        release.set()
+        host.release.set()
 
 
 def test_a_host_that_replaces_another_at_its_address_gets_new_connections() -> None:
