--- a/saffronstack/discovery/dns/resolver.py
+++ b/saffronstack/discovery/dns/resolver.py
@@ -4,7 +4,6 @@
 
 import enum
 import random
-import socket
 import time
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
@@ -17,7 +16,6 @@
 from saffronstack.discovery.dns.service_records import parse_snapshot
 from saffronstack.runtime.logs import Logger
 
-MAX_RESPONSE_BYTES = 16 * 1024  # larger than any response
 MESSAGE_ID_BITS = 16
 MESSAGE_ID_BYTES = 2
 NO_RESPONSE_WARNING_S = 3.0  # time without a valid response after which one warning is logged
@@ -128,22 +126,18 @@
 
     def _poll(self, until_s: float) -> bool:
         try:
-            return self.query(self._socket.open(self._server), until_s)
+            return self.query(until_s)
         except OSError as error:  # the server port is closed, or no file descriptor is free
             self._count_rejection(type(error).__name__)
         except Exception:  # noqa: BLE001 - an error in one poll must not stop discovery
             self._log.exception("discovery poll failed")
         return False
 
-    def query(self, udp_socket: socket.socket, until_s: float) -> bool:
-        """Send one query on a connected socket, and handle every response that arrives until ``until_s``.
+    def query(self, until_s: float) -> bool:
+        """Send one query, and handle every response that arrives until ``until_s`` on the resolver's clock.
 
-        Responses to earlier queries on this socket are handled too. All that have arrived are read, however
-        late this thread is: a response left in the socket would delay each one after it.
-
-        Args:
-            udp_socket: The socket.
-            until_s: Time of the next query, on the resolver's clock.
+        Responses to earlier queries are handled too. All that have arrived are read, however late this thread
+        is: a response left in the socket would delay each one after it.
 
         Returns:
             Whether a valid response was received.
@@ -151,20 +145,20 @@
         Raises:
             OSError: The socket can't be used, or an earlier query was refused.
         """
+        udp_socket = self._socket.open(self._server)
         message_id = self._random.getrandbits(MESSAGE_ID_BITS)
         self._socket.message_ids.append(message_id)
         self.counts.queries += 1
         udp_socket.send(encode_query(message_id, self._name))
         is_answered = False
         for _ in range(MAX_DATAGRAMS_PER_POLL):
-            udp_socket.settimeout(max(0.0, until_s - self._clock()))  # with 0, only what has arrived is read
             try:
-                message = udp_socket.recv(MAX_RESPONSE_BYTES)
-            except (TimeoutError, BlockingIOError):
-                break
+                message = self._socket.receive(max(0.0, until_s - self._clock()))
             except ConnectionRefusedError as error:  # reported before responses that have arrived
                 self._count_rejection(type(error).__name__)
                 continue
+            if message is None:
+                break
             if self._socket.server != self._server:
                 self._count_rejection(Rejection.FORMER_SERVER)
                 break
--- a/tests/discovery/dns/test_resolver.py
+++ b/tests/discovery/dns/test_resolver.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 import threading
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from itertools import pairwise
 
 import pytest
@@ -14,6 +14,7 @@
 
 from saffronstack.discovery.dns import server_socket
 from saffronstack.discovery.dns.resolver import POLL_JITTER, Rejection, ResolverOptions
+from saffronstack.discovery.dns.server_socket import MIN_QUERIES_BEFORE_REPLACEMENT
 from saffronstack.standin.platform import dns_response
 from tests.discovery.dns.conftest import StartDiscovery
 from tests.discovery.dns.support import ENTRIES, DiscoveryServer, ObservedResolver, response
@@ -23,12 +24,15 @@
 INTERVAL_S = ResolverOptions().interval_s
 
 
-def connected_pair() -> tuple[socket.socket, socket.socket]:
-    """Return the socket of a discovery server, and one that is connected to it."""
-    server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    server.bind(("127.0.0.1", 0))
-    server.settimeout(WAIT_S)
-    return server, server_socket.connect_udp(server.getsockname())
+@pytest.fixture
+def silent_server(observed: ObservedResolver) -> Iterator[socket.socket]:
+    """Return the socket of a server that ``observed`` asks; the test responds."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.settimeout(WAIT_S)
+        observed.resolver.set_server(server.getsockname())
+        yield server
+        observed.resolver._socket.close()
 
 
 # ---- responses passed in by the test
@@ -124,44 +128,54 @@
 
 @pytest.mark.parametrize("is_late", [False, True])
 def test_all_responses_that_have_arrived_are_handled_before_the_next_query(
-    observed: ObservedResolver, monkeypatch: pytest.MonkeyPatch, is_late: bool
+    observed: ObservedResolver, silent_server: socket.socket, is_late: bool
 ) -> None:
     """Guards against drains that are missed for good: one response was read for each query.
 
     Then the lists stayed behind by as many polls as had gone unanswered in an outage. ``is_late``: the
     resolver's thread runs again only after the time of its next query.
     """
-    server, udp_socket = connected_pair()
-    with server, udp_socket:
-        resolver = observed.resolver
-        monkeypatch.setattr(resolver, "_server", server.getsockname())
-        resolver._socket.server = server.getsockname()
-        for _ in range(13):  # an outage: the queries stay in the socket of the server
-            assert not resolver.query(udp_socket, until_s=0.0)
-        queries = [server.recv(4096) for _ in range(13)]
-        for serial, query in enumerate(queries, 1):
-            server.sendto(dns_response(query, serial, ENTRIES[: 1 + serial % 2]), udp_socket.getsockname())
-        until_s = 0.0 if is_late else resolver._clock() + 0.05
-        assert resolver.query(udp_socket, until_s)
-        assert observed.endpoint_list.serial == 13
-        udp_socket.setblocking(False)
-        with pytest.raises(BlockingIOError):
-            udp_socket.recv(1)
+    resolver = observed.resolver
+    for _ in range(13):  # an outage: the queries stay in the socket of the server
+        assert not resolver.query(until_s=0.0)
+    for serial in range(1, 14):
+        query, address = silent_server.recvfrom(4096)
+        silent_server.sendto(dns_response(query, serial, ENTRIES[: 1 + serial % 2]), address)
+    assert resolver.query(0.0 if is_late else resolver._clock() + 0.05)
+    assert observed.endpoint_list.serial == 13
+    assert resolver._socket.receive(0.0) is None
+
+
+def test_responses_to_a_replaced_socket_are_handled_until_its_replacement_has_one(
+    observed: ObservedResolver, silent_server: socket.socket
+) -> None:
+    """Guards against drains that are kept too late: where the server was slow, its responses were lost."""
+    resolver = observed.resolver
+    for _ in range(MIN_QUERIES_BEFORE_REPLACEMENT):
+        resolver._socket.record_result(resolver.query(until_s=0.0))
+    assert not resolver.query(until_s=0.0)  # on another socket
+    queries = [silent_server.recvfrom(4096) for _ in range(MIN_QUERIES_BEFORE_REPLACEMENT + 1)]
+    assert queries[0][1] != queries[-1][1]
+    for serial, (query, address) in enumerate(queries[:2], 1):
+        silent_server.sendto(dns_response(query, serial, ENTRIES[:serial]), address)
+        assert resolver.query(until_s=0.0)
+        assert observed.endpoint_list.serial == serial
+    silent_server.sendto(dns_response(queries[-1][0], 9, ENTRIES), queries[-1][1])
+    assert resolver.query(until_s=0.0)
+    assert observed.endpoint_list.serial == 9
+    assert resolver._socket._former_socket is None
 
 
 def test_a_refused_query_hides_no_response_that_has_arrived(
-    observed: ObservedResolver, monkeypatch: pytest.MonkeyPatch
+    observed: ObservedResolver, silent_server: socket.socket
 ) -> None:
     """Guards against drains that are kept too late: the system reports the refusal before the response."""
-    server, udp_socket = connected_pair()
     resolver = observed.resolver
-    monkeypatch.setattr(resolver, "_server", server.getsockname())
-    resolver._socket.server = server.getsockname()
-    with udp_socket:
-        with server:
-            assert not resolver.query(udp_socket, until_s=0.0)
-            server.sendto(dns_response(server.recv(4096), 5, ENTRIES), udp_socket.getsockname())
-        assert resolver.query(udp_socket, until_s=0.0)  # the port is closed now
+    assert not resolver.query(until_s=0.0)
+    query, address = silent_server.recvfrom(4096)
+    silent_server.sendto(dns_response(query, 5, ENTRIES), address)
+    silent_server.close()
+    assert resolver.query(until_s=0.0)
     assert observed.endpoint_list.serial == 5
     assert resolver.counts.rejected == {"ConnectionRefusedError": 1}
 
@@ -186,27 +200,23 @@
 
 
 def test_a_list_that_arrives_between_two_queries_is_applied_at_once(
-    observed: ObservedResolver, monkeypatch: pytest.MonkeyPatch
+    observed: ObservedResolver, silent_server: socket.socket, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against drains that are kept too late: a response after the timeout waited for the next poll."""
-    server, udp_socket = connected_pair()
-    now, resolver = [0.0], observed.resolver
-    with server, udp_socket:
-        monkeypatch.setattr(resolver, "_clock", lambda: now[0])
-        monkeypatch.setattr(resolver, "_server", server.getsockname())
-        resolver._socket.server = server.getsockname()
-        seen: list[float] = []
-
-        def handle(message: bytes, message_ids: Collection[int]) -> bool:
-            seen.append(now[0])
-            now[0] = INTERVAL_S if len(seen) == 2 else INTERVAL_S - 0.01  # 10 ms before the next query
-            return True
-
-        monkeypatch.setattr(resolver, "handle_response", handle)
-        for _ in range(2):
-            server.sendto(b"response", udp_socket.getsockname())
-        assert resolver.query(udp_socket, INTERVAL_S)
-        assert seen == [0.0, INTERVAL_S - 0.01]
+    now, resolver, seen = [0.0], observed.resolver, list[float]()
+    monkeypatch.setattr(resolver, "_clock", lambda: now[0])
+
+    def handle(message: bytes, message_ids: Collection[int]) -> bool:
+        seen.append(now[0])
+        now[0] = INTERVAL_S if len(seen) == 2 else INTERVAL_S - 0.01  # 10 ms before the next query
+        return True
+
+    monkeypatch.setattr(resolver, "handle_response", handle)
+    address = resolver._socket.open(silent_server.getsockname()).getsockname()
+    for _ in range(2):
+        silent_server.sendto(b"response", address)
+    assert resolver.query(INTERVAL_S)
+    assert seen == [0.0, INTERVAL_S - 0.01]
 
 
 def test_a_response_of_the_former_server_is_rejected_once_it_has_moved(
@@ -266,7 +276,7 @@
             now[0] += timeout
             return self.is_set()
 
-    def query(udp_socket: socket.socket, until_s: float) -> bool:
+    def query(until_s: float) -> bool:
         queried_s.append(now[0])
         if len(queried_s) == 41:
             resolver._thread.stopping.set()
