--- a/saffronstack/engine/open_calls.py
+++ b/saffronstack/engine/open_calls.py
@@ -5,9 +5,8 @@
 from dataclasses import dataclass, field
 
 from saffronstack.engine.calls import Call, FinalStatus
-from saffronstack.routing.events import AttemptOutcome, PriorAttempt, Result
-
-NEVER_EXECUTED = (Result.AT_CAPACITY, Result.CONNECT_FAILED, Result.NOT_STARTED, Result.NOT_LOADED)
+from saffronstack.routing.events import AttemptOutcome, PriorAttempt
+from saffronstack.routing.retry_policy import NEVER_EXECUTED
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/engine/test_open_calls.py
+++ b/tests/engine/test_open_calls.py
@@ -5,8 +5,9 @@
 import pytest
 
 from saffronstack.engine.calls import FinalAnswer, FinalStatus
-from saffronstack.engine.open_calls import NEVER_EXECUTED, OpenCall, OpenCalls
+from saffronstack.engine.open_calls import OpenCall, OpenCalls
 from saffronstack.routing.events import AttemptOutcome, PriorAttempt, Result
+from saffronstack.routing.retry_policy import NEVER_EXECUTED
 from tests.support.engine import new_call
 
 
