--- a/tests/routing/test_random_events.py
+++ b/tests/routing/test_random_events.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 from typing import Any
 
+import pytest
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -33,7 +35,7 @@
     Settings,
     TenantSettings,
 )
-from tests.helpers import CLASSES, settings
+from tests.helpers import CLASSES, KEYED_CELL, KEYED_ZONE, settings
 
 NEVER_EXECUTED = (Result.AT_CAPACITY, Result.CONNECT_FAILED, Result.NOT_STARTED, Result.NOT_LOADED)
 
@@ -223,3 +225,25 @@
 @given(SHAPES, STEPS)
 def test_random_legal_events_keep_the_rules(shape: dict[str, Any], steps: list[tuple[str, int]]) -> None:
     assert play(shape, steps) == play(shape, steps)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_lost_and_refused_connections_move_no_keyed_request_out_of_its_scope(seed: int) -> None:
+    """Guards against two effects: `Simulation.check_retry` fails for a retry outside the scope or window."""
+    rng = random.Random(seed)
+    config = settings()
+    simulation = Simulation(Router(config, seed), config)
+    workers = dict.fromkeys(range(1, 7), WorkerState.READY)
+    simulation.update_endpoints(workers, EndpointUpdateKind.SNAPSHOT, 0.0)
+    results = [Result.OK] * 6 + [Result.CONNECT_FAILED, Result.CONNECT_FAILED, Result.RESET]
+    retried = 0
+    for number in range(1, 400):
+        class_index = rng.choice((KEYED_ZONE, KEYED_CELL))
+        request = Request(number, class_index, rng.randrange(2), simulation.now + 3, 0, 500.0, 2.0)
+        simulation.owed[number] = request
+        simulation.handle_event(request)
+        while len(simulation.in_flight) > 4:
+            simulation.finish(rng.randrange(9999), rng.choice(results), CacheStatus.WARM)
+        simulation.pass_time(rng.uniform(0.0, 0.1))
+        retried += simulation.sent.get(number - 10, 0) > 1
+    assert retried > 20
