--- a/review/support-2/rig.py
+++ b/review/support-2/rig.py
@@ -123,12 +123,16 @@
 
     def serve(self, name: str, config: dict[str, Any], *options: str) -> Gateway:
         """Start a gateway and wait until it answers."""
-        path = self.write(f"{name}.json", config)
-        process = self.start(name, [*SAFFRON, "serve", "--config", path, "--log", "json", *options])
-        gateway = Gateway(name, process, config["listen"], path)
+        gateway = self.launch(name, config, *options)
         self.wait_until_up(gateway)
         return gateway
 
+    def launch(self, name: str, config: dict[str, Any], *options: str) -> Gateway:
+        """Start a gateway without waiting for it."""
+        path = self.write(f"{name}.json", config)
+        process = self.start(name, [*SAFFRON, "serve", "--config", path, "--log", "json", *options])
+        return Gateway(name, process, config["listen"], path)
+
     def wait_until_up(self, gateway: Gateway, timeout_s: float = 30.0) -> None:
         def is_up() -> bool:
             if gateway.process.poll() is not None:
