--- a/review/10/case.py
+++ b/review/10/case.py
@@ -59,6 +59,7 @@
     config = gateway_config("g1", ledgers / "g1")
     options = ("--fleet", fleet.path, "--name", "g1")
     gateway = rig.serve("g1", config, *options)
+    rig.serve("g2", gateway_config("g2", ledgers / "g2"), "--fleet", fleet.path, "--name", "g2")
     for number in range(CALLS):
         answer = invoke(
             gateway.address, "identify-copy", {"op": f"call-{number}"}, X_Amz_Invocation_Type="Event"
