review: the scripts of cases 6 to 10 reserve the ports that they choose

What it shows: one play of case 9 had not started its gateway. A port was chosen by binding and releasing it, in the range from which the system takes ports for connections, so that a connection of a play beside it could take it before the program listened. A lease server then ended with "Address already in use", and a new fleet gives no lease before all have met.

What the cases do and check is unchanged.

--- a/review/support-2/rig.py
+++ b/review/support-2/rig.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -23,6 +24,7 @@
 STANDIN = str(pathlib.Path(__file__).resolve().parent / "worker_process.py")
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+_reservations: list[socket.socket] = []  # until this process ends
 
 
 class NotRun(Exception):
@@ -30,9 +32,23 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a free port that no other play takes while this one runs.
+
+    The ports lie below those that the system picks for connections. The name of a socket reserves each one
+    among plays.
+    """
+    while True:
+        port = random.randint(10000, 30000)
+        reservation = socket.socket(socket.AF_UNIX)
+        try:
+            reservation.bind(f"\0saffron-review-port-{port}")
+            with socket.socket() as sock:
+                sock.bind(("127.0.0.1", port))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return port
 
 
 class Answer:
