--- a/saffronstack/cli/fleet_services.py
+++ b/saffronstack/cli/fleet_services.py
@@ -31,7 +31,7 @@
         if config.tasks:
             client = self._client = open_client(fleet)
             self._runners = [
-                TaskRunner(task.name, create_task(task, client), task.period_s, task.budget_s, client)
+                TaskRunner(task.name, create_task(task, fleet, client), task.period_s, task.budget_s, client)
                 for task in fleet.tasks
             ]
             for runner in self._runners:
--- a/saffronstack/cli/leases.py
+++ b/saffronstack/cli/leases.py
@@ -26,6 +26,7 @@
 from saffronstack.fleet.leases.store import HeldLease
 from saffronstack.fleet.tasks.fleet_usage import FleetUsageTask
 from saffronstack.fleet.tasks.garbage_collection import GarbageCollectionTask
+from saffronstack.fleet.tasks.ledger_directory import USAGE_LOGS_GLOB
 from saffronstack.fleet.tasks.orphan_takeover import OrphanTakeoverTask
 from saffronstack.fleet.tasks.runner import TaskRunner
 from saffronstack.fleet.tasks.task import Task
@@ -166,7 +167,7 @@
         return INVALID_INPUT_STATUS
     client = open_client(fleet)
     runners = [
-        TaskRunner(task.name, create_task(task, client), task.period_s, task.budget_s, client)
+        TaskRunner(task.name, create_task(task, fleet, client), task.period_s, task.budget_s, client)
         for task in fleet.tasks
     ]
     for runner in runners:
@@ -184,11 +185,17 @@
     return 0 if all(ended_in_time) else 1
 
 
-def create_task(task: TaskEntry, client: LeaseClient) -> Task:
-    """Create the task that an entry of the fleet file describes."""
+def create_task(task: TaskEntry, fleet: FleetFile, client: LeaseClient) -> Task:
+    """Create the task that an entry of the fleet file describes.
+
+    A usage task also reads the logs of gateways that finished the calls of dead ones.
+    """
     match task.kind:
         case "usage":
-            return FleetUsageTask(task.usage, task.output)
+            roots = [other.ledgers for other in fleet.tasks if other.kind == "takeover"]
+            return FleetUsageTask(
+                [*task.usage, *(f"{root}/{USAGE_LOGS_GLOB}" for root in roots)], task.output
+            )
         case "takeover":
             return OrphanTakeoverTask(task.ledgers, task.config, client)
         case "sweep":
--- a/saffronstack/cli/ledger_ownership.py
+++ b/saffronstack/cli/ledger_ownership.py
@@ -15,7 +15,13 @@
 from saffronstack.fleet.leases.client import LeaseClient
 from saffronstack.fleet.leases.errors import LeaseNotGrantedError
 from saffronstack.fleet.leases.store import HeldLease
-from saffronstack.fleet.tasks.ledger_directory import FencedFiles, LedgerDirectory
+from saffronstack.fleet.tasks.ledger_directory import (
+    OPERATIONS_DIRECTORY,
+    USAGE_DIRECTORY,
+    WORKER_LISTS_DIRECTORY,
+    FencedFiles,
+    LedgerDirectory,
+)
 
 log = structlog.get_logger("saffronstack.serve")
 CHECK_INTERVAL_S = 0.1
@@ -138,10 +144,13 @@
 def _with_state_directories_in(config: Config, owner_directory: pathlib.Path) -> Config:
     metering, operations = config.metering, config.operations
     if metering is not None:
-        metering = msgspec.structs.replace(metering, directory=str(owner_directory / "usage"))
+        metering = msgspec.structs.replace(metering, directory=str(owner_directory / USAGE_DIRECTORY))
     if operations is not None and operations.directory is not None:
-        operations = msgspec.structs.replace(operations, directory=str(owner_directory / "operations"))
+        operations = msgspec.structs.replace(
+            operations, directory=str(owner_directory / OPERATIONS_DIRECTORY)
+        )
     roster = config.roster
     if roster is not None:
-        roster = msgspec.structs.replace(roster, state_directory=str(owner_directory / "roster"))
+        state_directory = str(owner_directory / WORKER_LISTS_DIRECTORY)
+        roster = msgspec.structs.replace(roster, state_directory=state_directory)
     return msgspec.structs.replace(config, metering=metering, operations=operations, roster=roster)
--- a/saffronstack/fleet/tasks/ledger_directory.py
+++ b/saffronstack/fleet/tasks/ledger_directory.py
@@ -6,12 +6,17 @@
 acknowledged write, and no process reads what a superseded owner writes later. This requires that a file
 created on one machine is immediately visible on the others.
 
+A gateway that finishes the calls of a dead one also stores its usage log and its operation log in its
+subdirectory. Workers drop usage that this log acknowledged, and no later owner copies it. Only the files that
+a later owner copied may therefore be removed.
+
 Processes of other versions read the names in the directory, so they must not change: ``fence-TOKEN``,
 ``place-TOKEN`` (the subdirectory of the owner) and ``left-TOKEN`` (clean shutdown).
 """
 
 from __future__ import annotations
 
+import contextlib
 import os
 import pathlib
 import re
@@ -22,6 +27,11 @@
 
 FENCE_NAME = re.compile(r"fence-(\d{20})")
 SEGMENT_GLOB = "*.seg"
+USAGE_DIRECTORY = "usage"
+OPERATIONS_DIRECTORY = "operations"
+WORKER_LISTS_DIRECTORY = "roster"
+DURABLE_STATE_DIRECTORIES = (USAGE_DIRECTORY, OPERATIONS_DIRECTORY)  # acknowledged, and in no other place
+USAGE_LOGS_GLOB = f"*/place-*/{USAGE_DIRECTORY}"  # relative to the parent of all ledger directories
 
 
 class LedgerDirectory:
@@ -75,9 +85,9 @@
         return self._newest_path(self._owner_tokens())
 
     def remove_superseded(self) -> int:
-        """Remove the subdirectories of all owners before the last one that has a subdirectory.
+        """Remove what later owners copied: the ledgers of all owners before the last one that has one.
 
-        Their fence files are kept.
+        Their fence files are kept, and so are their usage logs and operation logs.
 
         Returns:
             The number of superseded owners.
@@ -86,7 +96,7 @@
         last = next((token for token in reversed(tokens) if self._owner_path(token).is_dir()), None)
         superseded = [token for token in tokens if last is not None and token < last]
         for token in superseded:
-            shutil.rmtree(self._owner_path(token), ignore_errors=True)
+            _remove_copied_files(self._owner_path(token))
             self._clean_shutdown_path(token).unlink(missing_ok=True)
         return len(superseded)
 
@@ -136,6 +146,21 @@
     os.replace(partial, target)
 
 
+def _remove_copied_files(owner_directory: pathlib.Path) -> None:
+    """Remove an owner's subdirectory, except for state that nothing else holds."""
+    if not owner_directory.is_dir():
+        return
+    for path in owner_directory.iterdir():
+        if path.name in DURABLE_STATE_DIRECTORIES and any(path.rglob(SEGMENT_GLOB)):
+            continue
+        if path.is_dir():
+            shutil.rmtree(path, ignore_errors=True)
+        else:
+            path.unlink(missing_ok=True)
+    with contextlib.suppress(OSError):  # it holds a log that stays
+        owner_directory.rmdir()
+
+
 class FencedFiles(FileOperations):
     """File operations of one owner. A sync fails if a later owner exists."""
 
--- a/tests/fleet/tasks/test_ledger_directory.py
+++ b/tests/fleet/tasks/test_ledger_directory.py
@@ -52,6 +52,23 @@
     assert not first.exists()
 
 
+def test_usage_that_only_a_superseded_owner_logged_is_not_removed(ledger: LedgerDirectory) -> None:
+    """Guards against lost usage: workers had dropped what a finishing gateway acknowledged (review/10)."""
+    first = ledger.take_ownership(3)
+    (first / SEGMENT).write_bytes(b"copied by the next owner")
+    for name in ("usage", "operations", "roster"):
+        (first / name).mkdir()
+        (first / name / f"{name}-0000000001.seg").write_bytes(b"acknowledged")
+    second = ledger.take_ownership(5)
+    (second / "operations").mkdir()  # without a segment: nothing was logged
+    ledger.take_ownership(6)
+    for _ in range(2):  # a later sweep keeps it too
+        ledger.remove_superseded()
+    assert sorted(path.name for path in first.iterdir()) == ["operations", "usage"]
+    assert (first / "usage" / "usage-0000000001.seg").read_bytes() == b"acknowledged"
+    assert not second.exists()
+
+
 def test_an_owner_that_died_between_fence_and_copy_loses_nothing(ledger: LedgerDirectory) -> None:
     (ledger.take_ownership(3) / SEGMENT).write_bytes(b"x")
     (ledger.directory / f"fence-{5:020d}").touch()  # the fence exists, the subdirectory does not
