A ledger's next owner chooses what to copy after its fence, not before

Callers of deferred calls could lose an accepted call: an owner that was slow to create its subdirectory could do so, and acknowledge writes, after its successor had chosen an older subdirectory as its source and before the successor's fence existed.

Cause: take_ownership looked for the source first and created the fence second. Once the fence exists, no earlier owner acknowledges a write, so the source is chosen after it.

--- a/saffronstack/fleet/tasks/ledger_directory.py
+++ b/saffronstack/fleet/tasks/ledger_directory.py
@@ -57,12 +57,12 @@
         self.directory.mkdir(parents=True, exist_ok=True)
         if self.has_later_owner(token):
             raise StaleOwnerError(self.directory)
-        source = self._source_before(token)
         target = self._owner_path(token)
         self._create_fence(token)
         if target.is_dir():
             return target
-        _copy_segments(source, target)
+        # Until the fence exists, an earlier owner may still create its subdirectory and acknowledge writes.
+        _copy_segments(self._source_before(token), target)
         self._sync_names()
         return target
 
--- a/tests/fleet/tasks/test_ledger_directory.py
+++ b/tests/fleet/tasks/test_ledger_directory.py
@@ -69,6 +69,22 @@
     assert not second.exists()
 
 
+def test_an_owner_that_is_created_before_the_next_fence_is_copied(
+    ledger: LedgerDirectory, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against lost calls: a slow owner acknowledged them after its successor chose the source."""
+    (ledger.take_ownership(3) / SEGMENT).write_bytes(b"old")
+    create_fence = LedgerDirectory._create_fence
+
+    def create_fence_after_slow_owner(directory: LedgerDirectory, token: int) -> None:
+        if token == 6:
+            (directory.take_ownership(5) / SEGMENT).write_bytes(b"acknowledged before the fence")
+        create_fence(directory, token)
+
+    monkeypatch.setattr(LedgerDirectory, "_create_fence", create_fence_after_slow_owner)
+    assert (ledger.take_ownership(6) / SEGMENT).read_bytes() == b"acknowledged before the fence"
+
+
 def test_an_owner_that_died_between_fence_and_copy_loses_nothing(ledger: LedgerDirectory) -> None:
     (ledger.take_ownership(3) / SEGMENT).write_bytes(b"x")
     (ledger.directory / f"fence-{5:020d}").touch()  # the fence exists, the subdirectory does not
