Archive runs stay until the log no longer names them, so that a restart can replay it

Tenants were charged at two gateways: after a merge of the archive and a restart, records that another gateway had acknowledged first counted again, and the account was in doubt.

Cause: a merge deleted the runs it had replaced while entries before RunsMerged were still in the log; the replay of RecordRelinquished for an archived record reads those runs.

The model test had replaced its log after each merge, which hid the fault; it no longer does, and also checks that the account is not in doubt.

--- a/saffronstack/deferred/call_table.py
+++ b/saffronstack/deferred/call_table.py
@@ -70,6 +70,9 @@
             case SnapshotStart():
                 self._clear()
 
+    def discard_replaced_files(self) -> None:
+        """See `JournalState`; this state has no files of its own."""
+
     def mark_records_lost(self) -> None:
         """Mark every open call as possibly executed by an unknown worker.
 
--- a/saffronstack/durable/journal.py
+++ b/saffronstack/durable/journal.py
@@ -244,6 +244,7 @@
         except OSError as error:
             log.error("journal compaction failed", directory=str(self._directory), error=str(error))
             return
+        self.state.discard_replaced_files()
         log.info(
             "journal compacted",
             directory=str(self._directory),
--- a/saffronstack/durable/journal_state.py
+++ b/saffronstack/durable/journal_state.py
@@ -27,6 +27,10 @@
         """Return the approximate size of a snapshot in bytes."""
         ...
 
+    def discard_replaced_files(self) -> None:
+        """Remove files that only records before the snapshot named, which has just replaced them."""
+        ...
+
     def mark_records_lost(self) -> None:
         """Mark everything that the lost records may have changed as uncertain."""
         ...
--- a/saffronstack/metering/account.py
+++ b/saffronstack/metering/account.py
@@ -82,7 +82,7 @@
         if self.windows is not None:
             self.windows.clear()
         if self._archive is not None:
-            self._archive.set_runs(())
+            self._archive.reset()
 
     # ---- the journal's state
 
@@ -124,6 +124,11 @@
         """Return the approximate size of a snapshot."""
         return account_snapshot.estimate_snapshot_bytes(self._state())
 
+    def discard_replaced_files(self) -> None:
+        """Delete the runs that merged runs replaced; no entry of the log names them any more."""
+        if self._archive is not None:
+            self._archive.remove_replaced_runs()
+
     def mark_records_lost(self) -> None:
         """Record that entries of the log are lost, so that totals may be incomplete."""
         self.in_doubt = True
@@ -175,11 +180,6 @@
         assert self._archive is not None
         return self._archive.merge_runs(runs, self._is_needed)
 
-    def remove_runs(self, runs: tuple[int, ...]) -> None:
-        """Delete runs that a merged run replaces."""
-        if self._archive is not None:
-            self._archive.remove_runs(runs)
-
     def find_archive_damage(self) -> list[str]:
         """Read the whole archive; return one line for each run that cannot be read."""
         return self._archive.find_damage() if self._archive is not None else []
--- a/saffronstack/metering/archive.py
+++ b/saffronstack/metering/archive.py
@@ -53,6 +53,7 @@
         self._files = files or FileOperations()
         self._lock = threading.Lock()  # guards the attributes below and changes of ``runs``
         self._open_runs: OrderedDict[int, SortedRun] = OrderedDict()
+        self._named_runs: set[int] = set()  # by any entry of the log, which a replay reads again
         self._last_number = 0
         self._highest: OrderedDict[tuple[str, str], int] = OrderedDict()  # by worker and incarnation
 
@@ -71,8 +72,15 @@
         """Set the runs that belong to the archive from now on."""
         with self._lock:
             self.runs = runs
+            self._named_runs.update(runs)
             self._highest.clear()
 
+    def reset(self) -> None:
+        """Forget all runs: the log begins anew."""
+        with self._lock:
+            self._named_runs.clear()
+        self.set_runs(())
+
     def remove_orphans(self) -> None:
         """Delete files that the log does not name: the process was killed while it wrote or removed them."""
         if not self.directory.is_dir():
@@ -80,10 +88,20 @@
         for partial in self.directory.glob("*.tmp"):
             with contextlib.suppress(OSError):  # the next start tries again
                 partial.unlink()
-        self.remove_runs(number for number in list_run_numbers(self.directory) if number not in self.runs)
+        present = list_run_numbers(self.directory)
+        self._remove_runs(number for number in present if number not in self._named_runs)
+
+    def remove_replaced_runs(self) -> None:
+        """Delete the runs that merged runs replaced, once a snapshot has replaced the entries that name them.
+
+        Entries before a merge are replayed with the runs that it merged.
+        """
+        with self._lock:
+            replaced = self._named_runs.difference(self.runs)
+            self._named_runs = set(self.runs)
+        self._remove_runs(replaced)
 
-    def remove_runs(self, numbers: Iterable[int]) -> None:
-        """Delete the files of runs that do not belong to the archive any more."""
+    def _remove_runs(self, numbers: Iterable[int]) -> None:
         for number in numbers:
             with self._lock:
                 self._open_runs.pop(number, None)
--- a/saffronstack/metering/archive_compactor.py
+++ b/saffronstack/metering/archive_compactor.py
@@ -1,4 +1,8 @@
-"""Compacts the archive of a usage log on a background thread."""
+"""Compacts the archive of a usage log on a background thread.
+
+The merged runs are deleted when the log is compacted, because a replay of the entries before the merge reads
+them.
+"""
 
 from __future__ import annotations
 
@@ -34,9 +38,7 @@
         account = self._journal.state
         try:
             merged_run = account.merge_runs(runs)
-            ticket = self._journal.append(RunsMerged(runs, merged_run))
-            if ticket.done.wait(COMMIT_TIMEOUT_S) and ticket.is_durable:
-                account.remove_runs(runs)
+            self._journal.append(RunsMerged(runs, merged_run)).done.wait(COMMIT_TIMEOUT_S)
         except (RunDamagedError, OSError) as error:  # nothing is lost: the old runs remain
             log.error("usage archive compaction failed", error=str(error))
         finally:
--- a/saffronstack/operations/operation_log.py
+++ b/saffronstack/operations/operation_log.py
@@ -144,6 +144,9 @@
             + RESET_SNAPSHOT_BYTES
         )
 
+    def discard_replaced_files(self) -> None:
+        """See `JournalState`; this state has no files of its own."""
+
     def mark_records_lost(self) -> None:
         """Set the flag that records were lost."""
         self.in_doubt = True
--- a/tests/test_usage_archive.py
+++ b/tests/test_usage_archive.py
@@ -192,9 +192,10 @@
         runs = self.archive.runs[-3:]
         if len(runs) > 1:
             self.apply(RunsMerged(runs, self.account.merge_runs(runs)))
-            self.account.remove_runs(runs)
-            # The earlier entries name runs that no longer exist.
-            self.entries = [encode(entry) for entry in self.account.snapshot()]
+
+    def replace_log(self) -> None:
+        self.entries = [encode(entry) for entry in self.account.snapshot()]
+        self.account.discard_replaced_files()
 
 
 @given(st.lists(steps_strategy, max_size=60), st.randoms(use_true_random=False))
@@ -237,7 +238,7 @@
         elif action == "merge":
             spilling.merge()
         elif action == "snapshot":
-            spilling.entries = [encode(one) for one in spilling.account.snapshot()]
+            spilling.replace_log()
             spilling.reopen()
         if entry is not None:
             in_memory.apply(entry)
@@ -255,6 +256,7 @@
         return {tenant: amount for tenant, amount in found.items() if amount}
 
     assert nonzero(spilling.account.charges_by_tenant()) == nonzero(in_memory.charges_by_tenant())
+    assert not spilling.account.in_doubt
     assert spilling.account.find_imbalances() == in_memory.find_imbalances() == []
     for record_id in received - given_away:
         assert spilling.account.has_record(*record_id)
@@ -270,6 +272,29 @@
     assert merged.unconfirmed == len(received - given_away - confirmed)
 
 
+def test_a_restart_after_a_merge_counts_no_relinquished_record_again(tmp_path: pathlib.Path) -> None:
+    """Guards against usage that counts at two gateways: the replay needs the runs that a merge replaced."""
+    spilling, in_memory = SpillingAccount(tmp_path), Account("g")
+    for number in range(1, 31):
+        record = RecordReceived(usage(number, "w1", "i", ("a",), 100, 1000), 0.0)
+        in_memory.apply(record)
+        spilling.apply(record)
+        spilling.spill()
+    for number in range(1, 4):  # archived records that another gateway acknowledged first
+        in_memory.apply(RecordRelinquished("w1", "i", number))
+        spilling.apply(RecordRelinquished("w1", "i", number))
+    spilling.merge()
+    for _ in range(2):  # a second restart finds the files that the first one left
+        spilling.reopen()
+        assert spilling.account.charges_by_tenant() == in_memory.charges_by_tenant()
+        assert not spilling.account.in_doubt
+    runs_before = len(list(spilling.archive.directory.glob("*.run")))
+    spilling.replace_log()
+    assert len(list(spilling.archive.directory.glob("*.run"))) == len(spilling.archive.runs) < runs_before
+    spilling.reopen()
+    assert spilling.account.charges_by_tenant() == in_memory.charges_by_tenant()
+
+
 def test_merging_counts_archived_records_of_two_accounts_once(tmp_path: pathlib.Path) -> None:
     first, second = SpillingAccount(tmp_path / "one"), SpillingAccount(tmp_path / "two")
     second.apply(LedgerStarted("h"))
