Calls that end after their worker's removal are charged, and once

Tenants were charged nothing for a call at a worker that vanished and left the list.

Cause: the loss was charged under a name looked up among the polled workers, and the worker had been removed; an answer that came later was kept for charges already made.

Change: MeteredWorkers remembers removed workers, bounded; their late charges become estimates with the next round of polls, since nobody asks them for records any more.

--- a/saffronstack/metering/loss_charger.py
+++ b/saffronstack/metering/loss_charger.py
@@ -114,6 +114,13 @@
         if entries:
             self._journal.append(*entries)
 
+    def end_removed_workers(self) -> None:
+        """Turn the charges that arrived after their worker's removal into estimates, as nobody polls it."""
+        charged = {charge.worker for charge in list(self._journal.state.provisional.values())}
+        for number, name in self._workers.removed.items():
+            if name in charged or self._unconfirmed.has_calls(number):
+                self.end_incarnation(name, "")
+
     def _charge_answered_calls(
         self, worker: str, ended_incarnation: str, new_incarnation: str
     ) -> list[ProvisionalCharge]:
--- a/saffronstack/metering/meter.py
+++ b/saffronstack/metering/meter.py
@@ -152,13 +152,12 @@
             log.exception("metering step failed")
 
     def _replace_workers(self, specs: list[WorkerSpec]) -> None:
-        by_name = {spec.name: spec for spec in specs}
-        for name in set(self._workers.specs) - set(by_name):
+        for name in self._workers.replace(specs):
             self._losses.end_incarnation(name, "")
-        self._workers.specs = by_name
 
     def _poll_all(self) -> None:
         self._compactor.start_if_needed()
+        self._losses.end_removed_workers()
         self._poller.poll_all(self._clock.monotonic(), self._on_poll_response)
 
     def _on_poll_response(self, spec: WorkerSpec, body: bytes | None, polled_s: float) -> None:
--- a/saffronstack/metering/unconfirmed_usage.py
+++ b/saffronstack/metering/unconfirmed_usage.py
@@ -54,6 +54,10 @@
             calls = self._calls.setdefault(worker_id, deque(maxlen=MAX_CALLS_PER_WORKER))
         calls.append(call)
 
+    def has_calls(self, worker_id: int) -> bool:
+        """Return whether there are calls of a worker."""
+        return bool(self._calls.get(worker_id))
+
     def confirm(
         self, worker_id: int, polled_s: float, is_complete: bool, recorded_amount: Callable[[str], int]
     ) -> None:
