An id that may have run stays in use until its call's deadline

Cause: an id was in use only while its call was open, and a departure ends the call at once although a host may run it, or has run it without its answer being read.

Change: a call is marked before its first byte can be sent; if it may have run, its id is refused until its deadline. The tests' client could give one id twice, against the protocol; it counts now.

--- a/saffronstack/platform/connection.py
+++ b/saffronstack/platform/connection.py
@@ -315,7 +315,7 @@
         if services.admission.active and not services.admission.admit(call, now):
             self._send_response(frame.tag, REJECTED, services.format_holdoff(limits.busy_retry_after_s))
             return
-        if not services.open_request_ids.add(call.request_id):
+        if not services.open_request_ids.add(call.request_id, now):
             self._send_response(frame.tag, FAILED)
             return
         call.on_final_answer = self._on_final_answer
@@ -354,7 +354,7 @@
             if tag is not None:
                 self._open_calls.pop(tag, None)
                 self._answers_in_progress += 1
-        self._services.open_request_ids.remove(call.request_id)
+        self._close_request_id(call, final)
         if self._services.admission.active:
             self._services.admission.record_final_answer(call, final.status, self._services.clock())
         if tag is None:
@@ -367,6 +367,12 @@
                 self._last_answer_s = self._services.clock()
                 self._answers_in_progress -= 1
 
+    def _close_request_id(self, call: Call, final: FinalAnswer) -> None:
+        """Free the id of a call, unless it may have run: its client may have left without the answer."""
+        may_have_run = final.status is not FinalStatus.REJECTED and call.may_have_been_sent
+        now = self._services.clock()
+        self._services.open_request_ids.remove(call.request_id, now, call.deadline_s if may_have_run else now)
+
     def _write_answer(self, tag: int, final: FinalAnswer) -> None:
         fields = b""
         if final.status is FinalStatus.REJECTED and final.retry_after_s > 0:
--- a/saffronstack/upstream/multiplexed/exchange.py
+++ b/saffronstack/upstream/multiplexed/exchange.py
@@ -156,7 +156,10 @@
         call, now = self.call, self.clock()
         remaining_ms = int((self.deadline_s - now) * 1000)
         is_too_late = remaining_ms < MIN_REMAINING_MS or now >= call.latest_start_s
-        if call.is_finished or is_too_late or not super().prepare_to_send():
+        if is_too_late:
+            return False
+        call.may_have_been_sent = True
+        if call.is_finished or not super().prepare_to_send():
             return False
         self.data = codec.encode_request(
             call.request_id, call.class_name, call.function.name, remaining_ms, call.payload
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -4,6 +4,7 @@
 
 import base64
 import io
+import itertools
 import json
 import queue
 import socket
@@ -20,6 +21,7 @@
 from saffronstack.standin.platform import HostEntry, StubDnsServer
 
 WAIT_S = 10.0  # reached only if a test fails
+REQUEST_IDS = itertools.count(1 << 40)  # new with every request, as the platform requires
 DEADLINE_S = 8.0  # of each request class
 SETTINGS: dict[str, Any] = {
     "Areas": ["east", "west"],
@@ -152,7 +154,7 @@
         """Send a call and return its tag."""
         self._tags += 1
         all_fields: dict[str, Any] = {
-            "req": f"{request if request is not None else id(self) % 2**32 * 2**20 + self._tags:016x}",
+            "req": f"{request if request is not None else next(REQUEST_IDS):016x}",
             "timeout": 8000, "owner": "acme",
             "subject": f"{subject:016x}" if isinstance(subject, int) else subject,
             "facts": "memory_mb:100;lanes:1",
