An incomplete request head is scanned once, not from its start with every read

Callers beside 100 clients that sent heads byte by byte: their median rose from 7 to 23 ms, and the gateway took a whole processor.

Cause: MessageReader checked the whole buffer for bare line endings with every read, so a head cost the square of its length.

Change: only new bytes are scanned, from a CR at the end of the scanned part on.

Evidence: test_a_head_is_scanned_once_however_it_is_split failed before; the test that the result does not depend on how the input is split still passes.

--- a/saffronstack/http1/reader.py
+++ b/saffronstack/http1/reader.py
@@ -40,7 +40,7 @@
     def __init__(self, limits: MessageLimits) -> None:
         self.limits = limits
         self._buffer = bytearray()
-        self._scanned_bytes = 0
+        self._scanned_bytes = 0  # of an incomplete head: known to hold no end and no bare line ending
         self._body_state = _BodyState.NONE
         self._remaining_bytes = 0
         self._chunked_content = bytearray()
@@ -122,16 +122,20 @@
 
     def _head_block(self) -> bytes | None:
         buffer, limits = self._buffer, self.limits
-        end = buffer.find(b"\r\n\r\n", self._scanned_bytes)
-        window = buffer[: end + 4] if end >= 0 else buffer[: limits.head_bytes + 1]
-        if _has_bare_line_ending(window):
+        # Only new bytes are scanned: a head that arrives byte by byte would cost the square of its length.
+        end = buffer.find(b"\r\n\r\n", max(0, self._scanned_bytes - 3))
+        window_end = end + 4 if end >= 0 else limits.head_bytes + 1
+        start = self._scanned_bytes
+        if buffer[start - 1 : start] == b"\r":  # its LF may have arrived now
+            start -= 1
+        if _has_bare_line_ending(buffer[start:window_end]):
             raise HttpError(400, "bare CR, bare LF or NUL in the head")
         if end < 0:
             if len(buffer) > limits.head_bytes:
                 raise HttpError(431, f"head over {limits.head_bytes} bytes")
-            if len(buffer) > limits.line_bytes and b"\r\n" not in buffer[: limits.line_bytes + 2]:
+            if len(buffer) > limits.line_bytes and buffer.find(b"\r\n", 0, limits.line_bytes + 2) < 0:
                 raise HttpError(431, f"line over {limits.line_bytes} bytes")
-            self._scanned_bytes = max(0, len(buffer) - 3)
+            self._scanned_bytes = len(buffer)
             return None
         if end + 4 > limits.head_bytes:
             raise HttpError(431, f"head over {limits.head_bytes} bytes")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -227,3 +227,25 @@
 def test_a_header_value_can_not_inject_a_header() -> None:
     with pytest.raises(ValueError, match="X-A"):
         writer.response(200, [("X-A", "a\r\nX-B: c")])
+
+
+def test_a_head_is_scanned_once_however_it_is_split(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the square of the head's length for clients that write byte by byte (issue 68 a)."""
+    scanned = list[int]()
+    has_bare_line_ending = MessageReader._head_block.__globals__["_has_bare_line_ending"]
+
+    def count(window: bytes | bytearray) -> bool:
+        scanned.append(len(window))
+        return bool(has_bare_line_ending(window))
+
+    monkeypatch.setitem(MessageReader._head_block.__globals__, "_has_bare_line_ending", count)
+    head = b"GET /x HTTP/1.1\r\nHost: x\r\n" + b"".join(b"x-%d: %b\r\n" % (n, b"y" * 300) for n in range(90))
+    reader = MessageReader(MessageLimits())
+    for index in range(len(head)):
+        reader.feed(head[index : index + 1])
+        assert reader.request() is None
+    reader.feed(b"\r\n")
+    found = reader.request()
+    assert found is not None
+    assert len(found.headers.items) == 91
+    assert sum(scanned) <= 3 * len(head)
