Request bodies share a bounded memory, and small reads of one message are spaced

Operators saw a process killed: 300 clients that stopped half way through a body of 6 MB took 958 MB (40 before); connections times body size was bounded by nothing. Servers of keepers and daemons had the same gap. Heads sent byte by byte took a whole processor.

Change: a body over 16 KiB reserves its memory before it is read, 256 MiB for a process of serve and 64 MiB for servers of the fleet. Without room the body that stalled longest is given up (408), and one that finds none within 2 s is refused (429; 503 in the fleet). After eight small reads of one message the next ones are 10 ms apart.

--- a/saffronstack/fleet/http_server.py
+++ b/saffronstack/fleet/http_server.py
@@ -11,9 +11,10 @@
 import structlog
 
 from saffronstack.http1 import writer
+from saffronstack.http1.body_memory import BodyMemory, BodyMemoryFullError, BodyReservation
 from saffronstack.http1.messages import HttpError, MessageLimits, RequestHead
 from saffronstack.http1.reader import MessageReader
-from saffronstack.http1.sockets import PeerClosed, Stream, read_until
+from saffronstack.http1.sockets import PeerClosed, Stream, read_spaced
 from saffronstack.runtime.threads import start_thread
 
 log = structlog.get_logger("saffronstack.fleet")
@@ -27,6 +28,7 @@
 JOIN_TIMEOUT_S = 1.0
 DRAIN_TIMEOUT_S = 3.0  # exceeds the time that a lease server waits for its disk before it responds
 LIMITS = MessageLimits(body_bytes=4 * 1024 * 1024)
+BODY_MEMORY_BYTES = 64 * 1024 * 1024  # of all large request bodies together
 JSON_FIELDS = [("Content-Type", "application/json")]
 RequestHandler = Callable[[RequestHead, bytes], tuple[int, bytes]]
 
@@ -59,6 +61,7 @@
         self._name = name
         self._handler = handler
         self._clock = clock
+        self._body_memory = BodyMemory(BODY_MEMORY_BYTES, clock)
         self._listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self._listener.settimeout(ACCEPT_POLL_S)
         self._drain_timeout_s = drain_timeout_s
@@ -159,18 +162,32 @@
     def _serve_requests(self, stream: Stream) -> None:
         reader = MessageReader(LIMITS)
         while True:
-            if not reader.pending:
-                reader.feed(stream.receive(IDLE_TIMEOUT_S))
-            deadline_s = self._clock() + MESSAGE_TIMEOUT_S
-            head = read_until(stream, reader, reader.request, deadline_s, self._clock)
-            body = read_until(stream, reader, reader.body, deadline_s, self._clock)
-            status, content = self._handler(head, body)
-            is_last = self._stopping or not head.keep_alive
-            response = writer.response(status, JSON_FIELDS, content, close=is_last)
-            is_sent = stream.send(response, self._clock() + MESSAGE_TIMEOUT_S, self._clock)
-            if not is_sent or is_last:
+            reservation = self._body_memory.open(stream.abort)
+            try:
+                stays_open = self._serve_request(stream, reader, reservation)
+            finally:
+                reservation.release()
+            if not stays_open:
                 return
 
+    def _serve_request(self, stream: Stream, reader: MessageReader, reservation: BodyReservation) -> bool:
+        """Serve one request; return whether the connection stays open for another one."""
+        if not reader.pending:
+            reader.feed(stream.receive(IDLE_TIMEOUT_S))
+        deadline_s = self._clock() + MESSAGE_TIMEOUT_S
+        head = read_spaced(stream, reader, reader.request, deadline_s, self._clock)
+        try:
+            reservation.begin(reader.announced_body_bytes)
+            body = read_spaced(stream, reader, reader.body, deadline_s, self._clock, reservation.on_received)
+        except BodyMemoryFullError as error:
+            raise HttpError(503, "no memory for the request body") from error
+        reservation.finish_reading()
+        status, content = self._handler(head, body)
+        is_last = self._stopping or not head.keep_alive
+        response = writer.response(status, JSON_FIELDS, content, close=is_last)
+        is_sent = stream.send(response, self._clock() + MESSAGE_TIMEOUT_S, self._clock)
+        return is_sent and not is_last
+
     def _send_error_response(self, stream: Stream, error: HttpError) -> None:
         response = writer.response(error.status, JSON_FIELDS, encode_error(error.text), close=True)
         with contextlib.suppress(OSError):  # the peer closed the connection
--- a/saffronstack/gateway_components.py
+++ b/saffronstack/gateway_components.py
@@ -29,6 +29,7 @@
 from saffronstack.upstream.http.worker_context import HttpPoolLimits
 
 KIB_PER_MIB = 1024
+REQUEST_BODY_MEMORY_BYTES = 256 * 1024 * 1024  # of all large request bodies of a process
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +64,7 @@
         limits.body_timeout_s,
         limits.write_timeout_s,
         limits.idle_timeout_s,
+        max(REQUEST_BODY_MEMORY_BYTES, messages.body_bytes),
     )
 
 
--- a/saffronstack/http1/reader.py
+++ b/saffronstack/http1/reader.py
@@ -186,6 +186,13 @@
         else:
             self._body_state = _BodyState.NONE if request else _BodyState.UNTIL_CLOSE
 
+    @property
+    def announced_body_bytes(self) -> int | None:
+        """Size of the body that the latest head announced: 0 without a body, None if it is not known."""
+        if self._body_state is _BodyState.NONE:
+            return 0
+        return self._remaining_bytes if self._body_state is _BodyState.LENGTH else None
+
     # ---- bodies
 
     def body(self) -> bytes | None:
@@ -199,7 +206,8 @@
         if self._body_state is _BodyState.LENGTH:
             if len(self._buffer) < self._remaining_bytes:
                 return None
-            content = bytes(self._buffer[: self._remaining_bytes])
+            with memoryview(self._buffer) as view:
+                content = bytes(view[: self._remaining_bytes])
             del self._buffer[: self._remaining_bytes]
             self._body_state = _BodyState.NONE
             return content
--- a/saffronstack/invoke/server.py
+++ b/saffronstack/invoke/server.py
@@ -13,11 +13,13 @@
 import structlog
 
 from saffronstack.http1 import writer
+from saffronstack.http1.body_memory import BodyMemory, BodyMemoryFullError, BodyReservation
 from saffronstack.http1.messages import HttpError, MessageLimits, RequestHead
 from saffronstack.http1.reader import MessageReader
-from saffronstack.http1.sockets import PeerClosed, Stream, read_until, stop_handshakes
+from saffronstack.http1.sockets import PeerClosed, Stream, read_spaced, stop_handshakes
 from saffronstack.invoke import errors
 from saffronstack.invoke.app import App, ClientDisconnectedError, new_request_id
+from saffronstack.invoke.response import Response
 from saffronstack.runtime.threads import start_thread
 
 log = structlog.get_logger("saffronstack.front")
@@ -28,6 +30,7 @@
 # Limits on reading after the last response of a connection. Closing a socket with unread bytes resets the
 # connection, and the client can lose the response.
 LINGER_S = 0.5
+RETRY_AFTER_S = 1.0  # for requests that are rejected because a limit of the server is reached
 LINGER_BYTES = 1 << 20
 # How long a drain serves connections from the accept queue; later ones are rejected.
 ACCEPT_QUEUE_SERVE_S = 0.5
@@ -36,7 +39,7 @@
 
 
 class ServerLimits:
-    """Limits of the server. Timeouts are in seconds."""
+    """Limits of the server. Timeouts are in seconds; ``body_memory_bytes`` is for all large bodies."""
 
     def __init__(
         self,
@@ -46,6 +49,7 @@
         body_timeout_s: float,
         write_timeout_s: float,
         idle_timeout_s: float,
+        body_memory_bytes: int,
     ) -> None:
         self.message_limits = message_limits
         self.max_connections = max_connections
@@ -53,6 +57,7 @@
         self.body_timeout_s = body_timeout_s
         self.write_timeout_s = write_timeout_s
         self.idle_timeout_s = idle_timeout_s
+        self.body_memory_bytes = body_memory_bytes
 
 
 class Server:
@@ -86,6 +91,7 @@
         self._app = app
         self._limits = limits
         self._clock = clock
+        self.body_memory = BodyMemory(limits.body_memory_bytes, clock)
         if listener is None:
             listener = socket.create_server((host, port), backlog=ACCEPT_BACKLOG, reuse_port=reuse_port)
         else:
@@ -236,7 +242,7 @@
         """
         self.rejected_count += 1
         response = self._app.error_response(
-            new_request_id(), errors.too_many_requests("Too many connections.", 1.0)
+            new_request_id(), errors.too_many_requests("Too many connections.", RETRY_AFTER_S)
         )
         with contextlib.suppress(OSError):
             sock.settimeout(0.05)
@@ -266,15 +272,25 @@
 
     def _serve_request(self, stream: Stream, reader: MessageReader) -> bool:
         """Serve one request. Returns whether the connection stays open for another one."""
+        reservation = self.body_memory.open(lambda: stream.abort(socket.SHUT_RD))
+        try:
+            return self._serve_reserved(stream, reader, reservation)
+        finally:
+            reservation.release()
+
+    def _serve_reserved(self, stream: Stream, reader: MessageReader, reservation: BodyReservation) -> bool:
+        """Serve one request, whose body occupies the memory of a reservation."""
         try:
             head = self._read_head(stream, reader)
             if head is None:
                 return False
-            body = self._read_body(stream, reader, head)
+            body = self._read_body(stream, reader, head, reservation)
         except HttpError as error:
-            self._write(stream, self._app.malformed_request_response(error).encode(close=True))
-            self._linger(stream)
-            return False
+            return self._reject_request(stream, self._app.malformed_request_response(error))
+        except BodyMemoryFullError:
+            self.rejected_count += 1
+            error_kind = errors.too_many_requests("Too many large requests.", RETRY_AFTER_S)
+            return self._reject_request(stream, self._app.error_response(new_request_id(), error_kind))
         response = self._app.handle_request(head, body, stream.is_peer_open)
         close = self._draining or not head.keep_alive
         self._write(stream, response.encode(close))
@@ -295,7 +311,7 @@
             reader.feed(first_bytes)
         try:
             deadline_s = self._clock() + self._limits.head_timeout_s
-            return read_until(stream, reader, reader.request, deadline_s, self._clock)
+            return read_spaced(stream, reader, reader.request, deadline_s, self._clock)
         except TimeoutError as error:
             raise HttpError(408, f"no whole request head within {self._limits.head_timeout_s:g} s") from error
         except PeerClosed:
@@ -341,18 +357,32 @@
                 stream.close()
         return first_bytes
 
-    def _read_body(self, stream: Stream, reader: MessageReader, head: RequestHead) -> bytes:
+    def _reject_request(self, stream: Stream, response: Response) -> bool:
+        """Answer a request whose body was not read, and end the connection; returns False."""
+        self._write(stream, response.encode(close=True))
+        self._linger(stream)
+        return False
+
+    def _read_body(
+        self, stream: Stream, reader: MessageReader, head: RequestHead, reservation: BodyReservation
+    ) -> bytes:
         limit = self._app.body_limit(head)
         content_length = head.headers.get("content-length")
         if content_length and int(content_length) > limit:
             raise HttpError(413, f"{content_length} bytes payload is too large; the limit is {limit} bytes")
+        reservation.begin(reader.announced_body_bytes)
         if head.expects_continue:
             self._write(stream, writer.CONTINUE)
         try:
             deadline_s = self._clock() + self._limits.body_timeout_s
-            body = read_until(stream, reader, reader.body, deadline_s, self._clock)
+            body = read_spaced(stream, reader, reader.body, deadline_s, self._clock, reservation.on_received)
         except TimeoutError as error:
             raise HttpError(408, f"no whole request body within {self._limits.body_timeout_s:g} s") from error
+        except PeerClosed as error:
+            if not reservation.is_evicted:
+                raise
+            raise HttpError(408, "the request body stalled while others waited for its memory") from error
+        reservation.finish_reading()
         if len(body) > limit:
             raise HttpError(413, f"{len(body)} bytes payload is too large; the limit is {limit} bytes")
         return body
