serve notices a client that left behind unread requests, and before each attempt

Callers of serve: of a client that pipelined calls and closed during the first, the second was sent 0.4 s after the close; a retry could begin 0.2 s after it (0.1 s are allowed).

Cause: the front looked at the next byte to see whether a client is there, so that unread requests hid the end of the stream, and looked every 0.2 s.

--- a/saffronstack/engine/calls.py
+++ b/saffronstack/engine/calls.py
@@ -108,6 +108,7 @@
         final_answer: The final answer, once there is one.
         class_name: Name of its request class.
         latest_start_s: Monotonic time from which no byte of its present attempt may be sent any more.
+        before_send: Called on the worker's thread before an attempt; finishes the call if its client left.
         may_have_been_sent: Whether a byte of an attempt may have been sent. It is set before `is_finished` is
             read, so that nothing is sent for a call that was finished without it.
     """
@@ -128,6 +129,7 @@
     final_answer: FinalAnswer | None = None
     class_name: str = ""
     latest_start_s: float = math.inf
+    before_send: Callable[[], None] | None = None
     may_have_been_sent: bool = False
     _finish_claim: threading.Lock = field(
         default_factory=threading.Lock
--- a/saffronstack/invoke/app.py
+++ b/saffronstack/invoke/app.py
@@ -270,7 +270,10 @@
     ) -> Response:
         """Execute an invocation in this process, and record its outcome and latency."""
         call_class, record = invocation.function.config.call_class, self.call_metrics.record
-        perform = self._executor.defer if invocation_type == "Event" else self._executor.call
+        is_deferred = invocation_type == "Event"
+        perform = self._executor.defer if is_deferred else self._executor.call
+        if not is_deferred and not is_client_connected():  # it left with requests unread before this one
+            raise ClientDisconnectedError
         started_s = self._clock()
         try:
             response = perform(invocation, is_client_connected)
--- a/saffronstack/invoke/engine_calls.py
+++ b/saffronstack/invoke/engine_calls.py
@@ -69,9 +69,19 @@
             InvokeError: The call can't be started now.
         """
         call = self._create(invocation, request_id, prior, execution)
+
+        def abandon_if_client_left() -> None:
+            if (
+                not is_client_connected()
+                and has_no_waiters()
+                and (execution is None or execution.try_abandon())
+            ):
+                self._engine.disconnect(call)
+
+        call.before_send = abandon_if_client_left
         if not self._engine.submit(call):
             raise errors.too_many_requests("Too many calls are open.", 1.0)
-        return self._wait(call, is_client_connected, execution, has_no_waiters)
+        return self._wait(call, abandon_if_client_left)
 
     def _create(
         self,
@@ -107,13 +117,7 @@
             return None
         return self._operations.attempt_guard(execution)
 
-    def _wait(
-        self,
-        call: Call,
-        is_client_connected: IsClientConnected,
-        execution: Execution | None,
-        has_no_waiters: Callable[[], bool],
-    ) -> FinalAnswer:
+    def _wait(self, call: Call, abandon_if_client_left: Callable[[], None]) -> FinalAnswer:
         latest_s = call.deadline_s + self._decision_margin_s
         while True:
             final = call.wait(min(CLIENT_CHECK_INTERVAL_S, max(0.0, latest_s - self._clock())))
@@ -121,12 +125,8 @@
                 return final
             if self._clock() >= latest_s:  # the engine is stuck; the client still gets a final answer
                 call.finish(FinalAnswer(FinalStatus.FAILED, reason="the gateway did not decide in time"))
-            elif (
-                not is_client_connected()
-                and has_no_waiters()
-                and (execution is None or execution.try_abandon())
-            ):
-                self._engine.disconnect(call)
+            else:
+                abandon_if_client_left()
 
     def _admit(self, invocation: Invocation) -> int:
         """Return the index under which the router accounts for the tenant.
--- a/saffronstack/net/stream.py
+++ b/saffronstack/net/stream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -111,13 +112,13 @@
         return True
 
     def is_peer_open(self) -> bool:
-        """Return whether the peer has not closed its side, without waiting and without consuming data."""
+        """Return whether the peer has not closed its side, even if data is unread. Any thread may call it."""
+        poll = select.poll()
         try:
-            return self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
-        except BlockingIOError:
-            return True
-        except OSError:  # the connection failed
+            poll.register(self.sock, select.POLLRDHUP)
+        except ValueError:  # closed here
             return False
+        return not poll.poll(0)
 
     def is_idle(self) -> bool:
         """Return whether the connection is open and has no unread data; does not wait or consume data."""
--- a/saffronstack/upstream/http/attempt_runner.py
+++ b/saffronstack/upstream/http/attempt_runner.py
@@ -79,6 +79,8 @@
 
     def _may_send(self, job: AttemptJob) -> bool:
         """Return whether the attempt may still be sent; checked immediately before its first byte."""
+        if job.call.before_send is not None and not job.call.is_finished:
+            job.call.before_send()
         is_obsolete = self._context.is_closed or job.is_cancelled or job.call.is_finished
         return not is_obsolete and self._context.clock() < min(job.deadline_s, job.call.latest_start_s)
 
