Usage under another worker's name or kind is not acknowledged any more

Tenants were charged too little in two ways: a process that took the address of a worker that had gone had its records refused and acknowledged, and after SIGHUP with kinds in another order records were measured against another kind's memory, with the same end.

Cause: the collector judged records by the list's name and never looked at the name in the response; a reload numbered worker kinds as in the new file, the meter as at the start.

Change: a response under another worker's name is refused as a whole, without an acknowledgement or a change of incarnation; a reload numbers kinds as at the start.

--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 import structlog
 
 from saffronstack.config.build import (
@@ -234,7 +235,9 @@
         if self.file_discovery is not None:
             self.file_discovery.set_configured_workers(config.workers)
             return needs_restart
-        specs = build_configured_workers(config, self._localities)
+        # Worker kinds are numbered as in the configuration that the router and the meter started with.
+        workers_config = msgspec.structs.replace(self.config, workers=config.workers)
+        specs = build_configured_workers(workers_config, self._localities)
         self.dispatcher.replace_workers(specs)
         if self.meter is not None:
             self.meter.update_workers(list(specs))
--- a/saffronstack/metering/record_collector.py
+++ b/saffronstack/metering/record_collector.py
@@ -103,6 +103,11 @@
         except (msgspec.MsgspecError, ValueError) as error:
             self._reject(worker.name, f"not readable: {error}")
             return None
+        if response.worker != worker.name:
+            # Another process took the address. Its records are not acknowledged, so that it keeps them until
+            # it is polled under its own name.
+            self._reject(worker.name, f"worker {response.worker} responded at its address")
+            return None
         self._update_incarnation(worker.name, response)
         accepted = self._accept_records(worker, response)
         self.accepted += len(accepted)
