Of the request bodies that wait for memory the one that needs least comes first

A sound call of 1 MB was refused (429) in one run of two of its test beside twelve clients that stop half way through 6 MB: each time a stalled body was given up, waiting bodies of the same kind took all of its space.

Evidence: tests/test_body_memory.py passed in four runs of four.

--- a/saffronstack/http1/body_memory.py
+++ b/saffronstack/http1/body_memory.py
@@ -15,6 +15,7 @@
 MIN_PROGRESS_BYTES = 64 * 1024  # a body that receives fewer bytes within `STALL_S` has stalled
 STALL_S = 1.0
 RESERVE_TIMEOUT_S = 2 * STALL_S  # how long a body waits for space, so that one that stalls now is evicted
+MIN_WAIT_S = 0.05  # between two looks for stalled bodies; a release ends the wait at once
 
 
 class BodyMemoryFullError(Exception):
@@ -79,6 +80,7 @@
         self._capacity_bytes = capacity_bytes
         self._condition = threading.Condition()  # guards all fields
         self._reading: set[BodyReservation] = set()
+        self._waiting_bytes: list[int] = []  # what each waiting body needs
 
     def open(self, evict: Callable[[], None]) -> BodyReservation:
         """Return a reservation of nothing.
@@ -89,22 +91,35 @@
         return BodyReservation(self, evict)
 
     def grow(self, reservation: BodyReservation, size_bytes: int) -> None:
-        """Raise a reservation to a size, or to all there is; see `BodyReservation.begin`."""
+        """Raise a reservation to a size, or to all there is; see `BodyReservation.begin`.
+
+        Of the bodies that wait, the one that needs least comes first: large ones that stall again and again
+        would keep it out.
+        """
         size_bytes = min(size_bytes, self._capacity_bytes)
-        deadline_s = self.clock() + RESERVE_TIMEOUT_S
         with self._condition:
-            while (missing := size_bytes - reservation.reserved_bytes) > self._free_bytes():
-                self._evict_stalled(missing - self._free_bytes(), reservation)
-                remaining_s = deadline_s - self.clock()
-                if reservation.is_evicted or remaining_s <= 0:
-                    raise BodyMemoryFullError
-                self._condition.wait(min(remaining_s, self._until_next_stall_s()))
+            missing = size_bytes - reservation.reserved_bytes
+            self._waiting_bytes.append(missing)
+            try:
+                self._wait_for_space(missing, reservation)
+            finally:
+                self._waiting_bytes.remove(missing)
+                self._condition.notify_all()
             reservation.reserved_bytes += missing
             self.reserved_bytes += missing
             if reservation not in self._reading:
                 reservation.progressed_s = self.clock()
                 self._reading.add(reservation)
 
+    def _wait_for_space(self, missing: int, reservation: BodyReservation) -> None:
+        deadline_s = self.clock() + RESERVE_TIMEOUT_S
+        while missing > self._free_bytes() or missing > min(self._waiting_bytes):
+            self._evict_stalled(missing - self._free_bytes(), reservation)
+            remaining_s = deadline_s - self.clock()
+            if reservation.is_evicted or remaining_s <= 0:
+                raise BodyMemoryFullError
+            self._condition.wait(min(remaining_s, self._until_next_stall_s()))
+
     def finish_reading(self, reservation: BodyReservation) -> None:
         """See `BodyReservation.finish_reading`."""
         with self._condition:
@@ -138,4 +153,4 @@
     def _until_next_stall_s(self) -> float:
         """Return the seconds until a body can be evicted; bytes that arrive meanwhile delay that."""
         progressed_s = [body.progressed_s for body in self._reading if not body.is_evicted]
-        return max(0.01, min(progressed_s, default=self.clock()) + STALL_S - self.clock())
+        return max(MIN_WAIT_S, min(progressed_s, default=self.clock()) + STALL_S - self.clock())
