The platform's listening socket has a module of its own

The socket, whether the event loop polls it, its pause and the look into the accept queue move to platform/client_listener.py; the module is compiled with the others. No behaviour changes; tests that reached into the frontend's private attributes name the new ones, and assert what they did.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -28,8 +28,9 @@
 engine/action_executor engine/call_finisher engine/calls engine/decision_loop engine/dispatch engine/engine
 engine/engine_state engine/messages engine/open_calls engine/recent_functions engine/timers
 engine/worker_registry resp/reader resp/frames
-platform/calls platform/client_admission platform/connection platform/eviction platform/front
-platform/identifiers platform/idle_order platform/read_pacing platform/used_tags
+platform/calls platform/client_admission platform/client_listener platform/connection
+platform/eviction platform/front platform/identifiers platform/idle_order platform/read_pacing
+platform/used_tags
 upstream/deadlines upstream/events upstream/pool_registry upstream/multiplexed/exchange
 upstream/multiplexed/in_flight upstream/multiplexed/line_reader upstream/multiplexed/connection
 upstream/multiplexed/connection_budget upstream/multiplexed/connection_pool upstream/multiplexed/dispatcher
--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -20,6 +20,7 @@
 from saffronstack.net.write_buffer import WriteLoop
 from saffronstack.platform.calls import CallBuilder
 from saffronstack.platform.client_admission import AdmissionOutcome, ClientAdmission
+from saffronstack.platform.client_listener import BACKLOG, ClientListener
 from saffronstack.platform.connection import ClientConnection, FrontendLimits, SharedServices, State
 from saffronstack.platform.drain_admission import DrainAdmission
 from saffronstack.platform.identifiers import OpenRequestIds
@@ -33,7 +34,6 @@
 from saffronstack.runtime.threads import start_thread
 
 CLIENTS_THREAD = "clients"  # name of the thread that reads all client connections
-BACKLOG = 512  # length of the accept queue
 MAX_ACCEPTS_PER_PASS = 64  # accepted connections per event loop pass, so that others are read in between
 MAX_AT_LIMIT_ACCEPTS_PER_PASS = 16  # accepted per pass while the connection limit is reached
 READ_BYTES = 16 * 1024
@@ -114,25 +114,16 @@
         self._last_received_s = clock()
         self._drained = threading.Event()
         self._closed = threading.Event()
-        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(address)
-        self._listener.listen(BACKLOG)
-        self._listener.setblocking(False)
-        self._accept_queue_poll = select.poll()  # tells whether the accept queue has a connection
-        self._accept_queue_poll.register(self._listener, select.POLLIN)
-        self._listening = False  # whether the event loop polls the listener
-        self._resume_listening_s = 0.0  # clock time at which a paused listener is polled again
-        self._wake_event = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._poll = select.epoll()
+        self._listener = ClientListener(address, self._poll)
+        self._wake_event = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._buffer = bytearray(READ_BYTES)
         self._view = memoryview(self._buffer)
 
     @property
     def address(self) -> tuple[str, int]:
         """The address of the listener."""
-        host, port = self._listener.getsockname()
-        return str(host), int(port)
+        return self._listener.address
 
     @property
     def connections(self) -> int:
@@ -189,7 +180,7 @@
 
     def _run(self) -> None:
         self._poll.register(self._wake_event, select.EPOLLIN)
-        self._poll_listener(True)
+        self._listener.enable()
         ticked_s = self.clock()
         try:
             while True:
@@ -205,7 +196,8 @@
                     self._on_event(descriptor, mask)
                 now = self.clock()
                 self._resume_reading(now)
-                self._resume_listening(now)
+                if self._shutdown.phase in ACCEPTING_PHASES:
+                    self._listener.resume_if_due(now)
                 if now - ticked_s >= tick_s:
                     ticked_s = now
                     self._tick(now)
@@ -222,14 +214,9 @@
     def _poll_timeout_s(self, now: float, tick_s: float) -> float:
         """Return how long the event loop may wait for events."""
         tick_s = self._paused.remaining_s(now, tick_s)
-        if self._listening or self._shutdown.phase not in ACCEPTING_PHASES:
+        if self._listener.is_polled or self._shutdown.phase not in ACCEPTING_PHASES:
             return tick_s
-        return max(0.0, min(tick_s, self._resume_listening_s - now))
-
-    def _resume_listening(self, now: float) -> None:
-        """Poll a paused listener again once its pause is over."""
-        if now >= self._resume_listening_s and self._shutdown.phase in ACCEPTING_PHASES:
-            self._poll_listener(True)
+        return min(tick_s, self._listener.remaining_pause_s(now))
 
     def _on_event(self, descriptor: int, mask: int = select.EPOLLIN) -> None:
         """Handle one ready descriptor. An exception closes only its connection."""
@@ -245,7 +232,7 @@
             elif descriptor == self._wake_event:
                 with contextlib.suppress(BlockingIOError):
                     os.eventfd_read(self._wake_event)
-            elif self._listening and descriptor == self._listener.fileno():
+            elif self._listener.is_polled and descriptor == self._listener.fileno():
                 self._accept(now, MAX_ACCEPTS_PER_PASS)
         except Exception:  # noqa: BLE001 - an exception closes only its own connection
             self._log.exception("client event handler failed")
@@ -306,14 +293,6 @@
                 self._log.exception("client event handler failed")
                 self._discard(descriptor)
 
-    def _poll_listener(self, enabled: bool) -> None:
-        """Poll the listener, or leave new connections in the accept queue."""
-        if enabled and not self._listening:
-            self._poll.register(self._listener, select.EPOLLIN)
-        elif self._listening and not enabled:
-            self._poll.unregister(self._listener)
-        self._listening = enabled
-
     def _accept(self, now: float, max_accepted: int) -> int:
         """Accept up to ``max_accepted`` connections; return how many were handled."""
         at_limit_accepts = 0
@@ -330,7 +309,7 @@
                 at_limit_accepts += 1
             may_have_waited = is_at_limit or self._client_admission.has_waiting_client()
             try:
-                sock, _ = self._listener.accept()
+                sock, _ = self._listener.sock.accept()
             except BlockingIOError:
                 self._client_admission.note_accept_queue_empty()
                 return accepted
@@ -368,7 +347,7 @@
 
     def _accept_queue_is_empty(self) -> bool:
         """Return whether no client waits to be accepted; if so, reset the recorded waiting time."""
-        if self._accept_queue_poll.poll(0):
+        if self._listener.has_waiting_client():
             return False
         self._client_admission.note_accept_queue_empty()
         return True
@@ -394,7 +373,7 @@
         if decision.victim is not None:
             self._evict(decision.victim)
         if decision.outcome is AdmissionOutcome.WAIT:
-            self._pause_listening(decision.recheck_s)
+            self._listener.pause(decision.recheck_s)
         return decision.outcome
 
     def _free_descriptor(self, now: float) -> None:
@@ -402,11 +381,7 @@
         victim = self._client_admission.next_victim_for_descriptor(now)
         if victim is not None:
             self._evict(victim)
-        self._pause_listening(now + NO_DESCRIPTOR_PAUSE_S)
-
-    def _pause_listening(self, until_s: float) -> None:
-        self._poll_listener(False)
-        self._resume_listening_s = until_s
+        self._listener.pause(now + NO_DESCRIPTOR_PAUSE_S)
 
     def _add(self, sock: socket.socket, now: float, over_limit: bool) -> None:
         sock.setblocking(False)
@@ -435,7 +410,7 @@
         self._connections.pop(descriptor, None)
         self._paused.remove(descriptor)
         self._client_admission.remove(connection)
-        self._resume_listening_s = 0.0  # there may be capacity now
+        self._listener.end_pause()  # there may be capacity now
         with contextlib.suppress(OSError, ValueError):
             self._poll.unregister(descriptor)
         connection.close()
@@ -474,7 +449,7 @@
         self.limits = replace(self.limits, max_connections=len(self._connections) + BACKLOG + 1)
         while self._accept(now, MAX_ACCEPTS_PER_PASS) == MAX_ACCEPTS_PER_PASS:
             pass
-        self._poll_listener(False)
+        self._listener.disable()
         self._listener.close()
         self._read_all_pending()
 
@@ -490,8 +465,7 @@
             if connection.has_input():
                 self._on_event(descriptor)
             self._discard(descriptor)
-        with contextlib.suppress(OSError):
-            self._listener.close()
+        self._listener.close()
         self._poll.close()
         wake, self._wake_event = self._wake_event, -1
         os.close(wake)
--- a/tests/platform/test_client_crowd.py
+++ b/tests/platform/test_client_crowd.py
@@ -79,7 +79,9 @@
         client = Client(frontend.address)
         self._kept.append(client)
         eventually(
-            lambda: (frontend.evicted, frontend.over_limit_accepted) != before or not frontend._listening
+            lambda: (
+                (frontend.evicted, frontend.over_limit_accepted) != before or not frontend._listener.is_polled
+            )
         )
         return client
 
@@ -136,7 +138,7 @@
     before = frontend.connections
     population._kept += [Client(frontend.address) for _ in range(2)]
     connected.set()
-    eventually(lambda: frontend.connections > before + 1 or not frontend._listening)
+    eventually(lambda: frontend.connections > before + 1 or not frontend._listener.is_polled)
 
 
 def check(client: Client) -> bool:
@@ -175,7 +177,7 @@
     lost = population.send_checks()
     for _ in range(NEW_CLIENTS):
         new_client = population.connect_another()
-        assert not population.service.frontend._listening, (
+        assert not population.service.frontend._listener.is_polled, (
             "the client waits, even if earlier ones waited long"
         )
         lost += population.send_checks()
@@ -280,7 +282,7 @@
     """
     assert count_answered(population.clients) == len(population.clients)
     delayed_client = population.connect_another()
-    assert not population.service.frontend._listening
+    assert not population.service.frontend._listener.is_polled
     leaving, staying = population.clients[:2], population.clients[2:]
     for client in leaving:
         client.sock.close()
@@ -289,7 +291,7 @@
     population.clock.now += 30.0
     assert count_answered([*staying, delayed_client]) == len(staying) + 1
     connect_two_at_once(population)
-    assert not population.service.frontend._listening, (
+    assert not population.service.frontend._listener.is_polled, (
         "the second client waits until a connection is idle long enough"
     )
     assert (population.service.frontend.evicted, population.service.frontend.over_limit_accepted) == (0, 0)
@@ -303,17 +305,17 @@
     population.clients.pop().sock.close()
     population.clients.pop().sock.close()
     eventually(lambda: frontend.connections == len(population.clients))
-    listener = frontend._listener
-    frontend._listener = ListenerWithoutDescriptors(listener)  # type: ignore[assignment]
+    listener = frontend._listener.sock
+    frontend._listener.sock = ListenerWithoutDescriptors(listener)  # type: ignore[assignment]
     population.clients.append(Client(frontend.address))
-    eventually(lambda: not frontend._listening)
+    eventually(lambda: not frontend._listener.is_polled)
     population.clock.now += 1.0
     assert count_answered(population.clients) == len(population.clients)
-    frontend._listener = listener
+    frontend._listener.sock = listener
     population.clock.now += 30.0
     assert count_answered(population.clients) == len(population.clients)
     connect_two_at_once(population)
-    assert not frontend._listening, "the second client waits until a connection is idle long enough"
+    assert not frontend._listener.is_polled, "the second client waits until a connection is idle long enough"
     assert (frontend.evicted, frontend.over_limit_accepted) == (0, 0)
 
 
--- a/tests/platform/test_queue_deadline.py
+++ b/tests/platform/test_queue_deadline.py
@@ -90,7 +90,7 @@
     with gateway(StubDnsServer(HostEntry("s-1", host.address)), sockets=SOCKETS) as service:
         frontend = service.frontend
         clients = fill_connections(service)
-        listener = frontend._listener
+        listener = frontend._listener.sock
 
         class ListenerWithoutDescriptors:
             def accept(self) -> Any:
@@ -101,10 +101,10 @@
 
         def accept_nobody() -> None:
             threading.Event().wait(QUEUED_S)
-            frontend._listener = ListenerWithoutDescriptors()  # type: ignore[assignment]
+            frontend._listener.sock = ListenerWithoutDescriptors()  # type: ignore[assignment]
             frontend.limits = replace(frontend.limits, max_connections=len(clients) + 1)
             assert frontend._accept(frontend.clock(), 1) == 0
-            frontend._listener = listener
+            frontend._listener.sock = listener
 
         PausedThread(service, monkeypatch).run(accept_nobody)
         assert [client.call_and_read()[0] for client in clients] == ["OK"] * len(clients)
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -146,7 +146,7 @@
         eventually(lambda: service.frontend.open_calls == len(clients))
         new_client = Client(service.frontend.address)
         new_client.call(subject=99)
-        eventually(lambda: not service.frontend._listening)
+        eventually(lambda: not service.frontend._listener.is_polled)
         blocked_host.release.set()
         assert new_client.read()[1] == "OK"
 
@@ -158,7 +158,7 @@
         working = Client(service.frontend.address)
         assert working.call_and_read()[0] == "OK"
         accept_errors = iter([OSError(errno.EMFILE, "Too many open files")] * 10)
-        listener = service.frontend._listener
+        listener = service.frontend._listener.sock
 
         class ListenerWithoutDescriptors:
             def accept(self) -> Any:
@@ -169,7 +169,7 @@
             def __getattr__(self, name: str) -> Any:
                 return getattr(listener, name)
 
-        service.frontend._listener = ListenerWithoutDescriptors()  # type: ignore[assignment]
+        service.frontend._listener.sock = ListenerWithoutDescriptors()  # type: ignore[assignment]
         tag = working.call()
         new_client = Client(service.frontend.address)
         assert new_client.call_and_read(subject=2)[0] == "OK"
