--- a/saffronstack/platform/front.py
+++ b/saffronstack/platform/front.py
@@ -273,7 +273,12 @@
             connection = self._connections.get(descriptor)
             if connection is None:
                 continue
-            self._poll.modify(descriptor, EPOLL_READABLE)
+            try:
+                self._poll.modify(descriptor, EPOLL_READABLE)
+            except OSError as error:
+                self._warn("client connection could not be read again", now, error=str(error))
+                self._close(connection)
+                continue
             if connection.has_backlog:
                 self._on_event(descriptor)
 
