--- a/saffronstack/config/build.py
+++ b/saffronstack/config/build.py
@@ -12,6 +12,7 @@
 from saffronstack.config.schema import Config, Function, Worker
 from saffronstack.engine.calls import FunctionSpec
 from saffronstack.engine.identifiers import function_number, worker_number
+from saffronstack.engine.localities import LocalityNumbers
 from saffronstack.engine.worker_registry import WorkerSpec
 from saffronstack.metering.budgets import Budget
 from saffronstack.routing.settings import (
@@ -48,7 +49,7 @@
         ),
         gateway_count=config.instances,
         gateway_index=config.self_index,
-        zone=_number_localities(config, "zone")[config.zone],
+        zone=number_localities(config).zones.number_of(config.zone),
         tenants=_tenant_settings(config),
         over_quota_weight=config.over_share_worth,
         memory_mb_by_worker_kind=tuple(kind.memory_mb for kind in config.kinds),
@@ -112,19 +113,18 @@
     }
 
 
-def _number_localities(config: Config, attribute: str) -> dict[str, int]:
-    """Number zone or cell names in sorted order, so that a reload assigns the same numbers."""
-    names = {getattr(worker, attribute) for worker in config.workers}
-    if attribute == "zone":
-        names.add(config.zone)
-    return {name: index for index, name in enumerate(sorted(names))}
+def number_localities(config: Config) -> LocalityNumbers:
+    """Number the configured zones and cells in sorted order, so that a reload assigns the same numbers."""
+    zones = {worker.zone for worker in config.workers} | {config.zone}
+    cells = {worker.cell for worker in config.workers}
+    return LocalityNumbers(sorted(zones), sorted(cells))
 
 
 def build_configured_workers(
     config: Config, numbers: LocalityNumbers | None = None
 ) -> tuple[WorkerSpec, ...]:
     """Build specs of the configured workers; ``numbers`` keeps zone and cell numbers across reloads."""
-    return build_worker_specs(config.workers, config, numbers or LocalityNumbers(config))
+    return build_worker_specs(config.workers, config, numbers or number_localities(config))
 
 
 def build_worker_specs(
@@ -144,30 +144,14 @@
                 worker.state == "draining",
                 worker.size,
                 kinds[worker.kind],
-                numbers.zone(worker.zone),
-                numbers.cell(worker.cell),
+                numbers.zones.number_of(worker.zone),
+                numbers.cells.number_of(worker.cell),
                 worker.started_at,
             )
         )
     return tuple(specs)
 
 
-class LocalityNumbers:
-    """Assigns numbers to zones and cells; a number never changes while the process runs."""
-
-    def __init__(self, config: Config) -> None:
-        self._zones = _number_localities(config, "zone")
-        self._cells = _number_localities(config, "cell")
-
-    def zone(self, name: str) -> int:
-        """Return a zone's number, assigning the next one to a new name."""
-        return self._zones.setdefault(name, len(self._zones))
-
-    def cell(self, name: str) -> int:
-        """Return a cell's number, assigning the next one to a new name."""
-        return self._cells.setdefault(name, len(self._cells))
-
-
 @dataclass(frozen=True, slots=True)
 class ConfiguredFunction:
     """A function that clients may invoke, with its configuration."""
--- a/saffronstack/deferred/attempt_log.py
+++ b/saffronstack/deferred/attempt_log.py
@@ -2,34 +2,65 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from saffronstack.deferred.ledger import Ledger
-from saffronstack.deferred.records import AttemptStarted
-from saffronstack.deferred.steady_clock import SteadyClock
+from saffronstack.deferred.records import AttemptStarted, AttemptsVoided, LedgerRecord
 from saffronstack.deferred.tracked_call import TrackedCall
+from saffronstack.engine.possible_execution import (
+    ExecutionConverter,
+    PossibleExecution,
+    keep_first_by_location,
+)
+from saffronstack.routing.events import PriorAttempt
 
 
 class AttemptLog:
-    """Records attempts of calls that are not idempotent in the ledger; used on workers' threads."""
+    """Keeps in the ledger which attempts of a call that is not idempotent may have been executed."""
 
-    def __init__(self, ledger: Ledger, clock: SteadyClock, commit_timeout_s: float) -> None:
-        """Wait at most ``commit_timeout_s`` for each commit."""
+    def __init__(self, ledger: Ledger, converter: ExecutionConverter, commit_timeout_s: float) -> None:
+        """Wait at most ``commit_timeout_s`` for each commit of an attempt."""
         self._ledger = ledger
-        self._clock = clock
+        self._converter = converter
         self._commit_timeout_s = commit_timeout_s
 
-    def store(self, call: TrackedCall, worker_id: int) -> bool:
-        """Record an attempt; return whether the record is durable. Otherwise the attempt must not be sent."""
+    def store(self, call: TrackedCall, attempts: Sequence[PriorAttempt]) -> bool:
+        """Record an attempt; return whether the record is durable. Otherwise the attempt must not be sent.
+
+        The same commit voids those stored earlier that certainly were not executed. Called on the worker's
+        thread.
+
+        Args:
+            call: The call.
+            attempts: See `AttemptGuard.may_send`.
+        """
         if self._ledger.stalled_s > 0:
             return False
-        ticket = self._ledger.append(AttemptStarted(call.accepted.request_id, worker_id, self._clock.now()))
+        *earlier, started = self._converter.to_stored(attempts)
+        ticket = self._ledger.append(*_replace_attempts(call, (*keep_first_by_location(earlier), started)))
         call.has_stored_attempt = True
         if not ticket.done.wait(self._commit_timeout_s):
             ticket.revoke()
             return False
         return ticket.is_durable
 
+    def store_ended(self, call: TrackedCall, executions: Sequence[PossibleExecution]) -> None:
+        """Record which attempts may have been executed, after the engine ended the call; do not wait.
+
+        Until the record is durable, attempts that were not executed count as possibly executed. Called on the
+        dispatcher thread.
+        """
+        if call.has_stored_attempt:
+            self._ledger.append(*_replace_attempts(call, executions))
+            call.has_stored_attempt = bool(executions)
+
+
+def _replace_attempts(call: TrackedCall, executions: Sequence[PossibleExecution]) -> list[LedgerRecord]:
+    """Return the records that leave a call with these attempts alone; they belong in one commit."""
+    request_id = call.accepted.request_id
+    started = [AttemptStarted.from_execution(request_id, execution) for execution in executions]
+    return [AttemptsVoided(request_id), *started] if call.has_stored_attempt else [*started]
+
 
 class AttemptLogGuard:
     """Allows an attempt of one call once its record is durable (`saffronstack.engine.calls.AttemptGuard`)."""
@@ -39,9 +70,9 @@
         self._attempt_log = attempt_log
         self._call = call
 
-    def may_send(self, attempt: int, worker_id: int) -> bool:
+    def may_send(self, attempts: Sequence[PriorAttempt]) -> bool:
         """Store the attempt; return whether it may be sent."""
-        return self._attempt_log.store(self._call, worker_id)
+        return self._attempt_log.store(self._call, attempts)
 
 
 class OwnershipGuard:
@@ -54,6 +85,6 @@
         """``owns_ledger`` returns whether this process still owns its ledger; it is called on any thread."""
         self._owns_ledger = owns_ledger
 
-    def may_send(self, attempt: int, worker_id: int) -> bool:
+    def may_send(self, attempts: Sequence[PriorAttempt]) -> bool:
         """Return whether the attempt may be sent."""
         return self._owns_ledger()
--- a/saffronstack/deferred/call_submitter.py
+++ b/saffronstack/deferred/call_submitter.py
@@ -11,8 +11,8 @@
 from saffronstack.deferred.steady_clock import SteadyClock
 from saffronstack.deferred.tracked_call import TrackedCall
 from saffronstack.engine.calls import Call, FinalAnswer, FinalStatus
+from saffronstack.engine.possible_execution import ExecutionConverter
 from saffronstack.metering.budgets import Admission, BudgetEnforcer
-from saffronstack.routing.events import PriorAttempt
 from saffronstack.routing.settings import Idempotency
 
 ENGINE_FULL_RETRY_AFTER_S = 0.5
@@ -39,6 +39,7 @@
         engine: CallEngine,
         attempt_log: AttemptLog,
         clock: SteadyClock,
+        converter: ExecutionConverter,
         budgets: BudgetEnforcer | None,
         owns_ledger: Callable[[], bool] | None,
     ) -> None:
@@ -47,6 +48,7 @@
         self._engine = engine
         self._attempt_log = attempt_log
         self._clock = clock
+        self._converter = converter
         self._budgets = budgets
         self._tenant_indexes = {tenant.name: index for index, tenant in enumerate(config.tenants)}
         self._over_budget_tenant_index = len(self._tenant_indexes)  # index of the settings for such calls
@@ -56,7 +58,7 @@
 
         A call that may have been executed is always admitted, so that no budget delays its final record.
         """
-        if self._budgets is None or call.state.possible_execution is not None:
+        if self._budgets is None or call.state.possible_executions:
             return Admission(True)
         accepted = call.accepted
         return self._budgets.admit(accepted.tenant, accepted.function, self._clock.monotonic_now())
@@ -86,7 +88,7 @@
                 FinalAnswer(
                     FinalStatus.REJECTED,
                     retry_after_s=ENGINE_FULL_RETRY_AFTER_S,
-                    prior_attempt=engine_call.prior_attempt,
+                    prior_attempts=engine_call.prior_attempts,
                 )
             )
 
@@ -109,14 +111,8 @@
             accepted.tenant,
             accepted.idempotency_key,
             accepted.client_context,
-            prior_attempt=self._prior_attempt(call),
+            prior_attempts=self._converter.to_prior(call.state.possible_executions),
             guard=self._ownership_guard if is_idempotent else AttemptLogGuard(self._attempt_log, call),
             on_final_answer=lambda _, answer: on_final_answer(call, answer),
             class_name=function_policy.configured_function.config.call_class,
         )
-
-    def _prior_attempt(self, call: TrackedCall) -> PriorAttempt | None:
-        execution = call.state.possible_execution
-        if execution is None:
-            return None
-        return PriorAttempt(execution.worker_id, self._clock.to_monotonic(execution.sent_at))
--- a/saffronstack/deferred/call_table.py
+++ b/saffronstack/deferred/call_table.py
@@ -16,6 +16,7 @@
     LedgerRecord,
     SnapshotStart,
 )
+from saffronstack.engine.possible_execution import UNKNOWN_EXECUTION
 
 MAX_OPERATIONS = 1_000_000  # the oldest operations beyond this number are removed
 OPEN_CALL_OVERHEAD_BYTES = 512  # estimated size of an open call without its payload
@@ -76,10 +77,11 @@
     def mark_records_lost(self) -> None:
         """Mark every open call as possibly executed by an unknown worker.
 
-        The time of that attempt is 0, so that its deduplication window counts as over.
+        No deduplication window covers that attempt, and no zone or cell is known to drop its repeats.
         """
         for call in self.open.values():
-            call.attempts.insert(0, AttemptStarted(call.accepted.request_id, 0, 0.0))
+            lost = AttemptStarted.from_execution(call.accepted.request_id, UNKNOWN_EXECUTION)
+            call.attempts.insert(0, lost)
 
     def estimate_snapshot_bytes(self) -> int:
         """Return the approximate size of a snapshot in bytes."""
--- a/saffronstack/deferred/deferred_calls.py
+++ b/saffronstack/deferred/deferred_calls.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from saffronstack.config.build import Functions
+from saffronstack.config.build import Functions, number_localities
 from saffronstack.config.schema import Config
 from saffronstack.deferred.attempt_log import AttemptLog
 from saffronstack.deferred.call_acceptor import CallAcceptor, Submission
@@ -20,6 +20,8 @@
 from saffronstack.deferred.ledger import Ledger
 from saffronstack.deferred.steady_clock import SteadyClock
 from saffronstack.deferred.tracked_call import track_accepted, track_recovered
+from saffronstack.engine.localities import LocalityNumbers
+from saffronstack.engine.possible_execution import ExecutionConverter
 from saffronstack.metering.budgets import BudgetEnforcer
 
 SHUTDOWN_RETRY_AFTER_S = 1.0
@@ -60,6 +62,7 @@
         wall_clock: Callable[[], float],
         budgets: BudgetEnforcer | None = None,
         owns_ledger: Callable[[], bool] | None = None,
+        localities: LocalityNumbers | None = None,
     ) -> None:
         """Prepare the service; nothing runs before `start`.
 
@@ -73,16 +76,22 @@
             budgets: Checked before each attempt; a call waits while its tenant is over the hard limit.
             owns_ledger: Checked before each attempt, on any thread; None if no other process can take over
                 the ledger.
+            localities: Numbers of the workers' zones and cells; by default those of the configuration.
         """
         assert config.ledger is not None
         self._ledger = ledger
         self._clock = SteadyClock(clock, wall_clock)
         self._acceptor = CallAcceptor(ledger, config.ledger, self._clock)
-        attempt_log = AttemptLog(ledger, self._clock, config.ledger.commit_timeout_s)
+        converter = ExecutionConverter(
+            localities or number_localities(config), self._clock.to_unix, self._clock.to_monotonic
+        )
+        attempt_log = AttemptLog(ledger, converter, config.ledger.commit_timeout_s)
         self._dispatcher = CallDispatcher(
             ledger,
             FunctionPolicies(config, functions),
-            CallSubmitter(config, engine, attempt_log, self._clock, budgets, owns_ledger),
+            CallSubmitter(config, engine, attempt_log, self._clock, converter, budgets, owns_ledger),
+            attempt_log,
+            converter,
             FinalRecordWriter(config, ledger, functions),
             self._clock,
             config.ledger.in_flight,
--- a/saffronstack/deferred/dispatcher.py
+++ b/saffronstack/deferred/dispatcher.py
@@ -9,17 +9,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from saffronstack.deferred.attempt_log import AttemptLog
 from saffronstack.deferred.call_submitter import CallSubmitter
 from saffronstack.deferred.final_record_writer import FinalRecordWriter
 from saffronstack.deferred.function_policies import FunctionPolicies, FunctionPolicy
 from saffronstack.deferred.ledger import Ledger
-from saffronstack.deferred.records import AttemptsVoided
 from saffronstack.deferred.retry_policy import (
     AttemptResult,
     Backoff,
     Condition,
     Finish,
-    PossibleExecution,
     RetryPolicy,
     StartAttempt,
     decide_after_attempt,
@@ -28,6 +27,12 @@
 from saffronstack.deferred.steady_clock import SteadyClock
 from saffronstack.deferred.tracked_call import FinalOutcome, TrackedCall, track_accepted
 from saffronstack.engine.calls import FinalAnswer, FinalStatus
+from saffronstack.engine.possible_execution import (
+    UNKNOWN_EXECUTION,
+    ExecutionConverter,
+    PossibleExecution,
+    keep_first_by_location,
+)
 from saffronstack.engine.timers import Timers
 from saffronstack.runtime.threads import start_thread
 
@@ -37,7 +42,6 @@
 FIRST_COMMIT_CHECK_S = 0.01  # time from the append of a final record to the first check of its commit
 COMMIT_CHECK_S = 0.02  # time between later checks
 FAILED_COMMIT_CHECK_S = 0.5  # replaces FIRST_COMMIT_CHECK_S while the ledger's commits fail
-UNKNOWN_WORKER_ID = 0
 NOT_CONFIGURED = "its function is not in the configuration"
 REASON_BY_CONDITION = {
     Condition.SUCCESS: "",
@@ -72,6 +76,8 @@
         ledger: Ledger,
         policies: FunctionPolicies,
         submitter: CallSubmitter,
+        attempt_log: AttemptLog,
+        converter: ExecutionConverter,
         final_records: FinalRecordWriter,
         clock: SteadyClock,
         max_in_flight: int,
@@ -81,6 +87,8 @@
         self._ledger = ledger
         self._policies = policies
         self._submitter = submitter
+        self._attempt_log = attempt_log
+        self._converter = converter
         self._final_records = final_records
         self._clock = clock
         self._max_in_flight = max_in_flight
@@ -208,40 +216,37 @@
         call.is_running = False
         self._in_flight -= 1
         call.attempts += answer.attempts
-        execution = self._find_possible_execution(call, answer)
+        executions = self._find_possible_executions(call, answer)
+        if answer.status is not FinalStatus.SERVED:
+            self._attempt_log.store_ended(call, executions)
         function_policy = self._policies.find(call.accepted.function)
         if function_policy is None:
             self._timers.add(0.0, call)
             return
-        self._retry_or_finish(call, function_policy.retry_policy, answer, execution)
+        self._retry_or_finish(call, function_policy.retry_policy, answer, executions)
 
-    def _find_possible_execution(self, call: TrackedCall, answer: FinalAnswer) -> PossibleExecution | None:
-        """Return the first attempt that may have been executed, as of the call's latest answer."""
-        execution = call.state.possible_execution
+    def _find_possible_executions(
+        self, call: TrackedCall, answer: FinalAnswer
+    ) -> tuple[PossibleExecution, ...]:
+        """Return the attempts that may have been executed, as of the call's latest answer."""
+        earlier = call.state.possible_executions
         if answer.status is FinalStatus.SERVED:
-            return execution  # the response ends the uncertainty about earlier attempts
-        if answer.prior_attempt is not None:
-            prior = answer.prior_attempt
-            return PossibleExecution(prior.worker_id, self._clock.to_unix(prior.sent_s))
-        if execution is not None:
-            return execution
-        if answer.status is FinalStatus.FAILED:  # no execution was observed, but none can be ruled out
-            return PossibleExecution(UNKNOWN_WORKER_ID, self._clock.now())
-        if call.has_stored_attempt:
-            call.has_stored_attempt = False
-            self._ledger.append(AttemptsVoided(call.accepted.request_id))
-        return None
+            return earlier  # the response ends the uncertainty about earlier attempts
+        executions = (*earlier, *self._converter.to_stored(answer.prior_attempts))
+        if answer.status is FinalStatus.FAILED and not executions:
+            return (UNKNOWN_EXECUTION,)  # no execution was observed, but none can be ruled out
+        return keep_first_by_location(executions)
 
     def _retry_or_finish(
         self,
         call: TrackedCall,
         policy: RetryPolicy,
         answer: FinalAnswer,
-        execution: PossibleExecution | None,
+        executions: tuple[PossibleExecution, ...],
     ) -> None:
         """Schedule the next attempt of a call, or write its final record."""
         decision = decide_after_attempt(
-            replace(call.state, possible_execution=execution),
+            replace(call.state, possible_executions=executions),
             policy,
             AttemptResult(answer.status, bool(answer.function_error), answer.retry_after_s),
             self._clock.now(),
--- a/saffronstack/deferred/records.py
+++ b/saffronstack/deferred/records.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from saffronstack.engine.possible_execution import PossibleExecution
+
 
 class Record(msgspec.Struct, array_like=True, frozen=True, tag_field="kind"):
     """Base class of all records."""
@@ -40,16 +42,47 @@
 class AttemptStarted(Record, frozen=True, tag="t"):
     """An attempt of a call that is not idempotent is about to be sent.
 
-    The record is durable before the first byte of the attempt is sent.
+    The record is durable before the first byte of the attempt is sent. In a ledger of an earlier version it
+    ends after ``sent_at``; it is written again in that form.
+
+    Attributes:
+        request_id: Request id of the call.
+        worker_id: Number of the worker.
+        sent_at: When the attempt was decided on; no byte of it is sent earlier.
+        zone: Name of the worker's zone at that time; empty if unknown.
+        cell: Name of the worker's cell at that time; empty if unknown.
     """
 
     request_id: str
     worker_id: int
     sent_at: float
+    zone: str = ""
+    cell: str = ""
+
+    @classmethod
+    def from_execution(cls, request_id: str, execution: PossibleExecution) -> AttemptStarted:
+        """Return the record of an attempt that may have executed a call."""
+        return cls(request_id, execution.worker_id, execution.sent_at, execution.zone, execution.cell)
+
+    @property
+    def execution(self) -> PossibleExecution:
+        """The attempt without the call's request id."""
+        return PossibleExecution(self.worker_id, self.sent_at, self.zone, self.cell)
+
+
+class _AttemptWithoutLocation(Record, frozen=True, tag="t"):
+    """The form of `AttemptStarted` without zone and cell."""
+
+    request_id: str
+    worker_id: int
+    sent_at: float
 
 
 class AttemptsVoided(Record, frozen=True, tag="v"):
-    """None of the attempts of a call that are stored so far was executed."""
+    """None of the attempts of a call that are stored so far was executed.
+
+    Attempts that may have been executed all the same are stored again after it, in the same commit.
+    """
 
     request_id: str
 
@@ -92,6 +125,8 @@
 
 def encode(record: LedgerRecord) -> bytes:
     """Return a record as MessagePack."""
+    if isinstance(record, AttemptStarted) and not (record.zone or record.cell):
+        return _encode(_AttemptWithoutLocation(record.request_id, record.worker_id, record.sent_at))
     return _encode(record)
 
 
--- a/saffronstack/deferred/retry_policy.py
+++ b/saffronstack/deferred/retry_policy.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from saffronstack.engine.calls import FinalStatus
+from saffronstack.engine.possible_execution import PossibleExecution
 from saffronstack.routing.settings import Idempotency
 
 WINDOW_MARGIN_S = 0.1  # an attempt must arrive this long before the deduplication window ends
@@ -43,20 +44,19 @@
     max_retries: int
 
 
-@dataclass(frozen=True, slots=True)
-class PossibleExecution:
-    """The first attempt that may have been executed."""
-
-    worker_id: int
-    sent_at: float
-
-
 @dataclass(frozen=True, slots=True)
 class RetryState:
-    """State of an open call between two attempts."""
+    """State of an open call between two attempts.
+
+    Attributes:
+        accepted_at: When the call was accepted.
+        possible_executions: The attempts that may have been executed, in the order of sending.
+        consecutive_rejections: Rejections since the function last responded.
+        function_errors: How often the function itself failed.
+    """
 
     accepted_at: float
-    possible_execution: PossibleExecution | None = None
+    possible_executions: tuple[PossibleExecution, ...] = ()
     consecutive_rejections: int = 0
     function_errors: int = 0
 
@@ -113,7 +113,7 @@
         policy: Its retry policy; None if its function is no longer configured.
         now: Current Unix time.
     """
-    may_have_executed = state.possible_execution is not None
+    may_have_executed = bool(state.possible_executions)
     if policy is None:
         return Finish(Condition.UNKNOWN if may_have_executed else Condition.REJECTED)
     is_idempotent = policy.idempotency is Idempotency.IDEMPOTENT
@@ -133,13 +133,13 @@
 def _find_window_end(state: RetryState, policy: RetryPolicy, now: float) -> float | None:
     """Return until when a call that may have been executed can be retried; None if it cannot.
 
-    If the current time is before the attempt, the clock was set back. The rest of the window is then unknown,
+    If the current time is before an attempt, the clock was set back. The rest of the window is then unknown,
     and the call cannot be retried.
     """
-    execution = state.possible_execution
-    if policy.idempotency is not Idempotency.WITH_KEY or execution is None or now < execution.sent_at:
+    executions = state.possible_executions
+    if policy.idempotency is not Idempotency.WITH_KEY or not executions or now < executions[-1].sent_at:
         return None
-    return execution.sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
+    return executions[0].sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
 
 
 def decide_after_attempt(
@@ -157,7 +157,7 @@
     if result.status is FinalStatus.SERVED:
         return _decide_after_response(state, policy, result.has_function_error, now, jitter)
     rejections = state.consecutive_rejections + 1
-    state = RetryState(state.accepted_at, state.possible_execution, rejections, state.function_errors)
+    state = RetryState(state.accepted_at, state.possible_executions, rejections, state.function_errors)
     step = decide_next_step(state, policy, now)
     if isinstance(step, Finish):
         return Decision(state, step)
@@ -172,7 +172,7 @@
     if not has_function_error:
         return Decision(state, Finish(Condition.SUCCESS))
     errors = state.function_errors + 1
-    state = RetryState(state.accepted_at, state.possible_execution, 0, errors)
+    state = RetryState(state.accepted_at, state.possible_executions, 0, errors)
     if policy.idempotency is not Idempotency.IDEMPOTENT or errors > policy.max_retries:
         return Decision(state, Finish(Condition.RETRIES_EXHAUSTED))
     backoff_s = FUNCTION_ERROR_BACKOFF_S * 2 ** (errors - 1)
@@ -184,8 +184,7 @@
 ) -> Backoff:
     """Return a backoff that ends before the call expires or its deduplication window ends."""
     latest_end = state.accepted_at + policy.max_event_age_s
-    execution = state.possible_execution
-    if execution is not None and policy.idempotency is Idempotency.WITH_KEY:
-        window_end = execution.sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
+    if state.possible_executions and policy.idempotency is Idempotency.WITH_KEY:
+        window_end = state.possible_executions[0].sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
         latest_end = min(latest_end, window_end - 2 * MIN_ATTEMPT_S)
     return Backoff(max(now, min(now + backoff_s * (0.5 + jitter), latest_end)))
--- a/saffronstack/deferred/tracked_call.py
+++ b/saffronstack/deferred/tracked_call.py
@@ -6,8 +6,9 @@
 
 from saffronstack.deferred.call_table import OpenCall
 from saffronstack.deferred.records import CallAccepted, LedgerRecord
-from saffronstack.deferred.retry_policy import Condition, PossibleExecution, RetryState
+from saffronstack.deferred.retry_policy import Condition, RetryState
 from saffronstack.durable.append_ticket import AppendTicket
+from saffronstack.engine.possible_execution import keep_first_by_location
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,8 +29,8 @@
         accepted: The record of its acceptance.
         state: State for the retry decisions.
         attempts: Number of attempts.
-        has_stored_attempt: Whether an attempt was written to the ledger since the last `AttemptsVoided`;
-            also set on a worker's thread.
+        has_stored_attempt: Whether the ledger may contain an attempt of the call; also set on a worker's
+            thread.
         is_running: Whether the engine has the call and has not answered it.
         outcome: Outcome of the call, once it has ended.
         final_record_ticket: The append of its final record.
@@ -52,12 +53,11 @@
 
 
 def track_recovered(call: OpenCall) -> TrackedCall:
-    """Return the tracked call of a recovered call, whose first stored attempt may have been executed."""
-    first = call.attempts[0] if call.attempts else None
-    execution = None if first is None else PossibleExecution(first.worker_id, first.sent_at)
+    """Return the tracked call of a recovered call. Each of its stored attempts may have been executed."""
+    executions = keep_first_by_location(attempt.execution for attempt in call.attempts)
     return TrackedCall(
         call.accepted,
-        RetryState(call.accepted.accepted_at, execution),
+        RetryState(call.accepted.accepted_at, executions),
         attempts=len(call.attempts),
-        has_stored_attempt=first is not None,
+        has_stored_attempt=bool(call.attempts),
     )
--- a/saffronstack/engine/action_executor.py
+++ b/saffronstack/engine/action_executor.py
@@ -20,7 +20,7 @@
     UnloadFunction,
     WriteLog,
 )
-from saffronstack.routing.events import Result, TimerFired
+from saffronstack.routing.events import PriorAttempt, Result, TimerFired
 from saffronstack.runtime.logs import Logger
 
 
@@ -77,7 +77,10 @@
 
     def _send_attempt(self, now: float, action: SendAttempt) -> None:
         open_call = self._state.open_calls[action.request_id]
-        attempt = open_call.start_attempt(action.worker_id, now)
+        started = PriorAttempt(action.worker_id, now, action.zone, action.cell)
+        if open_call.call.guard is not None:
+            open_call.call.guarded_attempts = (*open_call.possibly_executed_attempts(), started)
+        attempt = open_call.start_attempt(started)
         statistics = self._state.statistics
         statistics.attempts += 1
         if attempt > 0:
--- a/saffronstack/engine/call_finisher.py
+++ b/saffronstack/engine/call_finisher.py
@@ -30,7 +30,7 @@
             status,
             retry_after_s=retry_after_s,
             reason=REJECTED_REASON if status is FinalStatus.REJECTED else FAILED_REASON,
-            prior_attempt=open_call.possibly_executed_attempt(),
+            prior_attempts=open_call.possibly_executed_attempts(),
             attempts=open_call.attempts,
             attempt_in_flight_until_s=call.deadline_s if open_call.attempts_in_flight else 0.0,
         )
@@ -41,21 +41,27 @@
     def finish_overdue(self, open_call: OpenCall) -> None:
         """Finish a call that the router did not finish in time, by the same rule as the router's."""
         call = open_call.call
-        may_have_executed = open_call.possibly_executed_attempt() is not None
+        may_have_executed = bool(open_call.possibly_executed_attempts())
         class_settings = self._settings.classes[call.function.class_index]
         is_harmless = class_settings.idempotency is Idempotency.IDEMPOTENT or not may_have_executed
         self.finish(call.number, FinalStatus.REJECTED if is_harmless else FinalStatus.FAILED)
 
     def finish_all_at_shutdown(self) -> None:
-        """Finish all open calls: rejected if no attempt may have executed, else failed."""
+        """Finish all open calls."""
         for open_call in self._open_calls.remove_all():
-            prior_attempt = open_call.possibly_executed_attempt()
-            status = FinalStatus.REJECTED if prior_attempt is None else FinalStatus.FAILED
-            open_call.call.finish(
-                FinalAnswer(
-                    status, reason=SHUTDOWN_REASON, prior_attempt=prior_attempt, attempts=open_call.attempts
-                )
+            self.finish_at_shutdown(open_call)
+
+    def finish_at_shutdown(self, open_call: OpenCall) -> None:
+        """Finish a call: rejected if no attempt may have executed, else failed."""
+        prior_attempts = open_call.possibly_executed_attempts()
+        open_call.call.finish(
+            FinalAnswer(
+                FinalStatus.FAILED if prior_attempts else FinalStatus.REJECTED,
+                reason=SHUTDOWN_REASON,
+                prior_attempts=prior_attempts,
+                attempts=open_call.attempts,
             )
+        )
 
     def count(self, call: Call) -> None:
         """Count the final answer of a call, if it has one."""
--- a/saffronstack/engine/calls.py
+++ b/saffronstack/engine/calls.py
@@ -4,7 +4,7 @@
 
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -39,7 +39,7 @@
         log_tail: Last part of the function's log, in base64.
         retry_after_s: Time that the client should wait before a retry; 0 for no advice.
         reason: Why the call was not served.
-        prior_attempt: The first attempt that may have executed.
+        prior_attempts: All attempts that may have executed, those before the call included.
         attempts: Number of attempts.
         worker: Name of the worker that served it.
         attempt_in_flight_until_s: Monotonic time by which an attempt that is still in flight will have ended;
@@ -52,7 +52,7 @@
     log_tail: str = ""
     retry_after_s: float = 0.0
     reason: str = ""
-    prior_attempt: PriorAttempt | None = None
+    prior_attempts: tuple[PriorAttempt, ...] = ()
     attempts: int = 0
     worker: str = ""
     attempt_in_flight_until_s: float = 0.0
@@ -82,8 +82,13 @@
 class AttemptGuard(Protocol):
     """A check that a worker's thread makes right before it sends the first byte of an attempt."""
 
-    def may_send(self, attempt: int, worker_id: int) -> bool:
-        """Return whether the attempt may be sent; this may block, for a bounded time."""
+    def may_send(self, attempts: Sequence[PriorAttempt]) -> bool:
+        """Return whether an attempt may be sent; this may block, for a bounded time.
+
+        Args:
+            attempts: The attempt, as the last one, after all earlier attempts that may have executed.
+                Those that certainly did not execute are left out.
+        """
         ...
 
 
@@ -102,13 +107,14 @@
         key: Idempotency key; the request id if the client sent none.
         client_context: Context that the client sent for the function.
         wants_log: Whether the client asked for the tail of the log.
-        prior_attempt: Attempt of an earlier incarnation of the gateway, for a resumed deferred call.
+        prior_attempts: Attempts before this call that may have executed its operation.
         guard: Check before each attempt.
         on_final_answer: Called once with the final answer, on whichever thread finished the call.
         final_answer: The final answer, once there is one.
         class_name: Name of its request class.
         latest_start_s: Monotonic time from which no byte of its present attempt may be sent any more.
         before_send: Called on the worker's thread before an attempt; finishes the call if its client left.
+        guarded_attempts: The attempts to pass to ``guard`` before the present attempt; empty without a guard.
         may_have_been_sent: Whether a byte of an attempt may have been sent. It is set before `is_finished` is
             read, so that nothing is sent for a call that was finished without it.
     """
@@ -123,13 +129,14 @@
     key: str = ""
     client_context: str = ""
     wants_log: bool = False
-    prior_attempt: PriorAttempt | None = None
+    prior_attempts: tuple[PriorAttempt, ...] = ()
     guard: AttemptGuard | None = None
     on_final_answer: Callable[[Call, FinalAnswer], None] | None = None
     final_answer: FinalAnswer | None = None
     class_name: str = ""
     latest_start_s: float = math.inf
     before_send: Callable[[], None] | None = None
+    guarded_attempts: tuple[PriorAttempt, ...] = ()
     may_have_been_sent: bool = False
     _finish_claim: threading.Lock = field(
         default_factory=threading.Lock
--- a/saffronstack/engine/decision_loop.py
+++ b/saffronstack/engine/decision_loop.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from saffronstack.engine.action_executor import ActionExecutor
-from saffronstack.engine.call_finisher import SHUTDOWN_REASON, CallFinisher
-from saffronstack.engine.calls import Call, FinalAnswer, FinalStatus
+from saffronstack.engine.call_finisher import CallFinisher
+from saffronstack.engine.calls import Call, FinalStatus
 from saffronstack.engine.dispatch import AttemptResult, CommandResult, Dispatcher, WorkerObservation
 from saffronstack.engine.engine_state import CallNumber, EngineState
 from saffronstack.engine.messages import (
@@ -19,6 +19,7 @@
     Inspection,
     Shutdown,
 )
+from saffronstack.engine.open_calls import OpenCall
 from saffronstack.engine.worker_registry import WorkerRegistry
 from saffronstack.routing.events import (
     ClientDisconnected,
@@ -168,7 +169,7 @@
                 function.memory_mb,
                 float(function.concurrency),
                 function.load_time_s,
-                prior_attempt=call.prior_attempt,
+                prior_attempts=call.prior_attempts or None,
             )
         )
 
@@ -254,4 +255,4 @@
             except queue.Empty:
                 return
             if isinstance(message, Call):
-                message.finish(FinalAnswer(FinalStatus.REJECTED, reason=SHUTDOWN_REASON))
+                self._finisher.finish_at_shutdown(OpenCall.from_call(message))
--- a/saffronstack/engine/decision_record_format.py
+++ b/saffronstack/engine/decision_record_format.py
@@ -62,7 +62,7 @@
         "concurrency": "lanes",
         "load_time_s": "load_s",
         "is_retry": "is_repeat",
-        "prior_attempt": "prior",
+        "prior_attempts": "prior",
     },
     events.AttemptOutcome: {
         "request_id": "request",
@@ -139,7 +139,7 @@
 # Fields that contain another stored type, or a sequence of it.
 _NESTED_TYPES: Mapping[type, Mapping[str, type]] = {
     events.EndpointUpdate: {"endpoints": events.WorkerEndpoint},
-    events.Request: {"prior_attempt": events.PriorAttempt},
+    events.Request: {"prior_attempts": events.PriorAttempt},
     events.AttemptOutcome: {"load_report": events.LoadReport},
     events.HealthCheckResult: {"load_report": events.LoadReport},
     settings.Settings: {
@@ -152,18 +152,52 @@
 }
 
 
+# Later additions to the stored form. Records without them are as before: a sequence of one is stored
+# as a single map, and a field that is None is left out.
+_SINGLE_OR_SEQUENCE: Mapping[type, frozenset[str]] = {events.Request: frozenset({"prior_attempts"})}
+_LEFT_OUT_IF_NONE: Mapping[type, frozenset[str]] = {events.PriorAttempt: frozenset({"zone", "cell"})}
+
+
 @dataclass(frozen=True, slots=True)
 class _StoredField:
     name: str
     key: str
     nested: type | None
+    is_single_or_sequence: bool
+    is_left_out_if_none: bool
+
+    def content_to_stored(self, content: Any) -> object:
+        """Convert the content of the field; maps and sequences of maps stand for other types."""
+        if self.nested is None or content is None:
+            return content.value if isinstance(content, Enum) else content
+        if not isinstance(content, tuple):
+            return to_stored(content)
+        maps = [to_stored(one) for one in content]
+        return maps[0] if self.is_single_or_sequence and len(maps) == 1 else maps
+
+    def content_from_stored(self, content: Any) -> Any:
+        """Replace stored keys in the content of the field; validation rejects what does not fit."""
+        nested = self.nested
+        if nested is None:
+            return content
+        if self.is_single_or_sequence and isinstance(content, dict):
+            content = [content]
+        if isinstance(content, list):
+            return [_rename_keys(one, nested) for one in content]
+        return _rename_keys(content, nested)
 
 
 def _stored_fields(kind: type) -> tuple[_StoredField, ...]:
     keys = STORED_KEYS.get(kind, {})
     nested = _NESTED_TYPES.get(kind, {})
     return tuple(
-        _StoredField(field.name, keys.get(field.name, field.name), nested.get(field.name))
+        _StoredField(
+            field.name,
+            keys.get(field.name, field.name),
+            nested.get(field.name),
+            field.name in _SINGLE_OR_SEQUENCE.get(kind, ()),
+            field.name in _LEFT_OUT_IF_NONE.get(kind, ()),
+        )
         for field in fields(kind)
         if field.compare  # a replay compares what is stored
     )
@@ -181,11 +215,8 @@
     stored: dict[str, object] = {}
     for field in _FIELDS[type(value)]:
         content = getattr(value, field.name)
-        if field.nested is not None and content is not None:
-            content = (
-                [to_stored(one) for one in content] if isinstance(content, tuple) else to_stored(content)
-            )
-        stored[field.key] = content.value if isinstance(content, Enum) else content
+        if content is not None or not field.is_left_out_if_none:
+            stored[field.key] = field.content_to_stored(content)
     return stored
 
 
@@ -195,17 +226,8 @@
         return raw
     renamed = {}
     for field in _FIELDS[kind]:
-        if field.key not in raw:
-            continue
-        content = raw[field.key]
-        if field.nested is not None:
-            nested = field.nested
-            content = (
-                [_rename_keys(one, nested) for one in content]
-                if isinstance(content, list)
-                else _rename_keys(content, nested)
-            )
-        renamed[field.name] = content
+        if field.key in raw:
+            renamed[field.name] = field.content_from_stored(raw[field.key])
     return renamed
 
 
--- a/saffronstack/engine/open_calls.py
+++ b/saffronstack/engine/open_calls.py
@@ -17,34 +17,42 @@
         call: The call.
         attempts_in_flight: Attempts without a result, by their index.
         attempts: Number of attempts so far.
-        prior_attempt: The first attempt that has ended and may have executed.
+        prior_attempts: Attempts that have ended and may have executed, those before the call included.
         router_knows_disconnect: Whether the router was notified that the client has disconnected.
     """
 
     call: Call
     attempts_in_flight: dict[int, PriorAttempt] = field(default_factory=dict)
     attempts: int = 0
-    prior_attempt: PriorAttempt | None = None
+    prior_attempts: tuple[PriorAttempt, ...] = ()
     router_knows_disconnect: bool = False
 
-    def start_attempt(self, worker_id: int, now: float) -> int:
+    @classmethod
+    def from_call(cls, call: Call) -> OpenCall:
+        """Return the state of a call that has arrived and got no attempt yet."""
+        return cls(call, prior_attempts=call.prior_attempts)
+
+    def start_attempt(self, started: PriorAttempt) -> int:
         """Record an attempt that is sent now, and return its index."""
         attempt = self.attempts
         self.attempts += 1
-        self.attempts_in_flight[attempt] = PriorAttempt(worker_id, now)
+        self.attempts_in_flight[attempt] = started
         return attempt
 
     def end_attempt(self, outcome: AttemptOutcome, now: float) -> None:
         """Record the result of an attempt."""
         ended = self.attempts_in_flight.pop(outcome.attempt, None)
-        if self.prior_attempt is None and outcome.result not in NEVER_EXECUTED:
-            self.prior_attempt = PriorAttempt(outcome.worker_id, now) if ended is None else ended
-
-    def possibly_executed_attempt(self) -> PriorAttempt | None:
-        """Return the first attempt that may have executed; an attempt in flight may have."""
-        if self.prior_attempt is None and self.attempts_in_flight:
-            return self.attempts_in_flight[min(self.attempts_in_flight)]
-        return self.prior_attempt
+        if outcome.result not in NEVER_EXECUTED:
+            if ended is None:
+                ended = PriorAttempt(outcome.worker_id, now - outcome.elapsed_s)
+            self.prior_attempts += (ended,)
+
+    def possibly_executed_attempts(self) -> tuple[PriorAttempt, ...]:
+        """Return all attempts that may have executed, in the order of sending; one in flight may have."""
+        attempts = (*self.prior_attempts, *self.attempts_in_flight.values())
+        if len(attempts) < 2:  # for most calls, which get one attempt
+            return attempts
+        return tuple(sorted(attempts, key=lambda attempt: attempt.sent_s))
 
     @property
     def is_over(self) -> bool:
@@ -77,7 +85,7 @@
 
     def add(self, call: Call) -> None:
         """Add a call that has arrived."""
-        self._calls[call.number] = OpenCall(call, prior_attempt=call.prior_attempt)
+        self._calls[call.number] = OpenCall.from_call(call)
 
     def __getitem__(self, number: int) -> OpenCall:
         return self._calls[number]
--- a/saffronstack/gateway.py
+++ b/saffronstack/gateway.py
@@ -12,10 +12,10 @@
 
 from saffronstack.config.build import (
     Functions,
-    LocalityNumbers,
     build_configured_workers,
     build_settings,
     build_worker_specs,
+    number_localities,
 )
 from saffronstack.config.schema import Config, Worker
 from saffronstack.daemon.process_group import ProcessGroup
@@ -96,7 +96,7 @@
             max_open_calls=config.limits.open_calls,
             log=structlog.get_logger("saffronstack.engine"),
         )
-        self._localities = LocalityNumbers(config)
+        self._localities = number_localities(config)
         clocks = Clocks(clock, wall)
         metering = open_metering(config, clocks, self._poll_usage, files)
         self.meter = metering.meter if metering is not None else None
@@ -110,9 +110,17 @@
                 config.ledger.directory, config.ledger.history, config.ledger.segment_bytes, files
             )
             self.deferred = DeferredCalls(
-                config, self.ledger, self.engine, self.functions, clock, wall, self.budgets, owns_ledger
+                config,
+                self.ledger,
+                self.engine,
+                self.functions,
+                clock,
+                wall,
+                self.budgets,
+                owns_ledger,
+                self._localities,
             )
-        self.operations = open_operations(config, clocks, files)
+        self.operations = open_operations(config, clocks, files, self._localities)
         self.process_group = process_group or ProcessGroup(0, 1, "", clock)
         self.slot_manager = self._make_slot_manager()
         self.pages = Pages(self)
--- a/saffronstack/gateway_components.py
+++ b/saffronstack/gateway_components.py
@@ -14,6 +14,7 @@
 from saffronstack.discovery.files.service import FileDiscovery, FileDiscoveryOptions
 from saffronstack.discovery.files.state_directory import StateDirectory
 from saffronstack.durable.file_operations import FileOperations
+from saffronstack.engine.localities import LocalityNumbers
 from saffronstack.engine.worker_registry import WorkerSpec
 from saffronstack.http1.messages import MessageLimits
 from saffronstack.invoke.server import ServerLimits
@@ -117,11 +118,19 @@
     return Metering(meter, enforcer)
 
 
-def open_operations(config: Config, clocks: Clocks, files: FileOperations | None) -> OperationService | None:
+def open_operations(
+    config: Config, clocks: Clocks, files: FileOperations | None, localities: LocalityNumbers
+) -> OperationService | None:
     """Create the deduplication of operations.
 
     If a directory is configured, operations and responses are stored there and survive the process.
 
+    Args:
+        config: Configuration of the process.
+        clocks: Its clocks.
+        files: The file layer; the system's by default.
+        localities: Numbers of the zones and cells of its workers.
+
     Returns:
         None if deduplication is not configured.
 
@@ -142,6 +151,7 @@
         operation_log,
         response_store,
         OperationLimits(operations.answer_bytes, operations.memory_bytes // 4, operations.commit_timeout_s),
+        localities,
     )
 
 
--- a/saffronstack/invoke/deferred_submission.py
+++ b/saffronstack/invoke/deferred_submission.py
@@ -70,7 +70,7 @@
             ClientDisconnectedError: The client disconnected before the response was known.
         """
 
-        def run(execution: Execution, prior: PriorAttempt | None) -> Completed | NotCompleted:
+        def run(execution: Execution, prior: tuple[PriorAttempt, ...]) -> Completed | NotCompleted:
             expires_at = operations.now() + policy.window_s
             return self._accept_operation(invocation, execution.operation, expires_at)
 
--- a/saffronstack/invoke/engine_calls.py
+++ b/saffronstack/invoke/engine_calls.py
@@ -50,7 +50,7 @@
         invocation: Invocation,
         request_id: str,
         is_client_connected: IsClientConnected,
-        prior: PriorAttempt | None = None,
+        prior: tuple[PriorAttempt, ...] = (),
         execution: Execution | None = None,
         has_no_waiters: Callable[[], bool] = no_waiters,
     ) -> FinalAnswer:
@@ -61,7 +61,7 @@
             request_id: Request id of the call: that of the operation's first request.
             is_client_connected: Tells whether the client is still connected. After it disconnects, the call
                 is cancelled if no other request waits for it and no attempt can have had an effect.
-            prior: An earlier attempt of the operation that may have had an effect.
+            prior: Earlier attempts of the operation that may have had an effect.
             execution: The operation's execution; None without an idempotency key or for an idempotent call.
             has_no_waiters: Tells whether no other request waits for the call.
 
@@ -87,7 +87,7 @@
         self,
         invocation: Invocation,
         request_id: str,
-        prior: PriorAttempt | None,
+        prior: tuple[PriorAttempt, ...],
         execution: Execution | None,
     ) -> Call:
         tenant_index = self._admit(invocation)
--- a/saffronstack/invoke/invocation_executor.py
+++ b/saffronstack/invoke/invocation_executor.py
@@ -118,4 +118,4 @@
     """
     if invocation.idempotency_key or invocation.function.idempotency is not Idempotency.WITH_KEY:
         return False
-    return final.status is FinalStatus.REJECTED and final.prior_attempt is not None
+    return final.status is FinalStatus.REJECTED and bool(final.prior_attempts)
--- a/saffronstack/invoke/operation_calls.py
+++ b/saffronstack/invoke/operation_calls.py
@@ -49,7 +49,7 @@
         ClientDisconnectedError: The client disconnected before the response was known.
     """
 
-    def run(execution: Execution, prior: PriorAttempt | None) -> Completed | NotCompleted:
+    def run(execution: Execution, prior: tuple[PriorAttempt, ...]) -> Completed | NotCompleted:
         return _run_on_engine(calls, invocation, is_client_connected, execution, prior)
 
     return perform_once(
@@ -62,7 +62,7 @@
     invocation: Invocation,
     is_client_connected: IsClientConnected,
     execution: Execution,
-    prior: PriorAttempt | None,
+    prior: tuple[PriorAttempt, ...],
 ) -> Completed | NotCompleted:
     request_id = execution.operation.request_id
     try:
@@ -72,7 +72,7 @@
     if final.status is FinalStatus.CLIENT_DISCONNECTED:
         return NotCompleted(ClientDisconnectedError(), prior)
     if final.status is FinalStatus.REJECTED:
-        return NotCompleted(rejection_error(final), final.prior_attempt, final.attempt_in_flight_until_s)
+        return NotCompleted(rejection_error(final), final.prior_attempts, final.attempt_in_flight_until_s)
     response = build_response(final, invocation.response_headers(request_id), invocation.wants_log)
     return Completed(to_stored_response(response), is_outcome_unknown=final.status is FinalStatus.FAILED)
 
--- a/saffronstack/operations/execution.py
+++ b/saffronstack/operations/execution.py
@@ -36,13 +36,13 @@
     Attributes:
         error: Raised to the request that executed the operation, and to those that wait unless it is a
             `ClientDisconnectedError`.
-        prior_attempt: The first attempt that may have been executed; None if certainly none was.
+        prior_attempts: The attempts that may have been executed; empty if certainly none was.
         attempt_in_flight_until_s: The monotonic time until which an attempt may still be in flight; 0 if
             none is.
     """
 
     error: Exception
-    prior_attempt: PriorAttempt | None = None
+    prior_attempts: tuple[PriorAttempt, ...] = ()
     attempt_in_flight_until_s: float = 0.0
 
 
@@ -53,7 +53,7 @@
         done: The event that is set when the execution ends. The first request that joins creates it, under
             the service's lock.
         outcome: How the execution ended, set before ``done``; None if it raised an exception.
-        log_ticket: The ticket of the first attempt's log record, once the record was appended.
+        log_ticket: The ticket of the latest attempt's log record, once a record was appended.
     """
 
     def __init__(self, operation: InFlightOperation, policy: DeduplicationPolicy) -> None:
@@ -136,6 +136,6 @@
         return self._has_sent
 
 
-# Executes an operation on the thread of its request. The prior attempt names a worker that may already have
-# executed the operation, and the monotonic time at which that attempt was sent.
-ExecuteOperation = Callable[[Execution, PriorAttempt | None], Completed | NotCompleted]
+# Executes an operation on the thread of its request. The prior attempts are those of earlier executions that
+# may have been executed.
+ExecuteOperation = Callable[[Execution, tuple[PriorAttempt, ...]], Completed | NotCompleted]
--- a/saffronstack/operations/execution_finisher.py
+++ b/saffronstack/operations/execution_finisher.py
@@ -4,6 +4,7 @@
 
 import threading
 
+from saffronstack.engine.possible_execution import ExecutionConverter
 from saffronstack.operations.execution import Completed, Execution, NotCompleted
 from saffronstack.operations.operation import OperationState, StoredResponse
 from saffronstack.operations.operation_clock import OperationClock
@@ -22,6 +23,7 @@
         table: OperationTable,
         table_lock: threading.Lock,
         clock: OperationClock,
+        converter: ExecutionConverter,
         recorder: OperationRecorder,
         response_store: ResponseStore | None,
         max_inline_response_bytes: int,
@@ -30,6 +32,7 @@
         self._table = table
         self._table_lock = table_lock
         self._clock = clock
+        self._converter = converter
         self._recorder = recorder
         self._response_store = response_store
         self._max_inline_response_bytes = max_inline_response_bytes
@@ -43,11 +46,11 @@
                     self._release(execution)  # a retry may execute an idempotent operation again
                 else:
                     self._complete(execution, outcome)
-            case NotCompleted(_, prior_attempt, attempt_in_flight_until_s):
-                if prior_attempt is None or is_idempotent:
+            case NotCompleted(_, prior_attempts, attempt_in_flight_until_s):
+                if not prior_attempts or is_idempotent:
                     self._release(execution)
                 else:
-                    self._mark_retryable(execution, prior_attempt, attempt_in_flight_until_s)
+                    self._mark_retryable(execution, prior_attempts, attempt_in_flight_until_s)
             case None:
                 if execution.has_sent and not is_idempotent:  # the attempt may have had an effect
                     self._store_final_state(execution, OperationState.OUTCOME_UNKNOWN, None)
@@ -66,17 +69,18 @@
         self._store_final_state(execution, state, response)
 
     def _mark_retryable(
-        self, execution: Execution, prior: PriorAttempt, attempt_in_flight_until_s: float
+        self,
+        execution: Execution,
+        prior_attempts: tuple[PriorAttempt, ...],
+        attempt_in_flight_until_s: float,
     ) -> None:
         in_flight_until_s = (
             self._clock.to_unix(attempt_in_flight_until_s) if attempt_in_flight_until_s else 0.0
         )
-        sent_s = self._clock.to_unix(prior.sent_s)
+        executions = self._converter.to_stored(prior_attempts)
         with self._table_lock:
             now = self._clock.now()
-            record = self._table.mark_retryable(
-                execution.operation, prior.worker_id, sent_s, now, in_flight_until_s
-            )
+            record = self._table.mark_retryable(execution.operation, executions, now, in_flight_until_s)
         self._recorder.record_finish(execution, record, now)
 
     def _store_final_state(
--- a/saffronstack/operations/operation.py
+++ b/saffronstack/operations/operation.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from saffronstack.engine.possible_execution import PossibleExecution
 from saffronstack.routing.settings import Idempotency
 
 EncodedOperation = tuple[bytes, bytes]  # an operation's digest and its encoded record
@@ -46,8 +47,8 @@
     Attributes:
         expires_s: The time at which the deduplication window ends.
         request_id: The id of the operation's first request.
-        worker_id: For a retryable operation, the worker of the first attempt that may have been executed.
-        sent_s: The time at which that attempt was sent.
+        executions: For a retryable operation, the attempts that may have been executed, in the order of
+            sending.
         attempt_in_flight_until_s: The time until which an attempt of a rejected request may be in flight.
     """
 
@@ -57,8 +58,7 @@
     request_id: str
     idempotency: Idempotency
     response: StoredResponse | None = None
-    worker_id: int = 0
-    sent_s: float = 0.0
+    executions: tuple[PossibleExecution, ...] = ()
     attempt_in_flight_until_s: float = 0.0
 
 
--- a/saffronstack/operations/operation_log.py
+++ b/saffronstack/operations/operation_log.py
@@ -13,6 +13,7 @@
 from saffronstack.durable.file_operations import FileOperations
 from saffronstack.durable.journal import Journal
 from saffronstack.durable.journal_state import RecordCodec
+from saffronstack.engine.possible_execution import PossibleExecution, keep_first_by_location
 from saffronstack.operations.operation import EncodedOperation, OperationRecord, OperationState
 from saffronstack.operations.record_format import encode_record
 from saffronstack.routing.settings import Idempotency
@@ -31,11 +32,17 @@
 
 
 class AttemptStarted(LogRecord, frozen=True, tag="n"):
-    """The first attempt of an operation is about to be sent.
+    """An attempt of an operation is about to be sent.
+
+    In a log of an earlier version the record ends after ``sent_s``, and only the first attempt of an
+    execution has one. It is written again in that form.
 
     Attributes:
         window_s: The length of the deduplication window.
-        sent_s: The time just before the attempt is sent, in Unix seconds.
+        worker_id: The number of the worker.
+        sent_s: When the attempt was decided on, in Unix seconds; no byte of it is sent earlier.
+        zone: The name of the worker's zone at that time; empty if unknown.
+        cell: The name of the worker's cell at that time; empty if unknown.
     """
 
     digest: bytes
@@ -45,6 +52,25 @@
     window_s: float
     worker_id: int
     sent_s: float
+    zone: str = ""
+    cell: str = ""
+
+    @property
+    def possible_execution(self) -> PossibleExecution:
+        """The attempt without its operation."""
+        return PossibleExecution(self.worker_id, self.sent_s, self.zone, self.cell)
+
+
+class _AttemptWithoutLocation(LogRecord, frozen=True, tag="n"):
+    """The form of `AttemptStarted` without zone and cell."""
+
+    digest: bytes
+    fingerprint: bytes
+    idempotency: Idempotency
+    request_id: str
+    window_s: float
+    worker_id: int
+    sent_s: float
 
 
 class OperationFinished(LogRecord, frozen=True, tag="e"):
@@ -61,7 +87,10 @@
 
 
 class OperationReleased(LogRecord, frozen=True, tag="r"):
-    """An operation was certainly not executed although its attempt was logged."""
+    """None of the attempts of an operation that are logged so far was executed.
+
+    Attempts that may have been executed all the same are logged again after it, in the same commit.
+    """
 
     digest: bytes
 
@@ -73,8 +102,27 @@
 
 
 AnyLogRecord = LogReset | AttemptStarted | OperationFinished | OperationReleased | OperationsExpired
+_encode = msgspec.msgpack.Encoder().encode
+
+
+def _encode_log_record(record: AnyLogRecord) -> bytes:
+    if isinstance(record, AttemptStarted) and not (record.zone or record.cell):
+        return _encode(
+            _AttemptWithoutLocation(
+                record.digest,
+                record.fingerprint,
+                record.idempotency,
+                record.request_id,
+                record.window_s,
+                record.worker_id,
+                record.sent_s,
+            )
+        )
+    return _encode(record)
+
+
 OPERATION_LOG_CODEC: RecordCodec[AnyLogRecord] = RecordCodec(
-    msgspec.msgpack.Encoder().encode,
+    _encode_log_record,
     msgspec.msgpack.Decoder(AnyLogRecord).decode,
     lambda record: isinstance(record, LogReset),
     "operations",
@@ -85,13 +133,13 @@
     """The state that results from the records of a log. Owned by the journal's writer thread.
 
     Attributes:
-        in_flight: The first attempt of each operation in flight, by digest.
+        in_flight: The attempts of each operation in flight that may have been executed, by digest.
         finished: Finished operations by digest.
         in_doubt: Whether records were lost. It does not change how in-flight operations are recovered.
     """
 
     def __init__(self) -> None:
-        self.in_flight: OrderedDict[bytes, AttemptStarted] = OrderedDict()
+        self.in_flight: OrderedDict[bytes, list[AttemptStarted]] = OrderedDict()
         self.finished: OrderedDict[bytes, OperationFinished] = OrderedDict()
         self.in_doubt = False
         self._record_bytes = 0
@@ -100,7 +148,7 @@
         """Update the state with the next record."""
         match record:
             case AttemptStarted():
-                self.in_flight.setdefault(record.digest, record)  # keep the first: it may have executed
+                self.in_flight.setdefault(record.digest, []).append(record)
             case OperationFinished():
                 self.in_flight.pop(record.digest, None)
                 self._remove_finished(record.digest)
@@ -118,9 +166,7 @@
     def _expire(self, now_s: float) -> None:
         for digest in [digest for digest, record in self.finished.items() if record.expires_s <= now_s]:
             self._remove_finished(digest)
-        expired = [
-            digest for digest, attempt in self.in_flight.items() if attempt.sent_s + attempt.window_s <= now_s
-        ]
+        expired = [digest for digest, attempts in self.in_flight.items() if _window_end_s(attempts) <= now_s]
         for digest in expired:
             del self.in_flight[digest]
 
@@ -133,12 +179,13 @@
         """Yield records that rebuild this state."""
         yield LogReset()
         yield from self.finished.values()
-        yield from self.in_flight.values()
+        for attempts in self.in_flight.values():
+            yield from attempts
 
     def estimate_snapshot_bytes(self) -> int:
         """Return the estimated size of a snapshot in bytes."""
         return (
-            IN_FLIGHT_SNAPSHOT_BYTES * len(self.in_flight)
+            IN_FLIGHT_SNAPSHOT_BYTES * sum(map(len, self.in_flight.values()))
             + FINISHED_SNAPSHOT_BYTES * len(self.finished)
             + self._record_bytes
             + RESET_SNAPSHOT_BYTES
@@ -163,20 +210,25 @@
         """
         for digest, finished in self.finished.items():
             yield digest, finished.record
-        for digest, attempt in self.in_flight.items():
-            yield digest, encode_record(_record_after_crash(attempt))
+        for digest, attempts in self.in_flight.items():
+            yield digest, encode_record(_record_after_crash(attempts))
+
+
+def _window_end_s(attempts: list[AttemptStarted]) -> float:
+    """Return the time at which an operation in flight expires, in Unix seconds."""
+    return max(attempt.sent_s + attempt.window_s for attempt in attempts)
 
 
-def _record_after_crash(attempt: AttemptStarted) -> OperationRecord:
-    worker_deduplicates = attempt.idempotency is Idempotency.WITH_KEY
+def _record_after_crash(attempts: list[AttemptStarted]) -> OperationRecord:
+    first = attempts[0]
+    worker_deduplicates = first.idempotency is Idempotency.WITH_KEY
     return OperationRecord(
         OperationState.RETRYABLE if worker_deduplicates else OperationState.OUTCOME_UNKNOWN,
-        attempt.sent_s + attempt.window_s,
-        attempt.fingerprint,
-        attempt.request_id,
-        attempt.idempotency,
-        worker_id=attempt.worker_id,
-        sent_s=attempt.sent_s,
+        _window_end_s(attempts),
+        first.fingerprint,
+        first.request_id,
+        first.idempotency,
+        executions=keep_first_by_location(attempt.possible_execution for attempt in attempts),
     )
 
 
--- a/saffronstack/operations/operation_service.py
+++ b/saffronstack/operations/operation_service.py
@@ -7,7 +7,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+import msgspec
+
 from saffronstack.durable.errors import JournalError
+from saffronstack.engine.localities import LocalityNumbers
+from saffronstack.engine.possible_execution import LONG_AGO, ExecutionConverter
 from saffronstack.operations.decisions import Coalesce, Decision, Execute, FingerprintMismatch, Reject, Replay
 from saffronstack.operations.errors import (
     FingerprintMismatchError,
@@ -83,8 +87,19 @@
         operation_log: OperationLog | None = None,
         response_store: ResponseStore | None = None,
         limits: OperationLimits | None = None,
+        localities: LocalityNumbers | None = None,
     ) -> None:
-        """Create the service; ``clock`` is monotonic, ``wall_clock`` returns Unix seconds."""
+        """Create the service.
+
+        Args:
+            table: The operations.
+            clock: Monotonic seconds.
+            wall_clock: Unix seconds; read once.
+            operation_log: The write-ahead log, if operations survive the process.
+            response_store: The store of large response bodies, if there is one.
+            limits: Limits of the service.
+            localities: Numbers of the zones and cells of the workers.
+        """
         limits = limits or OperationLimits()
         self.table = table
         self.coalescing_cache: CoalescingCache[CacheableResponse] = CoalescingCache(
@@ -95,11 +110,20 @@
         self.response_store = response_store
         self.request_counts = dict.fromkeys(REQUEST_COUNT_LABELS, 0)
         self._clock = OperationClock(clock, wall_clock)
-        self._recorder = OperationRecorder(operation_log, self._clock, limits.commit_timeout_s)
+        self._converter = ExecutionConverter(
+            localities or LocalityNumbers(), self._clock.to_unix, self._clock.to_monotonic
+        )
+        self._recorder = OperationRecorder(operation_log, self._converter, limits.commit_timeout_s)
         self._is_slot_held: Callable[[int], bool] | None = None
         self._lock = threading.Lock()  # guards the table, in-flight counts and joins to executions
         self._finisher = ExecutionFinisher(
-            table, self._lock, self._clock, self._recorder, response_store, limits.max_inline_response_bytes
+            table,
+            self._lock,
+            self._clock,
+            self._converter,
+            self._recorder,
+            response_store,
+            limits.max_inline_response_bytes,
         )
         self._in_flight_by_slot: Counter[int] = Counter()
         self._stopping = threading.Event()
@@ -226,7 +250,7 @@
         outcome: Completed | NotCompleted | None = None
         try:
             self._wait_for_prior_attempt(operation)
-            outcome = execute(execution, self._prior_attempt(operation))
+            outcome = execute(execution, self._prior_attempts(operation))
         finally:
             execution.outcome = outcome
             self._finisher.finish(execution, outcome)
@@ -239,11 +263,18 @@
             raise outcome.error
         return outcome.response
 
-    def _prior_attempt(self, operation: InFlightOperation) -> PriorAttempt | None:
-        previous = operation.previous
-        if previous is None:
-            return None
-        return PriorAttempt(previous.worker_id, self._clock.to_monotonic(previous.sent_s))
+    def _prior_attempts(self, operation: InFlightOperation) -> tuple[PriorAttempt, ...]:
+        """Return the attempts of earlier executions.
+
+        A time that is still to come shows that the clock was set back, and tells nothing of the window.
+        """
+        if operation.previous is None:
+            return ()
+        now = self.now()
+        return self._converter.to_prior(
+            execution if execution.sent_at <= now else msgspec.structs.replace(execution, sent_at=LONG_AGO)
+            for execution in operation.previous.executions
+        )
 
     def _wait_for_prior_attempt(self, operation: InFlightOperation) -> None:
         """Wait for a bounded time until no attempt of an earlier execution is in flight."""
--- a/saffronstack/operations/operation_status.py
+++ b/saffronstack/operations/operation_status.py
@@ -124,8 +124,8 @@
 ) -> OperationStatus:
     status = _common_status(identity, prefix, record.request_id, record.idempotency, record.state.value)
     status = replace(status, expires_in_s=round(record.expires_s - now, 3))
-    if record.worker_id:
-        status = replace(status, prior_attempt_s=record.sent_s)
+    if record.executions and record.executions[0].worker_id:
+        status = replace(status, prior_attempt_s=record.executions[0].sent_at)
     response = record.response
     if response is None:
         return status
--- a/saffronstack/operations/operation_table.py
+++ b/saffronstack/operations/operation_table.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Iterator
 
+from saffronstack.engine.possible_execution import PossibleExecution, keep_first_by_location
 from saffronstack.operations.decisions import Coalesce, Decision, Execute, FingerprintMismatch, Reject, Replay
 from saffronstack.operations.expiry_queue import ExpiryQueue
 from saffronstack.operations.operation import (
@@ -108,26 +109,27 @@
     def mark_retryable(
         self,
         operation: InFlightOperation,
-        worker_id: int,
-        sent_s: float,
+        executions: tuple[PossibleExecution, ...],
         now: float,
         attempt_in_flight_until_s: float = 0.0,
     ) -> bytes:
         """End an operation that was rejected but may have been executed; return its encoded record.
 
-        Retries go to the worker of the operation's first attempt until the deduplication window ends.
+        Args:
+            operation: The operation.
+            executions: The attempts that may have been executed. Those of earlier executions are added.
+            now: Current time.
+            attempt_in_flight_until_s: The time until which an attempt may be in flight.
         """
-        previous = operation.previous
-        if previous is not None:
-            worker_id, sent_s = previous.worker_id, previous.sent_s
+        if operation.previous is not None:
+            executions = (*operation.previous.executions, *executions)
         record = OperationRecord(
             OperationState.RETRYABLE,
             now + operation.window_s,
             operation.fingerprint,
             operation.request_id,
             operation.idempotency,
-            worker_id=worker_id,
-            sent_s=sent_s,
+            executions=keep_first_by_location(executions),
             attempt_in_flight_until_s=attempt_in_flight_until_s,
         )
         return self._replace_with_record(operation, record)
--- a/saffronstack/operations/record_format.py
+++ b/saffronstack/operations/record_format.py
@@ -1,6 +1,8 @@
 """The encoding of operation records in memory, in the operation log and in hand-over files.
 
-The order of the fields and of the common header words is part of the stored format.
+The order of the fields and of the common header words is part of the stored format. Earlier versions stored
+the worker and the time of the first attempt that may have been executed, and nothing of further ones. Records
+that hold no more than this are still written in that form.
 """
 
 from __future__ import annotations
@@ -9,6 +11,7 @@
 
 import msgspec
 
+from saffronstack.engine.possible_execution import PossibleExecution
 from saffronstack.operations.operation import OperationRecord, OperationState, StoredResponse
 from saffronstack.routing.settings import Idempotency
 
@@ -49,32 +52,44 @@
     attempt_in_flight_until_s: float = 0.0
 
 
+class _StoredRecordWithExecutions(_StoredRecord, frozen=True, array_like=True, omit_defaults=True):
+    executions: tuple[PossibleExecution, ...] = ()
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(_StoredRecord)
+_decoder = msgspec.msgpack.Decoder(_StoredRecordWithExecutions)
 _NO_RESPONSE = StoredResponse(0, ())
+_NO_EXECUTION = PossibleExecution(0, 0.0)
 
 
 def encode_record(record: OperationRecord) -> bytes:
     """Encode a record in the stored format."""
     response = record.response or _NO_RESPONSE
-    return _encoder.encode(
-        _StoredRecord(
-            record.state,
-            record.expires_s,
-            record.fingerprint,
-            _encode_request_id(record.request_id),
-            record.idempotency,
-            response.status,
-            _encode_headers(response.headers, record.request_id),
-            response.body,
-            response.file_name,
-            response.body_digest,
-            response.body_length,
-            record.worker_id,
-            record.sent_s,
-            record.attempt_in_flight_until_s,
-        )
+    first = record.executions[0] if record.executions else _NO_EXECUTION
+    fields = (
+        record.state,
+        record.expires_s,
+        record.fingerprint,
+        _encode_request_id(record.request_id),
+        record.idempotency,
+        response.status,
+        _encode_headers(response.headers, record.request_id),
+        response.body,
+        response.file_name,
+        response.body_digest,
+        response.body_length,
+        first.worker_id,
+        first.sent_at,
+        record.attempt_in_flight_until_s,
     )
+    if _is_single_without_location(record.executions):
+        return _encoder.encode(_StoredRecord(*fields))
+    return _encoder.encode(_StoredRecordWithExecutions(*fields, record.executions))
+
+
+def _is_single_without_location(executions: tuple[PossibleExecution, ...]) -> bool:
+    """Return whether worker and time of the first execution tell everything."""
+    return not executions or (len(executions) == 1 and not (executions[0].zone or executions[0].cell))
 
 
 def decode_record(data: bytes) -> OperationRecord:
@@ -102,12 +117,17 @@
         request_id,
         stored.idempotency,
         response,
-        stored.worker_id,
-        stored.sent_s,
+        _decode_executions(stored),
         stored.attempt_in_flight_until_s,
     )
 
 
+def _decode_executions(stored: _StoredRecordWithExecutions) -> tuple[PossibleExecution, ...]:
+    if stored.executions or not (stored.worker_id or stored.sent_s):
+        return stored.executions
+    return (PossibleExecution(stored.worker_id, stored.sent_s),)
+
+
 def _encode_headers(headers: tuple[tuple[str, str], ...], request_id: str) -> tuple[_EncodedHeaderWord, ...]:
     return tuple(
         _REQUEST_ID_INDEX if word == request_id else _INDEX_BY_HEADER_WORD.get(word, word)
--- a/saffronstack/routing/actions.py
+++ b/saffronstack/routing/actions.py
@@ -16,12 +16,17 @@
         timeout_s: Timeout of the attempt; 0 leaves only the client's deadline as the limit.
         latest_start_s: Time from which no byte of the attempt may be sent any more. It follows from earlier
             attempts, so decision records do not contain it.
+        zone: Index of the worker's zone, by the endpoint list on which the decision rests. Decision records
+            contain the list, and so neither ``zone`` nor ``cell``.
+        cell: Index of its cell.
     """
 
     request_id: int
     worker_id: int
     timeout_s: float = 0.0
     latest_start_s: float = field(default=math.inf, compare=False)
+    zone: int = field(default=0, compare=False)
+    cell: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronstack/routing/dispatcher.py
+++ b/saffronstack/routing/dispatcher.py
@@ -128,7 +128,9 @@
         if worker.is_ejected:
             self._outliers.start_trial(now, worker)
         latest_start_s = self._retry_policy.latest_start_s(pending)
-        self.actions.append(SendAttempt(request.request_id, worker_id, latest_start_s=latest_start_s))
+        self.actions.append(
+            SendAttempt(request.request_id, worker_id, 0.0, latest_start_s, attempt.zone, attempt.cell)
+        )
 
     def _use_free_instances(self, now: float) -> None:
         """Dispatch queued requests to free instances, by the weight of each function's newest request."""
--- a/saffronstack/routing/events.py
+++ b/saffronstack/routing/events.py
@@ -129,10 +129,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PriorAttempt:
-    """An attempt that an earlier incarnation of the gateway sent and that may have executed the request."""
+    """An attempt that may have executed the request.
+
+    Attributes:
+        worker_id: ID of the worker.
+        sent_s: When the attempt was sent.
+        zone: Index of the worker's zone at that time; None if only the endpoint list can tell.
+        cell: Index of its cell at that time; None like ``zone``.
+    """
 
     worker_id: int
     sent_s: float
+    zone: int | None = None
+    cell: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +160,8 @@
         work_s: Time to execute the request, if known.
         is_retry: Whether the client sent the request before.
         is_write: Whether the request writes data.
-        prior_attempt: Attempt before a restart of the gateway; set only for a resumed deferred request.
+        prior_attempts: Attempts that were sent before this request and may have executed it, if there are
+            any: those of an earlier incarnation of the gateway or of an earlier request of the operation.
     """
 
     request_id: int
@@ -165,7 +175,7 @@
     work_s: float | None = None
     is_retry: bool = False
     is_write: bool = False
-    prior_attempt: PriorAttempt | None = None
+    prior_attempts: tuple[PriorAttempt, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronstack/routing/router.py
+++ b/saffronstack/routing/router.py
@@ -13,6 +13,7 @@
     EndpointUpdateKind,
     Event,
     LoadCommandResult,
+    PriorAttempt,
     Request,
     TimerFired,
     WorkerEndpoint,
@@ -27,7 +28,7 @@
 
 # Endpoint updates that show that the subscription is missing or broken.
 STALE_UPDATE_KINDS = (EndpointUpdateKind.CACHED, EndpointUpdateKind.FAILED)
-UNKNOWN_LOCATION = -1  # zone and cell of an unknown worker; they match no other worker
+UNKNOWN_LOCATION = -1  # zone or cell that matches no worker
 
 
 class Router:
@@ -102,8 +103,8 @@
             components.load_shedder.priority_weight(now, request),
             queue_deadline_s(now, request),
         )
-        if request.prior_attempt is not None:
-            pending.maybe_executed = self._restore_attempt(request)
+        if request.prior_attempts:
+            pending.maybe_executed = self._restore_first_attempt(request, request.prior_attempts)
         self._requests[request.request_id] = pending
         components.retry_policy.record_request()
         components.load_shedder.observe_request(pending)
@@ -112,19 +113,32 @@
         else:
             self._dispatcher.dispatch(now, pending)
 
-    def _restore_attempt(self, request: Request) -> Attempt | None:
-        """Return the attempt of an earlier incarnation; an unknown worker gets no known zone or cell."""
-        prior = request.prior_attempt
-        if prior is None:
-            return None
+    def _restore_first_attempt(self, request: Request, prior_attempts: tuple[PriorAttempt, ...]) -> Attempt:
+        """Return the first attempt before the request, in the zone and the cell of all such attempts.
+
+        If they went to several zones, no zone drops the repeats of each of them, and the attempt gets one
+        that matches no worker; likewise for cells. The request then gets no attempt in that scope.
+        """
+        locations = [self._location_of(prior) for prior in prior_attempts]
+        zones, cells = {zone for zone, _ in locations}, {cell for _, cell in locations}
+        first = min(prior_attempts, key=lambda prior: prior.sent_s)
+        endpoint = WorkerEndpoint(
+            first.worker_id,
+            WorkerState.REMOVED,
+            zone=zones.pop() if len(zones) == 1 else UNKNOWN_LOCATION,
+            cell=cells.pop() if len(cells) == 1 else UNKNOWN_LOCATION,
+        )
+        return Attempt(request, -1, Worker(endpoint), first.sent_s, False, False)
+
+    def _location_of(self, prior: PriorAttempt) -> tuple[int, int]:
+        """Return the zone and cell to which an attempt was sent; unknown ones if nothing tells them."""
         worker = self.workers.get(prior.worker_id)
-        if worker is None:
-            worker = Worker(
-                WorkerEndpoint(
-                    prior.worker_id, WorkerState.REMOVED, zone=UNKNOWN_LOCATION, cell=UNKNOWN_LOCATION
-                )
-            )
-        return Attempt(request, -1, worker, prior.sent_s, False, False)
+        zone, cell = prior.zone, prior.cell
+        if zone is None:
+            zone = UNKNOWN_LOCATION if worker is None else worker.endpoint.zone
+        if cell is None:
+            cell = UNKNOWN_LOCATION if worker is None else worker.endpoint.cell
+        return zone, cell
 
     def _on_outcome(self, now: float, outcome: AttemptOutcome) -> None:
         attempt = self._attempts.pop((outcome.request_id, outcome.attempt), None)
--- a/saffronstack/upstream/http/attempt_runner.py
+++ b/saffronstack/upstream/http/attempt_runner.py
@@ -95,7 +95,7 @@
             except OSError as error:
                 return AttemptResponse(Result.CONNECT_FAILED, reason=str(error))
             if guard is not None:
-                if not guard.may_send(job.attempt, self._context.spec.number):
+                if not guard.may_send(job.call.guarded_attempts):
                     return AttemptResponse(Result.NOT_STARTED, reason="the ledger could not note it")
                 guard = None  # the guard is asked once per attempt, however often the request is sent
             if not self._may_send(job):
--- a/tests/deferred/test_deferred_calls.py
+++ b/tests/deferred/test_deferred_calls.py
@@ -81,7 +81,7 @@
     deferred.accept(submission("id-1", "record-sale"))
     call = engine.wait_for_call(1)
     prior = PriorAttempt(WORKER_ID, time.monotonic())
-    call.finish(FinalAnswer(FinalStatus.FAILED, attempts=1, prior_attempt=prior))
+    call.finish(FinalAnswer(FinalStatus.FAILED, attempts=1, prior_attempts=(prior,)))
     assert final_condition(deferred, "id-1") == "OutcomeUnknown"
 
 
@@ -105,7 +105,7 @@
     deferred.accept(submission("id-1", "record-sale"))
     call = engine.wait_for_call(1)
     assert call.guard is not None
-    assert call.guard.may_send(0, WORKER_ID)
+    assert call.guard.may_send([PriorAttempt(WORKER_ID, time.monotonic())])
     (attempt,) = ledger.state.open["id-1"].attempts
     assert (attempt.request_id, attempt.worker_id) == ("id-1", WORKER_ID)
     call.finish(REJECTED)  # certainly not executed
@@ -119,10 +119,10 @@
     guard = engine.wait_for_call(1).guard
     assert guard is not None
     disk.is_full = True
-    assert not guard.may_send(0, WORKER_ID)
+    assert not guard.may_send([PriorAttempt(WORKER_ID, time.monotonic())])
     disk.is_full = False
     disk.unblocked.clear()
-    assert not guard.may_send(0, WORKER_ID)
+    assert not guard.may_send([PriorAttempt(WORKER_ID, time.monotonic())])
 
 
 def test_a_gateway_that_lost_its_ledger_sends_no_attempt_of_an_idempotent_call(
@@ -143,8 +143,8 @@
     deferred.accept(submission("id-1", "identify-copy"))
     guard = engine.wait_for_call(1).guard
     assert guard is not None
-    assert guard.may_send(0, WORKER_ID)
-    assert not guard.may_send(1, WORKER_ID)
+    assert guard.may_send([PriorAttempt(WORKER_ID, time.monotonic())])
+    assert not guard.may_send([PriorAttempt(WORKER_ID, time.monotonic())])
     deferred.stop(0.0)
 
 
@@ -194,7 +194,7 @@
     second = DeferredCalls(config, ledger, engine, Functions(config), time.monotonic, time.time)
     second.start()
     call = engine.wait_for_call(1)
-    assert (call.request_id, call.prior_attempt) == ("id-1", None)
+    assert (call.request_id, call.prior_attempts) == ("id-1", ())
     call.finish(SERVED)
     assert final_condition(second, "id-1") == "Success"
     assert final_condition(second, "id-2") == "OutcomeUnknown"
--- a/tests/deferred/test_retry_policy.py
+++ b/tests/deferred/test_retry_policy.py
@@ -11,7 +11,6 @@
     Backoff,
     Condition,
     Finish,
-    PossibleExecution,
     RetryPolicy,
     RetryState,
     StartAttempt,
@@ -19,8 +18,14 @@
     decide_next_step,
 )
 from saffronstack.engine.calls import FinalStatus
+from saffronstack.engine.possible_execution import PossibleExecution
 from saffronstack.routing.settings import Idempotency
 
+
+def in_order_of_sending(executions: list[PossibleExecution]) -> tuple[PossibleExecution, ...]:
+    return tuple(sorted(executions, key=lambda execution: execution.sent_at))
+
+
 times = st.floats(0, 100, allow_nan=False)
 policies = st.builds(
     RetryPolicy,
@@ -33,7 +38,7 @@
 states = st.builds(
     RetryState,
     times,
-    st.none() | st.builds(PossibleExecution, st.integers(0, 9), times),
+    st.lists(st.builds(PossibleExecution, st.integers(0, 9), times), max_size=3).map(in_order_of_sending),
     st.integers(0, 9),
     st.integers(0, 4),
 )
@@ -41,7 +46,7 @@
 WITH_KEY = RetryPolicy(Idempotency.WITH_KEY, 10, 3, 60, 2)
 IDEMPOTENT = RetryPolicy(Idempotency.IDEMPOTENT, 0, 3, 60, 2)
 FUNCTION_ERROR = AttemptResult(FinalStatus.SERVED, True, 0.0)
-EXECUTED = RetryState(0.0, PossibleExecution(1, 0.5))
+EXECUTED = RetryState(0.0, (PossibleExecution(1, 0.5),))
 
 
 @given(states, policies, times)
@@ -52,18 +57,14 @@
     step = decide_next_step(state, policy, now)
     if isinstance(step, StartAttempt):
         assert now < step.deadline_at <= state.accepted_at + policy.max_event_age_s
-        if state.possible_execution is not None and policy.idempotency is Idempotency.NON_IDEMPOTENT:
+        if state.possible_executions and policy.idempotency is Idempotency.NON_IDEMPOTENT:
             raise AssertionError("a non-idempotent call was retried")
-        if state.possible_execution is not None and policy.idempotency is Idempotency.WITH_KEY:
-            assert state.possible_execution.sent_at <= now
-            assert (
-                step.deadline_at
-                <= state.possible_execution.sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
-            )
+        if state.possible_executions and policy.idempotency is Idempotency.WITH_KEY:
+            assert all(execution.sent_at <= now for execution in state.possible_executions)
+            first_sent_at = min(execution.sent_at for execution in state.possible_executions)
+            assert step.deadline_at <= first_sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
     elif isinstance(step, Finish):
-        is_uncertain = (
-            state.possible_execution is not None and policy.idempotency is not Idempotency.IDEMPOTENT
-        )
+        is_uncertain = bool(state.possible_executions) and policy.idempotency is not Idempotency.IDEMPOTENT
         assert (step.condition is Condition.UNKNOWN) == is_uncertain
 
 
@@ -91,7 +92,7 @@
     assert not isinstance(step, StartAttempt)
     if isinstance(step, Backoff):
         assert now <= step.until <= max(now, state.accepted_at + policy.max_event_age_s)
-        if state.possible_execution is not None:
+        if state.possible_executions:
             assert policy.idempotency is not Idempotency.NON_IDEMPOTENT
     if status is FinalStatus.SERVED and not error:
         assert step == Finish(Condition.SUCCESS)
@@ -140,7 +141,7 @@
 
 
 def test_a_clock_set_back_leaves_no_window() -> None:
-    state = RetryState(0.0, PossibleExecution(1, 50.0))
+    state = RetryState(0.0, (PossibleExecution(1, 50.0),))
     assert decide_next_step(state, WITH_KEY, 20.0) == Finish(Condition.UNKNOWN)
 
 
@@ -157,5 +158,5 @@
 
 def test_a_call_that_was_never_executed_expires() -> None:
     assert decide_next_step(RetryState(0.0), NON_IDEMPOTENT, 60.0) == Finish(Condition.EXPIRED)
-    state = RetryState(0.0, PossibleExecution(1, 1.0))
+    state = RetryState(0.0, (PossibleExecution(1, 1.0),))
     assert decide_next_step(state, WITH_KEY, 60.0) == Finish(Condition.UNKNOWN)
--- a/tests/engine/test_action_executor.py
+++ b/tests/engine/test_action_executor.py
@@ -4,6 +4,7 @@
 
 import io
 import math
+from collections.abc import Sequence
 from typing import Any
 
 import pytest
@@ -27,7 +28,7 @@
     WatchEndpoints,
     WriteLog,
 )
-from saffronstack.routing.events import PriorAttempt, Result, TimerFired
+from saffronstack.routing.events import AttemptOutcome, PriorAttempt, Result, TimerFired
 from saffronstack.runtime.logs import KeyValueLogger
 from tests.helpers import settings
 from tests.support.engine import new_call
@@ -105,10 +106,10 @@
 
 
 def test_attempts_and_retries_are_counted(harness: ExecutorHarness) -> None:
-    harness.execute(SendAttempt(1, 7), SendAttempt(1, 8))
+    harness.execute(SendAttempt(1, 7), SendAttempt(1, 8, zone=2, cell=3))
     assert [attempt for _, _, attempt, _, _ in harness.dispatcher.commands] == [0, 1]
     assert (harness.state.statistics.attempts, harness.state.statistics.retries) == (2, 1)
-    assert harness.state.open_calls[1].attempts_in_flight[1] == PriorAttempt(8, NOW)
+    assert harness.state.open_calls[1].attempts_in_flight[1] == PriorAttempt(8, NOW, 2, 3)
 
 
 def test_each_attempt_brings_its_own_latest_start(harness: ExecutorHarness) -> None:
@@ -153,3 +154,28 @@
 def test_a_log_line_of_the_router_is_logged(harness: ExecutorHarness) -> None:
     harness.execute(WriteLog("a line"))
     assert "router message text='a line'" in harness.log.getvalue()
+
+
+class AllowingGuard:
+    """Allows every attempt."""
+
+    def may_send(self, attempts: Sequence[PriorAttempt]) -> bool:
+        return True
+
+
+def test_a_guard_gets_the_attempts_that_may_have_executed_and_the_present_one(
+    harness: ExecutorHarness,
+) -> None:
+    """Guards against storing an attempt that a worker refused beside the next one."""
+    open_call = harness.state.open_calls[1]
+    open_call.call.guard = AllowingGuard()
+    guarded: list[tuple[PriorAttempt, ...]] = []
+    harness.execute(SendAttempt(1, 7, zone=0, cell=1))
+    open_call.end_attempt(AttemptOutcome(1, 0, 7, Result.AT_CAPACITY, 0.1), NOW)
+    harness.execute(SendAttempt(1, 8, zone=0, cell=2))
+    guarded.append(open_call.call.guarded_attempts)
+    open_call.end_attempt(AttemptOutcome(1, 1, 8, Result.RESET, 0.1), NOW)
+    harness.execute(SendAttempt(1, 9, zone=0, cell=2))
+    guarded.append(open_call.call.guarded_attempts)
+    second, third = PriorAttempt(8, NOW, 0, 2), PriorAttempt(9, NOW, 0, 2)
+    assert guarded == [(second,), (second, third)]
--- a/tests/engine/test_call_finisher.py
+++ b/tests/engine/test_call_finisher.py
@@ -25,13 +25,13 @@
 def test_a_rejection_names_attempts_and_the_time_to_wait(state: EngineState, finisher: CallFinisher) -> None:
     call = new_call(1)
     state.open_calls.add(call)
-    state.open_calls[1].start_attempt(7, 1.0)
+    state.open_calls[1].start_attempt(PriorAttempt(7, 1.0))
     finisher.finish(1, FinalStatus.REJECTED, 0.5)
     assert call.final_answer == FinalAnswer(
         FinalStatus.REJECTED,
         retry_after_s=0.5,
         reason="no worker could take it",
-        prior_attempt=PriorAttempt(7, 1.0),
+        prior_attempts=(PriorAttempt(7, 1.0),),
         attempts=1,
         attempt_in_flight_until_s=call.deadline_s,
     )
@@ -71,7 +71,7 @@
     call = new_call(1, class_index)
     state.open_calls.add(call)
     if has_attempt:
-        state.open_calls[1].start_attempt(7, 1.0)
+        state.open_calls[1].start_attempt(PriorAttempt(7, 1.0))
     finisher.finish_overdue(state.open_calls[1])
     assert call.final_answer is not None
     assert call.final_answer.status is status
@@ -86,7 +86,7 @@
     call = new_call(1, SAFE)
     state.open_calls.add(call)
     if has_attempt:
-        state.open_calls[1].start_attempt(7, 1.0)
+        state.open_calls[1].start_attempt(PriorAttempt(7, 1.0))
     finisher.finish_all_at_shutdown()
     assert call.final_answer is not None
     assert (call.final_answer.status, call.final_answer.reason) == (status, "the gateway stops")
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -52,7 +52,7 @@
     final_answer = call.wait(3)
     assert final_answer is not None
     assert final_answer.status is status
-    assert (final_answer.prior_attempt is not None) == bool(dispatcher.sent)
+    assert bool(final_answer.prior_attempts) == bool(dispatcher.sent)
     dispatcher.end(
         dispatcher.sent[0], Result.OK
     )  # too late: the final answer does not change, and no call stays open
@@ -76,9 +76,9 @@
 
 def test_an_attempt_of_an_earlier_incarnation_counts_as_possibly_executed() -> None:
     engine, dispatcher = start_engine([])
-    unsafe = make_call(engine, UNSAFE, prior_attempt=PriorAttempt(1, time.monotonic() - 1))
-    keyed = make_call(engine, KEYED_ALL, prior_attempt=PriorAttempt(1, time.monotonic() - 1))
-    late = make_call(engine, KEYED_ALL, prior_attempt=PriorAttempt(1, time.monotonic() - 5))
+    unsafe = make_call(engine, UNSAFE, prior_attempts=(PriorAttempt(1, time.monotonic() - 1),))
+    keyed = make_call(engine, KEYED_ALL, prior_attempts=(PriorAttempt(1, time.monotonic() - 1),))
+    late = make_call(engine, KEYED_ALL, prior_attempts=(PriorAttempt(1, time.monotonic() - 5),))
     for call in (unsafe, keyed, late):
         engine.submit(call)
     answers = [call.wait(3) for call in (unsafe, keyed, late)]
--- a/tests/engine/test_open_calls.py
+++ b/tests/engine/test_open_calls.py
@@ -10,6 +10,8 @@
 from saffronstack.routing.retry_policy import NEVER_EXECUTED
 from tests.support.engine import new_call
 
+FIRST, SECOND = PriorAttempt(7, 1.0), PriorAttempt(8, 2.0)
+
 
 def outcome(attempt: int, result: Result) -> AttemptOutcome:
     return AttemptOutcome(1, attempt, 7, result, 0.1)
@@ -17,41 +19,42 @@
 
 def test_attempts_are_counted_from_zero() -> None:
     open_call = OpenCall(new_call(1))
-    assert [open_call.start_attempt(7, 1.0), open_call.start_attempt(8, 2.0)] == [0, 1]
-    assert open_call.attempts_in_flight == {0: PriorAttempt(7, 1.0), 1: PriorAttempt(8, 2.0)}
+    assert [open_call.start_attempt(FIRST), open_call.start_attempt(SECOND)] == [0, 1]
+    assert open_call.attempts_in_flight == {0: FIRST, 1: SECOND}
 
 
-def test_the_first_attempt_in_flight_may_have_executed() -> None:
+def test_each_attempt_in_flight_may_have_executed() -> None:
     open_call = OpenCall(new_call(1))
-    assert open_call.possibly_executed_attempt() is None
-    open_call.start_attempt(7, 1.0)
-    open_call.start_attempt(8, 2.0)
-    assert open_call.possibly_executed_attempt() == PriorAttempt(7, 1.0)
+    assert open_call.possibly_executed_attempts() == ()
+    open_call.start_attempt(FIRST)
+    open_call.start_attempt(SECOND)
+    assert open_call.possibly_executed_attempts() == (FIRST, SECOND)
 
 
 @pytest.mark.parametrize("result", list(Result))
 def test_the_result_decides_whether_the_attempt_may_have_executed(result: Result) -> None:
     open_call = OpenCall(new_call(1))
-    open_call.start_attempt(7, 1.0)
+    open_call.start_attempt(FIRST)
     open_call.end_attempt(outcome(0, result), 3.0)
-    expected = None if result in NEVER_EXECUTED else PriorAttempt(7, 1.0)
-    assert open_call.possibly_executed_attempt() == expected
+    expected = () if result in NEVER_EXECUTED else (FIRST,)
+    assert open_call.possibly_executed_attempts() == expected
     assert not open_call.attempts_in_flight
 
 
-def test_the_first_possibly_executed_attempt_stays_the_first() -> None:
+def test_possibly_executed_attempts_are_in_the_order_of_sending() -> None:
+    """The window counts from the first send, also if that attempt's end is reported later."""
     open_call = OpenCall(new_call(1))
-    open_call.start_attempt(7, 1.0)
-    open_call.start_attempt(8, 2.0)
+    open_call.start_attempt(FIRST)
+    open_call.start_attempt(SECOND)
     open_call.end_attempt(outcome(1, Result.RESET), 3.0)
     open_call.end_attempt(outcome(0, Result.RESET), 4.0)
-    assert open_call.possibly_executed_attempt() == PriorAttempt(8, 2.0)
+    assert open_call.possibly_executed_attempts() == (FIRST, SECOND)
 
 
 def test_a_call_is_over_once_it_is_finished_and_no_attempt_is_in_flight() -> None:
     open_call = OpenCall(new_call(1))
     assert not open_call.is_over
-    open_call.start_attempt(7, 1.0)
+    open_call.start_attempt(FIRST)
     open_call.call.finish(FinalAnswer(FinalStatus.SERVED))
     assert not open_call.is_over
     open_call.end_attempt(outcome(0, Result.OK), 2.0)
@@ -81,5 +84,5 @@
 
 def test_a_resumed_call_keeps_its_prior_attempt() -> None:
     open_calls = OpenCalls()
-    open_calls.add(new_call(1, prior_attempt=PriorAttempt(3, 0.5)))
-    assert open_calls[1].possibly_executed_attempt() == PriorAttempt(3, 0.5)
+    open_calls.add(new_call(1, prior_attempts=(PriorAttempt(3, 0.5),)))
+    assert open_calls[1].possibly_executed_attempts() == (PriorAttempt(3, 0.5),)
--- a/tests/operations/test_operation_log.py
+++ b/tests/operations/test_operation_log.py
@@ -11,6 +11,7 @@
 from saffronstack.operations.operation_request import DeduplicationPolicy
 from saffronstack.operations.operation_service import OperationService
 from saffronstack.operations.operation_table import OperationTable
+from saffronstack.routing.events import PriorAttempt
 from saffronstack.routing.settings import Idempotency
 from tests.support.operations import SealableFiles
 
@@ -33,11 +34,11 @@
         executions.append(execution)
     assert table.memory_bytes <= 256 * 1024 * 1024
     guards = [operations.attempt_guard(execution) for execution in executions]
-    assert not any(guard.may_send(0, 1) for guard in guards[::1000])
+    assert not any(guard.may_send([PriorAttempt(1, time.monotonic())]) for guard in guards[::1000])
     assert log.write_error
     joined = table.admit(b"%012d" % 7, b"p" * 16, Idempotency.NON_IDEMPOTENT, 900.0, "x", operations.now())
     assert isinstance(joined, Coalesce)
     files.is_sealed = False
-    assert all(guard.may_send(1, 1) for guard in guards[::1000])
+    assert all(guard.may_send([PriorAttempt(1, time.monotonic())]) for guard in guards[::1000])
     assert len(log.state.in_flight) == 100
     assert log.close()
--- a/tests/operations/test_operation_status.py
+++ b/tests/operations/test_operation_status.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from saffronstack.engine.possible_execution import PossibleExecution
 from saffronstack.operations.idempotency_keys import OperationIdentity
 from saffronstack.operations.operation import InFlightOperation, OperationState, StoredResponse
 from saffronstack.operations.operation_service import OperationService
@@ -81,7 +82,7 @@
 
 
 def test_an_operation_to_be_retried(service: OperationService) -> None:
-    service.table.mark_retryable(start(service), 7, 4999.5, UNIX_S)
+    service.table.mark_retryable(start(service), (PossibleExecution(7, 4999.5),), UNIX_S)
     assert status_json(service) == expected(
         effect="unsafe", state="again", rememberedForS=900.0, mayHaveRunAt=4999.5
     )
--- a/tests/operations/test_operation_table.py
+++ b/tests/operations/test_operation_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from saffronstack.engine.possible_execution import PossibleExecution
 from saffronstack.operations.decisions import Coalesce, Execute, FingerprintMismatch, Reject, Replay
 from saffronstack.operations.operation import (
     InFlightOperation,
@@ -61,23 +62,19 @@
 def test_a_retry_of_what_may_have_executed_names_its_first_worker() -> None:
     table = OperationTable(1 << 20)
     first = execute(table, idempotency=Idempotency.WITH_KEY)
-    table.mark_retryable(first, 7, 3.0, 4.0, 4.5)
+    table.mark_retryable(first, (PossibleExecution(7, 3.0),), 4.0, 4.5)
     second = execute(table, now=5.0, idempotency=Idempotency.WITH_KEY)
     assert second.previous is not None
-    assert (second.previous.worker_id, second.previous.sent_s, second.request_id) == (
-        7,
-        3.0,
-        first.request_id,
-    )
+    assert second.previous.executions == (PossibleExecution(7, 3.0),)
+    assert second.request_id == first.request_id
     assert second.previous.attempt_in_flight_until_s == 4.5
     table.release(second)  # the retry was not executed; the first attempt may have been
     third = execute(table, now=7.0, idempotency=Idempotency.WITH_KEY)
-    table.mark_retryable(
-        third, 9, 6.5, 8.0
-    )  # a second worker may have executed it: the record still names the first
+    # A second worker may have executed it: the record still names the first one, and names both.
+    table.mark_retryable(third, (PossibleExecution(9, 6.5),), 8.0)
     fourth = execute(table, now=9.0, idempotency=Idempotency.WITH_KEY)
     assert fourth.previous is not None
-    assert (fourth.previous.worker_id, fourth.previous.sent_s) == (7, 3.0)
+    assert fourth.previous.executions == (PossibleExecution(7, 3.0), PossibleExecution(9, 6.5))
 
 
 def test_the_memory_limit_evicts_completed_operations_only() -> None:
@@ -125,7 +122,7 @@
         elif n % 3 == 1:
             table.complete(operation, OperationState.COMPLETED, StoredResponse(200, (), b"y" * n), float(n))
         else:
-            table.mark_retryable(operation, 1, 0.0, float(n))
+            table.mark_retryable(operation, (PossibleExecution(1, 0.0),), float(n))
     table.expire(1000.0)
     assert (table.memory_bytes, len(table)) == (0, 0)
 
--- a/tests/operations/test_record_format.py
+++ b/tests/operations/test_record_format.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from saffronstack.engine.possible_execution import PossibleExecution
 from saffronstack.operations.operation import OperationRecord, OperationState, StoredResponse
 from saffronstack.operations.record_format import decode_record, encode_record
 from saffronstack.routing.settings import Idempotency
@@ -23,10 +24,18 @@
 def test_an_encoded_record_is_decoded_to_the_same(
     body: bytes, text: str, state: OperationState, idempotency: Idempotency
 ) -> None:
+    executions = (PossibleExecution(5, 1.25), PossibleExecution(6, 2.5, text, "cell"))[: len(body) % 3]
     for request_id in (text, "01234567-89ab-cdef-0123-456789abcdef", "01234567-89AB-cdef-0123-456789abcdef"):
         headers = (("a", text), ("x-amzn-RequestId", request_id), ("Content-Type", "$LATEST"))
         record = OperationRecord(
-            state, 12.5, FINGERPRINT, request_id, idempotency, StoredResponse(200, headers, body), 5, 1.25
+            state,
+            12.5,
+            FINGERPRINT,
+            request_id,
+            idempotency,
+            StoredResponse(200, headers, body),
+            executions,
+            7.5,
         )
         assert decode_record(encode_record(record)) == record
     assert decode_record(
--- a/tests/routing/test_retry_policy.py
+++ b/tests/routing/test_retry_policy.py
@@ -218,9 +218,14 @@
 
 def actions_on_resumed_request(class_index: int, prior_worker: int, sent_s: float = 99.9) -> list[Action]:
     """Return the actions for a request that is resumed after a restart."""
+    return actions_after(class_index, PriorAttempt(prior_worker, sent_s))
+
+
+def actions_after(class_index: int, *prior_attempts: PriorAttempt) -> list[Action]:
+    """Return the actions for a request with attempts before it, at a fleet of two zones and three cells."""
     gateway = Gateway(Router(settings(), 1))
     gateway.router.handle(100.0, snapshot(*(endpoint(w, zone=w % 2, cell=w % 3) for w in range(1, 7))))
-    return gateway.request(100.0, class_index, prior_attempt=PriorAttempt(prior_worker, sent_s))[1]
+    return gateway.request(100.0, class_index, prior_attempts=prior_attempts)[1]
 
 
 def test_a_resumed_request_counts_its_earlier_attempt() -> None:
@@ -238,3 +243,34 @@
 def test_no_worker_is_in_the_scope_of_one_that_is_not_known() -> None:
     assert actions_on_resumed_request(KEYED_ZONE, 99) == [Fail(1)]
     assert attempts_sent(actions_on_resumed_request(KEYED_ALL, 99))
+
+
+def test_a_request_that_may_have_executed_in_several_cells_is_sent_to_none() -> None:
+    """Guards against a retry in the cell of the first attempt while another one may have executed it."""
+    first, second = PriorAttempt(1, 99.8, 1, 1), PriorAttempt(2, 99.9, 0, 2)
+    assert actions_after(KEYED_CELL, first, second) == [Fail(1)]
+    assert actions_after(KEYED_ZONE, first, second) == [Fail(1)]
+    assert attempts_sent(actions_after(KEYED_ALL, first, second))
+
+
+def test_a_request_that_may_have_executed_several_times_in_one_cell_stays_there() -> None:
+    first, second = PriorAttempt(2, 99.8, 0, 2), PriorAttempt(5, 99.9, 1, 2)
+    assert [send.worker_id % 3 for send in attempts_sent(actions_after(KEYED_CELL, first, second))] == [2]
+    assert actions_after(KEYED_ZONE, first, second) == [Fail(1)]
+
+
+def test_the_window_of_a_resumed_request_counts_from_its_first_attempt() -> None:
+    early, late = PriorAttempt(2, 90.0, 0, 2), PriorAttempt(2, 99.9, 0, 2)
+    assert actions_after(KEYED_CELL, late, early) == [Fail(1)]
+
+
+def test_the_scope_of_a_resumed_request_is_where_its_worker_was() -> None:
+    """Guards against a retry in the cell to which the worker has moved, or none because it has left."""
+    for worker in (1, 99):  # the list names worker 1 in cell 1
+        sent = attempts_sent(actions_after(KEYED_CELL, PriorAttempt(worker, 99.9, 0, 2)))
+        assert [send.worker_id % 3 for send in sent] == [2]
+
+
+def test_a_request_with_an_attempt_at_an_unknown_place_is_sent_nowhere() -> None:
+    known, unknown = PriorAttempt(2, 99.9, 0, 2), PriorAttempt(99, 99.8)
+    assert actions_after(KEYED_CELL, known, unknown) == [Fail(1)]
--- a/tests/support/engine.py
+++ b/tests/support/engine.py
@@ -72,15 +72,18 @@
 
 
 def make_call(
-    engine: Engine, class_index: int, deadline_s: float = 1.0, prior_attempt: PriorAttempt | None = None
+    engine: Engine, class_index: int, deadline_s: float = 1.0, prior_attempts: tuple[PriorAttempt, ...] = ()
 ) -> Call:
     """Make a call of a class whose deadline is ``deadline_s`` seconds from now."""
-    return new_call(engine.next_call_number(), class_index, time.monotonic() + deadline_s, prior_attempt)
+    return new_call(engine.next_call_number(), class_index, time.monotonic() + deadline_s, prior_attempts)
 
 
 def new_call(
-    number: int, class_index: int = 0, deadline_s: float = 100.0, prior_attempt: PriorAttempt | None = None
+    number: int,
+    class_index: int = 0,
+    deadline_s: float = 100.0,
+    prior_attempts: tuple[PriorAttempt, ...] = (),
 ) -> Call:
     """Make a call whose deadline is an absolute time."""
     function = FunctionSpec(f"f{class_index}", 5 + class_index, class_index, 100.0)
-    return Call(number, f"r{number}", function, b"{}", deadline_s, prior_attempt=prior_attempt)
+    return Call(number, f"r{number}", function, b"{}", deadline_s, prior_attempts=prior_attempts)
--- a/tests/upstream/http/test_dispatcher.py
+++ b/tests/upstream/http/test_dispatcher.py
@@ -7,7 +7,7 @@
 import struct
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 import pytest
@@ -15,7 +15,7 @@
 from saffronstack.engine.calls import Call, FunctionSpec
 from saffronstack.engine.dispatch import AttemptResult, CommandResult, WorkerObservation
 from saffronstack.engine.worker_registry import WorkerSpec
-from saffronstack.routing.events import CacheStatus, Result
+from saffronstack.routing.events import CacheStatus, PriorAttempt, Result
 from saffronstack.upstream.events import EngineEvent
 from saffronstack.upstream.http.dispatcher import HttpDispatcher
 from saffronstack.upstream.http.worker_context import HttpPoolLimits
@@ -216,7 +216,7 @@
 
 def test_an_attempt_that_its_guard_forbids_is_not_sent(start: StartUpstream) -> None:
     class RejectingGuard:
-        def may_send(self, attempt: int, worker_id: int) -> bool:
+        def may_send(self, attempts: Sequence[PriorAttempt]) -> bool:
             return False
 
     upstream, guarded = start(respond(OK_RESPONSE)), new_call(2)
