An operation is recovered with the attempts of all its executions, once

Its log held the record of the first execution and the open attempt of the second; each became a record, and the process that took the slot over kept the later one, so that the window counted from the second attempt.

A digest is now recovered once, with the attempts of both executions; the first one counts. A known response stands beside an execution that was begun after the table had evicted it.

--- a/saffronstack/operations/operation_log.py
+++ b/saffronstack/operations/operation_log.py
@@ -15,7 +15,7 @@
 from saffronstack.durable.journal_state import RecordCodec
 from saffronstack.engine.possible_execution import PossibleExecution, keep_first_by_location
 from saffronstack.operations.operation import EncodedOperation, OperationRecord, OperationState
-from saffronstack.operations.record_format import encode_record
+from saffronstack.operations.record_format import decode_record, encode_record
 from saffronstack.routing.settings import Idempotency
 
 IN_FLIGHT_SNAPSHOT_BYTES = 160  # estimated bytes of one in-flight operation in a snapshot
@@ -206,12 +206,22 @@
         """Yield the operations that the next process or slot holder must restore.
 
         An operation that was in flight may have been executed. It is retryable if workers deduplicate by its
-        key; otherwise its outcome is unknown.
+        key; otherwise its outcome is unknown. If it was retryable before, the attempts of its earlier
+        executions may have been executed as well. Each digest comes once.
         """
         for digest, finished in self.finished.items():
-            yield digest, finished.record
+            if digest not in self.in_flight:
+                yield digest, finished.record
         for digest, attempts in self.in_flight.items():
-            yield digest, encode_record(_record_after_crash(attempts))
+            last = self.finished.get(digest)
+            if last is None or last.expires_s <= attempts[-1].sent_s:
+                yield digest, encode_record(_record_after_crash(attempts, ()))
+                continue
+            record = decode_record(last.record)
+            if record.state is OperationState.RETRYABLE:
+                yield digest, encode_record(_record_after_crash(attempts, record.executions))
+            else:  # the table had evicted a known response
+                yield digest, last.record
 
 
 def _window_end_s(attempts: list[AttemptStarted]) -> float:
@@ -219,16 +229,20 @@
     return max(attempt.sent_s + attempt.window_s for attempt in attempts)
 
 
-def _record_after_crash(attempts: list[AttemptStarted]) -> OperationRecord:
+def _record_after_crash(
+    attempts: list[AttemptStarted], earlier: tuple[PossibleExecution, ...]
+) -> OperationRecord:
+    """Return the record of an operation in flight, with the ``earlier`` attempts of other executions."""
     first = attempts[0]
     worker_deduplicates = first.idempotency is Idempotency.WITH_KEY
+    executions = (*earlier, *(attempt.possible_execution for attempt in attempts))
     return OperationRecord(
         OperationState.RETRYABLE if worker_deduplicates else OperationState.OUTCOME_UNKNOWN,
         _window_end_s(attempts),
         first.fingerprint,
         first.request_id,
         first.idempotency,
-        executions=keep_first_by_location(attempt.possible_execution for attempt in attempts),
+        executions=keep_first_by_location(executions),
     )
 
 
--- a/tests/operations/test_attempt_records.py
+++ b/tests/operations/test_attempt_records.py
@@ -13,7 +13,7 @@
 from saffronstack.engine.localities import LocalityNumbers
 from saffronstack.engine.possible_execution import LONG_AGO, PossibleExecution
 from saffronstack.operations.decisions import Execute
-from saffronstack.operations.execution import Execution
+from saffronstack.operations.execution import Completed, Execution, NotCompleted
 from saffronstack.operations.operation import OperationRecord, OperationState, StoredResponse
 from saffronstack.operations.operation_log import (
     OPERATION_LOG_CODEC,
@@ -23,10 +23,13 @@
     OperationLogState,
     open_operation_log,
 )
-from saffronstack.operations.operation_request import DeduplicationPolicy
+from saffronstack.operations.operation_request import DeduplicationPolicy, OperationRequest
 from saffronstack.operations.operation_service import OperationService
 from saffronstack.operations.operation_table import OperationTable
 from saffronstack.operations.record_format import decode_record, encode_record
+from saffronstack.operations.slot_assignment import SLOT_COUNT
+from saffronstack.operations.slot_handover import OperationHandover
+from saffronstack.operations.slot_locks import RecordLocation
 from saffronstack.routing.events import PriorAttempt
 from saffronstack.routing.settings import Idempotency
 
@@ -115,6 +118,69 @@
         assert [execution.cell for execution in recovered(source).executions] == RACKS
 
 
+def test_an_execution_that_is_repeated_keeps_the_time_of_its_first_attempt(log: OperationLog) -> None:
+    """Guards against a window that counts from the attempt that was out when the process was killed."""
+    operations = service(log)
+    request = OperationRequest(DIGEST, FINGERPRINT, POLICY, "id-1", time.monotonic() + 5.0, lambda: True)
+    first = sent(0, 4.0)
+
+    def lose_response(execution: Execution, prior: tuple[PriorAttempt, ...]) -> Completed | NotCompleted:
+        assert prior == ()
+        assert operations.attempt_guard(execution).may_send([first])
+        return NotCompleted(TimeoutError("lost"), (first,))
+
+    def be_killed(execution: Execution, prior: tuple[PriorAttempt, ...]) -> Completed | NotCompleted:
+        assert operations.attempt_guard(execution).may_send([*prior, sent(0)])
+        found.append(recovered(log.state))
+        return NotCompleted(TimeoutError("killed"), prior)
+
+    found: list[OperationRecord] = []
+    for execute in (lose_response, be_killed):
+        with pytest.raises(TimeoutError):
+            operations.perform(request, execute)
+    (record,) = found
+    assert record.state is OperationState.RETRYABLE
+    assert operations.now() - record.executions[0].sent_at == pytest.approx(4.0, abs=1.0)
+
+
+def test_a_slot_that_is_taken_over_keeps_the_time_of_the_first_attempt(tmp_path: pathlib.Path) -> None:
+    """Guards against review case 6, with the records of the version that showed it.
+
+    They name the first attempt in the record of the earlier execution alone, and the second in the open one.
+    """
+    now = time.time()
+    with open_operation_log(str(tmp_path / "dead"), 1 << 20) as dead:
+        first = (PossibleExecution(1, now - 4.7),)
+        ticket = dead.append(
+            finished(OperationState.RETRYABLE, first, now + WINDOW_S), started(1, now - 1.8, "")
+        )
+        assert ticket.done.wait(5.0)
+    with open_operation_log(str(tmp_path / "own"), 1 << 20) as own:
+        operations = service(own)
+        handover = OperationHandover(operations, str(tmp_path / "own"), lambda path: [])
+        location = RecordLocation(str(tmp_path / "dead"), "")
+        handover.take_over(frozenset(range(SLOT_COUNT)), [location], [])
+        record = operations.find(DIGEST)
+        assert isinstance(record, OperationRecord)
+        assert record.executions[0] == first[0]
+        assert recovered(own.state) == record
+
+
+def test_a_known_response_stands_beside_a_later_execution_that_was_killed() -> None:
+    """The table evicts responses before their window ends; the operation may then be begun anew."""
+    state = OperationLogState()
+    state.apply(finished(OperationState.COMPLETED, (), 100.0))
+    state.apply(started(1, 50.0))
+    assert recovered(state).state is OperationState.COMPLETED
+
+
+def test_an_expired_record_tells_nothing_of_a_later_execution() -> None:
+    state = OperationLogState()
+    state.apply(finished(OperationState.RETRYABLE, (PossibleExecution(2, 1.0),), 40.0))
+    state.apply(started(1, 50.0))
+    assert [execution.worker_id for execution in recovered(state).executions] == [1]
+
+
 def test_an_operation_expires_with_its_last_attempt() -> None:
     state = OperationLogState()
     state.apply(started(1, 50.0))
