After lost records an operation may have been executed anywhere

A log with a damaged block recovered a keyed operation as executed in the rack of an attempt that had been refused: the block that voided it, and named the rack of the next one, was lost. A repeat would have run in both. The flag that records were lost changed nothing.

Each operation that could be executed again now gets an attempt of unknown place and time, as calls in the ledger have had: no window covers it, and no group is known to drop it.

An operation of which all records are lost is still not known: a repeat begins it.

--- a/saffronstack/operations/operation_log.py
+++ b/saffronstack/operations/operation_log.py
@@ -13,7 +13,11 @@
 from saffronstack.durable.file_operations import FileOperations
 from saffronstack.durable.journal import Journal
 from saffronstack.durable.journal_state import RecordCodec
-from saffronstack.engine.possible_execution import PossibleExecution, keep_first_by_location
+from saffronstack.engine.possible_execution import (
+    UNKNOWN_EXECUTION,
+    PossibleExecution,
+    keep_first_by_location,
+)
 from saffronstack.operations.operation import EncodedOperation, OperationRecord, OperationState
 from saffronstack.operations.record_format import decode_record, encode_record
 from saffronstack.routing.settings import Idempotency
@@ -135,7 +139,7 @@
     Attributes:
         in_flight: The attempts of each operation in flight that may have been executed, by digest.
         finished: Finished operations by digest.
-        in_doubt: Whether records were lost. It does not change how in-flight operations are recovered.
+        in_doubt: Whether records were lost.
     """
 
     def __init__(self) -> None:
@@ -195,8 +199,30 @@
         """See `JournalState`; this state has no files of its own."""
 
     def mark_records_lost(self) -> None:
-        """Set the flag that records were lost."""
+        """Mark each operation that could be executed again as possibly executed anywhere and at any time.
+
+        A lost record may have told of an attempt at another worker.
+        """
         self.in_doubt = True
+        for attempts in self.in_flight.values():
+            lost = UNKNOWN_EXECUTION
+            attempts.insert(
+                0,
+                msgspec.structs.replace(
+                    attempts[0], worker_id=lost.worker_id, sent_s=lost.sent_at, zone=lost.zone, cell=lost.cell
+                ),
+            )
+        for digest, finished in self.finished.items():
+            self.finished[digest] = self._with_unknown_execution(finished)
+
+    def _with_unknown_execution(self, finished: OperationFinished) -> OperationFinished:
+        record = decode_record(finished.record)
+        if record.state is not OperationState.RETRYABLE:
+            return finished
+        executions = keep_first_by_location((*record.executions, UNKNOWN_EXECUTION))
+        encoded = encode_record(msgspec.structs.replace(record, executions=executions))
+        self._record_bytes += len(encoded) - len(finished.record)
+        return msgspec.structs.replace(finished, record=encoded)
 
     def spill(self) -> tuple[AnyLogRecord, ...]:
         """Return no records to spill, as the memory limit of the operation table bounds this state too."""
--- a/tests/operations/test_attempt_records.py
+++ b/tests/operations/test_attempt_records.py
@@ -11,16 +11,19 @@
 
 from saffronstack.durable.journal_recovery import recover_journal
 from saffronstack.engine.localities import LocalityNumbers
-from saffronstack.engine.possible_execution import LONG_AGO, PossibleExecution
+from saffronstack.engine.possible_execution import LONG_AGO, UNKNOWN_EXECUTION, PossibleExecution
 from saffronstack.operations.decisions import Execute
 from saffronstack.operations.execution import Completed, Execution, NotCompleted
 from saffronstack.operations.operation import OperationRecord, OperationState, StoredResponse
 from saffronstack.operations.operation_log import (
     OPERATION_LOG_CODEC,
+    AnyLogRecord,
     AttemptStarted,
     OperationFinished,
     OperationLog,
     OperationLogState,
+    OperationReleased,
+    OperationsExpired,
     open_operation_log,
 )
 from saffronstack.operations.operation_request import DeduplicationPolicy, OperationRequest
@@ -191,6 +194,51 @@
     assert not state.in_flight
 
 
+@pytest.mark.parametrize("has_ended", [True, False], ids=["retryable", "in flight"])
+def test_after_lost_records_an_operation_may_have_executed_anywhere(has_ended: bool) -> None:
+    """Guards against a retry in one rack though a lost record told of an attempt in another."""
+    state = OperationLogState()
+    if has_ended:
+        state.apply(
+            finished(OperationState.RETRYABLE, (PossibleExecution(1, 50.0, "zone", "rack-0"),), 900.0)
+        )
+    else:
+        state.apply(started(1, 50.0))
+    state.mark_records_lost()
+    again = OperationLogState()
+    for record in state.snapshot():
+        again.apply(record)
+    for source in (state, again):
+        executions = recovered(source).executions
+        assert executions[0] == UNKNOWN_EXECUTION
+        assert executions[1].cell == "rack-0"
+    assert again.estimate_snapshot_bytes() == state.estimate_snapshot_bytes()
+
+
+def test_a_damaged_log_does_not_name_a_rack_for_the_next_attempt(tmp_path: pathlib.Path) -> None:
+    """Guards against a retry in the rack of a refused attempt, whose voiding was in the damaged block."""
+    now = time.time()
+    with open_operation_log(str(tmp_path), 1 << 20) as log:
+        commits: list[list[AnyLogRecord]] = [
+            [started(1, now)],
+            [OperationReleased(DIGEST), started(2, now, "rack-1")],
+            [OperationsExpired(0.0)],
+        ]
+        for records in commits:
+            ticket = log.append(*records)
+            assert ticket.done.wait(5.0)
+    (segment,) = tmp_path.glob("*.seg")
+    content = segment.read_bytes()
+    segment.write_bytes(content.replace(b"rack-1", b"rack-0"))
+    with open_operation_log(str(tmp_path), 1 << 20) as log:
+        assert log.recovered.has_lost_records
+        operations = service(log)
+        operations.start()
+        prior = operations._prior_attempts(begin(operations).operation)
+        assert operations._clock.to_unix(prior[0].sent_s) == pytest.approx(LONG_AGO, abs=1.0)
+        assert operations.stop()
+
+
 def test_a_time_to_come_counts_as_long_ago(log: OperationLog) -> None:
     """Guards against a window that lasts longer because the clock was set back."""
     operations = service(log)
