A gateway that loses its ledger answers the calls that it has taken, and then ends

It now shuts down as after SIGTERM and ends with status 3 as before. No deferred call leaves it meanwhile: its commits fail behind the fence, and attempts of idempotent calls ask who owns the ledger.

--- a/saffronstack/cli/ledger_ownership.py
+++ b/saffronstack/cli/ledger_ownership.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import os
 import pathlib
 import threading
+from collections.abc import Callable
 
 import msgspec
 import structlog
@@ -32,7 +32,11 @@
 
 
 class LedgerOwnership:
-    """The right of one incarnation to write a ledger: a fencing token, and a lease that shows it is alive."""
+    """The right of one incarnation to write a ledger: a fencing token, and a lease that shows it is alive.
+
+    Attributes:
+        is_lost: Whether a later owner was seen, which finishes the deferred calls of this process.
+    """
 
     def __init__(
         self,
@@ -56,6 +60,7 @@
         """
         self._directory, self._token, self._client, self._held = directory, token, client, held
         self._is_closed = threading.Event()
+        self.is_lost = False
         self.files = FencedFiles(directory, token)
         owner_directory = directory.take_ownership(token)
         assert config.ledger is not None
@@ -66,17 +71,20 @@
             config = _with_state_directories_in(config, owner_directory)
         self.config = config
 
-    def watch(self) -> None:
-        """Exit this process at once when there is a later owner. Runs on a separate thread.
+    def watch(self, on_lost: Callable[[], None]) -> None:
+        """Call ``on_lost`` once when there is a later owner. Runs on a separate thread.
 
-        The fencing token keeps later writes of this process from being used, and the later owner finishes its
-        calls. If the lease expired without a later owner, it is acquired again.
+        From then on no write of this process to the ledger succeeds, and no attempt of a deferred call is
+        sent; the later owner finishes these calls. Synchronous calls are not concerned. If the lease expired
+        without a later owner, it is acquired again.
         """
         while not self._is_closed.wait(CHECK_INTERVAL_S):
             if self._directory.has_later_owner(self._token):
                 path = str(self._directory.directory)
                 log.error("ledger taken over by a later owner", ledger=path, token=self._token)
-                os._exit(TAKEN_OVER_STATUS)
+                self.is_lost = True
+                on_lost()
+                return
             self._renew_expired_lease()
 
     def is_current(self) -> bool:
@@ -96,7 +104,7 @@
     def close(self, is_clean: bool) -> None:
         """Release the ledger. If calls are still open (not ``is_clean``), another gateway finishes them."""
         self._is_closed.set()
-        if is_clean:
+        if is_clean and not self.is_lost:
             self._directory.mark_clean_shutdown(self._token)
         if self._client is not None:
             self._client.close()
--- a/saffronstack/cli/serve.py
+++ b/saffronstack/cli/serve.py
@@ -10,6 +10,7 @@
 import tempfile
 import threading
 from dataclasses import dataclass, field
+from functools import partial
 
 import click
 import structlog
@@ -17,7 +18,7 @@
 from saffronstack import config as configs
 from saffronstack.cli.cpu_affinity import DEFAULT_CPUS, choose_allowed_cpus, choose_idle_cpus, pin_threads
 from saffronstack.cli.fleet_services import FleetServices
-from saffronstack.cli.ledger_ownership import LedgerOwnership, acquire_ledger_ownership
+from saffronstack.cli.ledger_ownership import TAKEN_OVER_STATUS, LedgerOwnership, acquire_ledger_ownership
 from saffronstack.cli.logs import configure_logging
 from saffronstack.cli.parent_process import (
     announce,
@@ -76,7 +77,8 @@
     """Serve until a signal ends the process.
 
     Returns:
-        The exit status: 0 after a clean shutdown, 1 after an unclean one, 2 if the gateway can't start.
+        The exit status: 0 after a clean shutdown, 1 after an unclean one, 2 if the gateway can't start, 3 if
+        it shut down because another gateway took over its ledger.
     """
     configure_logging(options.log_format, options.log_level)
     signals = receive_signals()
@@ -100,7 +102,9 @@
         terminate_with_parent(signals)
         start_thread("heartbeats", lambda: send_heartbeats(gateway, stopping))
     if resources.ownership is not None:
-        start_thread("ledger-ownership", resources.ownership.watch)
+        # It stops as after SIGTERM, so that synchronous calls are answered.
+        on_lost = partial(signals.put, signal.SIGTERM)
+        start_thread("ledger-ownership", partial(resources.ownership.watch, on_lost))
     guard = _create_starvation_guard(options, unused_cpus)
     number = _wait_for_signal(gateway, options, signals, guard)
     log.info("stopping", signal=signal.Signals(number).name)
@@ -115,6 +119,8 @@
     is_clean = resources.stop(is_clean)
     log.info("stopped", clean=is_clean)
     ignore_signals()
+    if resources.ownership is not None and resources.ownership.is_lost:
+        return TAKEN_OVER_STATUS
     return 0 if is_clean else 1
 
 
