--- a/saffronstack/deferred/ledger.py
+++ b/saffronstack/deferred/ledger.py
@@ -6,16 +6,14 @@
 
 from saffronstack.deferred.call_table import CallTable
 from saffronstack.deferred.records import LedgerRecord, SnapshotStart, decode, encode
-from saffronstack.durable.errors import JournalError
 from saffronstack.durable.file_operations import FileOperations
 from saffronstack.durable.journal import Journal
-from saffronstack.durable.journal_recovery import recover_journal
+from saffronstack.durable.journal_recovery import read_unlocked_journal
 from saffronstack.durable.journal_state import RecordCodec
 
 CODEC: RecordCodec[LedgerRecord] = RecordCodec(
     encode, decode, lambda record: isinstance(record, SnapshotStart)
 )
-MAX_READ_ATTEMPTS = 5  # a compaction may remove a segment while the ledger is read
 Ledger = Journal[LedgerRecord, CallTable]
 
 
@@ -42,17 +40,20 @@
     Raises:
         JournalError: The ledger cannot be read.
     """
-    for remaining_attempts in reversed(range(MAX_READ_ATTEMPTS)):
-        table = CallTable(0)
-        try:
-            if directory.is_dir():
-                recover_journal(directory, table, CODEC)
-            return [
-                (operation.operation_digest, operation.packed_operation)
-                for operation in table.operations.values()
-            ]
-        except JournalError as error:
-            was_segment_removed = isinstance(error.__cause__, FileNotFoundError)
-            if not remaining_attempts or not was_segment_removed:
-                raise
-    return []
+    operations = _read_call_table(directory).operations.values()
+    return [(operation.operation_digest, operation.packed_operation) for operation in operations]
+
+
+def count_open_calls(directory: pathlib.Path) -> int:
+    """Return the number of open calls in a ledger, which is read without its lock.
+
+    Raises:
+        JournalError: The ledger cannot be read.
+    """
+    return len(_read_call_table(directory).open)
+
+
+def _read_call_table(directory: pathlib.Path) -> CallTable:
+    if not directory.is_dir():
+        return CallTable(0)
+    return read_unlocked_journal(directory, lambda: CallTable(0), CODEC).state
--- a/saffronstack/durable/journal_recovery.py
+++ b/saffronstack/durable/journal_recovery.py
@@ -4,6 +4,7 @@
 
 import pathlib
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Generic
 
@@ -13,6 +14,8 @@
 from saffronstack.durable.journal_state import RecordCodec, RecordT, StateT
 from saffronstack.durable.segment_scan import SegmentScan, scan_segment
 
+MAX_READS = 10  # of a journal without its lock: each time its owner may have replaced the segments meanwhile
+
 
 @dataclass(slots=True)
 class RecoveredJournal(Generic[StateT]):
@@ -63,6 +66,29 @@
     return recovered
 
 
+def read_unlocked_journal(
+    directory: pathlib.Path, create_state: Callable[[], StateT], codec: RecordCodec[RecordT]
+) -> RecoveredJournal[StateT]:
+    """Read a journal that another process may be writing, and again if that process compacts it meanwhile.
+
+    Args:
+        directory: Directory of the segments.
+        create_state: Returns an empty state.
+        codec: Decodes the records.
+
+    Raises:
+        JournalError: A segment cannot be read, or is of another version.
+    """
+    for reads_left in reversed(range(MAX_READS)):
+        try:
+            return recover_journal(directory, create_state(), codec)
+        except JournalError as error:
+            was_compacted = isinstance(error.__cause__, FileNotFoundError)
+            if not reads_left or not was_compacted:
+                raise
+    raise AssertionError
+
+
 def _scan_file(path: pathlib.Path, recovered: RecoveredJournal[StateT]) -> SegmentScan:
     """Scan one segment, and add a warning for each damaged part."""
     try:
--- a/saffronstack/metering/usage_log.py
+++ b/saffronstack/metering/usage_log.py
@@ -8,17 +8,15 @@
 
 import structlog
 
-from saffronstack.durable.errors import JournalError
 from saffronstack.durable.file_operations import FileOperations
 from saffronstack.durable.journal import Journal
-from saffronstack.durable.journal_recovery import recover_journal
+from saffronstack.durable.journal_recovery import read_unlocked_journal
 from saffronstack.durable.journal_state import RecordCodec
 from saffronstack.metering.account import Account
 from saffronstack.metering.account_limits import AccountLimits
 from saffronstack.metering.archive import Archive
 from saffronstack.metering.ledger_entries import AnyLedgerEntry, LedgerStarted, decode_entry, encode_entry
 
-MAX_READ_ATTEMPTS = 10  # the gateway that owns the log may replace files during a read
 NAME_COMMIT_TIMEOUT_S = 10.0  # until the gateway name in a new log is durable
 CODEC: RecordCodec[AnyLedgerEntry] = RecordCodec(
     encode_entry, decode_entry, lambda entry: isinstance(entry, LedgerStarted), "usage", compress=True
@@ -64,12 +62,5 @@
     Raises:
         JournalError: If the log cannot be read.
     """
-    for attempts_left in reversed(range(MAX_READ_ATTEMPTS)):
-        account = Account(archive=Archive(directory))
-        try:
-            return account, recover_journal(directory, account, CODEC).warnings
-        except JournalError as error:
-            was_replaced_meanwhile = isinstance(error.__cause__, FileNotFoundError)
-            if not attempts_left or not was_replaced_meanwhile:
-                raise
-    raise AssertionError
+    recovered = read_unlocked_journal(directory, lambda: Account(archive=Archive(directory)), CODEC)
+    return recovered.state, recovered.warnings
--- a/saffronstack/operations/slot_handover.py
+++ b/saffronstack/operations/slot_handover.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from saffronstack.durable.errors import JournalError
-from saffronstack.durable.journal_recovery import recover_journal
+from saffronstack.durable.journal_recovery import read_unlocked_journal
 from saffronstack.operations.operation import EncodedOperation
 from saffronstack.operations.operation_log import (
     OPERATION_LOG_CODEC,
@@ -23,7 +23,6 @@
 from saffronstack.operations.slot_manager import SlotHandover
 
 COMMIT_TIMEOUT_S = 10.0  # for records to become durable
-MAX_LOG_READS = 5  # reads of a log that is compacted while it is read
 
 
 class OperationHandover(SlotHandover):
@@ -107,19 +106,12 @@
 
 
 def _read_log(directory: pathlib.Path) -> list[EncodedOperation]:
-    """Read another member's log; read it again if a live member compacts it at the same time.
+    """Read another member's log, which a live member may be writing.
 
     Raises:
         JournalError: The log can't be read.
     """
-    for retries_left in reversed(range(MAX_LOG_READS)):
-        state = OperationLogState()
-        try:
-            if directory.is_dir():
-                recover_journal(directory, state, OPERATION_LOG_CODEC)
-            return list(state.recovered_operations())
-        except JournalError as error:
-            was_compacted = isinstance(error.__cause__, FileNotFoundError)
-            if not retries_left or not was_compacted:
-                raise
-    return []
+    if not directory.is_dir():
+        return []
+    recovered = read_unlocked_journal(directory, OperationLogState, OPERATION_LOG_CODEC)
+    return list(recovered.state.recovered_operations())
