--- a/saffronstack/cli/leases.py
+++ b/saffronstack/cli/leases.py
@@ -19,6 +19,7 @@
 from saffronstack.cli.logs import configure_logging
 from saffronstack.config.fleet import FleetFile, TaskEntry, load_fleet_file
 from saffronstack.config.load import ConfigError
+from saffronstack.deferred.ledger import count_open_calls
 from saffronstack.fleet.leases.client import LeaseClient
 from saffronstack.fleet.leases.limits import LeaseFleet, LeaseLimits
 from saffronstack.fleet.leases.messages import LeaseValue
@@ -197,7 +198,7 @@
                 [*task.usage, *(f"{root}/{USAGE_LOGS_GLOB}" for root in roots)], task.output
             )
         case "takeover":
-            return OrphanTakeoverTask(task.ledgers, task.config, client)
+            return OrphanTakeoverTask(task.ledgers, task.config, client, count_open_calls)
         case "sweep":
             return GarbageCollectionTask(task.outputs, task.ledgers)
 
