An unreadable ledger directory does not end the look for a later owner

The thread that looks for a later owner ended with the first error of the shared file system. The gateway then never learned that another one had taken its ledger over: it went on to accept deferred calls that could not be committed, and was not restarted. It looks again now.

--- a/saffronstack/cli/ledger_ownership.py
+++ b/saffronstack/cli/ledger_ownership.py
@@ -79,7 +79,7 @@
         without a later owner, it is acquired again.
         """
         while not self._is_closed.wait(CHECK_INTERVAL_S):
-            if self._directory.has_later_owner(self._token):
+            if self._has_later_owner():
                 path = str(self._directory.directory)
                 log.error("ledger taken over by a later owner", ledger=path, token=self._token)
                 self.is_lost = True
@@ -87,6 +87,13 @@
                 return
             self._renew_expired_lease()
 
+    def _has_later_owner(self) -> bool:
+        """Return whether a later owner is seen; a directory that can't be read is looked at again."""
+        try:
+            return self._directory.has_later_owner(self._token)
+        except OSError:
+            return False
+
     def is_current(self) -> bool:
         """Return whether there is no later owner; False if that can't be read. Any thread may call it."""
         try:
