Which attempts of a deferred call may have been executed is decided in its retry policy

The decision stood in the dispatcher's thread, beside its I/O; it moves to the pure module deferred/retry_policy.py with tests of its own. The converter of attempts comes with the attempt log, so that the dispatcher and the submitter take one argument less each. No behaviour changes. Tests of deferred calls and of kills between attempts pass.

--- a/saffronstack/deferred/attempt_log.py
+++ b/saffronstack/deferred/attempt_log.py
@@ -16,12 +16,16 @@
 
 
 class AttemptLog:
-    """Keeps in the ledger which attempts of a call that is not idempotent may have been executed."""
+    """Keeps in the ledger which attempts of a call that is not idempotent may have been executed.
+
+    Attributes:
+        converter: Converts attempts to the form in which they are stored, and back.
+    """
 
     def __init__(self, ledger: Ledger, converter: ExecutionConverter, commit_timeout_s: float) -> None:
         """Wait at most ``commit_timeout_s`` for each commit of an attempt."""
         self._ledger = ledger
-        self._converter = converter
+        self.converter = converter
         self._commit_timeout_s = commit_timeout_s
 
     def store(self, call: TrackedCall, attempts: Sequence[PriorAttempt]) -> bool:
@@ -36,7 +40,7 @@
         """
         if self._ledger.stalled_s > 0:
             return False
-        *earlier, started = self._converter.to_stored(attempts)
+        *earlier, started = self.converter.to_stored(attempts)
         ticket = self._ledger.append(*_replace_attempts(call, (*keep_first_by_location(earlier), started)))
         call.has_stored_attempt = True
         if not ticket.done.wait(self._commit_timeout_s):
--- a/saffronstack/deferred/call_submitter.py
+++ b/saffronstack/deferred/call_submitter.py
@@ -11,7 +11,6 @@
 from saffronstack.deferred.steady_clock import SteadyClock
 from saffronstack.deferred.tracked_call import TrackedCall
 from saffronstack.engine.calls import Call, FinalAnswer, FinalStatus
-from saffronstack.engine.possible_execution import ExecutionConverter
 from saffronstack.metering.budgets import Admission, BudgetEnforcer
 from saffronstack.routing.settings import Idempotency
 
@@ -39,7 +38,6 @@
         engine: CallEngine,
         attempt_log: AttemptLog,
         clock: SteadyClock,
-        converter: ExecutionConverter,
         budgets: BudgetEnforcer | None,
         owns_ledger: Callable[[], bool] | None,
     ) -> None:
@@ -48,7 +46,6 @@
         self._engine = engine
         self._attempt_log = attempt_log
         self._clock = clock
-        self._converter = converter
         self._budgets = budgets
         self._tenant_indexes = {tenant.name: index for index, tenant in enumerate(config.tenants)}
         self._over_budget_tenant_index = len(self._tenant_indexes)  # index of the settings for such calls
@@ -111,7 +108,7 @@
             accepted.tenant,
             accepted.idempotency_key,
             accepted.client_context,
-            prior_attempts=self._converter.to_prior(call.state.possible_executions),
+            prior_attempts=self._attempt_log.converter.to_prior(call.state.possible_executions),
             guard=self._ownership_guard if is_idempotent else AttemptLogGuard(self._attempt_log, call),
             on_final_answer=lambda _, answer: on_final_answer(call, answer),
             class_name=function_policy.configured_function.config.call_class,
--- a/saffronstack/deferred/deferred_calls.py
+++ b/saffronstack/deferred/deferred_calls.py
@@ -89,9 +89,8 @@
         self._dispatcher = CallDispatcher(
             ledger,
             FunctionPolicies(config, functions),
-            CallSubmitter(config, engine, attempt_log, self._clock, converter, budgets, owns_ledger),
+            CallSubmitter(config, engine, attempt_log, self._clock, budgets, owns_ledger),
             attempt_log,
-            converter,
             FinalRecordWriter(config, ledger, functions),
             self._clock,
             config.ledger.in_flight,
--- a/saffronstack/deferred/dispatcher.py
+++ b/saffronstack/deferred/dispatcher.py
@@ -23,16 +23,12 @@
     StartAttempt,
     decide_after_attempt,
     decide_next_step,
+    find_possible_executions,
 )
 from saffronstack.deferred.steady_clock import SteadyClock
 from saffronstack.deferred.tracked_call import FinalOutcome, TrackedCall, track_accepted
 from saffronstack.engine.calls import FinalAnswer, FinalStatus
-from saffronstack.engine.possible_execution import (
-    UNKNOWN_EXECUTION,
-    ExecutionConverter,
-    PossibleExecution,
-    keep_first_by_location,
-)
+from saffronstack.engine.possible_execution import PossibleExecution
 from saffronstack.engine.timers import Timers
 from saffronstack.runtime.threads import start_thread
 
@@ -77,7 +73,6 @@
         policies: FunctionPolicies,
         submitter: CallSubmitter,
         attempt_log: AttemptLog,
-        converter: ExecutionConverter,
         final_records: FinalRecordWriter,
         clock: SteadyClock,
         max_in_flight: int,
@@ -88,7 +83,6 @@
         self._policies = policies
         self._submitter = submitter
         self._attempt_log = attempt_log
-        self._converter = converter
         self._final_records = final_records
         self._clock = clock
         self._max_in_flight = max_in_flight
@@ -216,7 +210,8 @@
         call.is_running = False
         self._in_flight -= 1
         call.attempts += answer.attempts
-        executions = self._find_possible_executions(call, answer)
+        reported = self._attempt_log.converter.to_stored(answer.prior_attempts)
+        executions = find_possible_executions(call.state, answer.status, reported)
         if answer.status is not FinalStatus.SERVED:
             self._attempt_log.store_ended(call, executions)
         function_policy = self._policies.find(call.accepted.function)
@@ -225,18 +220,6 @@
             return
         self._retry_or_finish(call, function_policy.retry_policy, answer, executions)
 
-    def _find_possible_executions(
-        self, call: TrackedCall, answer: FinalAnswer
-    ) -> tuple[PossibleExecution, ...]:
-        """Return the attempts that may have been executed, as of the call's latest answer."""
-        earlier = call.state.possible_executions
-        if answer.status is FinalStatus.SERVED:
-            return earlier  # the response ends the uncertainty about earlier attempts
-        executions = (*earlier, *self._converter.to_stored(answer.prior_attempts))
-        if answer.status is FinalStatus.FAILED and not executions:
-            return (UNKNOWN_EXECUTION,)  # no execution was observed, but none can be ruled out
-        return keep_first_by_location(executions)
-
     def _retry_or_finish(
         self,
         call: TrackedCall,
--- a/saffronstack/deferred/retry_policy.py
+++ b/saffronstack/deferred/retry_policy.py
@@ -12,7 +12,11 @@
 from enum import Enum
 
 from saffronstack.engine.calls import FinalStatus
-from saffronstack.engine.possible_execution import PossibleExecution
+from saffronstack.engine.possible_execution import (
+    UNKNOWN_EXECUTION,
+    PossibleExecution,
+    keep_first_by_location,
+)
 from saffronstack.routing.settings import Idempotency
 
 WINDOW_MARGIN_S = 0.1  # an attempt must arrive this long before the deduplication window ends
@@ -142,6 +146,24 @@
     return executions[0].sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
 
 
+def find_possible_executions(
+    state: RetryState, status: FinalStatus, reported: tuple[PossibleExecution, ...]
+) -> tuple[PossibleExecution, ...]:
+    """Return the attempts of a call that may have been executed, after the engine has answered it.
+
+    Args:
+        state: State of the call before.
+        status: Status of the engine's final answer.
+        reported: The attempts that may have been executed, by the answer.
+    """
+    if status is FinalStatus.SERVED:
+        return state.possible_executions  # the response ends the uncertainty about other attempts
+    executions = (*state.possible_executions, *reported)
+    if status is FinalStatus.FAILED and not executions:
+        return (UNKNOWN_EXECUTION,)  # no execution was observed, but none can be ruled out
+    return keep_first_by_location(executions)
+
+
 def decide_after_attempt(
     state: RetryState, policy: RetryPolicy, result: AttemptResult, now: float, jitter: float
 ) -> Decision:
--- a/tests/deferred/test_retry_policy.py
+++ b/tests/deferred/test_retry_policy.py
@@ -16,9 +16,10 @@
     StartAttempt,
     decide_after_attempt,
     decide_next_step,
+    find_possible_executions,
 )
 from saffronstack.engine.calls import FinalStatus
-from saffronstack.engine.possible_execution import PossibleExecution
+from saffronstack.engine.possible_execution import UNKNOWN_EXECUTION, PossibleExecution
 from saffronstack.routing.settings import Idempotency
 
 
@@ -160,3 +161,20 @@
     assert decide_next_step(RetryState(0.0), NON_IDEMPOTENT, 60.0) == Finish(Condition.EXPIRED)
     state = RetryState(0.0, (PossibleExecution(1, 1.0),))
     assert decide_next_step(state, WITH_KEY, 60.0) == Finish(Condition.UNKNOWN)
+
+
+def test_a_response_adds_no_possible_execution() -> None:
+    reported = (PossibleExecution(2, 0.1),)
+    assert find_possible_executions(EXECUTED, FinalStatus.SERVED, reported) == EXECUTED.possible_executions
+
+
+def test_possible_executions_of_several_answers_are_all_kept() -> None:
+    reported = (PossibleExecution(2, 0.1),)
+    found = find_possible_executions(EXECUTED, FinalStatus.REJECTED, reported)
+    assert found == (*reported, *EXECUTED.possible_executions)
+
+
+def test_a_failure_without_a_known_attempt_may_have_been_an_execution_at_any_time() -> None:
+    """Guards against a window that counts from the report of the failure."""
+    assert find_possible_executions(RetryState(0.0), FinalStatus.FAILED, ()) == (UNKNOWN_EXECUTION,)
+    assert find_possible_executions(RetryState(0.0), FinalStatus.REJECTED, ()) == ()
