Two workers whose names have the same hash are refused in files and a conflict in a merge

Workers are told apart by a 32-bit hash of their name. The configuration checked it, worker files and the merge of sources did not, though docs/roster.md says so: each change of one worker took the place of the other.

--- a/saffronstack/discovery/files/merging.py
+++ b/saffronstack/discovery/files/merging.py
@@ -16,6 +16,7 @@
 
 from saffronstack.config.schema import Worker
 from saffronstack.discovery.changes import EndpointChanges
+from saffronstack.engine.identifiers import worker_number
 
 WorkerChanges: TypeAlias = EndpointChanges[Worker, str]
 
@@ -82,9 +83,10 @@
         self.conflicts: list[str] = []
         self._sources_by_worker: dict[str, str] = {}
         self._names_by_address: dict[str, str] = {}
+        self._names_by_number: dict[int, str] = {}
 
     def add(self, source: str, worker: Worker) -> None:
-        """Add a worker, unless its name or its address is already listed."""
+        """Add a worker, unless its name, its address or the number of its name is already listed."""
         known = self.workers.get(worker.id)
         if known is not None:
             if known.address != worker.address:
@@ -97,6 +99,14 @@
                 f"{worker.address}: {self._sources_by_worker[name]} says {name}, {source} {worker.id}"
             )
             return
+        number = worker_number(worker.id)
+        if number in self._names_by_number:
+            name = self._names_by_number[number]
+            self.conflicts.append(
+                f"number {number}: {self._sources_by_worker[name]} says {name}, {source} {worker.id}"
+            )
+            return
+        self._names_by_number[number] = worker.id
         self.workers[worker.id] = worker
         self._sources_by_worker[worker.id] = source
         self._names_by_address[worker.address] = worker.id
--- a/saffronstack/discovery/files/parsing.py
+++ b/saffronstack/discovery/files/parsing.py
@@ -14,6 +14,7 @@
 from saffronstack.config.schema import Struct, Worker
 from saffronstack.discovery.errors import DiscoveryError
 from saffronstack.discovery.files.line_numbers import find_line
+from saffronstack.engine.identifiers import worker_number
 
 MIN_CAPACITY, MAX_CAPACITY = 0.01, 100.0  # relative to other workers
 MAX_PORT = 65535
@@ -122,6 +123,7 @@
         self.errors: list[str] = []
         self._kinds = kinds
         self._first_locations: dict[str, str] = {}  # file and line, by value that has to be unique
+        self._names_by_number: dict[int, str] = {}  # names of workers, by the number derived from the name
 
     def parse(self, file: SourceFile) -> None:
         """Add the workers and the errors of one file."""
@@ -146,6 +148,11 @@
         line = _location_of(file, path)
         for value in (f"worker {worker.id!r}", f"address {worker.address}"):
             self._require_unique(value, line, path)
+        other = self._names_by_number.setdefault(worker_number(worker.id), worker.id)
+        if other != worker.id:
+            self.errors.append(
+                f"{line}: {path} ({worker.id}): the hash of its name is that of {other!r}; rename one of them"
+            )
         self.workers.append(worker)
 
     def _require_unique(self, value: str, line: str, path: str) -> None:
--- a/tests/discovery/files/test_merging.py
+++ b/tests/discovery/files/test_merging.py
@@ -29,6 +29,15 @@
     assert len(merged.conflicts) == 2  # the address of w1, and the worker at port 5
 
 
+def test_names_with_the_same_number_are_a_conflict() -> None:
+    """Guards against two workers of which each change of one takes the place of the other."""
+    first, second = worker("host-98390", 7), worker("host-140136", 8)
+    sources = [WorkerSource("file", 20, (first,)), WorkerSource("configuration", 0, (second,))]
+    merged = merge_sources(sources)
+    assert list(merged.workers) == ["host-98390"]
+    assert merged.conflicts == ("number 1662250256: file says host-98390, configuration host-140136",)
+
+
 def test_a_drain_of_a_hidden_source_is_applied() -> None:
     hidden = WorkerSource("configuration", 0, (worker("w1", state="draining"),))
     assert merge_sources([hidden, FILE]).workers["w1"].state == "draining"
--- a/tests/discovery/files/test_parsing.py
+++ b/tests/discovery/files/test_parsing.py
@@ -23,6 +23,10 @@
         ),
         (file_text(entry("w1"), entry("w1", 7)), "worker 'w1' is already listed at roster.json5:"),
         (file_text(entry("w1", 7), entry("w2", 7)), "address 127.0.0.1:7 is already listed at roster.json5:"),
+        (
+            file_text(entry("host-98390", 7), entry("host-140136", 8)),
+            "workers[1] (host-140136): the hash of its name is that of 'host-98390'; rename one of them",
+        ),
         (file_text(entry("w1", size=1000)), "workers[0] (w1).size: 1000 is not between 0.01 and 100"),
         (file_text({**entry("w1"), "address": "127.0.0.1:99999"}), "address: port 99999 is out of range"),
         (file_text({**entry("w1"), "address": "999.0.0.1:80"}), "address: 999.0.0.1 is not an IP address"),
