--- a/saffronstack/deferred/attempt_log.py
+++ b/saffronstack/deferred/attempt_log.py
@@ -55,7 +55,7 @@
         dispatcher thread.
         """
         if call.has_stored_attempt:
-            self._ledger.append(*_replace_attempts(call, executions))
+            call.voiding_ticket = self._ledger.append(*_replace_attempts(call, executions))
             call.has_stored_attempt = bool(executions)
 
 
@@ -63,7 +63,10 @@
     """Return the records that leave a call with these attempts alone; they belong in one commit."""
     request_id = call.accepted.request_id
     started = [AttemptStarted.from_execution(request_id, execution) for execution in executions]
-    return [AttemptsVoided(request_id), *started] if call.has_stored_attempt else [*started]
+    is_voiding_durable = call.voiding_ticket is None or call.voiding_ticket.is_durable
+    if is_voiding_durable and not call.has_stored_attempt:
+        return [*started]
+    return [AttemptsVoided(request_id), *started]
 
 
 class AttemptLogGuard:
--- a/saffronstack/deferred/tracked_call.py
+++ b/saffronstack/deferred/tracked_call.py
@@ -29,8 +29,10 @@
         accepted: The record of its acceptance.
         state: State for the retry decisions.
         attempts: Number of attempts.
-        has_stored_attempt: Whether the ledger may contain an attempt of the call; also set on a worker's
-            thread.
+        has_stored_attempt: Whether an attempt was written to the ledger and not voided since; also set on a
+            worker's thread.
+        voiding_ticket: The append that voided the stored attempts last. Until it is durable, the ledger may
+            contain them.
         is_running: Whether the engine has the call and has not answered it.
         outcome: Outcome of the call, once it has ended.
         final_record_ticket: The append of its final record.
@@ -41,6 +43,7 @@
     state: RetryState
     attempts: int = 0
     has_stored_attempt: bool = False
+    voiding_ticket: AppendTicket[LedgerRecord] | None = None
     is_running: bool = False
     outcome: FinalOutcome | None = None
     final_record_ticket: AppendTicket[LedgerRecord] | None = None
--- a/tests/deferred/test_attempt_log.py
+++ b/tests/deferred/test_attempt_log.py
@@ -142,6 +142,21 @@
     assert engine.wait_for_call(2).prior_attempts == ()
 
 
+def test_a_voiding_that_a_full_disk_lost_is_in_the_commit_of_the_next_attempt(
+    config: Config, ledger: Ledger, call: Call, disk: FaultyDisk, engine: ScriptedEngine
+) -> None:
+    """Guards against a refused attempt that stays stored beside the next one."""
+    assert guard_of(call).may_send([sent(0)])
+    disk.is_full = True
+    call.finish(REJECTED)
+    following = engine.wait_for_call(2)
+    eventually(lambda: ledger.write_error)
+    disk.is_full = False
+    assert stored_racks(ledger) == ["rack-0"]
+    eventually(lambda: guard_of(following).may_send([sent(1)]))
+    assert stored_racks(ledger) == ["rack-1"]
+
+
 def test_an_attempt_whose_commit_timed_out_is_voided_by_the_next(
     config: Config, ledger: Ledger, call: Call, disk: FaultyDisk
 ) -> None:
