A test of stalled bodies does not expect that the first clients reserved memory first

The test expected an answer to the first three of twelve clients that stop half way through a body. Whose bodies hold the memory in the end depends on when the threads of the connections ran: up to three clients hold it, rightly, and are answered at the body's time-out. The server is unchanged.

The test now requires answers for at least nine of the twelve, whichever they are, all 408 or 429, and that no more memory is reserved than the others' bodies: more clients than before.

--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import select
 import socket
 import threading
 import time
@@ -24,11 +25,13 @@
 from saffronstack.http1.messages import MessageLimits, RequestHead
 from saffronstack.http1.reader import MessageReader
 from saffronstack.http1.sockets import MAX_SMALL_READS, READ_SPACING_S, Stream, read_spaced
-from tests.support.stack import Stack, running_gateway
+from tests.support.stack import Stack, eventually, running_gateway
 
 CAPACITY_BYTES = 10_000_000
 BODY_BYTES = 6_000_000
 MB = 1_000_000
+CLIENTS = 12
+HOLDERS = 3  # whose bodies fit into the memory at once
 
 
 class Clock:
@@ -176,9 +179,14 @@
     return int(sock.recv(4096).split(b" ")[1])
 
 
+def readable(socks: list[socket.socket]) -> list[socket.socket]:
+    """Return the connections on which an answer has arrived."""
+    return select.select(socks, (), (), 0.0)[0]
+
+
 @pytest.fixture
 def stack(monkeypatch: pytest.MonkeyPatch) -> Iterator[Stack]:
-    monkeypatch.setattr(gateway_components, "REQUEST_BODY_MEMORY_BYTES", 3 * BODY_BYTES)
+    monkeypatch.setattr(gateway_components, "REQUEST_BODY_MEMORY_BYTES", HOLDERS * BODY_BYTES)
     with running_gateway(1, limits={"payload_bytes": BODY_BYTES}) as running:
         yield running
 
@@ -187,14 +195,18 @@
     """Guards against memory without end: 300 clients stopped half way through 6 MB (issue 68 a)."""
     memory = stack.gateway.server.body_memory
     clients = HalfBodies(stack.connect, "/2015-03-31/functions/identify-copy/invocations", BODY_BYTES)
-    clients.add(12)
-    assert memory.reserved_bytes <= 3 * BODY_BYTES
+    clients.add(CLIENTS)
+    assert memory.reserved_bytes <= HOLDERS * BODY_BYTES
     assert stack.call("identify-copy").status == 200
     statuses = [stack.call("identify-copy", b'"%b"' % (b"x" * MB)).status for _ in range(5)]
     assert statuses == [200] * 5
     assert memory.evicted_count > 0
-    answers = [read_status(sock) for sock in clients.socks[:3]]
-    assert set(answers) <= {408, 429}
+    # Which clients hold the memory in the end depends on when their threads ran; all others are answered.
+    eventually(lambda: len(readable(clients.socks)) >= CLIENTS - HOLDERS)
+    answered = readable(clients.socks)
+    assert {read_status(sock) for sock in answered} <= {408, 429}
+    unanswered = CLIENTS - len(answered)
+    eventually(lambda: memory.reserved_bytes <= unanswered * BODY_BYTES)
     clients.close()
 
 
