Operation logs of earlier versions name no cell for a repeat

A caller whose gateway was killed and updated could have a keyed operation run twice: the earlier version logged the first attempt alone, also if its worker refused it, and this code took that worker's place in the list for the one where the operation may have run. Found by a trial with processes of both versions: refused by worker-1, run at worker-2, and after the kill run at worker-1 too.

A stored attempt without zone and cell now has no known place: the operation is sent again only where the workers of all cells drop repeats, and is answered as unknown elsewhere.

--- a/saffronstack/operations/operation_service.py
+++ b/saffronstack/operations/operation_service.py
@@ -11,7 +11,12 @@
 
 from saffronstack.durable.errors import JournalError
 from saffronstack.engine.localities import LocalityNumbers
-from saffronstack.engine.possible_execution import LONG_AGO, ExecutionConverter
+from saffronstack.engine.possible_execution import (
+    LONG_AGO,
+    UNKNOWN_WORKER_ID,
+    ExecutionConverter,
+    PossibleExecution,
+)
 from saffronstack.operations.decisions import Coalesce, Decision, Execute, FingerprintMismatch, Reject, Replay
 from saffronstack.operations.errors import (
     FingerprintMismatchError,
@@ -264,16 +269,12 @@
         return outcome.response
 
     def _prior_attempts(self, operation: InFlightOperation) -> tuple[PriorAttempt, ...]:
-        """Return the attempts of earlier executions.
-
-        A time that is still to come shows that the clock was set back, and tells nothing of the window.
-        """
+        """Return the attempts of earlier executions."""
         if operation.previous is None:
             return ()
         now = self.now()
         return self._converter.to_prior(
-            execution if execution.sent_at <= now else msgspec.structs.replace(execution, sent_at=LONG_AGO)
-            for execution in operation.previous.executions
+            _without_uncertain_values(execution, now) for execution in operation.previous.executions
         )
 
     def _wait_for_prior_attempt(self, operation: InFlightOperation) -> None:
@@ -304,6 +305,18 @@
             self._stopped.set()
 
 
+def _without_uncertain_values(execution: PossibleExecution, now: float) -> PossibleExecution:
+    """Return a stored execution without the values that may mislead.
+
+    A time that is still to come shows that the clock was set back, and tells nothing of the window. A worker
+    without zone and cell was stored by an earlier version, which kept the first attempt alone, also if the
+    worker refused it: the operation may have been executed at another worker.
+    """
+    worker_id = execution.worker_id if execution.zone and execution.cell else UNKNOWN_WORKER_ID
+    sent_at = execution.sent_at if execution.sent_at <= now else LONG_AGO
+    return msgspec.structs.replace(execution, worker_id=worker_id, sent_at=sent_at)
+
+
 def _execution_of(operation: InFlightOperation) -> Execution:
     execution = operation.execution
     assert isinstance(execution, Execution)  # `_decide` sets it before other threads can see the operation
--- a/tests/test_kill_between_attempts.py
+++ b/tests/test_kill_between_attempts.py
@@ -13,10 +13,14 @@
 from dataclasses import replace
 from typing import Any
 
+import msgspec
 import pytest
 
 from saffronstack import config as configs
+from saffronstack.durable.journal_recovery import recover_journal
+from saffronstack.engine.identifiers import worker_number
 from saffronstack.gateway import Gateway
+from saffronstack.operations.operation_log import OPERATION_LOG_CODEC, OperationLogState, open_operation_log
 from saffronstack.standin.fleet import StubWorkerFleet
 from saffronstack.standin.model import Profile
 from tests.support.operations import send, with_operation_log
@@ -146,6 +150,40 @@
     assert workers_that_executed(fleet, function) == [fleet.workers[-1].name]
 
 
+@pytest.mark.parametrize(("scope", "runs"), [("cell", 1), ("all", 2)])
+def test_a_log_of_an_earlier_version_names_no_cell_to_send_an_operation_to(
+    tmp_path: pathlib.Path, roomy_fleet: StubWorkerFleet, scope: str, runs: int
+) -> None:
+    """Guards against a second run: that version logged the first attempt alone, also if it was refused."""
+    content = keyed_configuration(roomy_fleet, tmp_path)
+    content["classes"][1]["group"] = scope
+    files = FrozenDisk()
+    stack = start(content, roomy_fleet, files)
+    threading.Thread(target=send, args=(stack, FUNCTIONS[0], KEY), daemon=True).start()
+    eventually(lambda: workers_that_executed(roomy_fleet, FUNCTIONS[0]))
+    keep_stored(content, files, stack)
+    write_as_earlier_version(tmp_path / "kept" / "operations", roomy_fleet)
+    stack = restart(content, roomy_fleet)
+    response = send(stack, FUNCTIONS[0], KEY)
+    stack.gateway.stop()
+    # Where the workers of all cells drop repeats, the operation is sent again.
+    assert ("OutcomeUnknown" in response.body.decode()) == (scope == "cell")
+    assert sum(len(worker.runs()) for worker in roomy_fleet.workers) == runs
+
+
+def write_as_earlier_version(directory: pathlib.Path, fleet: StubWorkerFleet) -> None:
+    """Log an attempt at the worker that did not execute the operation, in place of the one that did."""
+    state = OperationLogState()
+    recover_journal(directory, state, OPERATION_LOG_CODEC)
+    ((attempt,),) = state.in_flight.values()
+    shutil.rmtree(directory)
+    (other,) = [worker.name for worker in fleet.workers if not worker.runs()]
+    with open_operation_log(str(directory), 1 << 20) as log:
+        refused = msgspec.structs.replace(attempt, worker_id=worker_number(other), zone="", cell="")
+        ticket = log.append(refused)
+        assert ticket.done.wait(5.0)
+
+
 @pytest.fixture
 def roomy_fleet() -> Iterator[StubWorkerFleet]:
     """Two workers with room, each in a cell of its own."""
