A stopping dispatcher of deferred calls no longer takes up a processor

Cause: while a gateway drains, the dispatcher handles no timers and starts no calls, but its wait for the next message was still 0 while a timer was due, or while a call was ready and fewer than `in_flight` ran. The thread went round without a wait and held the interpreter's lock, until the last deferred attempt in flight ended.

Change: a dispatcher that stops waits for messages alone (`_next_wait_s`).

Result: the new test reads the thread's processor time with a call that waits for a free place and with one whose retry is due; both forms failed before (0.1 and 0.15 s in 0.3 s), in three of three runs, and pass now. A list of threads that outlive their tests, over one run of the suite, named this thread alone.

--- a/saffronstack/deferred/dispatcher.py
+++ b/saffronstack/deferred/dispatcher.py
@@ -138,10 +138,7 @@
 
     def _handle_next_message(self) -> None:
         """Handle the next message, or wait until a timer is due."""
-        due_s = self._timers.next_due_s()
-        wait_s = IDLE_POLL_S if due_s is None else min(IDLE_POLL_S, max(0.0, due_s - self._clock.now()))
-        if self._ready_calls and self._in_flight < self._max_in_flight:
-            wait_s = 0.0
+        wait_s = self._next_wait_s()
         try:
             message = self._messages.get(timeout=wait_s) if wait_s else self._messages.get_nowait()
         except queue.Empty:  # a timer is due, or a call can start
@@ -154,6 +151,19 @@
             case StopRequested():
                 pass  # the message only wakes the thread
 
+    def _next_wait_s(self) -> float:
+        """Return how long to wait for a message; 0 if a call can start or a timer is due.
+
+        A dispatcher that stops handles no timers and starts no calls, however many are due or ready: it waits
+        for the ends of the attempts in flight alone.
+        """
+        if self.is_stopping:
+            return IDLE_POLL_S
+        if self._can_start():
+            return 0.0
+        due_s = self._timers.next_due_s()
+        return IDLE_POLL_S if due_s is None else min(IDLE_POLL_S, max(0.0, due_s - self._clock.now()))
+
     def _track(self, call: TrackedCall) -> None:
         self._calls[call.accepted.request_id] = call
         self._ready_calls.append(call)
--- a/tests/deferred/test_deferred_calls.py
+++ b/tests/deferred/test_deferred_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import threading
 import time
 
 import pytest
@@ -23,6 +24,18 @@
 SERVED = FinalAnswer(FinalStatus.SERVED, b'{"sold": 1}', attempts=1)
 REJECTED = FinalAnswer(FinalStatus.REJECTED, retry_after_s=0.05, attempts=1)
 WORKER_ID = 7
+RETRY_IS_DUE_AFTER_S = 600.0  # later than any retry of these tests
+OBSERVED_S = 0.3
+
+
+class ManualClock:
+    """A monotonic clock that a test sets."""
+
+    def __init__(self) -> None:
+        self.now_s = time.monotonic()
+
+    def __call__(self) -> float:
+        return self.now_s
 
 
 def submission(request_id: str, function: str = "identify-copy") -> Submission:
@@ -184,6 +197,35 @@
     assert deferred.open_calls == 1
 
 
+def processor_time_s(thread: threading.Thread) -> float:
+    assert thread.ident is not None
+    return time.clock_gettime(time.pthread_getcpuclockid(thread.ident))
+
+
+@pytest.mark.parametrize("waits_for", ["a free place", "a retry"])
+def test_a_stopping_service_uses_no_processor_while_it_waits_for_calls_in_flight(
+    config: Config, ledger: Ledger, engine: ScriptedEngine, waits_for: str
+) -> None:
+    clock = ManualClock()
+    earlier = set(threading.enumerate())
+    service = DeferredCalls(config, ledger, engine, Functions(config), clock, time.time)
+    service.start()
+    (thread,) = [t for t in threading.enumerate() if t.name == "deferred" and t not in earlier]
+    for number in range(3 if waits_for == "a free place" else 2):
+        service.accept(submission(f"id-{number}"))
+    engine.wait_for_call(2)
+    assert not service.stop(0.0)
+    engine.calls[0].finish(REJECTED)
+    assert not service.stop(OBSERVED_S)  # the answer is handled
+    clock.now_s += RETRY_IS_DUE_AFTER_S
+    assert not service.stop(0.0)
+    used_s = processor_time_s(thread)
+    assert not service.stop(OBSERVED_S)
+    assert processor_time_s(thread) - used_s < OBSERVED_S / 10
+    engine.calls[1].finish(SERVED)
+    assert service.stop(5.0)
+
+
 def test_open_calls_of_an_earlier_incarnation_are_continued(
     config: Config, ledger: Ledger, engine: ScriptedEngine
 ) -> None:
