A late second copy of a worker's response is not taken for the next call's response

Cause: a thread sent its next request as soon as the last response was complete. Unread bytes were looked for at that moment alone, while the copy was still on its way; responses of HTTP workers carry no id that would tell it.

Change: a connection carries no request for 0.05 s after a response; bytes that arrive meanwhile close it. A connection is returned before the result of its attempt is reported. The metric `worker_connections` counts connections where it counted threads.

Tests: three tests of kept connections waited 0.02 s by the wall clock, which is now within the delay; they set the clock instead, with the same counts, and the one with a closed connection waits for the close.

--- a/saffronstack/gateway_components.py
+++ b/saffronstack/gateway_components.py
@@ -27,7 +27,7 @@
 from saffronstack.operations.operation_service import OperationLimits, OperationService
 from saffronstack.operations.operation_table import OperationTable
 from saffronstack.operations.response_store import ResponseStore
-from saffronstack.upstream.http.worker_context import HttpPoolLimits
+from saffronstack.upstream.http.pool_limits import HttpPoolLimits
 
 KIB_PER_MIB = 1024
 REQUEST_BODY_MEMORY_BYTES = 256 * 1024 * 1024  # of all large request bodies of a process
--- a/saffronstack/upstream/http/attempt_runner.py
+++ b/saffronstack/upstream/http/attempt_runner.py
@@ -8,7 +8,8 @@
 from saffronstack.http1.sockets import PeerClosed
 from saffronstack.routing.events import AttemptOutcome, Result
 from saffronstack.upstream.http import protocol
-from saffronstack.upstream.http.connection import ConnectionSlot, HttpConnection
+from saffronstack.upstream.http.connection import HttpConnection
+from saffronstack.upstream.http.connection_slot import ConnectionSlot
 from saffronstack.upstream.http.jobs import AttemptJob
 from saffronstack.upstream.http.protocol import AttemptResponse
 from saffronstack.upstream.http.worker_context import WorkerContext
@@ -24,10 +25,11 @@
         self._context = context
 
     def run(self, job: AttemptJob, slot: ConnectionSlot) -> None:
-        """Run an attempt and report its result."""
+        """Run an attempt, return its connection and report the result."""
         context = self._context
         started_s = context.clock()
         response = self._send(job, slot)
+        slot.release()
         if response.worker_response is not None:
             self._finish_call(job, response)
         if response.incarnation and response.incarnation != context.incarnation:
@@ -45,7 +47,6 @@
             response.load_report,
         )
         self._report(job, response, outcome)
-        slot.release()
 
     def _finish_call(self, job: AttemptJob, response: AttemptResponse) -> None:
         worker_response = response.worker_response
--- a/saffronstack/upstream/http/command_runner.py
+++ b/saffronstack/upstream/http/command_runner.py
@@ -7,7 +7,7 @@
 from saffronstack.routing.events import Result
 from saffronstack.upstream.events import function_id
 from saffronstack.upstream.http import protocol
-from saffronstack.upstream.http.connection import ConnectionSlot
+from saffronstack.upstream.http.connection_slot import ConnectionSlot
 from saffronstack.upstream.http.jobs import (
     CommandJob,
     HealthCheckJob,
@@ -33,6 +33,7 @@
         context = self._context
         started_s = context.clock()
         response = self._exchange(job, slot, started_s + context.limits.command_timeout_s)
+        slot.release()
         if not isinstance(job, UnloadJob):
             elapsed_s = context.clock() - started_s
             number = function_id(command_function(job))
@@ -45,7 +46,6 @@
                 response.load_report,
             )
             context.report(result)
-        slot.release()
 
     def _exchange(self, job: CommandJob, slot: ConnectionSlot, deadline_s: float) -> CommandResponse:
         context = self._context
@@ -87,5 +87,5 @@
                 body = content if head.status == 200 else None
         except (HttpError, OSError):  # no response: a later poll requests the records again
             body = None
-        job.on_response(body)
         slot.release()
+        job.on_response(body)
--- a/saffronstack/upstream/http/connection.py
+++ b/saffronstack/upstream/http/connection.py
@@ -1,15 +1,13 @@
-"""One HTTP/1.1 connection to a worker, and the slot that keeps it open between a thread's requests."""
+"""One HTTP/1.1 connection to a worker."""
 
 from __future__ import annotations
 
 import socket
 from collections.abc import Callable
-from types import TracebackType
 
 from saffronstack.http1.messages import MessageLimits, ResponseHead
 from saffronstack.http1.reader import MessageReader
 from saffronstack.http1.sockets import Stream, read_until
-from saffronstack.upstream.errors import ConnectTimeoutError
 
 
 class HttpConnection:
@@ -62,57 +60,3 @@
     def close(self) -> None:
         """Close the connection and its socket."""
         self._stream.close()
-
-
-class ConnectionSlot:
-    """Holds at most one connection for one thread; closes it at the end of the `with` block."""
-
-    def __init__(
-        self,
-        address: tuple[str, int],
-        connect_timeout_s: float,
-        limits: MessageLimits,
-        clock: Callable[[], float],
-    ) -> None:
-        self._address = address
-        self._connect_timeout_s = connect_timeout_s
-        self._limits = limits
-        self._clock = clock
-        self._connection: HttpConnection | None = None
-
-    def __enter__(self) -> ConnectionSlot:
-        return self
-
-    def __exit__(
-        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
-    ) -> None:
-        self.close()
-
-    def acquire(self, deadline_s: float) -> HttpConnection:
-        """Return the keep-alive connection if it is reusable, otherwise a new one.
-
-        Raises:
-            OSError: No connection can be opened; TimeoutError if opening one takes longer than the
-                connect timeout, or beyond ``deadline_s`` (clock time).
-        """
-        if self._connection is not None:
-            if self._connection.is_reusable():
-                return self._connection
-            self.close()
-        remaining_s = min(self._connect_timeout_s, deadline_s - self._clock())
-        if remaining_s <= 0:
-            raise ConnectTimeoutError("no time left to connect")
-        sock = socket.create_connection(self._address, timeout=remaining_s)
-        self._connection = HttpConnection(sock, self._limits)
-        return self._connection
-
-    def release(self) -> None:
-        """Keep the connection for the next request, or close it if it can't carry one."""
-        if self._connection is not None and not self._connection.keep_alive:
-            self.close()
-
-    def close(self) -> None:
-        """Close the connection, if there is one."""
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
--- a/saffronstack/upstream/http/connection_pool.py
+++ b/saffronstack/upstream/http/connection_pool.py
@@ -1,4 +1,4 @@
-"""One worker's connection pool: each thread holds at most one connection and runs one job at a time."""
+"""One worker's connection pool: each thread uses at most one connection and runs one job at a time."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from saffronstack.upstream.events import unsent_attempt, unsent_command
 from saffronstack.upstream.http.attempt_runner import AttemptRunner
 from saffronstack.upstream.http.command_runner import CommandRunner
-from saffronstack.upstream.http.connection import ConnectionSlot
+from saffronstack.upstream.http.connection_slot import ConnectionSlot
 from saffronstack.upstream.http.jobs import AttemptJob, Job, UnloadJob, UsageJob, command_function
 from saffronstack.upstream.http.worker_context import WorkerContext
 
@@ -48,17 +48,18 @@
         self._queued_jobs = 0
 
     @property
-    def thread_count(self) -> int:
-        """Number of threads, which is the maximum number of open connections."""
-        return self._thread_count
+    def connection_count(self) -> int:
+        """Number of connections that are open or being opened."""
+        return self._context.idle_connections.open_count
 
     def update(self, spec: WorkerSpec) -> None:
         """Apply a changed endpoint list entry; a draining worker gets no attempts and no load commands."""
         self._context.is_closed = spec.is_draining
 
     def stop(self) -> None:
-        """Stop sending; idle threads close their connections and end at once, busy ones after their job."""
+        """Stop sending and close idle connections; idle threads end at once, busy ones after their job."""
         self._context.is_closed = True
+        self._context.idle_connections.close()
         with self._lock:
             for _ in range(self._thread_count):
                 self._jobs.put(None)
@@ -95,6 +96,7 @@
                 finally:
                     with self._lock:
                         self._idle_threads += 1
+        self._context.idle_connections.close_expired()
 
     def _next_job(self) -> Job | None:
         """Wait for a job; return None if this thread must end."""
--- a/saffronstack/upstream/http/dispatcher.py
+++ b/saffronstack/upstream/http/dispatcher.py
@@ -23,8 +23,9 @@
     UsageJob,
     command_function,
 )
+from saffronstack.upstream.http.pool_limits import HttpPoolLimits
 from saffronstack.upstream.http.usage_observer import UsageObserver
-from saffronstack.upstream.http.worker_context import HttpPoolLimits, WorkerContext
+from saffronstack.upstream.http.worker_context import WorkerContext
 from saffronstack.upstream.pool_registry import PoolRegistry
 
 
@@ -88,8 +89,8 @@
 
     @property
     def connection_count(self) -> int:
-        """Number of threads in all pools; each holds at most one connection."""
-        return sum(pool.thread_count for pool in self._pools.snapshot().values())
+        """Number of connections to workers that are open or being opened."""
+        return sum(pool.connection_count for pool in self._pools.snapshot().values())
 
     @property
     def worker_count(self) -> int:
--- a/saffronstack/upstream/http/worker_context.py
+++ b/saffronstack/upstream/http/worker_context.py
@@ -6,31 +6,13 @@
 from dataclasses import dataclass, field
 
 from saffronstack.engine.worker_registry import WorkerSpec
-from saffronstack.http1.messages import MessageLimits
 from saffronstack.upstream.events import EventSink
-from saffronstack.upstream.http.connection import ConnectionSlot
+from saffronstack.upstream.http.connection_slot import ConnectionSlot
+from saffronstack.upstream.http.idle_connections import IdleConnections
+from saffronstack.upstream.http.pool_limits import HttpPoolLimits
 from saffronstack.upstream.http.usage_observer import UsageObserver
 
 
-@dataclass(frozen=True, slots=True)
-class HttpPoolLimits:
-    """Limits of the connections to one worker; times in seconds.
-
-    Attributes:
-        connections: Maximum number of connections, and so of threads.
-        connect_timeout_s: Timeout for opening a connection.
-        idle_timeout_s: Idle time after which a thread closes its connection and ends.
-        command_timeout_s: Timeout of a health check or a load command.
-        messages: Size limits of a response.
-    """
-
-    connections: int = 256
-    connect_timeout_s: float = 1.0
-    idle_timeout_s: float = 20.0
-    command_timeout_s: float = 10.0
-    messages: MessageLimits = field(default_factory=MessageLimits)
-
-
 @dataclass(eq=False, slots=True)
 class WorkerContext:
     """One worker, as seen by the threads of its pool.
@@ -44,6 +26,7 @@
         is_closed: Whether the worker is draining or was removed, so that no attempt or load command is sent,
             not even a queued one.
         incarnation: The incarnation in the worker's latest response that reported one.
+        idle_connections: The worker's connections that no thread uses.
     """
 
     spec: WorkerSpec
@@ -53,6 +36,14 @@
     usage_observer: UsageObserver | None = None
     is_closed: bool = False
     incarnation: str = ""
+    idle_connections: IdleConnections = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the set of idle connections."""
+        limits = self.limits
+        self.idle_connections = IdleConnections(
+            limits.connections, limits.reuse_delay_s, limits.idle_timeout_s, self.clock
+        )
 
     @property
     def host(self) -> str:
@@ -62,4 +53,4 @@
     def connection_slot(self) -> ConnectionSlot:
         """Return an empty slot for a connection to this worker."""
         address = (self.spec.host, self.spec.port)
-        return ConnectionSlot(address, self.limits.connect_timeout_s, self.limits.messages, self.clock)
+        return ConnectionSlot(address, self.limits, self.idle_connections)
--- a/tests/upstream/http/test_dispatcher.py
+++ b/tests/upstream/http/test_dispatcher.py
@@ -18,16 +18,30 @@
 from saffronstack.routing.events import CacheStatus, PriorAttempt, Result
 from saffronstack.upstream.events import EngineEvent
 from saffronstack.upstream.http.dispatcher import HttpDispatcher
-from saffronstack.upstream.http.worker_context import HttpPoolLimits
+from saffronstack.upstream.http.pool_limits import HttpPoolLimits
 from tests.support.unscheduled_threads import returns_without_new_threads
 
 FUNCTION = FunctionSpec("f", 5, 0, 64.0)
 WORKER_ID = 9
 TEST_TIMEOUT_S = 5.0  # maximum wait; a passing test does not reach it
 SHORT_DEADLINE_S = 0.4  # expires before a worker that delays its response responds
+REUSE_DELAY_S = HttpPoolLimits().reuse_delay_s
 Script = Callable[[socket.socket], None]
 
 
+class ManualClock:
+    """A monotonic clock that begins at the system's time and advances only when told to."""
+
+    def __init__(self) -> None:
+        self._now_s = time.monotonic()
+
+    def __call__(self) -> float:
+        return self._now_s
+
+    def advance(self, seconds: float) -> None:
+        self._now_s += seconds
+
+
 class ScriptedWorker:
     """Accepts connections and runs the script for each request, on one thread per connection."""
 
@@ -132,9 +146,13 @@
     """Returns a function that starts a dispatcher with a scripted worker; all stop after the test."""
     started: list[Upstream] = []
 
-    def start_one(script: Script, limits: HttpPoolLimits | None = None) -> Upstream:
+    def start_one(
+        script: Script,
+        limits: HttpPoolLimits | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> Upstream:
         events: queue.SimpleQueue[EngineEvent] = queue.SimpleQueue()
-        dispatcher = HttpDispatcher(limits or HttpPoolLimits(), events.put, time.monotonic)
+        dispatcher = HttpDispatcher(limits or HttpPoolLimits(), events.put, clock)
         upstream = Upstream(ScriptedWorker(script), dispatcher, events)
         upstream.list_worker()
         started.append(upstream)
@@ -150,6 +168,15 @@
     return Call(number, f"id-{number}", FUNCTION, b"", time.monotonic() + timeout_s)
 
 
+def response_with(payload: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(payload), payload)
+
+
+def payload_of(result: AttemptResult) -> bytes:
+    assert result.response is not None, result
+    return result.response.payload
+
+
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Saffron-Found: warm\r\nX-Saffron-Crowd: 3\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -258,30 +285,60 @@
 def test_a_keep_alive_connection_that_the_worker_closed_is_replaced_and_no_attempt_is_lost(
     start: StartUpstream,
 ) -> None:
-    upstream = start(respond(OK_RESPONSE, close_socket))
+    clock, has_closed = ManualClock(), threading.Event()
+
+    def close_and_tell(sock: socket.socket) -> None:
+        sock.close()
+        has_closed.set()
+
+    upstream = start(respond(OK_RESPONSE, close_and_tell), clock=clock)
     for number in range(1, 6):
         assert upstream.send(new_call(number)).outcome.result is Result.OK
-        time.sleep(0.02)
+        assert has_closed.wait(TEST_TIMEOUT_S)
+        has_closed.clear()
+        clock.advance(2 * REUSE_DELAY_S)
     assert upstream.worker.connections == upstream.worker.requests == 5
 
 
 def test_a_connection_that_is_kept_alive_carries_the_next_request(start: StartUpstream) -> None:
-    upstream = start(respond(OK_RESPONSE))
+    clock = ManualClock()
+    upstream = start(respond(OK_RESPONSE), clock=clock)
     for number in range(1, 4):
         assert upstream.send(new_call(number)).outcome.result is Result.OK
-        time.sleep(0.02)
+        clock.advance(2 * REUSE_DELAY_S)
     assert (upstream.worker.connections, upstream.worker.requests) == (1, 3)
     assert upstream.dispatcher.connection_count == 1
 
 
 def test_unsolicited_bytes_close_a_connection(start: StartUpstream) -> None:
-    upstream = start(respond(OK_RESPONSE + OK_RESPONSE))
+    clock = ManualClock()
+    upstream = start(respond(OK_RESPONSE + OK_RESPONSE), clock=clock)
     for number in range(1, 4):
         assert upstream.send(new_call(number)).outcome.result is Result.OK
-        time.sleep(0.02)
+        clock.advance(2 * REUSE_DELAY_S)
     assert upstream.worker.connections == 3
 
 
+def test_a_late_second_copy_of_a_response_is_not_the_response_of_the_next_call(start: StartUpstream) -> None:
+    clock = ManualClock()
+    sockets: list[socket.socket] = []  # of each request
+
+    def respond_with_next_payload(sock: socket.socket) -> None:
+        sockets.append(sock)
+        if len(sockets) == 2:
+            sockets[0].sendall(response_with(b"1"))
+        sock.sendall(response_with(b"%d" % len(sockets)))
+
+    upstream = start(respond_with_next_payload, clock=clock)
+    found = [payload_of(upstream.send(new_call(1)))]
+    clock.advance(REUSE_DELAY_S / 2)
+    found.append(payload_of(upstream.send(new_call(2))))
+    clock.advance(2 * REUSE_DELAY_S)
+    found.append(payload_of(upstream.send(new_call(3))))
+    assert found == [b"1", b"2", b"3"]
+    assert sockets[2] is sockets[1]  # the only connection without unread bytes
+
+
 def test_a_new_incarnation_is_reported_and_invalid_numbers_are_not(start: StartUpstream) -> None:
     incarnations = iter(["a", "a", "b"])
 
