The traffic of a worker that began to drain tells so

Cause: an HTTP pool kept the endpoint list entry with which it was created.

Change: `HttpPool.update` keeps the new entry; its address is the same.

--- a/saffronstack/upstream/http/connection_pool.py
+++ b/saffronstack/upstream/http/connection_pool.py
@@ -54,6 +54,7 @@
 
     def update(self, spec: WorkerSpec) -> None:
         """Apply a changed endpoint list entry; a draining worker gets no attempts and no load commands."""
+        self.spec = spec
         self._context.is_closed = spec.is_draining
 
     def stop(self) -> None:
--- a/tests/upstream/http/test_dispatcher.py
+++ b/tests/upstream/http/test_dispatcher.py
@@ -396,6 +396,15 @@
     assert (traffic.attempts, traffic.in_flight) == (1, 0)
 
 
+def test_the_traffic_of_a_worker_tells_whether_it_drains_now(start: StartUpstream) -> None:
+    upstream = start(respond(OK_RESPONSE))
+    found = []
+    for is_draining in (True, False):
+        upstream.list_worker(draining=is_draining)
+        found += [traffic.spec.is_draining for traffic in upstream.dispatcher.traffic()]
+    assert found == [True, False]
+
+
 def test_an_attempt_is_sent_without_waiting_for_a_new_thread_to_be_scheduled(start: StartUpstream) -> None:
     """Regression test: on a busy machine, waiting for a new thread to be scheduled blocked the decision
     thread, and so delayed all calls."""
