A loop of symbolic links at a worker file does not end the watch of the file

Cause: resolving such a path raises RuntimeError; the thread of the watcher caught it while it watched, but not when it looked up the paths for the next watch, and ended. From then on changes were found by the slow poll alone.

--- a/saffronstack/discovery/files/file_watcher.py
+++ b/saffronstack/discovery/files/file_watcher.py
@@ -38,13 +38,18 @@
     def _run(self) -> None:
         stopping = self._thread.stopping
         while not stopping.is_set():
+            stopping.wait(self._watch_until_interrupted())
+
+    def _watch_until_interrupted(self) -> float:
+        """Watch the paths of this moment; return the time in seconds to wait before the next watch."""
+        existing: list[pathlib.Path] = []
+        try:
             paths = self._watched_paths()
             existing = [path for path in paths if path.exists()]
-            try:
-                self._watch(paths, existing)
-            except (OSError, RuntimeError) as error:
-                log.warning("worker file watch interrupted", error=str(error))
-            stopping.wait(RESTART_DELAY_S if existing else MISSING_PATH_RETRY_DELAY_S)
+            self._watch(paths, existing)
+        except (OSError, RuntimeError) as error:  # a RuntimeError also for a loop of symbolic links
+            log.warning("worker file watch interrupted", error=str(error))
+        return RESTART_DELAY_S if existing else MISSING_PATH_RETRY_DELAY_S
 
     def _watch(self, paths: set[pathlib.Path], existing: list[pathlib.Path]) -> None:
         """Report events until the thread is asked to stop or a symbolic link of the file has a new target."""
