A call that is lost again after its incarnation ended is charged once

Cause: a lost call has a provisional charge, which becomes an estimated one when its worker's incarnation ends. A loss that was reported after that made a provisional charge again, which nothing ended. The account's sums, `/usage` and the windows of budgets added both; after a second end the later estimate replaced the first, also where it was smaller.

Change: a call that has an estimate has no provisional charge beside it, and of two estimates the larger counts, as the report over all logs did already (`largest_by_call` is now the code of both).

--- a/saffronstack/invoke/usage.py
+++ b/saffronstack/invoke/usage.py
@@ -28,10 +28,11 @@
     for (_, function, _, _, _), amounts in account.read_totals(tenant):
         for field, amount in zip(AMOUNT_FIELDS, amounts, strict=True):
             functions[function][field] += amount
-    for charge in list(account.provisional.values()):
+    lost_calls = account.charges.lost_call_charges()
+    for charge, amount in lost_calls.provisional:
         if charge.call.tenant == tenant:
-            functions[charge.function]["provisional_mb_s"] += account.charges.outstanding(charge)
-    for charge, amount in account.charges.estimated_charges():
+            functions[charge.function]["provisional_mb_s"] += amount
+    for charge, amount in lost_calls.estimated:
         if charge.call.tenant == tenant:
             functions[charge.function]["estimated_mb_s"] += amount
     report: dict[str, Any] = {
--- a/saffronstack/metering/account.py
+++ b/saffronstack/metering/account.py
@@ -232,9 +232,8 @@
         charged: dict[str, int] = defaultdict(int)
         for key, (loading, running, _, estimated) in self.usage_totals.read_totals():
             charged[key.tenant] += loading + running + estimated
-        for charge in list(self.provisional.values()):
-            charged[charge.call.tenant] += self.charges.outstanding(charge)
-        for charge, amount in self.charges.estimated_charges():
+        lost_calls = self.charges.lost_call_charges()
+        for charge, amount in (*lost_calls.provisional, *lost_calls.estimated):
             charged[charge.call.tenant] += amount
         return dict(charged)
 
--- a/saffronstack/metering/call_charges.py
+++ b/saffronstack/metering/call_charges.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from contextlib import AbstractContextManager
 from itertools import islice
+from typing import NamedTuple
 
 from saffronstack.durable.sorted_runs import KeyValue
 from saffronstack.metering.archive import Archive
@@ -53,6 +54,28 @@
     return sum(recorded.get(key, 0) for key in keys)
 
 
+def largest_by_call(charges: Iterable[ProvisionalCharge]) -> dict[CallKey, ProvisionalCharge]:
+    """Return the largest charge of each call; a call may be lost again in the same incarnation."""
+    largest: dict[CallKey, ProvisionalCharge] = {}
+    for charge in charges:
+        known = largest.get(charge_key(charge))
+        if known is None or int(known.amount) < int(charge.amount):
+            largest[charge_key(charge)] = charge
+    return largest
+
+
+class LostCallCharges(NamedTuple):
+    """Charges of lost calls, each with the amount beyond the call's records, in KiB microseconds.
+
+    Attributes:
+        estimated: The largest estimated charge of each call.
+        provisional: Provisional charges of the calls that have no estimated charge.
+    """
+
+    estimated: list[tuple[ProvisionalCharge, int]]
+    provisional: list[tuple[ProvisionalCharge, int]]
+
+
 class CallCharges:
     """Recorded, provisional and estimated charges by call. The account owns it; other threads read copies.
 
@@ -110,7 +133,11 @@
             self._recent.popitem(last=False)
 
     def finalize(self, entry: IncarnationEnded) -> list[tuple[ProvisionalCharge, int]]:
-        """Turn provisional charges into estimated ones; return each with the amount beyond its records."""
+        """Turn provisional charges into estimated ones.
+
+        Returns:
+            Each charge, with the amount beyond its records and beyond an earlier estimate of its call.
+        """
         incarnation = incarnation_key(entry.worker, entry.incarnation)
         if entry.request_id:
             call = incarnation, entry.request_id
@@ -124,8 +151,20 @@
             ]
             self._retain_recent({incarnation, entry.worker})
             charges = share_instances([self.provisional.pop(call) for call in calls])
-        self.estimates.update(zip(calls, charges, strict=True))
-        return [(charge, self.outstanding(charge)) for charge in charges]
+        return [
+            (charge, self._add_estimate(call, charge)) for call, charge in zip(calls, charges, strict=True)
+        ]
+
+    def _add_estimate(self, call: CallKey, charge: ProvisionalCharge) -> int:
+        """Keep the larger estimate of a call; return what this one adds to the call's charge."""
+        known = self.estimates.get(call)
+        if known is None:
+            self.estimates[call] = charge
+            return self.outstanding(charge)
+        if int(known.amount) >= int(charge.amount):
+            return 0
+        self.estimates[call] = charge
+        return self.outstanding(charge) - self.outstanding(known)
 
     def _retain_recent(self, incarnations: set[str]) -> None:
         for call in [call for call in self._recent if call[0] in incarnations]:
@@ -213,9 +252,23 @@
                 _, incarnation, request_id = decode_key(key)
                 yield (str(incarnation), str(request_id)), decode_amounts(value)[0]
 
+    def lost_call_charges(self) -> LostCallCharges:
+        """Return the charges of lost calls. A call that is lost in one incarnation again counts once."""
+        provisional = list(self.provisional.items())  # before the estimates, which they may become meanwhile
+        estimated = self.estimated_charges()
+        calls_with_estimate = {charge_key(charge) for charge, _ in estimated}
+        return LostCallCharges(
+            estimated,
+            [
+                (charge, self.outstanding(charge))
+                for call, charge in provisional
+                if call not in calls_with_estimate
+            ],
+        )
+
     def estimated_charges(self) -> list[tuple[ProvisionalCharge, int]]:
-        """Return estimated charges, each with the amount that is left after recorded amounts are deducted."""
-        charges = list(self.final_charges())
+        """Return the largest estimated charge of each call, with the amount beyond the call's records."""
+        charges = list(largest_by_call(self.final_charges()).values())
         recorded: dict[CallKey, int] = defaultdict(int)
         if charges:
             for call, amount in self.recorded_amounts():
--- a/saffronstack/metering/merged_accounts.py
+++ b/saffronstack/metering/merged_accounts.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator
 
 from saffronstack.metering.account import Account
-from saffronstack.metering.call_charges import charge_key, recorded_amount
+from saffronstack.metering.call_charges import largest_by_call, recorded_amount
 from saffronstack.metering.interval_set import IntervalSet
 from saffronstack.metering.ledger_entries import ProvisionalCharge, RecordId
 from saffronstack.metering.usage_totals import Amounts, TotalKey, find_imbalances
@@ -51,12 +51,9 @@
         for account in (*self._accounts, self._duplicates):
             for call, amount in account.charges.recorded_amounts():
                 self._recorded[call] += amount
-        self.estimates: dict[tuple[str, str], ProvisionalCharge] = {}
-        for account in self._accounts:
-            for charge in account.charges.final_charges():
-                known = self.estimates.get(charge_key(charge))
-                if known is None or int(known.amount) < int(charge.amount):
-                    self.estimates[charge_key(charge)] = charge
+        self.estimates = largest_by_call(
+            charge for account in self._accounts for charge in account.charges.final_charges()
+        )
         for account in self._accounts:
             for call, charge in account.provisional.items():
                 if call not in self.estimates:
--- a/tests/metering/test_metering.py
+++ b/tests/metering/test_metering.py
@@ -206,6 +206,22 @@
         assert each.charges_by_tenant() == {"a": 2_000_000, "b": 50}
 
 
+@pytest.mark.parametrize("ends_again", [False, True])
+@pytest.mark.parametrize("second_amount", [1_000_000, 1_500_000, 2_000_000])
+def test_a_call_that_is_lost_again_after_its_incarnation_ended_is_charged_once(
+    second_amount: int, ends_again: bool
+) -> None:
+    first = ProvisionalCharge("w1", "i", CallReference("id-1", "a", "c"), "f", 1_500_000, 0.0)
+    account = Account("g")
+    for entry in (first, IncarnationEnded("w1", "i"), structs.replace(first, amount=second_amount)):
+        account.apply(entry)
+    if ends_again:
+        account.apply(IncarnationEnded("w1", "i"))
+    wanted = max(first.amount, second_amount) if ends_again else first.amount
+    assert account.charges_by_tenant() == {"a": wanted}
+    assert merge_accounts([account]).charges_by_tenant() == {"a": wanted}
+
+
 def test_a_call_that_is_retried_in_a_workers_next_incarnation_is_charged_in_both() -> None:
     """Records of the next incarnation must not reduce the estimate of the last one.
 
--- a/tests/stored_formats/test_journal_formats.py
+++ b/tests/stored_formats/test_journal_formats.py
@@ -175,8 +175,10 @@
     shutil.copy(DATA / kind.folder / kind.segment, tmp_path)
     journal = kind.journal(tmp_path)
     figures = figures_of(journal.state)
+    merged = merge_accounts([journal.state]).charges_by_tenant()
     assert journal.close()
     assert figures == json.loads((DATA / kind.folder / "figures.json").read_text())
+    assert figures["by_tenant"] == merged  # although the log has a call that was lost again after its charge
 
 
 def test_a_stored_archive_is_charged_and_reported_the_same() -> None:
