A deferred call that may have run in several groups ends at once

Cause: the retry policy of deferred calls did not know the group in which workers drop repeats. A keyed call that may have run in several groups was submitted again and again; the router refused each time, since no worker is in its scope, and the call ended as unknown when its window was over. Nothing ran twice, but the caller learned it late, and the refused attempts took up places in flight.

Change: the policy holds the scope, and such a call ends as unknown after the attempt that made it so, and after a restart. Attempts whose place was not stored do not count as another group: the router looks up where their workers are.

--- a/saffronstack/deferred/function_policies.py
+++ b/saffronstack/deferred/function_policies.py
@@ -7,6 +7,7 @@
 from saffronstack.config.build import ConfiguredFunction, Functions
 from saffronstack.config.schema import Config
 from saffronstack.deferred.retry_policy import RetryPolicy
+from saffronstack.routing.settings import DeduplicationScope
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,5 +39,6 @@
             request_class.deadline_s - self._response_margin_s,
             configured_function.config.maximum_event_age_s,
             configured_function.config.maximum_retry_attempts,
+            DeduplicationScope(request_class.group),
         )
         return FunctionPolicy(configured_function, retry_policy)
--- a/saffronstack/deferred/retry_policy.py
+++ b/saffronstack/deferred/retry_policy.py
@@ -1,9 +1,10 @@
 """Decides on open deferred calls: after acceptance, after each attempt and after a restart. No I/O.
 
 An idempotent call may be retried. A call with an idempotency key that may have been executed is retried only
-within its deduplication window; the router enforces the deduplication scope. Any other call is never retried
-once it may have been executed. A call whose execution is uncertain counts as possibly executed. Times are
-Unix seconds.
+within its deduplication window, and not at all if it may have been executed in several groups of workers,
+since none of them drops the repeats of another; the router sends a retry to the group of the execution. Any
+other call is never retried once it may have been executed. A call whose execution is uncertain counts as
+possibly executed. Times are Unix seconds.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
     PossibleExecution,
     keep_first_by_location,
 )
-from saffronstack.routing.settings import Idempotency
+from saffronstack.routing.settings import DeduplicationScope, Idempotency
 
 WINDOW_MARGIN_S = 0.1  # an attempt must arrive this long before the deduplication window ends
 MIN_ATTEMPT_S = 0.2  # minimum time to a deadline for an attempt to be started
@@ -46,6 +47,7 @@
     deadline_s: float
     max_event_age_s: float
     max_retries: int
+    deduplication_scope: DeduplicationScope = DeduplicationScope.ALL
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,9 +145,26 @@
     executions = state.possible_executions
     if policy.idempotency is not Idempotency.WITH_KEY or not executions or now < executions[-1].sent_at:
         return None
+    if _are_in_several_groups(executions, policy.deduplication_scope):
+        return None
     return executions[0].sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
 
 
+def _are_in_several_groups(executions: tuple[PossibleExecution, ...], scope: DeduplicationScope) -> bool:
+    """Return whether executions are known to be in several groups of workers that deduplicate together.
+
+    Executions whose place was not stored don't count: the router looks up where their workers are now.
+    """
+    match scope:
+        case DeduplicationScope.ALL:
+            return False
+        case DeduplicationScope.ZONE:
+            groups = {execution.zone for execution in executions}
+        case DeduplicationScope.CELL:
+            groups = {execution.cell for execution in executions}
+    return len(groups - {""}) > 1
+
+
 def find_possible_executions(
     state: RetryState, status: FinalStatus, reported: tuple[PossibleExecution, ...]
 ) -> tuple[PossibleExecution, ...]:
--- a/tests/deferred/test_attempt_log.py
+++ b/tests/deferred/test_attempt_log.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 import pytest
+from msgspec import structs
 
 from saffronstack.config.build import Functions
 from saffronstack.config.schema import Config
@@ -221,6 +222,20 @@
     ]
 
 
+def test_a_call_that_may_have_executed_in_two_racks_ends_without_another_attempt(
+    config: Config, ledger: Ledger, engine: ScriptedEngine
+) -> None:
+    classes = [structs.replace(request_class, group="cell") for request_class in config.classes]
+    deferred = service(structs.replace(config, classes=classes), ledger, engine)
+    deferred.start()
+    deferred.accept(submission(ID, KEYED))
+    answer = FinalAnswer(FinalStatus.REJECTED, attempts=2, prior_attempts=(sent(0), sent(1)))
+    engine.wait_for_call(1).finish(answer)
+    assert final_condition(deferred, ID) == "OutcomeUnknown"
+    assert len(engine.calls) == 1
+    deferred.stop(0.0)
+
+
 def test_lost_records_leave_no_time_to_send_a_keyed_call_again(
     config: Config, ledger: Ledger, call: Call
 ) -> None:
--- a/tests/deferred/test_retry_policy.py
+++ b/tests/deferred/test_retry_policy.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -20,7 +23,7 @@
 )
 from saffronstack.engine.calls import FinalStatus
 from saffronstack.engine.possible_execution import UNKNOWN_EXECUTION, PossibleExecution
-from saffronstack.routing.settings import Idempotency
+from saffronstack.routing.settings import DeduplicationScope, Idempotency
 
 
 def in_order_of_sending(executions: list[PossibleExecution]) -> tuple[PossibleExecution, ...]:
@@ -35,11 +38,15 @@
     st.floats(0.5, 5),
     st.floats(1, 60),
     st.integers(0, 3),
+    st.sampled_from(DeduplicationScope),
 )
+places = st.sampled_from(["", "a", "b"])
 states = st.builds(
     RetryState,
     times,
-    st.lists(st.builds(PossibleExecution, st.integers(0, 9), times), max_size=3).map(in_order_of_sending),
+    st.lists(st.builds(PossibleExecution, st.integers(0, 9), times, places, places), max_size=3).map(
+        in_order_of_sending
+    ),
     st.integers(0, 9),
     st.integers(0, 4),
 )
@@ -50,6 +57,37 @@
 EXECUTED = RetryState(0.0, (PossibleExecution(1, 0.5),))
 
 
+def are_in_several_groups(state: RetryState, scope: DeduplicationScope) -> bool:
+    zones = {execution.zone for execution in state.possible_executions if execution.zone}
+    cells = {execution.cell for execution in state.possible_executions if execution.cell}
+    groups = {
+        DeduplicationScope.ALL: set(),
+        DeduplicationScope.ZONE: zones,
+        DeduplicationScope.CELL: cells,
+    }
+    return len(groups[scope]) > 1
+
+
+@pytest.mark.parametrize(
+    ("second_place", "scope", "is_retried"),
+    [
+        (("zone-1", "cell-2"), DeduplicationScope.CELL, False),
+        (("zone-1", "cell-2"), DeduplicationScope.ZONE, True),
+        (("zone-2", "cell-1"), DeduplicationScope.ZONE, False),
+        (("zone-2", "cell-2"), DeduplicationScope.ALL, True),
+        (("", ""), DeduplicationScope.CELL, True),  # whether it is another cell is for the router to find out
+    ],
+)
+def test_a_call_that_may_have_been_executed_in_several_groups_ends_at_once(
+    second_place: tuple[str, str], scope: DeduplicationScope, is_retried: bool
+) -> None:
+    executions = (PossibleExecution(1, 0.5, "zone-1", "cell-1"), PossibleExecution(2, 0.6, *second_place))
+    policy = replace(WITH_KEY, deduplication_scope=scope)
+    step = decide_next_step(RetryState(0.0, executions), policy, 1.0)
+    assert (step == Finish(Condition.UNKNOWN)) != is_retried
+    assert isinstance(step, StartAttempt) == is_retried
+
+
 @given(states, policies, times)
 @settings(derandomize=True, max_examples=500)
 def test_no_history_retries_what_must_not_be_executed_again(
@@ -64,6 +102,7 @@
             assert all(execution.sent_at <= now for execution in state.possible_executions)
             first_sent_at = min(execution.sent_at for execution in state.possible_executions)
             assert step.deadline_at <= first_sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
+            assert not are_in_several_groups(state, policy.deduplication_scope)
     elif isinstance(step, Finish):
         is_uncertain = bool(state.possible_executions) and policy.idempotency is not Idempotency.IDEMPOTENT
         assert (step.condition is Condition.UNKNOWN) == is_uncertain
