A call of an earlier version's ledger is not sent to the rack its worker moved to

Callers would have seen nothing: a keyed deferred call, open in a ledger of the version before at a kill, ran again in another rack where its worker had changed its rack with the update.

Cause: records of earlier versions name no place, and recovery took the place of the worker in the present list for that of the attempt.

Evidence and result: the new test keeps what the disk holds while a call runs, replaces its attempt by one without a place, swaps the racks of two workers and starts the gateway again.

Change: an execution without a stored place is in no known group, so such a call is retried only where the workers of all groups drop repeats, and ends as unknown elsewhere. Calls with a stored place are retried in it as before. What it costs: such a call ends as unknown also where its worker has not moved, since nothing stored tells the two apart.

--- a/saffronstack/deferred/retry_policy.py
+++ b/saffronstack/deferred/retry_policy.py
@@ -1,10 +1,10 @@
 """Decides on open deferred calls: after acceptance, after each attempt and after a restart. No I/O.
 
 An idempotent call may be retried. A call with an idempotency key that may have been executed is retried only
-within its deduplication window, and not at all if it may have been executed in several groups of workers,
-since none of them drops the repeats of another; the router sends a retry to the group of the execution. Any
-other call is never retried once it may have been executed. A call whose execution is uncertain counts as
-possibly executed. Times are Unix seconds.
+within its deduplication window, and not at all if it may have been executed in several groups of workers or
+in an unknown one, since no group drops the repeats of another; the router sends a retry to the group of the
+execution. Any other call is never retried once it may have been executed. A call whose execution is uncertain
+counts as possibly executed. Times are Unix seconds.
 """
 
 from __future__ import annotations
@@ -145,24 +145,24 @@
     executions = state.possible_executions
     if policy.idempotency is not Idempotency.WITH_KEY or not executions or now < executions[-1].sent_at:
         return None
-    if _are_in_several_groups(executions, policy.deduplication_scope):
+    if not _are_in_one_group(executions, policy.deduplication_scope):
         return None
     return executions[0].sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
 
 
-def _are_in_several_groups(executions: tuple[PossibleExecution, ...], scope: DeduplicationScope) -> bool:
-    """Return whether executions are known to be in several groups of workers that deduplicate together.
+def _are_in_one_group(executions: tuple[PossibleExecution, ...], scope: DeduplicationScope) -> bool:
+    """Return whether executions are known to be in one group of workers that deduplicate together.
 
-    Executions whose place was not stored don't count: the router looks up where their workers are now.
+    The place of an execution that an earlier version stored is not known: its worker may have moved since.
     """
     match scope:
         case DeduplicationScope.ALL:
-            return False
+            return True
         case DeduplicationScope.ZONE:
             groups = {execution.zone for execution in executions}
         case DeduplicationScope.CELL:
             groups = {execution.cell for execution in executions}
-    return len(groups - {""}) > 1
+    return len(groups) == 1 and "" not in groups
 
 
 def find_possible_executions(
--- a/tests/deferred/test_retry_policy.py
+++ b/tests/deferred/test_retry_policy.py
@@ -57,15 +57,15 @@
 EXECUTED = RetryState(0.0, (PossibleExecution(1, 0.5),))
 
 
-def are_in_several_groups(state: RetryState, scope: DeduplicationScope) -> bool:
-    zones = {execution.zone for execution in state.possible_executions if execution.zone}
-    cells = {execution.cell for execution in state.possible_executions if execution.cell}
-    groups = {
-        DeduplicationScope.ALL: set(),
-        DeduplicationScope.ZONE: zones,
-        DeduplicationScope.CELL: cells,
-    }
-    return len(groups[scope]) > 1
+def are_in_one_group(state: RetryState, scope: DeduplicationScope) -> bool:
+    first, *others = state.possible_executions
+    is_one_zone = bool(first.zone) and all(other.zone == first.zone for other in others)
+    is_one_cell = bool(first.cell) and all(other.cell == first.cell for other in others)
+    return {
+        DeduplicationScope.ALL: True,
+        DeduplicationScope.ZONE: is_one_zone,
+        DeduplicationScope.CELL: is_one_cell,
+    }[scope]
 
 
 @pytest.mark.parametrize(
@@ -75,10 +75,12 @@
         (("zone-1", "cell-2"), DeduplicationScope.ZONE, True),
         (("zone-2", "cell-1"), DeduplicationScope.ZONE, False),
         (("zone-2", "cell-2"), DeduplicationScope.ALL, True),
-        (("", ""), DeduplicationScope.CELL, True),  # whether it is another cell is for the router to find out
+        (("zone-1", "cell-1"), DeduplicationScope.CELL, True),
+        (("", ""), DeduplicationScope.CELL, False),
+        (("", ""), DeduplicationScope.ALL, True),
     ],
 )
-def test_a_call_that_may_have_been_executed_in_several_groups_ends_at_once(
+def test_a_call_that_may_have_been_executed_in_several_groups_or_an_unknown_one_ends_at_once(
     second_place: tuple[str, str], scope: DeduplicationScope, is_retried: bool
 ) -> None:
     executions = (PossibleExecution(1, 0.5, "zone-1", "cell-1"), PossibleExecution(2, 0.6, *second_place))
@@ -102,7 +104,7 @@
             assert all(execution.sent_at <= now for execution in state.possible_executions)
             first_sent_at = min(execution.sent_at for execution in state.possible_executions)
             assert step.deadline_at <= first_sent_at + policy.deduplication_window_s - WINDOW_MARGIN_S
-            assert not are_in_several_groups(state, policy.deduplication_scope)
+            assert are_in_one_group(state, policy.deduplication_scope)
     elif isinstance(step, Finish):
         is_uncertain = bool(state.possible_executions) and policy.idempotency is not Idempotency.IDEMPOTENT
         assert (step.condition is Condition.UNKNOWN) == is_uncertain
--- a/tests/test_kill_between_attempts.py
+++ b/tests/test_kill_between_attempts.py
@@ -17,12 +17,15 @@
 import pytest
 
 from saffronstack import config as configs
+from saffronstack.deferred.ledger import open_ledger
+from saffronstack.deferred.records import AttemptStarted, AttemptsVoided
 from saffronstack.durable.journal_recovery import recover_journal
 from saffronstack.engine.identifiers import worker_number
 from saffronstack.gateway import Gateway
 from saffronstack.operations.operation_log import OPERATION_LOG_CODEC, OperationLogState, open_operation_log
 from saffronstack.standin.fleet import StubWorkerFleet
 from saffronstack.standin.model import Profile
+from tests.support.ledger import commit
 from tests.support.operations import send, with_operation_log
 from tests.support.stack import Stack, configuration, eventually
 from tests.test_kill_points import FrozenDisk
@@ -220,6 +223,33 @@
     assert sorted(workers_that_executed(roomy_fleet, FUNCTIONS[0])) == ["worker-1", "worker-2"]
 
 
+def rewrite_as_earlier_version(content: dict[str, Any]) -> str:
+    """Replace the stored attempt of the open call by one without its place; return the call's id."""
+    kept = pathlib.Path(content["ledger"]["directory"]).parent / "kept" / "ledger"
+    with open_ledger(str(kept), 100, 1 << 20) as ledger:
+        ((request_id, call),) = ledger.state.open.items()
+        (attempt,) = call.attempts
+        execution = attempt.execution
+        started = AttemptStarted(request_id, execution.worker_id, execution.sent_at)
+        commit(ledger, AttemptsVoided(request_id), started)
+    return request_id
+
+
+def test_a_ledger_of_an_earlier_version_names_no_cell_that_its_worker_has_left(
+    tmp_path: pathlib.Path, roomy_fleet: StubWorkerFleet
+) -> None:
+    """Guards against a second run: that version stored no places, and the worker moves with the update."""
+    content = keyed_configuration(roomy_fleet, tmp_path)
+    executing, other = kill_while_running(content, roomy_fleet)
+    request_id = rewrite_as_earlier_version(content)
+    moved = [{**executing, "cell": other["cell"]}, {**other, "cell": executing["cell"]}]
+    stack = restart(content, roomy_fleet, moved)
+    stack.final_record(request_id)
+    stack.gateway.stop()
+    (first,) = [worker for worker in roomy_fleet.workers if worker.name == executing["id"]]
+    assert len(first.runs()) == 1  # it stands in the other cell now, which knows nothing of the first run
+
+
 def test_a_worker_that_left_is_replaced_by_one_of_the_same_cell(
     tmp_path: pathlib.Path, roomy_fleet: StubWorkerFleet
 ) -> None:
